--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+PROTO = src/quetzalrudder/schema/proto
+SCHEMA = src/quetzalrudder/schema
+
+.PHONY: install demo test bench format lint check-format generate check-schema
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: install
+	$(PYTHON) -m standins.demo
+
+test: install
+	$(PYTHON) -m pytest -q tests
+
+bench: install
+	$(PYTHON) -m bench
+
+format: install
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: install
+	$(VENV)/bin/ruff check .
+
+check-format: install
+	$(VENV)/bin/ruff format --check .
+
+generate: install
+	$(PYTHON) tools/generate_schema.py $(SCHEMA)
+
+check-schema: install
+	$(PYTHON) tools/generate_schema.py --check $(SCHEMA)
--- /dev/null
+++ b/src/quetzalrudder/adapters.py
@@ -0,0 +1,387 @@
+"""Interfaces to targets and the platform, and their gRPC adapters.
+
+Decisions use the interfaces only, so that another database driver or another
+platform can be put in by writing another adapter.
+"""
+
+import itertools
+import threading
+from concurrent.futures import CancelledError, Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from grpclib import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+from result import Err, Ok, Result
+
+from quetzalrudder.bridge import ClientStream, Loop, call_once
+from quetzalrudder.exceptions import (
+    LinkLost,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    QuetzalrudderError,
+    TargetUnavailable,
+    TruncatedAnswer,
+    from_failure,
+)
+from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
+from quetzalrudder.schema.platform import (
+    Entries,
+    Entry,
+    GetRequest,
+    GrantLeaseRequest,
+    Groups,
+    GroupsRequest,
+    Instances,
+    InstancesRequest,
+    Lease,
+    LeaseRequest,
+    ListRequest,
+    PlatformStub,
+    PutAnswer,
+    PutRequest,
+    WatchRequest,
+)
+from quetzalrudder.schema.target import (
+    AskOutcome,
+    Begin,
+    Commit,
+    Confirm,
+    Execute,
+    Fence,
+    Follow,
+    Open,
+    Probe,
+    Promote,
+    Rollback,
+    TargetAnswer,
+    TargetFrame,
+    TargetStub,
+)
+from quetzalrudder.utils import MS_PER_S, Address
+
+__all__ = [
+    "GrpcPlatform",
+    "GrpcTargetConn",
+    "Platform",
+    "TargetConn",
+    "TargetInfo",
+    "TargetRequest",
+    "open_grpc_target",
+]
+
+TargetRequest = (
+    Open
+    | Execute
+    | Begin
+    | Commit
+    | Rollback
+    | AskOutcome
+    | Probe
+    | Confirm
+    | Fence
+    | Promote
+    | Follow
+)
+
+FIELD_BY_TYPE: dict[type, str] = {
+    Open: "open",
+    Execute: "execute",
+    Begin: "begin",
+    Commit: "commit",
+    Rollback: "rollback",
+    AskOutcome: "ask_outcome",
+    Probe: "probe",
+    Confirm: "confirm",
+    Fence: "fence",
+    Promote: "promote",
+    Follow: "follow",
+}
+
+RESULT_GRACE_S = 2.0
+
+
+@dataclass(frozen=True)
+class TargetInfo:
+    """Where a target is."""
+
+    target: TargetId
+    group: GroupId
+    data_centre: DataCentre
+    address: Address
+
+
+class TargetConn(Protocol):
+    """One connection to a target."""
+
+    @property
+    def broken(self) -> bool:
+        """True once no further request can be sent, or an answer is still owed."""
+
+    def request(
+        self, req: TargetRequest, timeout_s: float
+    ) -> Result[TargetAnswer, QuetzalrudderError]:
+        """Send one request and wait for its whole answer."""
+
+    def close(self) -> None:
+        """Close the connection; what was open in it is rolled back by the target."""
+
+
+class Platform(Protocol):
+    """The platform's key-value service and lists; each call may fail or lose its answer."""
+
+    def get(self, key: str) -> Result[Entry, QuetzalrudderError]:
+        """Read one key; version 0 means absent."""
+
+    def list_entries(self, prefix: str) -> Result[Entries, QuetzalrudderError]:
+        """Read all keys under a prefix."""
+
+    def put(self, req: PutRequest) -> Result[PutAnswer, QuetzalrudderError]:
+        """Write or delete one key if its version is the expected one."""
+
+    def watch(self, req: WatchRequest) -> Result[Entries, QuetzalrudderError]:
+        """Wait for a change under a prefix; an empty answer means none in time."""
+
+    def grant_lease(self, ttl_ms: int) -> Result[Lease, QuetzalrudderError]:
+        """Take a lease."""
+
+    def keep_alive(self, lease_id: int) -> Result[Lease, QuetzalrudderError]:
+        """Extend a lease; ``held`` is false if it has lapsed."""
+
+    def revoke(self, lease_id: int) -> Result[Lease, QuetzalrudderError]:
+        """Give a lease up."""
+
+    def list_groups(self) -> Result[Groups, QuetzalrudderError]:
+        """Read the database groups."""
+
+    def list_instances(self) -> Result[Instances, QuetzalrudderError]:
+        """Read the lagging list of live and leaving instances."""
+
+
+class GrpcTargetConn:
+    """A target connection over one bidirectional gRPC stream.
+
+    Answers are matched by sequence and generation; one that matches no waiting
+    request is dropped.
+    """
+
+    def __init__(self, loop: Loop, info: TargetInfo, generation: int) -> None:
+        self._info = info
+        self._generation = generation
+        self._sequence = itertools.count(1)
+        self._pending: dict[int, Future[TargetAnswer]] = {}
+        self._owed = False
+        self._end: QuetzalrudderError | None = None
+        self._stream: ClientStream[TargetFrame, TargetAnswer] = ClientStream(
+            loop,
+            info.address,
+            lambda channel, frames: TargetStub(channel).connect(frames),
+            self._resolve,
+            self._fail_all,
+        )
+
+    @property
+    def broken(self) -> bool:
+        """True once no further request can be sent, or an answer is still owed."""
+        return self._owed or self._stream.ended
+
+    def _resolve(self, answer: TargetAnswer) -> None:
+        if answer.generation != self._generation:
+            return
+        fut = self._pending.pop(answer.sequence, None)
+        if fut is not None:
+            fut.set_result(answer)
+
+    def _fail_all(self, exc: QuetzalrudderError) -> None:
+        self._end = exc
+        while self._pending:
+            _, fut = self._pending.popitem()
+            fut.set_exception(LinkLost(exc.message, place=self._info.target))
+
+    def request(
+        self, req: TargetRequest, timeout_s: float
+    ) -> Result[TargetAnswer, QuetzalrudderError]:
+        """Send one request and wait for its whole answer.
+
+        Parameters
+        ----------
+        req : TargetRequest
+            What to ask.
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        Result[TargetAnswer, QuetzalrudderError]
+            The answer, or why there is none. ``TargetUnavailable`` means that
+            nothing was sent.
+        """
+        sequence = next(self._sequence)
+        frame = TargetFrame(sequence=sequence, generation=self._generation)
+        setattr(frame, FIELD_BY_TYPE[type(req)], req)
+        fut: Future[TargetAnswer] = Future()
+        self._pending[sequence] = fut
+        try:
+            self._stream.send(frame)
+        except LinkLost as exc:
+            self._pending.pop(sequence, None)
+            return Err(TargetUnavailable(exc.message, place=self._info.target))
+        if self._stream.ended and self._pending.pop(sequence, None) is not None:
+            return Err(LinkLost("the connection broke", place=self._info.target))
+        return self._wait(sequence, fut, timeout_s)
+
+    def _wait(
+        self, sequence: int, fut: "Future[TargetAnswer]", timeout_s: float
+    ) -> Result[TargetAnswer, QuetzalrudderError]:
+        try:
+            answer = fut.result(timeout_s)
+        except FutureTimeoutError:
+            self._pending.pop(sequence, None)
+            self._owed = True
+            return Err(OutcomeUnknown("no answer in time", place=self._info.target))
+        except QuetzalrudderError as exc:
+            return Err(exc)
+        return self._check(answer)
+
+    def _check(self, answer: TargetAnswer) -> Result[TargetAnswer, QuetzalrudderError]:
+        if answer.failure is not None:
+            return Err(from_failure(answer.failure))
+        rows = len(answer.rows.rows) if answer.rows is not None else 0
+        if rows != answer.row_count:
+            self._owed = True
+            return Err(
+                TruncatedAnswer(f"{rows} of {answer.row_count} rows came", place=self._info.target)
+            )
+        return Ok(answer)
+
+    def close(self) -> None:
+        """Close the connection; what was open in it is rolled back by the target."""
+        self._stream.close()
+
+
+def open_grpc_target(
+    loop: Loop, info: TargetInfo, opening: Open, generation: int, timeout_s: float
+) -> Result[GrpcTargetConn, QuetzalrudderError]:
+    """Open a connection to a target.
+
+    Parameters
+    ----------
+    loop : Loop
+        The loop that owns the socket.
+    info : TargetInfo
+        Where the target is.
+    opening : Open
+        Who connects, and for what.
+    generation : int
+        Number that marks this connection's answers.
+    timeout_s : float
+        Longest wait, in seconds.
+
+    Returns
+    -------
+    Result[GrpcTargetConn, QuetzalrudderError]
+        The open connection, or why it could not be opened.
+    """
+    conn = GrpcTargetConn(loop, info, generation)
+    answer = conn.request(opening, timeout_s)
+    if isinstance(answer, Err):
+        conn.close()
+        exc = answer.err_value
+        if isinstance(exc, LinkLost | OutcomeUnknown):
+            exc = TargetUnavailable(exc.message, place=info.target)
+        return Err(exc)
+    return Ok(conn)
+
+
+class GrpcPlatform:
+    """The platform over unary gRPC calls.
+
+    Parameters
+    ----------
+    loop : Loop
+        The loop that owns the sockets.
+    address : Address
+        Where the platform listens.
+    instance, data_centre
+        The caller, as the platform's records name it.
+    timeout_s : float
+        Longest wait for one call, in seconds.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        instance: InstanceId,
+        data_centre: DataCentre,
+        timeout_s: float = 1.0,
+    ) -> None:
+        self._loop = loop
+        self._address = address
+        self._metadata = {"instance": str(instance), "data-centre": str(data_centre)}
+        self._timeout_s = timeout_s
+        self._closed = threading.Event()
+        self._calls: set[Future[Any]] = set()
+
+    def _call(self, method: str, req: Any, extra_s: float = 0.0) -> Result[Any, QuetzalrudderError]:
+        if self._closed.is_set():
+            return Err(PlatformUnavailable("closed", place=str(self._address)))
+        timeout_s = self._timeout_s + extra_s
+
+        async def call(channel: Any) -> Any:
+            return await getattr(PlatformStub(channel), method)(req, metadata=self._metadata)
+
+        fut = self._loop.start(call_once(self._address, call, timeout_s=timeout_s))
+        self._calls.add(fut)
+        try:
+            return Ok(fut.result(timeout_s + RESULT_GRACE_S))
+        except (OSError, GRPCError, StreamTerminatedError, CancelledError) as exc:
+            reason = str(exc) or type(exc).__name__
+            return Err(PlatformUnavailable(reason, place=str(self._address)))
+        except QuetzalrudderError as exc:
+            return Err(exc)
+        finally:
+            self._calls.discard(fut)
+
+    def close(self) -> None:
+        """Give up every call; later ones fail at once."""
+        self._closed.set()
+        for fut in list(self._calls):
+            fut.cancel()
+
+    def get(self, key: str) -> Result[Entry, QuetzalrudderError]:
+        """Read one key; version 0 means absent."""
+        return self._call("get", GetRequest(key=key))
+
+    def list_entries(self, prefix: str) -> Result[Entries, QuetzalrudderError]:
+        """Read all keys under a prefix."""
+        return self._call("list", ListRequest(prefix=prefix))
+
+    def put(self, req: PutRequest) -> Result[PutAnswer, QuetzalrudderError]:
+        """Write or delete one key if its version is the expected one."""
+        return self._call("put", req)
+
+    def watch(self, req: WatchRequest) -> Result[Entries, QuetzalrudderError]:
+        """Wait for a change under a prefix; an empty answer means none in time."""
+        return self._call("watch", req, extra_s=req.timeout_ms / MS_PER_S)
+
+    def grant_lease(self, ttl_ms: int) -> Result[Lease, QuetzalrudderError]:
+        """Take a lease."""
+        return self._call("grant_lease", GrantLeaseRequest(ttl_ms=ttl_ms))
+
+    def keep_alive(self, lease_id: int) -> Result[Lease, QuetzalrudderError]:
+        """Extend a lease; ``held`` is false if it has lapsed."""
+        return self._call("keep_alive", LeaseRequest(lease_id=lease_id))
+
+    def revoke(self, lease_id: int) -> Result[Lease, QuetzalrudderError]:
+        """Give a lease up."""
+        return self._call("revoke", LeaseRequest(lease_id=lease_id))
+
+    def list_groups(self) -> Result[Groups, QuetzalrudderError]:
+        """Read the database groups."""
+        return self._call("list_groups", GroupsRequest())
+
+    def list_instances(self) -> Result[Instances, QuetzalrudderError]:
+        """Read the lagging list of live and leaving instances."""
+        return self._call("list_instances", InstancesRequest())
--- /dev/null
+++ b/src/quetzalrudder/codec.py
@@ -0,0 +1,76 @@
+"""Checks of incoming messages: size before they are read, form when they are decoded."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from grpclib._typing import IServable
+from grpclib.const import Handler
+from grpclib.encoding.proto import ProtoCodec
+from grpclib.server import Stream
+
+from quetzalrudder.exceptions import MalformedMessage, MessageTooLarge
+
+__all__ = ["MAX_MESSAGE_BYTES", "CheckedCodec", "limit_message_size"]
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class CheckedCodec(ProtoCodec):
+    """Protocol buffers whose decoding failures are typed."""
+
+    def decode(self, data: bytes, message_type: type) -> Any:
+        """Decode one message.
+
+        Raises
+        ------
+        MessageTooLarge
+            The message exceeds the size limit.
+        MalformedMessage
+            The bytes are no such message.
+        """
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise _too_large(len(data))
+        try:
+            return super().decode(data, message_type)
+        except Exception as exc:
+            reason = f"not a {message_type.__name__}: {type(exc).__name__}"
+            raise MalformedMessage(reason) from exc
+
+
+def _too_large(size: int) -> MessageTooLarge:
+    return MessageTooLarge(f"{size} bytes, at most {MAX_MESSAGE_BYTES}")
+
+
+class LimitedService:
+    """A service whose streams refuse a message by its length prefix, before reading it."""
+
+    def __init__(self, service: IServable) -> None:
+        self._service = service
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Give the wrapped handlers."""
+        handlers = self._service.__mapping__()
+        return {path: h._replace(func=_limited(h.func)) for path, h in handlers.items()}
+
+
+def limit_message_size(service: IServable) -> LimitedService:
+    """Wrap a service so that oversized messages are refused unread."""
+    return LimitedService(service)
+
+
+def _limited(
+    func: Callable[[Stream], Awaitable[None]],
+) -> Callable[[Stream], Awaitable[None]]:
+    async def handle(stream: Stream) -> None:
+        http_stream = stream._stream
+        read = http_stream.recv_data
+
+        async def recv_data(size: int) -> bytes:
+            if size > MAX_MESSAGE_BYTES:
+                raise _too_large(size)
+            return await read(size)
+
+        http_stream.recv_data = recv_data
+        await func(stream)
+
+    return handle
--- /dev/null
+++ b/src/quetzalrudder/connections.py
@@ -0,0 +1,286 @@
+"""One caller connection: greeting, then one request after the other."""
+
+import logging
+import threading
+from concurrent.futures import Executor
+
+from result import Err, Ok, Result
+
+from quetzalrudder.bridge import Pipe
+from quetzalrudder.exceptions import (
+    Draining,
+    InternalError,
+    KeyWithdrawn,
+    LinkLost,
+    MalformedMessage,
+    Overloaded,
+    QuetzalrudderError,
+    SettingsTooOld,
+    Unauthenticated,
+    to_failure,
+)
+from quetzalrudder.keys import key_matches
+from quetzalrudder.logs import request_logger
+from quetzalrudder.metrics import Metrics
+from quetzalrudder.models import DataCentre, InstanceId, WorkspaceId
+from quetzalrudder.schema.caller import (
+    Answer,
+    AnswerFrame,
+    AskOutcome,
+    CallerFrame,
+    Hello,
+    MoveOn,
+    Statement,
+    Welcome,
+)
+from quetzalrudder.settings_store import SettingsStore
+from quetzalrudder.statements import CallerIdentity, StatementRunner
+from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.utils import MS_PER_S, Clock
+
+__all__ = ["CallerConnection", "CallerConnections", "authenticate"]
+
+CallerPipe = Pipe[CallerFrame, AnswerFrame]
+
+HELLO_TIMEOUT_S = 5.0
+SEND_TIMEOUT_S = 5.0
+IDLE_TURN_S = 0.5
+RETRY_AFTER_MS = 1000
+
+
+def authenticate(store: SettingsStore, caller: CallerIdentity) -> Result[None, QuetzalrudderError]:
+    """Check a caller's key against the settings in force.
+
+    A caller without a key passes; it reaches only routes that are open to all.
+    """
+    if not caller.key:
+        return Ok(None)
+    tree = store.tree
+    branch = tree.workspace(caller.workspace)
+    digests = (branch.settings.key_digests or "").split() if branch else []
+    if not key_matches(caller.key, digests):
+        return Err(Unauthenticated("no such key in the workspace", place=caller.workspace))
+    bound_ms = tree.effective(caller.workspace).key_view_max_age_ms
+    if bound_ms and store.age_ms > bound_ms:
+        return Err(
+            SettingsTooOld(
+                f"keys were last checked {store.age_ms:.0f} ms ago, at most {bound_ms} ms",
+                place=caller.workspace,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        )
+    return Ok(None)
+
+
+class CallerConnection:
+    """Serves one caller, on one thread, from greeting to end.
+
+    Parameters
+    ----------
+    pipe : Pipe
+        The caller's stream.
+    owner : CallerConnections
+        What all connections share.
+    """
+
+    def __init__(self, pipe: CallerPipe, owner: "CallerConnections") -> None:
+        self._pipe = pipe
+        self._owner = owner
+
+    def serve(self) -> None:
+        """Serve until the caller leaves or the instance drains."""
+        try:
+            self._serve()
+        except LinkLost:
+            return
+        except QuetzalrudderError as exc:
+            self._send_last(exc)
+        except Exception:
+            logging.getLogger(__name__).exception("connection ended by a defect")
+            self._send_last(InternalError("internal error"))
+        finally:
+            self._pipe.close()
+
+    def _send_last(self, exc: QuetzalrudderError) -> None:
+        try:
+            self._pipe.send(AnswerFrame(failure=to_failure(exc)), SEND_TIMEOUT_S)
+        except QuetzalrudderError:
+            return
+
+    def _serve(self) -> None:
+        caller = self._greet()
+        while True:
+            frame = self._next_frame()
+            if frame is None:
+                return
+            answer = self._handle(caller, frame)
+            self._pipe.send(answer, SEND_TIMEOUT_S)
+
+    def _greet(self) -> CallerIdentity:
+        try:
+            frame = self._pipe.recv(HELLO_TIMEOUT_S)
+        except TimeoutError:
+            raise MalformedMessage("no greeting came", place="hello") from None
+        if not isinstance(frame.hello, Hello):
+            raise MalformedMessage("the first frame must be a greeting", place="hello")
+        caller = CallerIdentity(WorkspaceId(frame.hello.workspace), frame.hello.key)
+        checked = authenticate(self._owner.store, caller)
+        if isinstance(checked, Err):
+            raise checked.err_value
+        welcome = Welcome(instance=self._owner.instance, data_centre=self._owner.data_centre)
+        self._pipe.send(AnswerFrame(request_id=frame.request_id, welcome=welcome), SEND_TIMEOUT_S)
+        return caller
+
+    def _next_frame(self) -> CallerFrame | None:
+        while True:
+            try:
+                return self._pipe.recv(IDLE_TURN_S)
+            except TimeoutError:
+                if self._owner.draining.is_set():
+                    self._pipe.send(AnswerFrame(move_on=MoveOn()), SEND_TIMEOUT_S)
+                    return None
+
+    def _handle(self, caller: CallerIdentity, frame: CallerFrame) -> AnswerFrame:
+        started = self._owner.clock.monotonic()
+        result = self._run(caller, frame)
+        elapsed_ms = (self._owner.clock.monotonic() - started) * MS_PER_S
+        self._owner.report(caller, frame.request_id, result, elapsed_ms)
+        match result:
+            case Ok(answer):
+                return AnswerFrame(request_id=frame.request_id, answer=answer)
+            case Err(exc):
+                return AnswerFrame(request_id=frame.request_id, failure=to_failure(exc))
+
+    def _run(
+        self, caller: CallerIdentity, frame: CallerFrame
+    ) -> Result[Answer, QuetzalrudderError]:
+        checked = authenticate(self._owner.store, caller)
+        if isinstance(checked, Err):
+            return Err(_withdrawn(checked.err_value))
+        runner = self._owner.runner
+        tree = self._owner.store.tree
+        match frame:
+            case CallerFrame(statement=Statement() as stmt):
+                planned = runner.plan(tree, caller, frame.request_id, stmt)
+                return planned.and_then(lambda plan: runner.run(plan, stmt))
+            case CallerFrame(ask_outcome=AskOutcome() as ask):
+                planned = runner.plan(tree, caller, frame.request_id, ask)
+                return planned.and_then(lambda plan: runner.ask_outcome(plan, ask))
+            case _:
+                return Err(MalformedMessage("a frame of no known kind", place="frame"))
+
+
+def _withdrawn(exc: QuetzalrudderError) -> QuetzalrudderError:
+    if type(exc) is Unauthenticated:
+        return KeyWithdrawn("the key was withdrawn", place=exc.place)
+    return exc
+
+
+class CallerConnections:
+    """All caller connections of an instance, and what they share.
+
+    Parameters
+    ----------
+    instance, data_centre
+        This instance.
+    store : SettingsStore
+        Keys and routes.
+    runner : StatementRunner
+        Runs the requests.
+    executor : Executor
+        One task for each connection.
+    max_connections : int
+        Connections served at once; one more is refused.
+    clock : Clock
+        Source of time.
+    timeline : Timeline
+        Takes events.
+    metrics : Metrics
+        Takes counters and timings.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        data_centre: DataCentre,
+        store: SettingsStore,
+        runner: StatementRunner,
+        executor: Executor,
+        max_connections: int,
+        clock: Clock,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.instance = instance
+        self.data_centre = data_centre
+        self.store = store
+        self.runner = runner
+        self.clock = clock
+        self.draining = threading.Event()
+        self._executor = executor
+        self._max_connections = max_connections
+        self._timeline = timeline
+        self._metrics = metrics
+        self._changed = threading.Condition()
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """Connections being served."""
+        return self._count
+
+    def accept(self, pipe: CallerPipe) -> None:
+        """Serve a new connection by a task, or refuse it at once."""
+        refusal = self._refusal()
+        if refusal is not None:
+            pipe.send(AnswerFrame(failure=to_failure(refusal)), 0)
+            pipe.close()
+            return
+        with self._changed:
+            self._count += 1
+        self._executor.submit(self._serve, pipe)
+
+    def _refusal(self) -> QuetzalrudderError | None:
+        if self.draining.is_set():
+            return Draining("the instance is shutting down", retry_after_ms=1)
+        if self._count >= self._max_connections:
+            return Overloaded("too many connections", retry_after_ms=RETRY_AFTER_MS)
+        return None
+
+    def _serve(self, pipe: CallerPipe) -> None:
+        self._timeline.record(EventKind.CALLER_CONNECTED)
+        try:
+            CallerConnection(pipe, self).serve()
+        finally:
+            self._timeline.record(EventKind.CALLER_LEFT)
+            with self._changed:
+                self._count -= 1
+                self._changed.notify_all()
+
+    def wait_until_empty(self, timeout_s: float) -> int:
+        """Wait for all connections to end; gives how many are left."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._count == 0, timeout_s)
+            return self._count
+
+    def report(
+        self,
+        caller: CallerIdentity,
+        request_id: str,
+        result: Result[Answer, QuetzalrudderError],
+        elapsed_ms: float,
+    ) -> None:
+        """Log, count and record the end of one request."""
+        log = request_logger(__name__, request_id=request_id, workspace=caller.workspace)
+        event = {"request_id": request_id, "workspace": caller.workspace}
+        self._metrics.timing_ms("request", elapsed_ms)
+        match result:
+            case Ok(answer):
+                log.debug("request done")
+                self._metrics.count("request.done")
+                self._timeline.record(EventKind.REQUEST_DONE, target=answer.target, **event)
+            case Err(exc):
+                log.info("request failed: %s", exc.code.name)
+                self._metrics.count(f"request.failed.{exc.code.name.lower()}")
+                self._timeline.record(EventKind.REQUEST_FAILED, detail=exc.code.name, **event)
--- /dev/null
+++ b/src/quetzalrudder/ctl.py
@@ -0,0 +1,370 @@
+"""``quetzalrudderctl``: the operators' tool."""
+
+import dataclasses
+import getpass
+import json
+import sys
+from contextlib import ExitStack
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+import fire
+from fire.core import FireExit
+
+from quetzalrudder.bridge import Loop
+from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
+from quetzalrudder.operators import OperatorClient
+from quetzalrudder.schema.operators import Event
+from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings
+from quetzalrudder.sessions import QueryResult, Session
+from quetzalrudder.settings import SettingsTree, branches_to_ini, header_of, parse_branches
+from quetzalrudder.timeline import merge_events
+from quetzalrudder.utils import parse_address
+
+__all__ = ["main"]
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+DEFAULT_CONTROL = "127.0.0.1:7002"
+DEFAULT_INSTANCE = "127.0.0.1:7001"
+
+
+@dataclasses.dataclass
+class Report:
+    """What a command has to say: lines for a person, data for a script."""
+
+    lines: list[str]
+    data: Any
+
+
+class Context:
+    """What every command shares."""
+
+    def __init__(self, control: str, json_output: bool) -> None:
+        self.control = control
+        self.json_output = json_output
+
+    def client(self, stack: ExitStack, address: str | None = None) -> OperatorClient:
+        """Open a client on an exit stack."""
+        loop = stack.enter_context(Loop())
+        return OperatorClient(loop, parse_address(address or self.control), getpass.getuser())
+
+    def show(self, report: Report) -> None:
+        """Print a report as text, or as JSON."""
+        if self.json_output:
+            print(json.dumps(report.data, default=_jsonable))
+            return
+        for line in report.lines:
+            print(line)
+
+
+def _jsonable(value: Any) -> Any:
+    match value:
+        case bytes():
+            return value.hex()
+        case Enum():
+            return value.name.lower()
+        case _ if dataclasses.is_dataclass(value):
+            return dataclasses.asdict(value)
+        case _:
+            return str(value)
+
+
+class SettingsCommands:
+    """Read and change the operators' settings tree."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def check(self, file: str) -> None:
+        """Check a settings file without applying it.
+
+        Parameters
+        ----------
+        file : str
+            Path of an INI file.
+        """
+        branches = parse_branches(_read(file), file)
+        self._context.show(Report([f"{file}: {len(branches)} branches, no errors"], {"ok": True}))
+
+    def apply(self, file: str) -> None:
+        """Replace the whole tree by a settings file.
+
+        Parameters
+        ----------
+        file : str
+            Path of an INI file.
+        """
+        branches = parse_branches(_read(file), file)
+        with ExitStack() as stack:
+            client = self._context.client(stack)
+            base = client.tree().revision
+            change = client.apply(branches, base_revision=base, summary=f"apply {Path(file).name}")
+        self._context.show(Report([f"revision {change.revision} accepted"], change))
+
+    def show(self, path: str = "", effective: bool = False) -> None:
+        """Show the tree, or one branch with all that it inherits.
+
+        Parameters
+        ----------
+        path : str
+            Path of a branch; with ``--effective`` its inherited settings.
+        effective : bool
+            Show what is in force at the path.
+        """
+        with ExitStack() as stack:
+            tree = self._context.client(stack).tree()
+        if effective:
+            settings = SettingsTree(tree).effective(path)
+            branches = [Branch(kind=BranchKind.BRANCH, path=path or "(root)", settings=settings)]
+        else:
+            branches = [b for b in tree.branches if b.path.startswith(path)]
+        lines = [f"# revision {tree.revision}", branches_to_ini(branches)]
+        shown = {header_of(branch): _set_fields(branch.settings) for branch in branches}
+        self._context.show(Report(lines, {"revision": tree.revision, "branches": shown}))
+
+    def history(self) -> None:
+        """List the accepted changes, oldest first."""
+        with ExitStack() as stack:
+            history = self._context.client(stack).tree().history
+        lines = [f"{c.revision}  {c.operator_name}  {c.summary}" for c in history]
+        self._context.show(Report(lines, history))
+
+
+def _set_fields(settings: BranchSettings) -> dict[str, Any]:
+    values = dataclasses.asdict(settings)
+    return {name: value for name, value in values.items() if value is not None}
+
+
+class WorkspaceCommands:
+    """Create workspaces."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def create(self, path: str, **settings: Any) -> None:
+        """Create a workspace.
+
+        Parameters
+        ----------
+        path : str
+            Path of the workspace, for example ``steppe/almaty``.
+        **settings
+            Settings of the branch, for example ``--rate_per_s=100``.
+        """
+        _put_branch(self._context, BranchKind.WORKSPACE, path, settings)
+
+
+class RouteCommands:
+    """Add routes."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def add(self, path: str, **settings: Any) -> None:
+        """Add a route, or replace one.
+
+        Parameters
+        ----------
+        path : str
+            Path of the route, for example ``steppe/comparables``.
+        **settings
+            Settings of the branch, for example ``--group=valuation-1``.
+        """
+        _put_branch(self._context, BranchKind.ROUTE, path, settings)
+
+
+class KeyCommands:
+    """Grant and withdraw keys."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def grant(self, workspace: str) -> None:
+        """Grant a workspace a new key and print it; it cannot be shown again.
+
+        Parameters
+        ----------
+        workspace : str
+            Path of the workspace.
+        """
+        with ExitStack() as stack:
+            key = self._context.client(stack).grant_key(workspace)
+        self._context.show(Report([key], {"workspace": workspace, "key": key}))
+
+    def withdraw(self, workspace: str, key: str) -> None:
+        """Withdraw a key.
+
+        Parameters
+        ----------
+        workspace : str
+            Path of the workspace.
+        key : str
+            The key, or the first characters of its digest.
+        """
+        with ExitStack() as stack:
+            change = self._context.client(stack).withdraw_key(workspace, str(key))
+        self._context.show(Report([f"revision {change.revision} accepted"], change))
+
+
+class Commands:
+    """Operate quetzalrudder: settings, workspaces, keys, routes, status, time line.
+
+    Parameters
+    ----------
+    control : str
+        Control address of an instance.
+    json : bool
+        Print JSON for scripts.
+    """
+
+    def __init__(self, control: str = DEFAULT_CONTROL, json: bool = False) -> None:
+        self._context = Context(control, json)
+        self.settings = SettingsCommands(self._context)
+        self.workspace = WorkspaceCommands(self._context)
+        self.key = KeyCommands(self._context)
+        self.route = RouteCommands(self._context)
+
+    def status(self) -> None:
+        """Show an instance's state and what it sees of the targets."""
+        with ExitStack() as stack:
+            status = self._context.client(stack).status()
+        lines = [
+            f"{status.instance} in {status.data_centre}: {status.state}, "
+            f"settings revision {status.settings_revision}, "
+            f"{status.caller_connections} caller connections"
+        ]
+        for target in status.targets:
+            reached = "" if target.reachable else "  unreachable"
+            lines.append(
+                f"  {target.group}  {target.target}  {target.role}  "
+                f"term {target.term}  position {target.applied}{reached}"
+            )
+        self._context.show(Report(lines, status))
+
+    def timeline(self, controls: str = "") -> None:
+        """Show the events of one or more instances, in one order.
+
+        Parameters
+        ----------
+        controls : str
+            Control addresses, separated by commas.
+        """
+        addresses = controls.split(",") if controls else [self._context.control]
+        with ExitStack() as stack:
+            rings = [self._context.client(stack, address).events() for address in addresses]
+        events = merge_events(rings)
+        self._context.show(Report([_event_line(event) for event in events], events))
+
+    def query(
+        self,
+        route: str,
+        sql: str,
+        *params: Any,
+        instance: str = DEFAULT_INSTANCE,
+        workspace: str = "",
+        key: str = "",
+        write: bool = False,
+        max_age_ms: int = 0,
+    ) -> None:
+        """Run a statement as a caller would.
+
+        Parameters
+        ----------
+        route : str
+            Path of the route.
+        sql : str
+            The statement, with ``?`` for parameters.
+        *params
+            Values of the parameters.
+        instance : str
+            Address of an instance for callers.
+        workspace, key : str
+            Who calls.
+        write : bool
+            The statement changes data.
+        max_age_ms : int
+            Oldest acceptable data, in milliseconds.
+        """
+        with Session(instance, workspace, str(key)) as session:
+            if write:
+                result = session.write(route, sql, *params)
+            else:
+                result = session.read(route, sql, *params, max_age_ms=max_age_ms)
+        self._context.show(Report(_result_lines(result), result))
+
+
+def _put_branch(context: Context, kind: BranchKind, path: str, settings: dict[str, Any]) -> None:
+    lines = [f"{name} = {value}" for name, value in settings.items()]
+    header = header_of(Branch(kind=kind, path=path))
+    parents = _parent_sections(path)
+    branch = parse_branches("\n".join([*parents, f"[{header}]", *lines]), "command line")[-1]
+    with ExitStack() as stack:
+        change = context.client(stack).put_branch(branch)
+    context.show(Report([f"revision {change.revision} accepted"], change))
+
+
+def _parent_sections(path: str) -> list[str]:
+    parts = path.split("/")[:-1]
+    return [f"[branch {'/'.join(parts[: n + 1])}]" for n in range(len(parts))]
+
+
+def _event_line(event: Event) -> str:
+    fields = [event.instance, event.kind, event.request_id, event.workspace]
+    fields += [event.target, event.detail]
+    shown = "  ".join(field for field in fields if field)
+    return f"{event.wall_us}.{event.logical}  {shown}"
+
+
+def _result_lines(result: QueryResult) -> list[str]:
+    lines = ["\t".join(result.columns)] if result.columns else []
+    lines += ["\t".join(str(value) for value in row) for row in result.rows]
+    lines.append(f"# {len(result.rows)} rows, {result.changed} changed, by {result.target}")
+    return lines
+
+
+def _read(file: str) -> str:
+    try:
+        return Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise InvalidSettings(f"cannot be read: {exc}", place=file) from exc
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command.
+
+    Returns
+    -------
+    int
+        0 done, 1 refused or failed, 2 wrong use.
+    """
+    args = sys.argv[1:] if argv is None else argv
+    try:
+        fire.Fire(Commands, command=args, name="quetzalrudderctl")
+    except FireExit as exc:
+        return EXIT_USAGE if exc.code else EXIT_DONE
+    except QuetzalrudderError as exc:
+        _print_error(exc, as_json="--json" in args)
+        return EXIT_FAILED
+    return EXIT_DONE
+
+
+def _print_error(exc: QuetzalrudderError, *, as_json: bool) -> None:
+    data = {
+        "error": exc.code.name.lower(),
+        "place": exc.place,
+        "message": exc.message,
+        "ending": exc.ending.name.lower(),
+        "retry_after_ms": exc.retry_after_ms,
+    }
+    if as_json:
+        print(json.dumps(data), file=sys.stderr)
+        return
+    again = f" (come back in {exc.retry_after_ms} ms)" if exc.retry_after_ms else ""
+    print(f"{data['error']}: {exc} [{data['ending']}]{again}", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/quetzalrudder/daemon.py
@@ -0,0 +1,71 @@
+"""``quetzalrudderd``: the daemon, one for each entry instance."""
+
+import logging
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from quetzalrudder.exceptions import BindFailed, InvalidSettings
+from quetzalrudder.instance import Instance
+from quetzalrudder.logs import configure_logging
+from quetzalrudder.settings import read_daemon_settings
+
+__all__ = ["main"]
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+USAGE = "usage: quetzalrudderd SETTINGS.ini"
+
+log = logging.getLogger(__name__)
+
+
+def serve(instance: Instance) -> int:
+    """Serve until SIGTERM or SIGINT, then drain; a second signal ends the drain."""
+    signals = threading.Semaphore(0)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: signals.release())
+    with instance:
+        log.info("serving")
+        signals.acquire()
+        log.info("draining")
+        left: list[int] = []
+        drain = threading.Thread(target=lambda: left.append(instance.drain()), daemon=True)
+        drain.start()
+        while drain.is_alive() and not signals.acquire(timeout=0.05):
+            pass
+        cut = left[0] if left else instance.connections.count
+    log.info("stopped", extra={"connections_cut": cut})
+    return EXIT_DONE
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon.
+
+    Returns
+    -------
+    int
+        0 after a graceful shutdown, 1 if it could not start, 2 for wrong usage or settings.
+    """
+    args = sys.argv[1:] if argv is None else argv
+    if len(args) != 1 or args[0].startswith("-"):
+        print(USAGE, file=sys.stderr)
+        return EXIT_DONE if args[:1] in (["-h"], ["--help"]) else EXIT_USAGE
+    configure_logging("info", instance="")
+    try:
+        cfg = read_daemon_settings(Path(args[0]))
+    except InvalidSettings as exc:
+        for error in getattr(exc, "errors", [exc]):
+            log.error("invalid settings", extra={"place": error.place, "reason": error.message})
+        return EXIT_USAGE
+    configure_logging(cfg.log_level or "info", instance=cfg.instance)
+    try:
+        return serve(Instance(cfg))
+    except BindFailed as exc:
+        log.error("cannot listen", extra={"place": exc.place, "reason": exc.message})
+        return EXIT_FAILED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/quetzalrudder/exceptions.py
@@ -0,0 +1,309 @@
+"""Every failure of quetzalrudder, as one tree of exceptions.
+
+A failure carries how the request ended: *done*, *not run* or *unknown*. Only a
+request that certainly had no effect is told as *not run*.
+"""
+
+from quetzalrudder.schema.common import Ending, ErrorCode, Failure
+
+__all__ = [
+    "AccessDenied",
+    "BindFailed",
+    "Conflict",
+    "ConnectionLimitReached",
+    "DeadlineExceeded",
+    "Draining",
+    "InternalError",
+    "InvalidSettings",
+    "InvalidToken",
+    "KeyInStatement",
+    "KeyWithdrawn",
+    "LinkLost",
+    "MalformedMessage",
+    "MessageTooLarge",
+    "NoPrimary",
+    "NoReplica",
+    "OutcomeUnknown",
+    "Overloaded",
+    "PlatformUnavailable",
+    "PositionLost",
+    "QuetzalrudderError",
+    "RateExceeded",
+    "RequestChanged",
+    "RouteNotFound",
+    "SettingsTooOld",
+    "StaleTerm",
+    "StatementFailed",
+    "TargetUnavailable",
+    "TransactionNotFound",
+    "TruncatedAnswer",
+    "Unauthenticated",
+    "from_failure",
+    "to_failure",
+]
+
+
+class QuetzalrudderError(Exception):
+    """Base class of all failures.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for a person.
+    place : str
+        The setting, route, target or field concerned.
+    retry_after_ms : int
+        When to come back, in milliseconds; 0 means that a retry will not help.
+    ending : Ending, optional
+        How the request ended; the class's own ending if omitted.
+
+    Examples
+    --------
+    >>> error = RateExceeded("rate of 10/s used up", place="steppe/almaty", retry_after_ms=120)
+    >>> error.code.name, error.ending.name
+    ('RATE_EXCEEDED', 'NOT_RUN')
+    """
+
+    code = ErrorCode.INTERNAL
+    default_ending = Ending.NOT_RUN
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        place: str = "",
+        retry_after_ms: int = 0,
+        ending: Ending | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.place = place
+        self.retry_after_ms = retry_after_ms
+        self.ending = self.default_ending if ending is None else ending
+
+    def __str__(self) -> str:
+        prefix = f"{self.place}: " if self.place else ""
+        return f"{prefix}{self.message}"
+
+
+class InternalError(QuetzalrudderError):
+    """A defect of quetzalrudder itself; the request's end is not known."""
+
+    code = ErrorCode.INTERNAL
+    default_ending = Ending.UNKNOWN
+
+
+class MalformedMessage(QuetzalrudderError):
+    """A message could not be decoded, or lacks a field."""
+
+    code = ErrorCode.MALFORMED_MESSAGE
+
+
+class MessageTooLarge(QuetzalrudderError):
+    """A message exceeds the size limit."""
+
+    code = ErrorCode.MESSAGE_TOO_LARGE
+
+
+class Unauthenticated(QuetzalrudderError):
+    """The key is unknown, or belongs to another workspace."""
+
+    code = ErrorCode.UNAUTHENTICATED
+
+
+class KeyWithdrawn(Unauthenticated):
+    """The key was valid when the connection opened and has been withdrawn."""
+
+    code = ErrorCode.KEY_WITHDRAWN
+
+
+class KeyInStatement(QuetzalrudderError):
+    """The statement contains the caller's own key, which no target may see."""
+
+    code = ErrorCode.KEY_IN_STATEMENT
+
+
+class AccessDenied(QuetzalrudderError):
+    """The workspace may not use the route, transaction or token."""
+
+    code = ErrorCode.ACCESS_DENIED
+
+
+class RouteNotFound(QuetzalrudderError):
+    """No route of that name is set."""
+
+    code = ErrorCode.ROUTE_NOT_FOUND
+
+
+class DeadlineExceeded(QuetzalrudderError):
+    """The request could not be finished within its deadline."""
+
+    code = ErrorCode.DEADLINE_EXCEEDED
+
+
+class RateExceeded(QuetzalrudderError):
+    """The workspace has used up its rate and burst."""
+
+    code = ErrorCode.RATE_EXCEEDED
+
+
+class Overloaded(QuetzalrudderError):
+    """The request could not be served in time, and was refused at once."""
+
+    code = ErrorCode.OVERLOADED
+
+
+class NoPrimary(QuetzalrudderError):
+    """No primary of the group is known to be current."""
+
+    code = ErrorCode.NO_PRIMARY
+
+
+class NoReplica(QuetzalrudderError):
+    """No database of the group holds data that the read may accept."""
+
+    code = ErrorCode.NO_REPLICA
+
+
+class TargetUnavailable(QuetzalrudderError):
+    """The target could not be reached."""
+
+    code = ErrorCode.TARGET_UNAVAILABLE
+
+
+class ConnectionLimitReached(QuetzalrudderError):
+    """No connection to the target may be opened within the limit."""
+
+    code = ErrorCode.CONNECTION_LIMIT
+
+
+class StaleTerm(QuetzalrudderError):
+    """The target has seen a newer term than the sender's."""
+
+    code = ErrorCode.STALE_TERM
+
+
+class PositionLost(QuetzalrudderError):
+    """The session saw a position that a failover has dropped."""
+
+    code = ErrorCode.POSITION_LOST
+
+
+class OutcomeUnknown(QuetzalrudderError):
+    """The request may or may not have run; ask with its request id."""
+
+    code = ErrorCode.OUTCOME_UNKNOWN
+    default_ending = Ending.UNKNOWN
+
+
+class StatementFailed(QuetzalrudderError):
+    """The target refused the statement, for example for bad SQL; nothing was changed."""
+
+    code = ErrorCode.STATEMENT_FAILED
+
+
+class TransactionNotFound(QuetzalrudderError):
+    """No such transaction is open on this connection."""
+
+    code = ErrorCode.TRANSACTION_NOT_FOUND
+
+
+class Draining(QuetzalrudderError):
+    """The instance is shutting down; another one serves the request."""
+
+    code = ErrorCode.DRAINING
+
+
+class PlatformUnavailable(QuetzalrudderError):
+    """The platform did not answer."""
+
+    code = ErrorCode.PLATFORM_UNAVAILABLE
+
+
+class Conflict(QuetzalrudderError):
+    """Another operator changed the settings first."""
+
+    code = ErrorCode.CONFLICT
+
+
+class InvalidSettings(QuetzalrudderError):
+    """A setting is unknown, of the wrong type or out of range."""
+
+    code = ErrorCode.INVALID_SETTINGS
+
+
+class SettingsTooOld(QuetzalrudderError):
+    """The instance's view of keys and settings is older than the setting allows."""
+
+    code = ErrorCode.SETTINGS_TOO_OLD
+
+
+class InvalidToken(QuetzalrudderError):
+    """The session token is damaged or belongs to another workspace."""
+
+    code = ErrorCode.INVALID_TOKEN
+
+
+class TruncatedAnswer(QuetzalrudderError):
+    """The target's answer was cut short."""
+
+    code = ErrorCode.TRUNCATED_ANSWER
+    default_ending = Ending.UNKNOWN
+
+
+class LinkLost(QuetzalrudderError):
+    """The connection broke before the answer came."""
+
+    code = ErrorCode.LINK_LOST
+    default_ending = Ending.UNKNOWN
+
+
+class RequestChanged(QuetzalrudderError):
+    """The request id was used before for another statement."""
+
+    code = ErrorCode.REQUEST_CHANGED
+
+
+class BindFailed(QuetzalrudderError):
+    """The address could not be listened on."""
+
+    code = ErrorCode.BIND_FAILED
+
+
+def _all_subclasses(cls: type) -> list[type]:
+    found = []
+    for sub in cls.__subclasses__():
+        found.append(sub)
+        found.extend(_all_subclasses(sub))
+    return found
+
+
+_CLASS_BY_CODE = {cls.code: cls for cls in _all_subclasses(QuetzalrudderError)}
+
+
+def to_failure(exc: QuetzalrudderError) -> Failure:
+    """Write an exception as the message that travels."""
+    return Failure(
+        code=exc.code,
+        message=exc.message,
+        ending=exc.ending,
+        retry_after_ms=exc.retry_after_ms,
+        place=exc.place,
+    )
+
+
+def from_failure(failure: Failure) -> QuetzalrudderError:
+    """Read an exception from the message that travels.
+
+    Examples
+    --------
+    >>> type(from_failure(to_failure(RouteNotFound("no such route")))).__name__
+    'RouteNotFound'
+    """
+    cls = _CLASS_BY_CODE.get(failure.code, InternalError)
+    return cls(
+        failure.message,
+        place=failure.place,
+        retry_after_ms=failure.retry_after_ms,
+        ending=failure.ending,
+    )
--- /dev/null
+++ b/src/quetzalrudder/instance.py
@@ -0,0 +1,191 @@
+"""One instance, put together: every part, owned by one exit stack."""
+
+import logging
+import random
+import threading
+from concurrent.futures import Executor, ThreadPoolExecutor
+from contextlib import ExitStack
+
+from result import Err
+
+from quetzalrudder.adapters import GrpcPlatform, Platform, TargetInfo, open_grpc_target
+from quetzalrudder.bridge import Listener, Loop
+from quetzalrudder.connections import CallerConnections
+from quetzalrudder.groups import GroupTable
+from quetzalrudder.links import ControlLinks
+from quetzalrudder.metrics import Metrics
+from quetzalrudder.models import DataCentre, GroupId, InstanceId, InstanceState, TargetId
+from quetzalrudder.pool import ConnectionPool
+from quetzalrudder.routing import ReadRouter
+from quetzalrudder.schema.platform import Group
+from quetzalrudder.schema.settings import DaemonSettings
+from quetzalrudder.schema.target import Open
+from quetzalrudder.services import CallerService, OperatorService
+from quetzalrudder.settings_store import SettingsStore
+from quetzalrudder.statements import StatementRunner
+from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.utils import Clock, SystemClock, parse_address
+from quetzalrudder.writes import Confirmer
+
+__all__ = ["Instance"]
+
+log = logging.getLogger(__name__)
+
+DEFAULT_MAX_TASKS = 256
+DEFAULT_DRAIN_S = 30
+CONTROL_TASKS = 64
+LIST_INTERVAL_S = 1.0
+DEFAULT_CONNECTION_LIMIT = 4
+
+
+class Instance:
+    """A running instance.
+
+    Parameters
+    ----------
+    cfg : DaemonSettings
+        Its checked settings.
+    clock : Clock, optional
+        Source of time.
+    rng : random.Random, optional
+        Source of random choices.
+    """
+
+    def __init__(
+        self, cfg: DaemonSettings, clock: Clock | None = None, rng: random.Random | None = None
+    ) -> None:
+        self.cfg = cfg
+        self.clock: Clock = clock or SystemClock()
+        self.rng = rng or random.Random()
+        self.instance = InstanceId(cfg.instance)
+        self.data_centre = DataCentre(cfg.data_centre)
+        self.state = InstanceState.STARTING
+        self.timeline = Timeline(self.instance, self.clock)
+        self.groups = GroupTable(self.clock)
+        self._stack = ExitStack()
+        self._stopping = threading.Event()
+
+    def __enter__(self) -> "Instance":
+        with ExitStack() as stack:
+            self._start(stack)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._stopping.set()
+        self._stack.close()
+        self.state = InstanceState.STOPPED
+
+    def _start(self, stack: ExitStack) -> None:
+        cfg = self.cfg
+        self.metrics = Metrics(cfg.statsd)
+        self.loop = stack.enter_context(Loop())
+        max_tasks = cfg.max_tasks or DEFAULT_MAX_TASKS
+        callers = stack.enter_context(ThreadPoolExecutor(max_tasks, "caller"))
+        control = stack.enter_context(ThreadPoolExecutor(CONTROL_TASKS, "control"))
+        stack.callback(self._stopping.set)
+        platform = GrpcPlatform(
+            self.loop, parse_address(cfg.platform), self.instance, self.data_centre
+        )
+        stack.callback(platform.close)
+        self.platform: Platform = platform
+        self.store = SettingsStore(self.platform, self.clock, self.timeline)
+        stack.callback(self.store.stop)
+        self.links = stack.enter_context(
+            ControlLinks(self.groups, self._open_control, control, self.clock, self.timeline)
+        )
+        self.pool = stack.enter_context(ConnectionPool(self._open_conn, self._connection_limit))
+        self.connections = self._make_connections(callers, control, max_tasks)
+        control.submit(self.store.watch)
+        control.submit(self._follow_lists)
+        self._listen(stack, control)
+        self.state = InstanceState.SERVING
+        self.timeline.record(EventKind.STARTED)
+
+    def _make_connections(
+        self, callers: Executor, control: Executor, max_tasks: int
+    ) -> CallerConnections:
+        runner = StatementRunner(
+            self.groups,
+            ReadRouter(self.groups, self.data_centre, self.rng),
+            self.pool,
+            Confirmer(self.groups, self.links, control),
+            self.clock,
+        )
+        return CallerConnections(
+            instance=self.instance,
+            data_centre=self.data_centre,
+            store=self.store,
+            runner=runner,
+            executor=callers,
+            max_connections=max_tasks,
+            clock=self.clock,
+            timeline=self.timeline,
+            metrics=self.metrics,
+        )
+
+    def _listen(self, stack: ExitStack, control: Executor) -> None:
+        operators = OperatorService(
+            executor=control,
+            connections=self.connections,
+            store=self.store,
+            groups=self.groups,
+            timeline=self.timeline,
+            state=lambda: self.state,
+        )
+        callers = CallerService(self.loop, self.connections)
+        address = parse_address(self.cfg.control_listen)
+        stack.enter_context(Listener(self.loop, address, [operators]))
+        address = parse_address(self.cfg.listen)
+        stack.enter_context(Listener(self.loop, address, [callers]))
+
+    def _open_conn(self, info: TargetInfo, generation: int, timeout_s: float):  # noqa: ANN202
+        opening = Open(instance=self.instance, data_centre=self.data_centre)
+        return open_grpc_target(self.loop, info, opening, generation, timeout_s)
+
+    def _open_control(self, info: TargetInfo, generation: int, timeout_s: float):  # noqa: ANN202
+        opening = Open(instance=self.instance, data_centre=self.data_centre, control=True)
+        return open_grpc_target(self.loop, info, opening, generation, timeout_s)
+
+    def _connection_limit(self, target: TargetId) -> int:
+        return DEFAULT_CONNECTION_LIMIT
+
+    def _follow_lists(self) -> None:
+        while not self._stopping.is_set():
+            answer = self.platform.list_groups()
+            if isinstance(answer, Err):
+                log.warning("platform list failed", extra={"reason": str(answer.err_value)})
+            else:
+                for group in answer.ok_value.groups:
+                    self.groups.set_targets(_targets_of(group))
+                self.links.watch_all()
+            self._stopping.wait(LIST_INTERVAL_S)
+
+    def drain(self, timeout_s: float | None = None) -> int:
+        """Stop accepting, tell callers to move on, and wait for them.
+
+        Returns
+        -------
+        int
+            Connections that were still open at the end of the wait.
+        """
+        self.state = InstanceState.DRAINING
+        self.timeline.record(EventKind.DRAINING)
+        self.connections.draining.set()
+        wait_s = timeout_s if timeout_s is not None else self.cfg.drain_s or DEFAULT_DRAIN_S
+        return self.connections.wait_until_empty(wait_s)
+
+
+def _targets_of(group: Group) -> list[tuple[TargetInfo, bool]]:
+    return [
+        (
+            TargetInfo(
+                TargetId(entry.target),
+                GroupId(group.group),
+                DataCentre(entry.data_centre),
+                parse_address(entry.address, place=entry.target),
+            ),
+            entry.leaving,
+        )
+        for entry in group.targets
+    ]
--- /dev/null
+++ b/src/quetzalrudder/operators.py
@@ -0,0 +1,156 @@
+"""The operators' side: calls to an instance's control address, and changes to the tree."""
+
+import copy
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from grpclib import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+from quetzalrudder.bridge import Loop, call_once
+from quetzalrudder.exceptions import InvalidSettings, TargetUnavailable, from_failure
+from quetzalrudder.keys import digest_key, make_key
+from quetzalrudder.schema.operators import (
+    ApplyRequest,
+    Event,
+    OperatorsStub,
+    ShowRequest,
+    Status,
+    StatusRequest,
+    TimelineRequest,
+)
+from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings, Change, Tree
+from quetzalrudder.utils import Address
+
+__all__ = ["OperatorClient"]
+
+CALL_TIMEOUT_S = 5.0
+
+Edit = Callable[[list[Branch]], list[Branch]]
+
+
+class OperatorClient:
+    """Calls one instance as an operator.
+
+    Parameters
+    ----------
+    loop : Loop
+        The loop that owns the socket.
+    address : Address
+        The instance's control address.
+    operator_name : str
+        Written into the history with each change.
+    """
+
+    def __init__(self, loop: Loop, address: Address, operator_name: str) -> None:
+        self._loop = loop
+        self._address = address
+        self._operator_name = operator_name
+
+    def _call(self, method: str, req: Any) -> Any:
+        async def call(channel: Any) -> Any:
+            return await getattr(OperatorsStub(channel), method)(req)
+
+        try:
+            answer = self._loop.run(
+                call_once(self._address, call, timeout_s=CALL_TIMEOUT_S),
+                timeout_s=CALL_TIMEOUT_S + 1,
+            )
+        except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as exc:
+            reason = str(exc) or type(exc).__name__
+            raise TargetUnavailable(reason, place=str(self._address)) from exc
+        failure = getattr(answer, "failure", None)
+        if failure is not None:
+            raise from_failure(failure)
+        return answer
+
+    def status(self) -> Status:
+        """Ask for the instance's state and its view of the targets."""
+        return self._call("read_status", StatusRequest())
+
+    def tree(self) -> Tree:
+        """Ask for the newest accepted settings."""
+        return self._call("show_settings", ShowRequest()).tree
+
+    def events(self) -> list[Event]:
+        """Ask for the instance's events."""
+        return self._call("read_timeline", TimelineRequest()).events
+
+    def apply(self, branches: list[Branch], *, base_revision: int, summary: str) -> Change:
+        """Replace the whole tree.
+
+        Raises
+        ------
+        Conflict
+            Another operator was first.
+        InvalidSettings
+            Something in the tree is wrong.
+        """
+        req = ApplyRequest(
+            change_id=uuid.uuid4().hex,
+            operator_name=self._operator_name,
+            summary=summary,
+            base_revision=base_revision,
+            branches=branches,
+        )
+        return self._call("apply_settings", req).change
+
+    def edit(self, edit: Edit, summary: str) -> Change:
+        """Change the newest tree by a function of its branches."""
+        tree = self.tree()
+        branches = edit(copy.deepcopy(tree.branches))
+        return self.apply(branches, base_revision=tree.revision, summary=summary)
+
+    def put_branch(self, branch: Branch) -> Change:
+        """Add a branch, or replace the settings of one."""
+
+        def edit(branches: list[Branch]) -> list[Branch]:
+            others = [old for old in branches if old.path != branch.path]
+            return [*others, branch]
+
+        return self.edit(edit, f"put {branch.path or 'root'}")
+
+    def grant_key(self, workspace: str) -> str:
+        """Make a key for a workspace; gives the key, which is stored nowhere."""
+        key = make_key()
+
+        def edit(branches: list[Branch]) -> list[Branch]:
+            settings = _workspace(branches, workspace).settings
+            digests = (settings.key_digests or "").split()
+            settings.key_digests = " ".join([*digests, digest_key(key)])
+            return branches
+
+        self.edit(edit, f"grant a key to {workspace}")
+        return key
+
+    def withdraw_key(self, workspace: str, key_or_digest: str) -> Change:
+        """Withdraw a key, named by itself or by the start of its digest."""
+
+        def edit(branches: list[Branch]) -> list[Branch]:
+            settings = _workspace(branches, workspace).settings
+            digests = (settings.key_digests or "").split()
+            kept = [d for d in digests if not _names(key_or_digest, d)]
+            if len(kept) == len(digests):
+                raise InvalidSettings("no such key", place=workspace)
+            settings.key_digests = " ".join(kept)
+            return branches
+
+        return self.edit(edit, f"withdraw a key of {workspace}")
+
+
+MIN_DIGEST_PREFIX = 8
+
+
+def _names(key_or_digest: str, digest: str) -> bool:
+    if digest_key(key_or_digest) == digest:
+        return True
+    return len(key_or_digest) >= MIN_DIGEST_PREFIX and digest.startswith(key_or_digest)
+
+
+def _workspace(branches: list[Branch], path: str) -> Branch:
+    for branch in branches:
+        if branch.path == path and branch.kind is BranchKind.WORKSPACE:
+            branch.settings = branch.settings or BranchSettings()
+            return branch
+    raise InvalidSettings("no such workspace", place=path)
--- /dev/null
+++ b/src/quetzalrudder/schema/message_pool.py
@@ -0,0 +1,3 @@
+import betterproto2
+
+default_message_pool = betterproto2.MessagePool()
--- /dev/null
+++ b/src/quetzalrudder/services.py
@@ -0,0 +1,112 @@
+"""The gRPC services of an instance, each a thin layer over the threads that do the work."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from concurrent.futures import Executor
+from typing import TypeVar
+
+from result import Err, Ok
+
+from quetzalrudder.bridge import Loop, serve_pipe
+from quetzalrudder.connections import CallerConnections
+from quetzalrudder.exceptions import to_failure
+from quetzalrudder.groups import GroupTable, TargetView
+from quetzalrudder.models import InstanceState
+from quetzalrudder.schema.caller import AnswerFrame, CallerBase, CallerFrame
+from quetzalrudder.schema.operators import (
+    ApplyAnswer,
+    ApplyRequest,
+    OperatorsBase,
+    ShowAnswer,
+    ShowRequest,
+    Status,
+    StatusRequest,
+    TargetStatus,
+    TimelineAnswer,
+    TimelineRequest,
+)
+from quetzalrudder.settings_store import SettingsStore
+from quetzalrudder.timeline import Timeline
+
+__all__ = ["CallerService", "OperatorService"]
+
+T = TypeVar("T")
+
+
+class CallerService(CallerBase):
+    """Takes caller connections and hands each to a task."""
+
+    def __init__(self, loop: Loop, connections: CallerConnections) -> None:
+        self._loop = loop
+        self._connections = connections
+
+    async def connect(self, messages: AsyncIterator[CallerFrame]) -> AsyncIterator[AnswerFrame]:
+        """Serve one caller connection."""
+        async for frame in serve_pipe(self._loop, messages, self._connections.accept):
+            yield frame
+
+
+class OperatorService(OperatorsBase):
+    """Answers ``quetzalrudderctl``."""
+
+    def __init__(
+        self,
+        *,
+        executor: Executor,
+        connections: CallerConnections,
+        store: SettingsStore,
+        groups: GroupTable,
+        timeline: Timeline,
+        state: Callable[[], InstanceState],
+    ) -> None:
+        self._executor = executor
+        self._connections = connections
+        self._store = store
+        self._groups = groups
+        self._timeline = timeline
+        self._state = state
+
+    async def _in_thread(self, call: Callable[[], T]) -> T:
+        return await asyncio.wrap_future(self._executor.submit(call))
+
+    async def read_status(self, message: StatusRequest) -> Status:
+        """Tell the state of this instance and what it sees of the targets."""
+        return Status(
+            instance=self._connections.instance,
+            data_centre=self._connections.data_centre,
+            state=self._state().value,
+            settings_revision=self._store.tree.revision,
+            caller_connections=self._connections.count,
+            targets=[_target_status(view) for view in self._groups.targets()],
+        )
+
+    async def show_settings(self, message: ShowRequest) -> ShowAnswer:
+        """Give the newest accepted tree."""
+        loaded = await self._in_thread(self._store.load)
+        if isinstance(loaded, Err):
+            return ShowAnswer(tree=self._store.tree.tree, failure=to_failure(loaded.err_value))
+        return ShowAnswer(tree=self._store.tree.tree)
+
+    async def apply_settings(self, message: ApplyRequest) -> ApplyAnswer:
+        """Have a change accepted."""
+        match await self._in_thread(lambda: self._store.apply(message)):
+            case Ok(change):
+                return ApplyAnswer(change=change)
+            case Err(exc):
+                return ApplyAnswer(failure=to_failure(exc))
+
+    async def read_timeline(self, message: TimelineRequest) -> TimelineAnswer:
+        """Give this process's events."""
+        return TimelineAnswer(events=self._timeline.events())
+
+
+def _target_status(view: TargetView) -> TargetStatus:
+    state = view.state
+    return TargetStatus(
+        target=view.info.target,
+        group=view.info.group,
+        role=state.role.name.lower() if state else "unknown",
+        term=state.term if state else 0,
+        applied=state.applied.index if state and state.applied else 0,
+        reachable=view.reachable,
+    )
--- /dev/null
+++ b/src/quetzalrudder/settings.py
@@ -0,0 +1,326 @@
+"""The operators' tree of settings: INI branches that inherit from their parents.
+
+A section names the kind of branch and its path::
+
+    [root]
+    deadline_ms = 2000
+
+    [branch steppe]
+    max_age_ms = 500
+
+    [route steppe/comparables]
+    group = valuation-1
+
+    [workspace steppe/almaty]
+    rate_per_s = 100
+"""
+
+import configparser
+import dataclasses
+import typing
+from collections.abc import Iterable
+from pathlib import Path
+from typing import TypeVar
+
+from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
+from quetzalrudder.models import RouteName, WorkspaceId
+from quetzalrudder.schema.settings import (
+    Branch,
+    BranchKind,
+    BranchSettings,
+    DaemonSettings,
+    Tree,
+)
+from quetzalrudder.utils import parse_address
+
+__all__ = [
+    "ROOT_DEFAULTS",
+    "SettingsTree",
+    "SettingsErrors",
+    "branches_to_ini",
+    "parse_branches",
+    "read_daemon_settings",
+]
+
+M = TypeVar("M")
+
+ROOT_DEFAULTS = BranchSettings(
+    open=False,
+    max_age_ms=0,
+    deadline_ms=2000,
+    rate_per_s=1000.0,
+    burst=200,
+    weight=1.0,
+    cost=1.0,
+    confirm_majority=True,
+    replica_wait_ms=20,
+    key_view_max_age_ms=60_000,
+)
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+REQUIRED_DAEMON_KEYS = ("instance", "data_centre", "listen", "control_listen", "platform")
+KIND_BY_NAME = {
+    "root": BranchKind.ROOT,
+    "branch": BranchKind.BRANCH,
+    "workspace": BranchKind.WORKSPACE,
+    "route": BranchKind.ROUTE,
+}
+NAME_BY_KIND = {kind: name for name, kind in KIND_BY_NAME.items()}
+BOOLEANS = {"true": True, "yes": True, "on": True, "false": False, "no": False, "off": False}
+
+
+class SettingsErrors(InvalidSettings):
+    """Every error of a settings file, each with its file, section and key."""
+
+    def __init__(self, errors: Iterable[QuetzalrudderError]) -> None:
+        self.errors = list(errors)
+        super().__init__("; ".join(str(error) for error in self.errors))
+
+
+def _parser() -> configparser.ConfigParser:
+    return configparser.ConfigParser(
+        interpolation=None, default_section="", strict=True, empty_lines_in_values=False
+    )
+
+
+def _read_ini(text: str, file: str) -> configparser.ConfigParser:
+    parser = _parser()
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as exc:
+        raise InvalidSettings(str(exc).replace("\n", " "), place=file) from exc
+    return parser
+
+
+def _field_types(cls: type) -> dict[str, type]:
+    hints = typing.get_type_hints(cls)
+    types = {}
+    for field in dataclasses.fields(cls):
+        options = [t for t in typing.get_args(hints[field.name]) if t is not type(None)]
+        types[field.name] = options[0] if options else hints[field.name]
+    return types
+
+
+def _convert(text: str, kind: type, place: str) -> object:
+    text = text.strip()
+    if kind is bool:
+        if text.lower() not in BOOLEANS:
+            raise InvalidSettings(f"not true or false: {text!r}", place=place)
+        return BOOLEANS[text.lower()]
+    if kind is str:
+        return text
+    try:
+        number = kind(text)
+    except ValueError:
+        word = "a whole number" if kind is int else "a number"
+        raise InvalidSettings(f"not {word}: {text!r}", place=place) from None
+    if not 0 <= number < float("inf"):
+        raise InvalidSettings(f"out of range: {text}", place=place)
+    return number
+
+
+def _fill(
+    message: M, section: configparser.SectionProxy, file: str
+) -> tuple[M, list[QuetzalrudderError]]:
+    types = _field_types(type(message))
+    errors: list[QuetzalrudderError] = []
+    for key, text in section.items():
+        place = f"{file} [{section.name}] {key}"
+        if key not in types:
+            errors.append(InvalidSettings("unknown setting", place=place))
+            continue
+        try:
+            setattr(message, key, _convert(text, types[key], place))
+        except InvalidSettings as exc:
+            errors.append(exc)
+    return message, errors
+
+
+def read_daemon_settings(path: Path) -> DaemonSettings:
+    """Read and check a daemon's own settings.
+
+    Raises
+    ------
+    InvalidSettings
+        The file cannot be read or something in it is wrong; every error is named.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise InvalidSettings(f"cannot be read: {exc}", place=str(path)) from exc
+    parser = _read_ini(text, str(path))
+    errors = [
+        InvalidSettings("unknown section", place=f"{path} [{name}]")
+        for name in parser.sections()
+        if name != "daemon"
+    ]
+    if "daemon" not in parser:
+        errors.append(InvalidSettings("section missing", place=f"{path} [daemon]"))
+        raise SettingsErrors(errors)
+    cfg, wrong = _fill(DaemonSettings(), parser["daemon"], str(path))
+    errors += wrong + _check_daemon_settings(cfg, f"{path} [daemon]")
+    if errors:
+        raise SettingsErrors(errors)
+    return cfg
+
+
+def _check_daemon_settings(cfg: DaemonSettings, place: str) -> list[QuetzalrudderError]:
+    errors: list[QuetzalrudderError] = [
+        InvalidSettings("missing", place=f"{place} {key}")
+        for key in REQUIRED_DAEMON_KEYS
+        if not getattr(cfg, key)
+    ]
+    for key in ("listen", "control_listen", "platform", "statsd"):
+        try:
+            if getattr(cfg, key):
+                parse_address(getattr(cfg, key), place=f"{place} {key}")
+        except InvalidSettings as exc:
+            errors.append(exc)
+    if cfg.log_level is not None and cfg.log_level not in LOG_LEVELS:
+        known = ", ".join(LOG_LEVELS)
+        errors.append(
+            InvalidSettings(f"not one of {known}: {cfg.log_level!r}", place=f"{place} log_level")
+        )
+    return errors
+
+
+def _parse_header(header: str, place: str) -> tuple[BranchKind, str]:
+    kind_name, _, path = header.partition(" ")
+    path = path.strip()
+    kind = KIND_BY_NAME.get(kind_name)
+    if kind is None:
+        known = ", ".join(KIND_BY_NAME)
+        raise InvalidSettings(f"unknown kind of branch; known: {known}", place=place)
+    if (kind is BranchKind.ROOT) != (path == ""):
+        raise InvalidSettings("root has no path, every other branch has one", place=place)
+    if any(not part or part != part.strip() for part in path.split("/")) and path:
+        raise InvalidSettings("path with an empty part", place=place)
+    return kind, path
+
+
+def parse_branches(text: str, file: str = "settings") -> list[Branch]:
+    r"""Read and check branches from INI text.
+
+    Raises
+    ------
+    InvalidSettings
+        Something is wrong; every error is named, and nothing is to be applied.
+
+    Examples
+    --------
+    >>> [branch.path for branch in parse_branches("[root]\n[workspace almaty]\n")]
+    ['', 'almaty']
+    """
+    parser = _read_ini(text, file)
+    branches: list[Branch] = []
+    errors: list[QuetzalrudderError] = []
+    for header in parser.sections():
+        place = f"{file} [{header}]"
+        try:
+            kind, path = _parse_header(header, place)
+        except InvalidSettings as exc:
+            errors.append(exc)
+            continue
+        settings, wrong = _fill(BranchSettings(), parser[header], file)
+        errors += wrong
+        branches.append(Branch(kind=kind, path=path, settings=settings))
+    errors += check_branches(branches, file)
+    if errors:
+        raise SettingsErrors(errors)
+    return branches
+
+
+def check_branches(branches: list[Branch], file: str) -> list[QuetzalrudderError]:
+    """Check how branches stand to each other: no doubles, no missing parents."""
+    errors: list[QuetzalrudderError] = []
+    parents = {branch.path for branch in branches if branch.kind is BranchKind.BRANCH} | {""}
+    seen: set[str] = set()
+    for branch in branches:
+        place = f"{file} [{header_of(branch)}]"
+        if branch.path in seen:
+            errors.append(InvalidSettings("path stands twice", place=place))
+        seen.add(branch.path)
+        parent = parent_path(branch.path)
+        if branch.path and parent not in parents:
+            errors.append(InvalidSettings(f"no parent [branch {parent}]", place=place))
+        if branch.kind is BranchKind.ROUTE and branch.settings.key_digests:
+            errors.append(
+                InvalidSettings("only workspaces have keys", place=f"{place} key_digests")
+            )
+    return errors
+
+
+def header_of(branch: Branch) -> str:
+    """Give the INI section name of a branch."""
+    return f"{NAME_BY_KIND[branch.kind]} {branch.path}".strip()
+
+
+def parent_path(path: str) -> str:
+    """Give the path of the parent; the root's path is empty."""
+    return path.rpartition("/")[0]
+
+
+def branches_to_ini(branches: Iterable[Branch]) -> str:
+    """Write branches as INI text that :func:`parse_branches` reads back."""
+    lines: list[str] = []
+    for branch in branches:
+        lines.append(f"[{header_of(branch)}]")
+        for field in dataclasses.fields(BranchSettings):
+            value = getattr(branch.settings, field.name)
+            if value is not None:
+                shown = str(value).lower() if isinstance(value, bool) else value
+                lines.append(f"{field.name} = {shown}")
+        lines.append("")
+    return "\n".join(lines)
+
+
+class SettingsTree:
+    """One revision of the tree, ready for lookups.
+
+    Parameters
+    ----------
+    tree : Tree
+        The revision as the platform holds it.
+    """
+
+    def __init__(self, tree: Tree) -> None:
+        self.tree = tree
+        self._by_path = {branch.path: branch for branch in tree.branches}
+        self._effective: dict[str, BranchSettings] = {}
+
+    @property
+    def revision(self) -> int:
+        """Number of this revision; 0 before any was accepted."""
+        return self.tree.revision
+
+    def workspace(self, workspace: WorkspaceId) -> Branch | None:
+        """Find a workspace."""
+        return self._find(workspace, BranchKind.WORKSPACE)
+
+    def route(self, route: RouteName) -> Branch | None:
+        """Find a route."""
+        return self._find(route, BranchKind.ROUTE)
+
+    def _find(self, path: str, kind: BranchKind) -> Branch | None:
+        branch = self._by_path.get(path)
+        return branch if branch is not None and branch.kind is kind else None
+
+    def effective(self, path: str) -> BranchSettings:
+        """Give the settings of a branch with everything that it inherits."""
+        found = self._effective.get(path)
+        if found is None:
+            found = self._inherit(path)
+            self._effective[path] = found
+        return found
+
+    def _inherit(self, path: str) -> BranchSettings:
+        parent = ROOT_DEFAULTS if path == "" else self.effective(parent_path(path))
+        branch = self._by_path.get(path)
+        if branch is None:
+            return parent
+        own = {
+            field.name: getattr(branch.settings, field.name)
+            for field in dataclasses.fields(BranchSettings)
+            if getattr(branch.settings, field.name) is not None
+        }
+        return dataclasses.replace(parent, **own)
--- /dev/null
+++ b/standins/database.py
@@ -0,0 +1,203 @@
+"""The database behind a target stand-in: in-memory sqlite3 with a replicated log."""
+
+import hashlib
+import sqlite3
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+from result import Err, Ok, Result
+
+from quetzalrudder.exceptions import RequestChanged, StatementFailed
+from quetzalrudder.schema.common import Position, Row, Rows, TermStart
+from quetzalrudder.schema.standin import Change, LogEntry
+from quetzalrudder.schema.target import Outcome
+from quetzalrudder.utils import from_value, to_value
+
+REQUESTS_TABLE = """
+CREATE TABLE IF NOT EXISTS quetzalrudder_requests (
+    request_key TEXT PRIMARY KEY,
+    fingerprint TEXT NOT NULL,
+    outcome BLOB NOT NULL
+)
+"""
+RECORD_OUTCOME = "INSERT INTO quetzalrudder_requests VALUES (?, ?, ?)"
+FIND_OUTCOME = "SELECT fingerprint, outcome FROM quetzalrudder_requests WHERE request_key = ?"
+
+
+def fingerprint(changes: Iterable[Change]) -> str:
+    """Digest statements, to recognise a request id that is used for another request."""
+    digest = hashlib.sha256()
+    for change in changes:
+        digest.update(bytes(change))
+    return digest.hexdigest()
+
+
+def run_sql(db: sqlite3.Connection, change: Change) -> Rows:
+    """Run one statement and give its rows."""
+    cursor = db.execute(change.sql, [from_value(param) for param in change.params])
+    columns = [column[0] for column in cursor.description or []]
+    rows = [Row(values=[to_value(value) for value in row]) for row in cursor.fetchall()]
+    return Rows(columns=columns, rows=rows, changed=max(0, cursor.rowcount))
+
+
+def _new_database() -> sqlite3.Connection:
+    db = sqlite3.connect(":memory:", isolation_level=None)
+    db.execute(REQUESTS_TABLE)
+    return db
+
+
+class Database:
+    """A log, and two copies of the data: one that reads see, one for open transactions.
+
+    Every entry that is applied is run on both, so that a rolled-back transaction
+    touches only its own copy.
+    """
+
+    def __init__(self) -> None:
+        self.entries: list[LogEntry] = []
+        self.applied_index = 0
+        self._visible = _new_database()
+        self._working = _new_database()
+
+    @property
+    def received(self) -> Position:
+        """Position of the last entry in the log."""
+        return self.position_at(len(self.entries))
+
+    @property
+    def applied(self) -> Position:
+        """Position of the last entry that reads see."""
+        return self.position_at(self.applied_index)
+
+    def position_at(self, index: int) -> Position:
+        """Give the position of an entry; index 0 is before the first one."""
+        if index == 0:
+            return Position()
+        return Position(term=self.entries[index - 1].term, index=index)
+
+    def holds(self, position: Position) -> bool:
+        """Tell whether the log has this position in the same term."""
+        if position.index > len(self.entries):
+            return False
+        return self.position_at(position.index).term == position.term
+
+    def term_starts(self) -> list[TermStart]:
+        """Give the first index of each term in the log."""
+        starts: list[TermStart] = []
+        for entry in self.entries:
+            if not starts or starts[-1].term != entry.term:
+                starts.append(TermStart(term=entry.term, first_index=entry.index))
+        return starts
+
+    def keep_index(self, last: Position) -> int:
+        """Give how much of a follower's log, which ends at a position, is in this one."""
+        later = [s.first_index for s in self.term_starts() if s.term > last.term]
+        end = later[0] - 1 if later else len(self.entries)
+        return min(last.index, end)
+
+    def read(self, change: Change) -> Result[Rows, StatementFailed]:
+        """Run a statement that may change nothing."""
+        self._visible.execute("PRAGMA query_only = ON")
+        try:
+            return Ok(run_sql(self._visible, change))
+        except (sqlite3.Error, ValueError, OverflowError) as exc:
+            return Err(StatementFailed(str(exc)))
+        finally:
+            self._visible.execute("PRAGMA query_only = OFF")
+
+    def outcome(self, request_key: str) -> Outcome | None:
+        """Find the recorded outcome of a request."""
+        row = self._visible.execute(FIND_OUTCOME, [request_key]).fetchone()
+        return Outcome.parse(row[1]) if row else None
+
+    def recorded(
+        self, request_key: str, changes: list[Change]
+    ) -> Result[Outcome | None, RequestChanged]:
+        """Find the recorded outcome of a request, which must have had the same statements."""
+        row = self._visible.execute(FIND_OUTCOME, [request_key]).fetchone()
+        if row is None:
+            return Ok(None)
+        if row[0] != fingerprint(changes):
+            return Err(RequestChanged("the request id was used for another statement"))
+        return Ok(Outcome.parse(row[1]))
+
+    def begin(self) -> None:
+        """Open a transaction on the working copy."""
+        self._working.execute("BEGIN")
+
+    def run_in_transaction(self, change: Change) -> Result[Rows, StatementFailed]:
+        """Run a statement on the working copy."""
+        try:
+            return Ok(run_sql(self._working, change))
+        except (sqlite3.Error, ValueError, OverflowError) as exc:
+            return Err(StatementFailed(str(exc)))
+
+    def rollback(self) -> None:
+        """Undo the open transaction."""
+        if self._working.in_transaction:
+            self._working.execute("ROLLBACK")
+
+    def commit(self, term: int, changes: list[Change], request_key: str, rows: Rows) -> Position:
+        """Commit the open transaction with its outcome, append it and make it visible."""
+        index = len(self.entries) + 1
+        position = Position(term=term, index=index)
+        logged = list(changes)
+        if request_key:
+            outcome = Outcome(found=True, position=position, rows=rows)
+            params = [request_key, fingerprint(changes), bytes(outcome)]
+            record = Change(sql=RECORD_OUTCOME, params=[to_value(p) for p in params])
+            run_sql(self._working, record)
+            logged.append(record)
+        self._working.execute("COMMIT")
+        self.entries.append(LogEntry(term=term, index=index, changes=logged))
+        self._run_entry(self._visible, self.entries[-1])
+        self.applied_index = index
+        return position
+
+    def append_empty(self, term: int) -> None:
+        """Append an entry that only marks the start of a term."""
+        index = len(self.entries) + 1
+        self.entries.append(LogEntry(term=term, index=index))
+        self.applied_index = index
+
+    def receive(self, entry: LogEntry) -> None:
+        """Append an entry from the primary; it is applied later."""
+        self.entries.append(entry)
+
+    def apply_next(self) -> None:
+        """Make the next received entry visible."""
+        entry = self.entries[self.applied_index]
+        for db in (self._visible, self._working):
+            with _transaction(db):
+                self._run_entry(db, entry)
+        self.applied_index += 1
+
+    def apply_all(self) -> None:
+        """Make every received entry visible."""
+        while self.applied_index < len(self.entries):
+            self.apply_next()
+
+    def _run_entry(self, db: sqlite3.Connection, entry: LogEntry) -> None:
+        for change in entry.changes:
+            run_sql(db, change)
+
+    def truncate(self, keep_index: int) -> None:
+        """Drop the log behind an index, and the data that came of it."""
+        if keep_index >= len(self.entries):
+            return
+        self.entries = self.entries[:keep_index]
+        if self.applied_index <= keep_index:
+            return
+        applied_index = min(self.applied_index, keep_index)
+        self._visible = _new_database()
+        self._working = _new_database()
+        self.applied_index = 0
+        while self.applied_index < applied_index:
+            self.apply_next()
+
+
+@contextmanager
+def _transaction(db: sqlite3.Connection) -> Iterator[None]:
+    db.execute("BEGIN")
+    yield
+    db.execute("COMMIT")
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,267 @@
+"""Starts a deployment as processes on loopback, and switches its faults."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable
+from contextlib import ExitStack, suppress
+from pathlib import Path
+from typing import Any
+
+from quetzalrudder.bridge import Loop, call_once
+from quetzalrudder.operators import OperatorClient
+from quetzalrudder.schema.platform import Group, InstanceEntry, TargetEntry
+from quetzalrudder.schema.standin import (
+    Faults,
+    Lists,
+    ReceivedRequest,
+    StandInStub,
+    Statistics,
+    StatisticsRequest,
+)
+from quetzalrudder.sessions import Session
+from quetzalrudder.settings import parse_branches
+from quetzalrudder.utils import Address, parse_address
+from standins.deployments import Deployment
+
+__all__ = ["Fleet", "free_addresses"]
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.02
+CALL_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 20.0
+
+
+def free_addresses(count: int) -> list[str]:
+    """Find loopback addresses whose ports are free."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+
+
+class Fleet:
+    """Platform, targets and instances of one deployment, each a process.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    settings : str
+        Operators' settings tree as INI text, applied once the fleet is up.
+    """
+
+    def __init__(self, deployment: Deployment, settings: str) -> None:
+        self.deployment = deployment
+        self._settings = settings
+        self._stack = ExitStack()
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        targets = deployment.targets()
+        instances = deployment.instances()
+        addresses = iter(free_addresses(1 + len(targets) + 2 * len(instances)))
+        self.platform_address = next(addresses)
+        self.target_addresses = {target: next(addresses) for _, target, _ in targets}
+        self.instance_addresses = {name: next(addresses) for name, _ in instances}
+        self.control_addresses = {name: next(addresses) for name, _ in instances}
+
+    def __enter__(self) -> "Fleet":
+        with ExitStack() as stack:
+            self.loop = stack.enter_context(Loop())
+            self.directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+            stack.callback(self._end_all)
+            self._start_platform()
+            self._start_targets()
+            self._set_lists()
+            for name, data_centre in self.deployment.instances():
+                self.start_instance(name, data_centre)
+            self._wait_for_ports(self.control_addresses.values())
+            self._apply_settings()
+            self._wait_until_ready()
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._stack.close()
+
+    def _spawn(self, name: str, *args: str) -> None:
+        env = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        with (self.directory / f"{name}.log").open("ab") as out:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *args], stdout=out, stderr=out, env=env, cwd=ROOT
+            )
+
+    def _start_platform(self) -> None:
+        self._spawn("platform", "-m", "standins.platform", f"--listen={self.platform_address}")
+        self._wait_for_ports([self.platform_address])
+
+    def _start_targets(self) -> None:
+        for _, target, _ in self.deployment.targets():
+            self.start_target(target)
+        self._wait_for_ports(self.target_addresses.values())
+
+    def start_target(self, target: str) -> None:
+        """Start a target; the first one of each group begins as its primary."""
+        group, data_centre = next((g, dc) for g, t, dc in self.deployment.targets() if t == target)
+        primary = f"{group}-a"
+        self._spawn(
+            target,
+            "-m",
+            "standins.target",
+            f"--target={target}",
+            f"--data_centre={data_centre}",
+            f"--listen={self.target_addresses[target]}",
+            f"--primary={primary}",
+            f"--primary_address={self.target_addresses[primary]}",
+            f"--slots={self.deployment.slots}",
+            f"--connection_limit={self.deployment.connection_limit}",
+        )
+
+    def start_instance(self, name: str, data_centre: str) -> None:
+        """Start an instance."""
+        path = self.directory / f"{name}.ini"
+        path.write_text(
+            "[daemon]\n"
+            f"instance = {name}\n"
+            f"data_centre = {data_centre}\n"
+            f"listen = {self.instance_addresses[name]}\n"
+            f"control_listen = {self.control_addresses[name]}\n"
+            f"platform = {self.platform_address}\n",
+            encoding="utf-8",
+        )
+        self._spawn(name, "-m", "quetzalrudder.daemon", str(path))
+
+    def _wait_for_ports(self, addresses: Iterable[str]) -> None:
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for text in addresses:
+            address = parse_address(text)
+            while not _accepts(address):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"nothing listens on {text}; logs: {self.logs()}")
+                time.sleep(POLL_S)
+
+    def _set_lists(self, leaving: frozenset[str] = frozenset(), lag_ms: int = 0) -> None:
+        groups = []
+        for name in self.deployment.groups:
+            entries = [
+                TargetEntry(
+                    target=target,
+                    address=self.target_addresses[target],
+                    data_centre=data_centre,
+                    leaving=target in leaving,
+                )
+                for group, target, data_centre in self.deployment.targets()
+                if group == name
+            ]
+            groups.append(Group(group=name, term=1, primary=f"{name}-a", targets=entries))
+        instances = [
+            InstanceEntry(
+                instance=name,
+                address=self.instance_addresses[name],
+                control_address=self.control_addresses[name],
+                data_centre=data_centre,
+                leaving=name in leaving,
+            )
+            for name, data_centre in self.deployment.instances()
+        ]
+        lists = Lists(groups=groups, instances=instances, lag_ms=lag_ms)
+        self._control(self.platform_address, "set_lists", lists)
+
+    def set_leaving(self, *names: str, lag_ms: int = 0) -> None:
+        """Have the platform's lists say, after a lag, that targets or instances leave."""
+        self._set_lists(frozenset(names), lag_ms)
+
+    def _apply_settings(self) -> None:
+        operator = self.operator(next(iter(self.control_addresses)))
+        operator.apply(parse_branches(self._settings), base_revision=0, summary="first settings")
+
+    def _wait_until_ready(self) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for name in self.control_addresses:
+            while not self._is_ready(name):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{name} is not ready; logs: {self.logs()}")
+                time.sleep(POLL_S)
+
+    def _is_ready(self, name: str) -> bool:
+        status = self.operator(name).status()
+        reached = [target for target in status.targets if target.reachable]
+        return status.settings_revision > 0 and len(reached) == len(self.target_addresses)
+
+    def operator(self, instance: str) -> OperatorClient:
+        """Call an instance as an operator."""
+        address = parse_address(self.control_addresses[instance])
+        return OperatorClient(self.loop, address, "operator")
+
+    def session(self, *instances: str, workspace: str = "", key: str = "") -> Session:
+        """Open a session through one or more instances."""
+        return Session([self.instance_addresses[name] for name in instances], workspace, key)
+
+    def _address(self, name: str) -> str:
+        return self.platform_address if name == "platform" else self.target_addresses[name]
+
+    def _control(self, address: str, method: str, req: Any) -> Any:
+        async def call(channel: Any) -> Any:
+            return await getattr(StandInStub(channel), method)(req)
+
+        sent = call_once(parse_address(address), call, timeout_s=CALL_TIMEOUT_S)
+        return self.loop.run(sent, timeout_s=CALL_TIMEOUT_S)
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Set faults of the platform or a target; see ``standin.proto``."""
+        if "cut_from" in faults:
+            faults["set_cut"] = True
+        self._control(self._address(name), "set_faults", Faults(**faults))
+
+    def statistics(self, name: str) -> Statistics:
+        """Read what the platform or a target has counted."""
+        return self._control(self._address(name), "read_statistics", StatisticsRequest())
+
+    def received(self, name: str) -> bytes:
+        """Read every byte that the platform or a target has received."""
+        return self._control(self._address(name), "read_received", ReceivedRequest()).data
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process of the fleet."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        self.signal(name, signal.SIGKILL)
+        self._processes[name].wait(STOP_TIMEOUT_S)
+
+    def stop(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Stop a process gracefully and give its exit code."""
+        self.signal(name, signal.SIGTERM)
+        return self._processes[name].wait(timeout_s)
+
+    def log_of(self, name: str) -> str:
+        """Read a process's log."""
+        return (self.directory / f"{name}.log").read_text(encoding="utf-8")
+
+    def logs(self) -> str:
+        """Read the end of every log."""
+        tails = {name: self.log_of(name)[-400:] for name in self._processes}
+        return "\n".join(f"--- {name}\n{tail}" for name, tail in tails.items() if tail)
+
+    def _end_all(self) -> None:
+        for process in self._processes.values():
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait(STOP_TIMEOUT_S)
+
+
+def _accepts(address: Address) -> bool:
+    try:
+        with socket.create_connection((address.host, address.port), timeout=1):
+            return True
+    except OSError:
+        return False
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,230 @@
+"""A stand-in for the platform: key-value store, leases, watches and lists in memory."""
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+
+import fire
+
+from quetzalrudder.schema.platform import (
+    Entries,
+    Entry,
+    GetRequest,
+    GrantLeaseRequest,
+    Groups,
+    GroupsRequest,
+    Instances,
+    InstancesRequest,
+    Lease,
+    LeaseRequest,
+    ListRequest,
+    PlatformBase,
+    PutAnswer,
+    PutRequest,
+    WatchRequest,
+)
+from quetzalrudder.schema.standin import Done, Lists
+from standins.serving import FaultState, RecordingCodec, StandInControl, serve
+
+LEASE_CHECK_S = 0.05
+LOST_ANSWER_S = 3600
+
+
+@dataclass
+class HeldLease:
+    """A lease in force."""
+
+    ttl_s: float
+    ends_at: float
+
+
+@dataclass
+class Store:
+    """The key-value store."""
+
+    entries: dict[str, Entry] = field(default_factory=dict)
+    # Version of the last change under a key, deleted keys included.
+    leases: dict[int, HeldLease] = field(default_factory=dict)
+    version: int = 0
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    def get(self, key: str) -> Entry:
+        """Read a key; version 0 means absent."""
+        return self.entries.get(key, Entry(key=key))
+
+    def present(self, prefix: str, after: int = 0) -> list[Entry]:
+        """Read the keys under a prefix that are newer than a version, deleted ones too."""
+        found = [e for k, e in self.entries.items() if k.startswith(prefix) and e.version > after]
+        return sorted(found, key=lambda entry: entry.key)
+
+    async def write(self, entry: Entry) -> Entry:
+        """Write a key at the next version."""
+        self.version += 1
+        entry.version = self.version
+        self.entries[entry.key] = entry
+        async with self.changed:
+            self.changed.notify_all()
+        return entry
+
+    async def remove(self, key: str) -> None:
+        """Delete a key."""
+        if self.entries.pop(key, None) is None:
+            return
+        self.version += 1
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def expire_leases(self) -> None:
+        """Drop lapsed leases and their keys, for ever."""
+        while True:
+            await asyncio.sleep(LEASE_CHECK_S)
+            now = time.monotonic()
+            for lease_id in [i for i, held in self.leases.items() if held.ends_at <= now]:
+                await self.drop_lease(lease_id)
+
+    async def drop_lease(self, lease_id: int) -> bool:
+        """Drop a lease and its keys; false if it was not held."""
+        if self.leases.pop(lease_id, None) is None:
+            return False
+        for key in [k for k, e in self.entries.items() if e.lease_id == lease_id]:
+            await self.remove(key)
+        return True
+
+
+class PlatformService(PlatformBase):
+    """The published protocol of the platform."""
+
+    def __init__(self, faults: FaultState) -> None:
+        self._faults = faults
+        self._store = Store()
+        self._lease_ids = itertools.count(1)
+        self._groups: list[tuple[float, Groups]] = [(0.0, Groups())]
+        self._instances: list[tuple[float, Instances]] = [(0.0, Instances())]
+        self._lag_s = 0.0
+
+    async def run(self) -> None:
+        """Keep leases, for ever."""
+        await self._store.expire_leases()
+
+    async def get(self, message: GetRequest) -> Entry:
+        """Read one key."""
+        return self._store.get(message.key)
+
+    async def list(self, message: ListRequest) -> Entries:
+        """Read all keys under a prefix."""
+        entries = self._store.present(message.prefix)
+        return Entries(entries=entries, version=self._store.version)
+
+    async def put(self, message: PutRequest) -> PutAnswer:
+        """Write or delete if the version is the expected one."""
+        current = self._store.get(message.key)
+        lapsed = message.lease_id and message.lease_id not in self._store.leases
+        if current.version != message.expected_version or lapsed:
+            return PutAnswer(done=False, entry=current)
+        if message.delete:
+            await self._store.remove(message.key)
+            entry = Entry(key=message.key)
+        else:
+            entry = Entry(key=message.key, value=message.value, lease_id=message.lease_id)
+            entry = await self._store.write(entry)
+        if self._faults.take("lose_answers"):
+            await asyncio.sleep(LOST_ANSWER_S)
+        return PutAnswer(done=True, entry=entry)
+
+    async def watch(self, message: WatchRequest) -> Entries:
+        """Wait for a change under a prefix."""
+        deadline = time.monotonic() + message.timeout_ms / 1000
+        while True:
+            if self._faults.now.watches_broken:
+                await asyncio.sleep(LOST_ANSWER_S)
+            entries = self._store.present(message.prefix, message.after_version)
+            left = deadline - time.monotonic()
+            if entries or left <= 0:
+                return Entries(entries=entries, version=self._store.version)
+            await self._wait_for_change(left)
+
+    async def _wait_for_change(self, timeout_s: float) -> None:
+        async with self._store.changed:
+            try:
+                await asyncio.wait_for(self._store.changed.wait(), timeout_s)
+            except TimeoutError:
+                return
+
+    async def grant_lease(self, message: GrantLeaseRequest) -> Lease:
+        """Grant a lease."""
+        lease_id = next(self._lease_ids)
+        ttl_s = message.ttl_ms / 1000
+        self._store.leases[lease_id] = HeldLease(ttl_s, time.monotonic() + ttl_s)
+        return Lease(lease_id=lease_id, ttl_ms=message.ttl_ms, held=True)
+
+    async def keep_alive(self, message: LeaseRequest) -> Lease:
+        """Extend a lease."""
+        held = self._store.leases.get(message.lease_id)
+        if held is None:
+            return Lease(lease_id=message.lease_id)
+        held.ends_at = time.monotonic() + held.ttl_s
+        return Lease(lease_id=message.lease_id, ttl_ms=int(held.ttl_s * 1000), held=True)
+
+    async def revoke(self, message: LeaseRequest) -> Lease:
+        """Drop a lease."""
+        await self._store.drop_lease(message.lease_id)
+        return Lease(lease_id=message.lease_id)
+
+    async def list_groups(self, message: GroupsRequest) -> Groups:
+        """Give the groups, as they were a lag ago."""
+        return self._lagging(self._groups)
+
+    async def list_instances(self, message: InstancesRequest) -> Instances:
+        """Give the instances, as they were a lag ago."""
+        return self._lagging(self._instances)
+
+    def _lagging(self, versions: list) -> object:
+        due = time.monotonic() - self._lag_s
+        return [value for set_at, value in versions if set_at <= due or set_at == 0.0][-1]
+
+    def set_lists(self, lists: Lists) -> None:
+        """Set what the lists say after the lag."""
+        self._lag_s = lists.lag_ms / 1000
+        now = time.monotonic()
+        if lists.groups:
+            self._groups.append((now, Groups(groups=lists.groups)))
+        if lists.instances:
+            self._instances.append((now, Instances(instances=lists.instances)))
+
+
+class PlatformControl(StandInControl):
+    """Faults of the platform, and its lists."""
+
+    def __init__(self, faults: FaultState, service: PlatformService) -> None:
+        super().__init__(faults, RecordingCodec())
+        self._service = service
+
+    async def set_lists(self, message: Lists) -> Done:
+        """Set the lists."""
+        self._service.set_lists(message)
+        return Done()
+
+
+async def run_platform(listen: str) -> None:
+    """Serve the platform until SIGTERM."""
+    faults = FaultState()
+    service = PlatformService(faults)
+    keeper = asyncio.ensure_future(service.run())
+    await serve(listen, [service], PlatformControl(faults, service))
+    keeper.cancel()
+
+
+def main(listen: str) -> None:
+    """Run the platform stand-in.
+
+    Parameters
+    ----------
+    listen : str
+        IP address and port.
+    """
+    asyncio.run(run_platform(listen))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,146 @@
+"""What both stand-ins share: serving on a port, faults, counting, recording."""
+
+import asyncio
+import signal
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from grpclib._typing import IServable
+from grpclib.events import RecvRequest, listen
+from grpclib.server import Server
+
+from quetzalrudder.codec import CheckedCodec
+from quetzalrudder.schema.standin import (
+    CallCount,
+    Done,
+    Faults,
+    Lists,
+    Received,
+    ReceivedRequest,
+    StandInBase,
+    Statistics,
+    StatisticsRequest,
+)
+from quetzalrudder.utils import parse_address
+
+CUT_POLL_S = 0.02
+CONTROL_SERVICE = "/standin.StandIn/"
+MAX_RECEIVED_BYTES = 16 * 1024 * 1024
+
+
+class RecordingCodec(CheckedCodec):
+    """Keeps every byte that arrives, for tests that search it."""
+
+    def __init__(self) -> None:
+        self.received = bytearray()
+
+    def decode(self, data: bytes, message_type: type) -> Any:
+        """Record and decode one message."""
+        if len(self.received) + len(data) <= MAX_RECEIVED_BYTES:
+            self.received += data
+        return super().decode(data, message_type)
+
+
+class FaultState:
+    """The faults in force."""
+
+    def __init__(self) -> None:
+        self.now = Faults(
+            down=False,
+            delay_ms=0,
+            lose_answers=0,
+            truncate_answers=0,
+            apply_lag_ms=0,
+            receive_lag_ms=0,
+            watches_broken=False,
+        )
+
+    def update(self, faults: Faults) -> None:
+        """Take over the fields that are set."""
+        for name in (
+            "down",
+            "delay_ms",
+            "lose_answers",
+            "truncate_answers",
+            "apply_lag_ms",
+            "receive_lag_ms",
+            "watches_broken",
+        ):
+            value = getattr(faults, name)
+            if value is not None:
+                setattr(self.now, name, value)
+        if faults.set_cut:
+            self.now.cut_from = list(faults.cut_from)
+
+    def take(self, name: str) -> bool:
+        """Use up one of a counted fault; false if none is left."""
+        left = getattr(self.now, name)
+        if not left:
+            return False
+        setattr(self.now, name, left - 1)
+        return True
+
+    def is_cut(self, data_centre: str) -> bool:
+        """Tell whether nothing passes to and from a data centre."""
+        return data_centre in self.now.cut_from
+
+    async def wait_while_blocked(self, data_centre: str) -> None:
+        """Hold a message back while this process is down or cut off from its sender."""
+        while self.now.down or self.is_cut(data_centre):
+            await asyncio.sleep(CUT_POLL_S)
+        if self.now.delay_ms:
+            await asyncio.sleep(self.now.delay_ms / 1000)
+
+
+class StandInControl(StandInBase):
+    """Switches faults on and off, and tells what was counted."""
+
+    def __init__(
+        self,
+        faults: FaultState,
+        codec: RecordingCodec,
+        count_statements: Callable[[], int] = lambda: 0,
+    ) -> None:
+        self.faults = faults
+        self.codec = codec
+        self.calls: Counter[str] = Counter()
+        self._count_statements = count_statements
+
+    async def set_faults(self, message: Faults) -> Done:
+        """Set faults."""
+        self.faults.update(message)
+        return Done()
+
+    async def set_lists(self, message: Lists) -> Done:
+        """Take lists; only the platform has any."""
+        return Done()
+
+    async def read_statistics(self, message: StatisticsRequest) -> Statistics:
+        """Give the counts."""
+        by_method = [CallCount(method=m, calls=n) for m, n in sorted(self.calls.items())]
+        total = sum(self.calls.values())
+        return Statistics(calls=total, by_method=by_method, statements=self._count_statements())
+
+    async def read_received(self, message: ReceivedRequest) -> Received:
+        """Give every byte received."""
+        return Received(data=bytes(self.codec.received))
+
+
+async def serve(address: str, services: list[IServable], control: StandInControl) -> None:
+    """Serve until SIGTERM."""
+    parsed = parse_address(address)
+    server = Server([*services, control], codec=control.codec)
+
+    async def on_request(event: RecvRequest) -> None:
+        if event.method_name.startswith(CONTROL_SERVICE):
+            return
+        control.calls[event.method_name.rpartition("/")[2]] += 1
+        await control.faults.wait_while_blocked(str(event.metadata.get("data-centre", "")))
+
+    listen(server, RecvRequest, on_request)
+    await server.start(parsed.host, parsed.port)
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
+    await stopped.wait()
+    server.close()
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,490 @@
+"""A stand-in for a database target: slots, connection limit, terms, replication."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import fire
+from result import Err, Ok, Result
+
+from quetzalrudder.exceptions import (
+    ConnectionLimitReached,
+    MalformedMessage,
+    QuetzalrudderError,
+    StaleTerm,
+    StatementFailed,
+    TransactionNotFound,
+    to_failure,
+)
+from quetzalrudder.schema.common import Position, Rows
+from quetzalrudder.schema.standin import Change
+from quetzalrudder.schema.target import (
+    AskOutcome,
+    Begin,
+    Commit,
+    Confirm,
+    Execute,
+    Fence,
+    Follow,
+    Open,
+    Outcome,
+    Probe,
+    Promote,
+    Role,
+    Rollback,
+    State,
+    TargetAnswer,
+    TargetBase,
+    TargetFrame,
+)
+from standins.database import Database
+from standins.replication import Follower, ReplicationService
+from standins.serving import FaultState, RecordingCodec, StandInControl, serve
+
+OPEN_S = 0.012
+STATEMENT_S = 0.001
+RETRY_AFTER_MS = 100
+
+
+@dataclass(frozen=True)
+class TargetConfig:
+    """What a target is started with."""
+
+    target: str
+    data_centre: str
+    listen: str
+    slots: int
+    connection_limit: int
+
+
+class TargetState:
+    """One target: its database, its place in the group, its slots."""
+
+    def __init__(self, cfg: TargetConfig, faults: FaultState) -> None:
+        self.cfg = cfg
+        self.faults = faults
+        self.database = Database()
+        self.role = Role.REPLICA
+        self.term = 0
+        self.proposer = ""
+        self.changed = asyncio.Condition()
+        self.write_lock = asyncio.Lock()
+        self.slots = asyncio.Semaphore(cfg.slots)
+        self.load = 0
+        self.connections = 0
+        self.statements = 0
+        self.follower: Follower | None = None
+
+    def state(self) -> State:
+        """Tell role, term, positions and load."""
+        return State(
+            role=self.role,
+            term=self.term,
+            received=self.database.received,
+            applied=self.database.applied,
+            term_starts=self.database.term_starts()[-8:],
+            active_statements=self.load,
+            slots=self.cfg.slots,
+            connections=self.connections,
+            connection_limit=self.cfg.connection_limit,
+        )
+
+    async def notify(self) -> None:
+        """Wake everyone who waits for the log or the term."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    def stale(self) -> StaleTerm:
+        """Refuse a sender whose term is not the current one."""
+        return StaleTerm(
+            f"term is {self.term} and this target is {self.role.name.lower()}",
+            place=self.cfg.target,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def accepts_writes(self, term: int) -> bool:
+        """Tell whether this is the primary of the term."""
+        return self.role is Role.PRIMARY and self.term == term
+
+    async def fence(self, req: Fence) -> Result[None, QuetzalrudderError]:
+        """Refuse older terms from now on; one proposer owns the term."""
+        if req.term < self.term:
+            return Err(self.stale())
+        if req.term == self.term and req.proposer != self.proposer:
+            return Err(self.stale())
+        if req.term > self.term:
+            self._set_term(req.term, req.proposer, Role.FENCED)
+            await self.notify()
+        return Ok(None)
+
+    def _set_term(self, term: int, proposer: str, role: Role) -> None:
+        self.term = term
+        self.proposer = proposer
+        self.role = role
+        if self.follower is not None:
+            self.follower.stop()
+            self.follower = None
+
+    async def promote(self, req: Promote) -> Result[None, QuetzalrudderError]:
+        """Become the primary of a term that this proposer has fenced."""
+        if req.term != self.term or req.proposer != self.proposer:
+            return Err(self.stale())
+        if self.role is not Role.PRIMARY:
+            async with self.write_lock:
+                if req.term != self.term:
+                    return Err(self.stale())
+                self.database.apply_all()
+                self.database.append_empty(self.term)
+                self.role = Role.PRIMARY
+            await self.notify()
+        return Ok(None)
+
+    async def follow(self, req: Follow) -> Result[None, QuetzalrudderError]:
+        """Take the log from the primary of a term."""
+        if req.term < self.term:
+            return Err(self.stale())
+        if self.role is Role.PRIMARY and req.term == self.term:
+            return Err(self.stale())
+        following = self.follower.primary if self.follower else ""
+        if req.term == self.term and following == req.primary:
+            return Ok(None)
+        self._set_term(req.term, self.proposer, Role.REPLICA)
+        self.follower = Follower(self, req.primary, req.address, req.term)
+        self.follower.start()
+        await self.notify()
+        return Ok(None)
+
+    async def confirm(self, req: Confirm) -> Result[bool, QuetzalrudderError]:
+        """Wait until the log holds a position, in the position's own term."""
+        deadline = time.monotonic() + req.wait_ms / 1000
+        position = req.position or Position()
+        while True:
+            if self.term != position.term or self.role is Role.FENCED:
+                return Err(self.stale())
+            if self.database.holds(position):
+                return Ok(True)
+            left = deadline - time.monotonic()
+            if left <= 0:
+                return Ok(False)
+            async with self.changed:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), left)
+
+
+class StatementConn:
+    """One connection: runs its frames in order, and owns at most one transaction."""
+
+    def __init__(self, target: TargetState) -> None:
+        self._target = target
+        self._changes: list[Change] | None = None
+        self._term = 0
+
+    @property
+    def in_transaction(self) -> bool:
+        """True while a transaction is open."""
+        return self._changes is not None
+
+    async def run(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
+        """Run one request in a slot."""
+        target = self._target
+        target.load += 1
+        try:
+            async with target.slots:
+                await asyncio.sleep(STATEMENT_S)
+                target.statements += 1
+                return await self._dispatch(req)
+        finally:
+            target.load -= 1
+
+    async def _dispatch(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
+        match req:
+            case Execute(in_transaction=True):
+                return self._run_in_transaction(req)
+            case Execute(write=True):
+                return await self._write(req)
+            case Execute():
+                return self._read(req)
+            case AskOutcome():
+                return self._ask_outcome(req)
+            case Begin():
+                return await self._begin(req)
+            case Commit():
+                return await self._commit(req)
+            case Rollback():
+                self.abandon()
+                return Ok(TargetAnswer())
+            case _:
+                return Err(MalformedMessage("not a request for a statement connection"))
+
+    def _read(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
+        rows = self._target.database.read(Change(sql=req.sql, params=req.params))
+        return rows.map(lambda found: TargetAnswer(rows=found))
+
+    async def _write(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
+        target = self._target
+        changes = [Change(sql=req.sql, params=req.params)]
+        async with target.write_lock:
+            if not target.accepts_writes(req.term):
+                return Err(target.stale())
+            key = request_key(req.workspace, req.request_id)
+            recorded = target.database.recorded(key, changes)
+            if isinstance(recorded, Err):
+                return recorded
+            if recorded.ok_value is not None:
+                return Ok(_repeat(recorded.ok_value))
+            answer = self._commit_single(changes[0], req.term, key)
+        await target.notify()
+        return answer
+
+    def _commit_single(
+        self, change: Change, term: int, key: str
+    ) -> Result[TargetAnswer, QuetzalrudderError]:
+        database = self._target.database
+        database.begin()
+        ran = database.run_in_transaction(change)
+        if isinstance(ran, Err):
+            database.rollback()
+            return ran
+        position = database.commit(term, [change], key, ran.ok_value)
+        return Ok(TargetAnswer(rows=ran.ok_value, position=position))
+
+    def _ask_outcome(self, req: AskOutcome) -> Result[TargetAnswer, QuetzalrudderError]:
+        key = request_key(req.workspace, req.request_id)
+        outcome = self._target.database.outcome(key)
+        return Ok(TargetAnswer(outcome=outcome or Outcome(found=False)))
+
+    async def _begin(self, req: Begin) -> Result[TargetAnswer, QuetzalrudderError]:
+        if self.in_transaction:
+            return Err(StatementFailed("a transaction is open already"))
+        if not self._target.accepts_writes(req.term):
+            return Err(self._target.stale())
+        await self._target.write_lock.acquire()
+        if not self._target.accepts_writes(req.term):
+            self._target.write_lock.release()
+            return Err(self._target.stale())
+        self._target.database.begin()
+        self._changes = []
+        self._term = req.term
+        return Ok(TargetAnswer())
+
+    def _run_in_transaction(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
+        if self._changes is None:
+            return Err(TransactionNotFound("no transaction is open"))
+        change = Change(sql=req.sql, params=req.params)
+        ran = self._target.database.run_in_transaction(change)
+        if isinstance(ran, Err):
+            return ran
+        self._changes.append(change)
+        return Ok(TargetAnswer(rows=ran.ok_value))
+
+    async def _commit(self, req: Commit) -> Result[TargetAnswer, QuetzalrudderError]:
+        target = self._target
+        if self._changes is None:
+            return Err(TransactionNotFound("no transaction is open"))
+        if not target.accepts_writes(self._term):
+            self.abandon()
+            return Err(target.stale())
+        key = request_key(req.workspace, req.request_id)
+        position = target.database.commit(self._term, self._changes, key, Rows())
+        self._release()
+        await target.notify()
+        return Ok(TargetAnswer(position=position))
+
+    def abandon(self) -> None:
+        """Roll back what is open."""
+        if self._changes is not None:
+            self._target.database.rollback()
+            self._release()
+
+    def _release(self) -> None:
+        self._changes = None
+        self._target.write_lock.release()
+
+
+def request_key(workspace: str, request_id: str) -> str:
+    """Name a request among those of all workspaces; empty without a request id."""
+    return f"{workspace}\n{request_id}" if request_id else ""
+
+
+def _repeat(outcome: Outcome) -> TargetAnswer:
+    return TargetAnswer(rows=outcome.rows, position=outcome.position, repeated_request=True)
+
+
+class TargetService(TargetBase):
+    """The published protocol of a target."""
+
+    def __init__(self, target: TargetState) -> None:
+        self._target = target
+
+    async def connect(self, messages: AsyncIterator[TargetFrame]) -> AsyncIterator[TargetAnswer]:
+        """Serve one connection."""
+        opening = await anext(messages, None)
+        if opening is None or opening.open is None:
+            return
+        await self._target.faults.wait_while_blocked(opening.open.data_centre)
+        if opening.open.control:
+            async for answer in self._serve_control(opening, messages):
+                yield answer
+            return
+        async for answer in self._serve_statements(opening, messages):
+            yield answer
+
+    async def _serve_statements(
+        self, opening: TargetFrame, messages: AsyncIterator[TargetFrame]
+    ) -> AsyncIterator[TargetAnswer]:
+        target = self._target
+        if target.connections >= target.cfg.connection_limit:
+            exc = ConnectionLimitReached("no connection is left", place=target.cfg.target)
+            yield self._answer(opening, Err(exc))
+            return
+        target.connections += 1
+        conn = StatementConn(target)
+        try:
+            await asyncio.sleep(OPEN_S)
+            yield self._answer(opening, Ok(TargetAnswer()))
+            async for frame in messages:
+                await target.faults.wait_while_blocked(opening.open.data_centre)
+                answer = self._answer(frame, await conn.run(_request_of(frame)))
+                await target.faults.wait_while_blocked(opening.open.data_centre)
+                yield answer
+        finally:
+            conn.abandon()
+            target.connections -= 1
+
+    async def _serve_control(
+        self, opening: TargetFrame, messages: AsyncIterator[TargetFrame]
+    ) -> AsyncIterator[TargetAnswer]:
+        answers: asyncio.Queue[TargetAnswer | None] = asyncio.Queue()
+        answers.put_nowait(self._answer(opening, Ok(TargetAnswer())))
+        reader = asyncio.ensure_future(self._read_control(opening.open, messages, answers))
+        try:
+            while (answer := await answers.get()) is not None:
+                yield answer
+        finally:
+            reader.cancel()
+
+    async def _read_control(
+        self,
+        opening: Open,
+        messages: AsyncIterator[TargetFrame],
+        answers: "asyncio.Queue[TargetAnswer | None]",
+    ) -> None:
+        tasks: set[asyncio.Task[None]] = set()
+        try:
+            async for frame in messages:
+                task = asyncio.ensure_future(self._run_control(opening, frame, answers))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+        finally:
+            for task in tasks:
+                task.cancel()
+            answers.put_nowait(None)
+
+    async def _run_control(
+        self, opening: Open, frame: TargetFrame, answers: "asyncio.Queue[TargetAnswer | None]"
+    ) -> None:
+        await self._target.faults.wait_while_blocked(opening.data_centre)
+        answer = self._answer(frame, await self._control(_request_of(frame)))
+        await self._target.faults.wait_while_blocked(opening.data_centre)
+        answers.put_nowait(answer)
+
+    async def _control(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
+        target = self._target
+        match req:
+            case Probe():
+                return Ok(TargetAnswer())
+            case Confirm():
+                confirmed = await target.confirm(req)
+                return confirmed.map(lambda held: TargetAnswer(confirmed=held))
+            case Fence():
+                return (await target.fence(req)).map(lambda _: TargetAnswer())
+            case Promote():
+                return (await target.promote(req)).map(lambda _: TargetAnswer())
+            case Follow():
+                return (await target.follow(req)).map(lambda _: TargetAnswer())
+            case _:
+                return Err(MalformedMessage("not a request for a control connection"))
+
+    def _answer(
+        self, frame: TargetFrame, result: Result[TargetAnswer, QuetzalrudderError]
+    ) -> TargetAnswer:
+        match result:
+            case Ok(answer):
+                pass
+            case Err(exc):
+                answer = TargetAnswer(failure=to_failure(exc))
+        answer.sequence = frame.sequence
+        answer.generation = frame.generation
+        answer.state = self._target.state()
+        answer.row_count = len(answer.rows.rows) if answer.rows else 0
+        if answer.row_count and self._target.faults.take("truncate_answers"):
+            answer.rows = Rows(columns=answer.rows.columns, rows=answer.rows.rows[:-1])
+        return answer
+
+
+def _request_of(frame: TargetFrame) -> object:
+    for name in (
+        "execute",
+        "begin",
+        "commit",
+        "rollback",
+        "ask_outcome",
+        "probe",
+        "confirm",
+        "fence",
+        "promote",
+        "follow",
+    ):
+        found = getattr(frame, name)
+        if found is not None:
+            return found
+    return None
+
+
+async def run_target(cfg: TargetConfig, primary: str, primary_address: str) -> None:
+    """Serve a target until SIGTERM."""
+    faults = FaultState()
+    target = TargetState(cfg, faults)
+    target.term = 1
+    if primary == cfg.target:
+        target.database.append_empty(target.term)
+        target.role = Role.PRIMARY
+    else:
+        await target.follow(Follow(term=1, primary=primary, address=primary_address))
+    control = StandInControl(faults, RecordingCodec(), lambda: target.statements)
+    services = [TargetService(target), ReplicationService(target)]
+    await serve(cfg.listen, services, control)
+
+
+def main(
+    target: str,
+    data_centre: str,
+    listen: str,
+    primary: str,
+    primary_address: str = "",
+    slots: int = 3,
+    connection_limit: int = 20,
+) -> None:
+    """Run a target stand-in.
+
+    Parameters
+    ----------
+    target, data_centre : str
+        Its name and where it stands.
+    listen : str
+        IP address and port.
+    primary, primary_address : str
+        The group's first primary.
+    slots : int
+        Statements that run at once.
+    connection_limit : int
+        Most statement connections.
+    """
+    cfg = TargetConfig(target, data_centre, listen, slots, connection_limit)
+    asyncio.run(run_target(cfg, primary, primary_address))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: one file for each promise, and unit tests."""
