--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the product, the naive version and the ideal, with their bounds."""
--- a/src/quetzalrudder/adapters.py
+++ b/src/quetzalrudder/adapters.py
@@ -4,7 +4,6 @@
 platform can be put in by writing another adapter.
 """
 
-import itertools
 import threading
 from concurrent.futures import CancelledError, Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
@@ -15,7 +14,7 @@
 from grpclib.exceptions import StreamTerminatedError
 from result import Err, Ok, Result
 
-from quetzalrudder.bridge import ClientStream, Loop, call_once
+from quetzalrudder.bridge import Loop, RequestStream, call_once
 from quetzalrudder.exceptions import (
     LinkLost,
     OutcomeUnknown,
@@ -59,7 +58,7 @@
     TargetFrame,
     TargetStub,
 )
-from quetzalrudder.utils import MS_PER_S, Address
+from quetzalrudder.utils import MS_PER_S, Address, field_by_type
 
 __all__ = [
     "GrpcPlatform",
@@ -85,20 +84,7 @@
     | Follow
 )
 
-FIELD_BY_TYPE: dict[type, str] = {
-    Open: "open",
-    Execute: "execute",
-    Begin: "begin",
-    Commit: "commit",
-    Rollback: "rollback",
-    AskOutcome: "ask_outcome",
-    Probe: "probe",
-    Confirm: "confirm",
-    Fence: "fence",
-    Promote: "promote",
-    Follow: "follow",
-}
-
+FIELD_BY_TYPE = field_by_type(TargetFrame)
 RESULT_GRACE_S = 2.0
 
 
@@ -119,6 +105,9 @@
     def broken(self) -> bool:
         """True once no further request can be sent, or an answer is still owed."""
 
+    def start(self, req: TargetRequest) -> "Future[TargetAnswer]":
+        """Send one request; the future gives the raw answer."""
+
     def request(
         self, req: TargetRequest, timeout_s: float
     ) -> Result[TargetAnswer, QuetzalrudderError]:
@@ -169,16 +158,12 @@
     def __init__(self, loop: Loop, info: TargetInfo, generation: int) -> None:
         self._info = info
         self._generation = generation
-        self._sequence = itertools.count(1)
-        self._pending: dict[int, Future[TargetAnswer]] = {}
         self._owed = False
-        self._end: QuetzalrudderError | None = None
-        self._stream: ClientStream[TargetFrame, TargetAnswer] = ClientStream(
+        self._stream: RequestStream[TargetFrame, TargetAnswer] = RequestStream(
             loop,
             info.address,
             lambda channel, frames: TargetStub(channel).connect(frames),
-            self._resolve,
-            self._fail_all,
+            lambda answer: answer.generation == generation,
         )
 
     @property
@@ -186,18 +171,17 @@
         """True once no further request can be sent, or an answer is still owed."""
         return self._owed or self._stream.ended
 
-    def _resolve(self, answer: TargetAnswer) -> None:
-        if answer.generation != self._generation:
-            return
-        fut = self._pending.pop(answer.sequence, None)
-        if fut is not None:
-            fut.set_result(answer)
+    def start(self, req: TargetRequest) -> "Future[TargetAnswer]":
+        """Send one request; the future gives the raw answer or ``LinkLost``.
 
-    def _fail_all(self, exc: QuetzalrudderError) -> None:
-        self._end = exc
-        while self._pending:
-            _, fut = self._pending.popitem()
-            fut.set_exception(LinkLost(exc.message, place=self._info.target))
+        Raises
+        ------
+        TargetUnavailable
+            Nothing was sent.
+        """
+        frame = TargetFrame(generation=self._generation)
+        setattr(frame, FIELD_BY_TYPE[type(req)], req)
+        return self._stream.start(frame)
 
     def request(
         self, req: TargetRequest, timeout_s: float
@@ -217,31 +201,18 @@
             The answer, or why there is none. ``TargetUnavailable`` means that
             nothing was sent.
         """
-        sequence = next(self._sequence)
-        frame = TargetFrame(sequence=sequence, generation=self._generation)
-        setattr(frame, FIELD_BY_TYPE[type(req)], req)
-        fut: Future[TargetAnswer] = Future()
-        self._pending[sequence] = fut
         try:
-            self._stream.send(frame)
-        except LinkLost as exc:
-            self._pending.pop(sequence, None)
+            fut = self.start(req)
+        except TargetUnavailable as exc:
             return Err(TargetUnavailable(exc.message, place=self._info.target))
-        if self._stream.ended and self._pending.pop(sequence, None) is not None:
-            return Err(LinkLost("the connection broke", place=self._info.target))
-        return self._wait(sequence, fut, timeout_s)
-
-    def _wait(
-        self, sequence: int, fut: "Future[TargetAnswer]", timeout_s: float
-    ) -> Result[TargetAnswer, QuetzalrudderError]:
         try:
             answer = fut.result(timeout_s)
         except FutureTimeoutError:
-            self._pending.pop(sequence, None)
+            self._stream.forget(fut)
             self._owed = True
             return Err(OutcomeUnknown("no answer in time", place=self._info.target))
-        except QuetzalrudderError as exc:
-            return Err(exc)
+        except LinkLost as exc:
+            return Err(LinkLost(exc.message, place=self._info.target))
         return self._check(answer)
 
     def _check(self, answer: TargetAnswer) -> Result[TargetAnswer, QuetzalrudderError]:
@@ -250,9 +221,8 @@
         rows = len(answer.rows.rows) if answer.rows is not None else 0
         if rows != answer.row_count:
             self._owed = True
-            return Err(
-                TruncatedAnswer(f"{rows} of {answer.row_count} rows came", place=self._info.target)
-            )
+            reason = f"{rows} of {answer.row_count} rows came"
+            return Err(TruncatedAnswer(reason, place=self._info.target))
         return Ok(answer)
 
     def close(self) -> None:
--- a/src/quetzalrudder/bridge.py
+++ b/src/quetzalrudder/bridge.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import queue
 import threading
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Sequence
@@ -19,10 +20,16 @@
 from grpclib.server import Server
 
 from quetzalrudder.codec import CheckedCodec, limit_message_size
-from quetzalrudder.exceptions import BindFailed, LinkLost, Overloaded, QuetzalrudderError
+from quetzalrudder.exceptions import (
+    BindFailed,
+    LinkLost,
+    Overloaded,
+    QuetzalrudderError,
+    TargetUnavailable,
+)
 from quetzalrudder.utils import Address
 
-__all__ = ["ClientStream", "Listener", "Loop", "Pipe", "call_once", "serve_pipe"]
+__all__ = ["ClientStream", "Listener", "Loop", "Pipe", "RequestStream", "call_once", "serve_pipe"]
 
 M = TypeVar("M")
 S = TypeVar("S")
@@ -297,6 +304,84 @@
         self._loop.post(self._task.cancel)
 
 
+class RequestStream(Generic[S, M]):
+    """Requests and answers on one outgoing stream, matched by their sequence.
+
+    Parameters
+    ----------
+    loop : Loop
+        The loop that owns the socket.
+    address : Address
+        Where to connect.
+    call : Callable
+        Starts the stream on a channel, given what to send.
+    accept : Callable, optional
+        Tells whether an answer belongs to this stream; others are dropped.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        call: Callable[[Channel, AsyncIterator[S]], AsyncIterator[M]],
+        accept: Callable[[M], bool] = lambda _: True,
+    ) -> None:
+        self._accept = accept
+        self._sequence = itertools.count(1)
+        self._pending: dict[int, Future[M]] = {}
+        self._stream: ClientStream[S, M] = ClientStream(
+            loop, address, call, self._resolve, self._fail_all
+        )
+
+    @property
+    def ended(self) -> bool:
+        """True once the stream has broken or was closed."""
+        return self._stream.ended
+
+    def _resolve(self, answer: M) -> None:
+        if not self._accept(answer):
+            return
+        fut = self._pending.pop(answer.sequence, None)
+        if fut is not None:
+            fut.set_result(answer)
+
+    def _fail_all(self, exc: QuetzalrudderError) -> None:
+        while self._pending:
+            _, fut = self._pending.popitem()
+            fut.set_exception(LinkLost(exc.message, place=exc.place))
+
+    def start(self, frame: S) -> "Future[M]":
+        """Send a frame under the next sequence; the future gives its answer.
+
+        Raises
+        ------
+        TargetUnavailable
+            The stream has ended; nothing was sent.
+        """
+        sequence = next(self._sequence)
+        frame.sequence = sequence
+        fut: Future[M] = Future()
+        self._pending[sequence] = fut
+        try:
+            self._stream.send(frame)
+        except LinkLost as exc:
+            self._pending.pop(sequence, None)
+            raise TargetUnavailable(exc.message, place=exc.place) from exc
+        if self._stream.ended and self._pending.pop(sequence, None) is not None:
+            fut.set_exception(LinkLost("the connection broke"))
+        return fut
+
+    def forget(self, fut: "Future[M]") -> None:
+        """Drop a request whose answer is no longer wanted."""
+        found = [sequence for sequence, held in self._pending.items() if held is fut]
+        for sequence in found:
+            self._pending.pop(sequence, None)
+
+    def close(self) -> None:
+        """End the stream and its connection."""
+        self._stream.close()
+
+
 async def call_once(
     address: Address, call: Callable[[Channel], Awaitable[M]], *, timeout_s: float
 ) -> M:
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -11,10 +11,13 @@
 from quetzalrudder.adapters import GrpcPlatform, Platform, TargetInfo, open_grpc_target
 from quetzalrudder.bridge import Listener, Loop
 from quetzalrudder.connections import CallerConnections
+from quetzalrudder.exceptions import QuetzalrudderError
 from quetzalrudder.groups import GroupTable
 from quetzalrudder.links import ControlLinks
+from quetzalrudder.membership import Membership
 from quetzalrudder.metrics import Metrics
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, InstanceState, TargetId
+from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
 from quetzalrudder.routing import ReadRouter
 from quetzalrudder.schema.platform import Group
@@ -33,7 +36,8 @@
 
 DEFAULT_MAX_TASKS = 256
 DEFAULT_DRAIN_S = 30
-CONTROL_TASKS = 64
+MAX_CONTROL_TASKS = 256
+MAX_PEER_TASKS = 256
 LIST_INTERVAL_S = 1.0
 DEFAULT_CONNECTION_LIMIT = 4
 
@@ -62,6 +66,7 @@
         self.state = InstanceState.STARTING
         self.timeline = Timeline(self.instance, self.clock)
         self.groups = GroupTable(self.clock)
+        self.membership = Membership(self.instance, self.data_centre)
         self._stack = ExitStack()
         self._stopping = threading.Event()
 
@@ -82,7 +87,8 @@
         self.loop = stack.enter_context(Loop())
         max_tasks = cfg.max_tasks or DEFAULT_MAX_TASKS
         callers = stack.enter_context(ThreadPoolExecutor(max_tasks, "caller"))
-        control = stack.enter_context(ThreadPoolExecutor(CONTROL_TASKS, "control"))
+        control = stack.enter_context(ThreadPoolExecutor(MAX_CONTROL_TASKS, "control"))
+        peer_tasks = stack.enter_context(ThreadPoolExecutor(MAX_PEER_TASKS, "peer"))
         stack.callback(self._stopping.set)
         platform = GrpcPlatform(
             self.loop, parse_address(cfg.platform), self.instance, self.data_centre
@@ -95,21 +101,24 @@
             ControlLinks(self.groups, self._open_control, control, self.clock, self.timeline)
         )
         self.pool = stack.enter_context(ConnectionPool(self._open_conn, self._connection_limit))
-        self.connections = self._make_connections(callers, control, max_tasks)
+        self.peers = stack.enter_context(
+            PeerLinks(
+                self.loop, self.instance, self.data_centre, self.membership, self.timeline.clock
+            )
+        )
+        self.connections = self._make_connections(callers, max_tasks)
         control.submit(self.store.watch)
         control.submit(self._follow_lists)
-        self._listen(stack, control)
+        self._listen(stack, control, peer_tasks)
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
 
-    def _make_connections(
-        self, callers: Executor, control: Executor, max_tasks: int
-    ) -> CallerConnections:
+    def _make_connections(self, callers: Executor, max_tasks: int) -> CallerConnections:
         runner = StatementRunner(
             self.groups,
             ReadRouter(self.groups, self.data_centre, self.rng),
             self.pool,
-            Confirmer(self.groups, self.links, control),
+            Confirmer(self.groups, self.links),
             self.clock,
         )
         return CallerConnections(
@@ -124,7 +133,7 @@
             metrics=self.metrics,
         )
 
-    def _listen(self, stack: ExitStack, control: Executor) -> None:
+    def _listen(self, stack: ExitStack, control: Executor, peer_tasks: Executor) -> None:
         operators = OperatorService(
             executor=control,
             connections=self.connections,
@@ -133,9 +142,10 @@
             timeline=self.timeline,
             state=lambda: self.state,
         )
+        peers = PeerService(self.loop, self.peers, peer_tasks)
         callers = CallerService(self.loop, self.connections)
         address = parse_address(self.cfg.control_listen)
-        stack.enter_context(Listener(self.loop, address, [operators]))
+        stack.enter_context(Listener(self.loop, address, [operators, peers]))
         address = parse_address(self.cfg.listen)
         stack.enter_context(Listener(self.loop, address, [callers]))
 
@@ -152,15 +162,28 @@
 
     def _follow_lists(self) -> None:
         while not self._stopping.is_set():
-            answer = self.platform.list_groups()
-            if isinstance(answer, Err):
-                log.warning("platform list failed", extra={"reason": str(answer.err_value)})
-            else:
-                for group in answer.ok_value.groups:
-                    self.groups.set_targets(_targets_of(group))
-                self.links.watch_all()
+            for refresh in (self._refresh_groups, self._refresh_instances):
+                exc = refresh()
+                if exc is not None:
+                    log.warning("platform list failed", extra={"reason": str(exc)})
             self._stopping.wait(LIST_INTERVAL_S)
 
+    def _refresh_groups(self) -> QuetzalrudderError | None:
+        answer = self.platform.list_groups()
+        if isinstance(answer, Err):
+            return answer.err_value
+        for group in answer.ok_value.groups:
+            self.groups.set_targets(_targets_of(group))
+        self.links.watch_all()
+        return None
+
+    def _refresh_instances(self) -> QuetzalrudderError | None:
+        answer = self.platform.list_instances()
+        if isinstance(answer, Err):
+            return answer.err_value
+        self.membership.set_list(answer.ok_value.instances)
+        return None
+
     def drain(self, timeout_s: float | None = None) -> int:
         """Stop accepting, tell callers to move on, and wait for them.
 
--- a/src/quetzalrudder/links.py
+++ b/src/quetzalrudder/links.py
@@ -96,6 +96,19 @@
             return Err(TargetUnavailable("no control connection", place=target))
         return conn.request(req, timeout_s)
 
+    def start(self, target: TargetId, req: TargetRequest) -> "Future[TargetAnswer]":
+        """Send a request on a target's control connection; the future gives the answer.
+
+        Raises
+        ------
+        TargetUnavailable
+            There is no connection; nothing was sent.
+        """
+        conn = self._conns.get(target)
+        if conn is None:
+            raise TargetUnavailable("no control connection", place=target)
+        return conn.start(req)
+
     def _serve(self, info: TargetInfo) -> None:
         while not self._stopping.is_set():
             opened = self._open_control(info, next(self._generations), OPEN_TIMEOUT_S)
--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -11,6 +11,7 @@
     "PeersStub",
     "SettingsRequest",
     "SettingsUpdate",
+    "Welcome",
 )
 
 from collections.abc import AsyncIterable, AsyncIterator, Iterable
@@ -48,7 +49,7 @@
 @dataclass(eq=False, repr=False)
 class Hello(betterproto2.Message):
     """
-    First frame from each side.
+    First frame of a connection, from the instance that opened it.
     """
 
     instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
@@ -62,26 +63,43 @@
 @dataclass(eq=False, repr=False)
 class PeerFrame(betterproto2.Message):
     """
-
+    A request, or the answer to the request of the same sequence.
 
     Oneofs:
         - kind:
     """
 
+    sequence: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+    wall_us: "int" = betterproto2.field(2, betterproto2.TYPE_INT64)
+    """
+    Hybrid logical time of the sender.
+    """
+
+    logical: "int" = betterproto2.field(3, betterproto2.TYPE_UINT32)
+
+    failure: "_common__.Failure | None" = betterproto2.field(
+        4, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
     hello: "Hello | None" = betterproto2.field(
-        1, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+        10, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    welcome: "Welcome | None" = betterproto2.field(
+        11, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
     digest: "Digest | None" = betterproto2.field(
-        2, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+        40, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
     settings_request: "SettingsRequest | None" = betterproto2.field(
-        3, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+        41, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
     settings_update: "SettingsUpdate | None" = betterproto2.field(
-        4, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+        42, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
 
@@ -106,6 +124,16 @@
 default_message_pool.register_message("peers", "SettingsUpdate", SettingsUpdate)
 
 
+@dataclass(eq=False, repr=False)
+class Welcome(betterproto2.Message):
+    instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    data_centre: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+
+default_message_pool.register_message("peers", "Welcome", Welcome)
+
+
 class PeersStub(betterproto2_grpclib.ServiceStub):
     async def connect(
         self,
@@ -128,6 +156,7 @@
             yield response
 
 
+from .. import common as _common__
 from .. import settings as _settings__
 
 
--- a/src/quetzalrudder/schema/standin/__init__.py
+++ b/src/quetzalrudder/schema/standin/__init__.py
@@ -20,6 +20,7 @@
     "StandInStub",
     "Statistics",
     "StatisticsRequest",
+    "View",
 )
 
 from collections.abc import AsyncIterator
@@ -139,6 +140,8 @@
 
     lag_ms: "int" = betterproto2.field(3, betterproto2.TYPE_UINT32)
 
+    views: "list[View]" = betterproto2.field(4, betterproto2.TYPE_MESSAGE, repeated=True)
+
 
 default_message_pool.register_message("standin", "Lists", Lists)
 
@@ -233,6 +236,22 @@
 default_message_pool.register_message("standin", "StatisticsRequest", StatisticsRequest)
 
 
+@dataclass(eq=False, repr=False)
+class View(betterproto2.Message):
+    """
+    What instances of one data centre see instead of the control addresses in the list.
+    """
+
+    data_centre: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    instances: "list[_platform__.InstanceEntry]" = betterproto2.field(
+        2, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+
+
+default_message_pool.register_message("standin", "View", View)
+
+
 class ReplicationStub(betterproto2_grpclib.ServiceStub):
     async def replicate(
         self,
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -17,7 +17,6 @@
 
 import configparser
 import dataclasses
-import typing
 from collections.abc import Iterable
 from pathlib import Path
 from typing import TypeVar
@@ -31,7 +30,7 @@
     DaemonSettings,
     Tree,
 )
-from quetzalrudder.utils import parse_address
+from quetzalrudder.utils import field_types, parse_address
 
 __all__ = [
     "ROOT_DEFAULTS",
@@ -92,15 +91,6 @@
     return parser
 
 
-def _field_types(cls: type) -> dict[str, type]:
-    hints = typing.get_type_hints(cls)
-    types = {}
-    for field in dataclasses.fields(cls):
-        options = [t for t in typing.get_args(hints[field.name]) if t is not type(None)]
-        types[field.name] = options[0] if options else hints[field.name]
-    return types
-
-
 def _convert(text: str, kind: type, place: str) -> object:
     text = text.strip()
     if kind is bool:
@@ -122,7 +112,7 @@
 def _fill(
     message: M, section: configparser.SectionProxy, file: str
 ) -> tuple[M, list[QuetzalrudderError]]:
-    types = _field_types(type(message))
+    types = field_types(type(message))
     errors: list[QuetzalrudderError] = []
     for key, text in section.items():
         place = f"{file} [{section.name}] {key}"
--- a/src/quetzalrudder/utils.py
+++ b/src/quetzalrudder/utils.py
@@ -1,9 +1,13 @@
 """Clocks, deadlines and addresses."""
 
+import dataclasses
 import time
+import typing
 from dataclasses import dataclass
 from typing import Protocol
 
+import betterproto2
+
 from quetzalrudder.exceptions import InvalidSettings
 from quetzalrudder.schema.common import Value
 
@@ -12,6 +16,8 @@
     "Clock",
     "Deadline",
     "SystemClock",
+    "field_by_type",
+    "field_types",
     "from_value",
     "parse_address",
     "to_value",
@@ -137,3 +143,28 @@
         if found is not None:
             return found
     return None
+
+
+def field_types(cls: type) -> dict[str, type]:
+    """Give the type of each field of a message class, without ``None``.
+
+    Examples
+    --------
+    >>> field_types(Value)["text"]
+    <class 'str'>
+    """
+    hints = typing.get_type_hints(cls)
+    types = {}
+    for field in dataclasses.fields(cls):
+        options = [t for t in typing.get_args(hints[field.name]) if t is not type(None)]
+        types[field.name] = options[0] if options else hints[field.name]
+    return types
+
+
+def field_by_type(cls: type) -> dict[type, str]:
+    """Give the name of the field that carries each type of message in a frame class."""
+    return {
+        kind: name
+        for name, kind in field_types(cls).items()
+        if isinstance(kind, type) and issubclass(kind, betterproto2.Message)
+    }
--- a/src/quetzalrudder/writes.py
+++ b/src/quetzalrudder/writes.py
@@ -1,6 +1,7 @@
 """Writes: once at the primary of the current term, acknowledged after confirmation."""
 
-from concurrent.futures import Executor, Future, wait
+from concurrent.futures import FIRST_COMPLETED, Future, wait
+from contextlib import suppress
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -9,6 +10,7 @@
     NoPrimary,
     OutcomeUnknown,
     QuetzalrudderError,
+    TargetUnavailable,
 )
 from quetzalrudder.groups import GroupTable, TargetView
 from quetzalrudder.links import ControlLinks
@@ -47,13 +49,10 @@
         The members.
     links : ControlLinks
         The way to them.
-    executor : Executor
-        Asks them side by side.
     """
 
     groups: GroupTable
     links: ControlLinks
-    executor: Executor
 
     def confirm(
         self, group: GroupId, position: Position, deadline: Deadline
@@ -76,27 +75,26 @@
         """
         members = self.groups.members(group)
         needed = len(members) // 2 + 1
-        pending = {self.executor.submit(self._ask, view, position, deadline) for view in members}
+        pending = self._ask_all(members, position, deadline)
         confirmed = 0
         while pending and confirmed < needed and not deadline.passed:
-            done, pending = wait(pending, deadline.remaining_s, return_when="FIRST_COMPLETED")
-            confirmed += sum(1 for fut in done if self._is_confirmed(fut))
-        for fut in pending:
-            fut.cancel()
+            done, pending = wait(pending, deadline.remaining_s, return_when=FIRST_COMPLETED)
+            confirmed += sum(1 for fut in done if _is_confirmed(fut))
         if confirmed < needed:
             reason = f"{confirmed} of {needed} databases confirmed the write"
             return Err(OutcomeUnknown(reason, place=group, retry_after_ms=RETRY_AFTER_MS))
         return Ok(None)
 
-    def _ask(
-        self, view: TargetView, position: Position, deadline: Deadline
-    ) -> Result[TargetAnswer, QuetzalrudderError]:
-        req = Confirm(position=position, wait_ms=deadline.remaining_ms)
-        return self.links.request(view.info.target, req, deadline.remaining_s)
-
-    def _is_confirmed(self, fut: "Future[Result[TargetAnswer, QuetzalrudderError]]") -> bool:
-        match fut.result():
-            case Ok(answer):
-                return answer.confirmed
-            case _:
-                return False
+    def _ask_all(
+        self, members: list[TargetView], position: Position, deadline: Deadline
+    ) -> "set[Future[TargetAnswer]]":
+        futures = set()
+        for view in members:
+            req = Confirm(position=position, wait_ms=deadline.remaining_ms)
+            with suppress(TargetUnavailable):
+                futures.add(self.links.start(view.info.target, req))
+        return futures
+
+
+def _is_confirmed(fut: "Future[TargetAnswer]") -> bool:
+    return fut.exception() is None and fut.result().failure is None and fut.result().confirmed
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,11 +22,13 @@
     StandInStub,
     Statistics,
     StatisticsRequest,
+    View,
 )
 from quetzalrudder.sessions import Session
 from quetzalrudder.settings import parse_branches
 from quetzalrudder.utils import Address, parse_address
 from standins.deployments import Deployment
+from standins.network import Network, Relay
 
 __all__ = ["Fleet", "free_addresses"]
 
@@ -70,10 +72,13 @@
         self.target_addresses = {target: next(addresses) for _, target, _ in targets}
         self.instance_addresses = {name: next(addresses) for name, _ in instances}
         self.control_addresses = {name: next(addresses) for name, _ in instances}
+        self._relays = self._plan_relays()
+        self.network = Network(self._relays)
 
     def __enter__(self) -> "Fleet":
         with ExitStack() as stack:
             self.loop = stack.enter_context(Loop())
+            stack.enter_context(self.network)
             self.directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
             stack.callback(self._end_all)
             self._start_platform()
@@ -90,6 +95,57 @@
     def __exit__(self, *exc_info: object) -> None:
         self._stack.close()
 
+    def _plan_relays(self) -> list[Relay]:
+        ways = [
+            (data_centre, name, own)
+            for data_centre in self.deployment.data_centres
+            for name, own in self.deployment.instances()
+            if own != data_centre
+        ]
+        listens = free_addresses(len(ways))
+        return [
+            Relay(
+                data_centre,
+                own,
+                parse_address(listen),
+                parse_address(self.control_addresses[name]),
+            )
+            for (data_centre, name, own), listen in zip(ways, listens, strict=True)
+        ]
+
+    def _views(self) -> list[View]:
+        by_address = {address: name for name, address in self.control_addresses.items()}
+        return [
+            View(
+                data_centre=data_centre,
+                instances=[
+                    InstanceEntry(
+                        instance=by_address[str(relay.to)], control_address=str(relay.listen)
+                    )
+                    for relay in self._relays
+                    if relay.from_data_centre == data_centre
+                ],
+            )
+            for data_centre in self.deployment.data_centres
+        ]
+
+    def isolate(self, data_centre: str, *, from_platform: bool = True) -> None:
+        """Cut a data centre off from all others, and from the platform."""
+        others = [dc for dc in self.deployment.data_centres if dc != data_centre]
+        for other in others:
+            self.network.cut(data_centre, other)
+        for _, target, own in self.deployment.targets():
+            cut_from = others if own == data_centre else [data_centre]
+            self.set_faults(target, cut_from=cut_from)
+        if from_platform:
+            self.set_faults("platform", cut_from=[data_centre])
+
+    def heal(self) -> None:
+        """End every cut."""
+        self.network.heal()
+        for name in [*self.target_addresses, "platform"]:
+            self.set_faults(name, cut_from=[])
+
     def _spawn(self, name: str, *args: str) -> None:
         env = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
         with (self.directory / f"{name}.log").open("ab") as out:
@@ -170,7 +226,7 @@
             )
             for name, data_centre in self.deployment.instances()
         ]
-        lists = Lists(groups=groups, instances=instances, lag_ms=lag_ms)
+        lists = Lists(groups=groups, instances=instances, lag_ms=lag_ms, views=self._views())
         self._control(self.platform_address, "set_lists", lists)
 
     def set_leaving(self, *names: str, lag_ms: int = 0) -> None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import fire
 
@@ -25,7 +25,13 @@
     WatchRequest,
 )
 from quetzalrudder.schema.standin import Done, Lists
-from standins.serving import FaultState, RecordingCodec, StandInControl, serve
+from standins.serving import (
+    FaultState,
+    RecordingCodec,
+    StandInControl,
+    data_centre_of_call,
+    serve,
+)
 
 LEASE_CHECK_S = 0.05
 LOST_ANSWER_S = 3600
@@ -102,6 +108,7 @@
         self._groups: list[tuple[float, Groups]] = [(0.0, Groups())]
         self._instances: list[tuple[float, Instances]] = [(0.0, Instances())]
         self._lag_s = 0.0
+        self._views: dict[str, Instances] = {}
 
     async def run(self) -> None:
         """Keep leases, for ever."""
@@ -176,8 +183,15 @@
         return self._lagging(self._groups)
 
     async def list_instances(self, message: InstancesRequest) -> Instances:
-        """Give the instances, as they were a lag ago."""
-        return self._lagging(self._instances)
+        """Give the instances, as they were a lag ago, each under the address of the view."""
+        listed = self._lagging(self._instances)
+        view = self._views.get(data_centre_of_call.get(), Instances())
+        addresses = {entry.instance: entry.control_address for entry in view.instances}
+        entries = [
+            replace(entry, control_address=addresses.get(entry.instance, entry.control_address))
+            for entry in listed.instances
+        ]
+        return Instances(instances=entries)
 
     def _lagging(self, versions: list) -> object:
         due = time.monotonic() - self._lag_s
@@ -186,6 +200,8 @@
     def set_lists(self, lists: Lists) -> None:
         """Set what the lists say after the lag."""
         self._lag_s = lists.lag_ms / 1000
+        for view in lists.views:
+            self._views[view.data_centre] = Instances(instances=view.instances)
         now = time.monotonic()
         if lists.groups:
             self._groups.append((now, Groups(groups=lists.groups)))
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,6 +4,7 @@
 import signal
 from collections import Counter
 from collections.abc import Callable
+from contextvars import ContextVar
 from typing import Any
 
 from grpclib._typing import IServable
@@ -25,6 +26,8 @@
 from quetzalrudder.utils import parse_address
 
 CUT_POLL_S = 0.02
+
+data_centre_of_call: ContextVar[str] = ContextVar("data_centre_of_call", default="")
 CONTROL_SERVICE = "/standin.StandIn/"
 MAX_RECEIVED_BYTES = 16 * 1024 * 1024
 
@@ -136,7 +139,9 @@
         if event.method_name.startswith(CONTROL_SERVICE):
             return
         control.calls[event.method_name.rpartition("/")[2]] += 1
-        await control.faults.wait_while_blocked(str(event.metadata.get("data-centre", "")))
+        data_centre = str(event.metadata.get("data-centre", ""))
+        data_centre_of_call.set(data_centre)
+        await control.faults.wait_while_blocked(data_centre)
 
     listen(server, RecvRequest, on_request)
     await server.start(parsed.host, parsed.port)
--- a/standins/target.py
+++ b/standins/target.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+import betterproto2
 import fire
 from result import Err, Ok, Result
 
@@ -425,22 +426,8 @@
 
 
 def _request_of(frame: TargetFrame) -> object:
-    for name in (
-        "execute",
-        "begin",
-        "commit",
-        "rollback",
-        "ask_outcome",
-        "probe",
-        "confirm",
-        "fence",
-        "promote",
-        "follow",
-    ):
-        found = getattr(frame, name)
-        if found is not None:
-            return found
-    return None
+    _, request = betterproto2.which_one_of(frame, "kind")
+    return request
 
 
 async def run_target(cfg: TargetConfig, primary: str, primary_address: str) -> None:
--- /dev/null
+++ b/tests/clocks.py
@@ -0,0 +1,17 @@
+class ManualClock:
+    """A clock that moves only when a test says so; sleeping moves it."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        self.now = now
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        self.advance(seconds)
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
--- /dev/null
+++ b/tests/naive/__init__.py
@@ -0,0 +1,1 @@
+"""The naive versions that the product is compared with."""
