--- a/Makefile
+++ b/Makefile
@@ -1,3 +1,5 @@
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 PROTO = src/quetzalrudder/schema/proto
