Refuse a claimed workspace without its key; end the work of a withdrawn key

Change: access.py decides who calls. Without a key a caller is anonymous, has its own request ids and tokens, and reaches open routes only. A key is checked before each request, again once a target connection was had, and before the answer is sent; a withheld answer says truthfully whether the request took effect. A task ends the connections of withdrawn keys, idle or not, within 0.25 s of the revision. The digest is made once for each connection, and the constant-time comparison runs once for each revision instead of each request. Request ids are searched for keys as SQL and parameters are, also for keys of other workspaces and for hexadecimal and base64 forms. A key no longer shows in the repr of CallerIdentity.

--- a/src/quetzalrudder/callers.py
+++ b/src/quetzalrudder/callers.py
@@ -72,6 +72,16 @@
         """True once no further request can be sent."""
         return self._stream.ended
 
+    def last_refusal(self) -> QuetzalrudderError | None:
+        """Give the failure that the instance told before it closed the connection."""
+        told: QuetzalrudderError | None = None
+        with suppress(queue.Empty):
+            while True:
+                answer = self._answers.get_nowait()
+                if isinstance(answer, AnswerFrame) and answer.failure is not None:
+                    told = from_failure(answer.failure) if not answer.request_id else told
+        return told
+
     def exchange(self, frame: CallerFrame, timeout_s: float) -> AnswerFrame:
         """Send one frame and wait for the frame that answers it.
 
--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -3,23 +3,30 @@
 import logging
 import threading
 from concurrent.futures import Executor
+from contextlib import suppress
 
 from result import Err, Ok, Result
 
+from quetzalrudder.access import (
+    CallerIdentity,
+    KeyGuard,
+    authenticate,
+    check_frame,
+    contains_key,
+    has_effect,
+    key_withdrawn,
+    withhold_answer,
+)
 from quetzalrudder.bridge import Pipe
 from quetzalrudder.exceptions import (
     Draining,
     InternalError,
-    KeyWithdrawn,
     LinkLost,
     MalformedMessage,
     Overloaded,
     QuetzalrudderError,
-    SettingsTooOld,
-    Unauthenticated,
     to_failure,
 )
-from quetzalrudder.keys import key_matches
 from quetzalrudder.logs import request_logger
 from quetzalrudder.metrics import Metrics
 from quetzalrudder.models import DataCentre, InstanceId, WorkspaceId
@@ -33,12 +40,13 @@
     Statement,
     Welcome,
 )
+from quetzalrudder.schema.common import Ending
 from quetzalrudder.settings_store import SettingsStore
-from quetzalrudder.statements import CallerIdentity, StatementRunner
+from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["CallerConnection", "CallerConnections", "authenticate"]
+__all__ = ["CallerConnection", "CallerConnections"]
 
 CallerPipe = Pipe[CallerFrame, AnswerFrame]
 
@@ -46,30 +54,7 @@
 SEND_TIMEOUT_S = 5.0
 IDLE_TURN_S = 0.5
 RETRY_AFTER_MS = 1000
-
-
-def authenticate(store: SettingsStore, caller: CallerIdentity) -> Result[None, QuetzalrudderError]:
-    """Check a caller's key against the settings in force.
-
-    A caller without a key passes; it reaches only routes that are open to all.
-    """
-    if not caller.key:
-        return Ok(None)
-    tree = store.tree
-    branch = tree.workspace(caller.workspace)
-    digests = (branch.settings.key_digests or "").split() if branch else []
-    if not key_matches(caller.key, digests):
-        return Err(Unauthenticated("no such key in the workspace", place=caller.workspace))
-    bound_ms = tree.effective(caller.workspace).key_view_max_age_ms
-    if bound_ms and store.age_ms > bound_ms:
-        return Err(
-            SettingsTooOld(
-                f"keys were last checked {store.age_ms:.0f} ms ago, at most {bound_ms} ms",
-                place=caller.workspace,
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        )
-    return Ok(None)
+KEY_SWEEP_INTERVAL_S = 0.25
 
 
 class CallerConnection:
@@ -86,6 +71,9 @@
     def __init__(self, pipe: CallerPipe, owner: "CallerConnections") -> None:
         self._pipe = pipe
         self._owner = owner
+        self._guard: KeyGuard | None = None
+        # The request being run, for the ending told if the connection is ended from outside.
+        self._running: CallerFrame | None = None
 
     def serve(self) -> None:
         """Serve until the caller leaves or the instance drains."""
@@ -113,8 +101,24 @@
             frame = self._next_frame()
             if frame is None:
                 return
+            self._running = frame
             answer = self._handle(caller, frame)
             self._pipe.send(answer, SEND_TIMEOUT_S)
+            self._running = None
+            if self._guard.withdrawn:
+                return
+
+    def end_if_withdrawn(self) -> None:
+        """Tell the caller and close the connection once its key is withdrawn; any thread."""
+        guard = self._guard
+        if guard is None or not guard.withdrawn:
+            return
+        running = self._running
+        cut_write = running is not None and has_effect(running)
+        exc = key_withdrawn(guard.caller, Ending.UNKNOWN if cut_write else Ending.NOT_RUN)
+        with suppress(QuetzalrudderError):
+            self._pipe.send(AnswerFrame(failure=to_failure(exc)), 0)
+        self._pipe.close()
 
     def _greet(self) -> CallerIdentity:
         try:
@@ -123,13 +127,16 @@
             raise MalformedMessage("no greeting came", place="hello") from None
         if not isinstance(frame.hello, Hello):
             raise MalformedMessage("the first frame must be a greeting", place="hello")
-        caller = CallerIdentity(WorkspaceId(frame.hello.workspace), frame.hello.key)
-        checked = authenticate(self._owner.store, caller)
+        guard = KeyGuard(self._owner.store, WorkspaceId(frame.hello.workspace), frame.hello.key)
+        checked = authenticate(self._owner.store, guard.caller)
         if isinstance(checked, Err):
             raise checked.err_value
+        self._guard = guard
+        if guard.withdrawn:
+            raise key_withdrawn(guard.caller)
         welcome = Welcome(instance=self._owner.instance, data_centre=self._owner.data_centre)
         self._pipe.send(AnswerFrame(request_id=frame.request_id, welcome=welcome), SEND_TIMEOUT_S)
-        return caller
+        return guard.caller
 
     def _next_frame(self) -> CallerFrame | None:
         while True:
@@ -143,8 +150,11 @@
     def _handle(self, caller: CallerIdentity, frame: CallerFrame) -> AnswerFrame:
         started = self._owner.clock.monotonic()
         result = self._run(caller, frame)
+        if self._guard.withdrawn:
+            result = withhold_answer(caller, frame, result)
         elapsed_ms = (self._owner.clock.monotonic() - started) * MS_PER_S
-        self._owner.report(caller, frame.request_id, result, elapsed_ms)
+        shown_id = "" if contains_key(caller, frame.request_id) else frame.request_id
+        self._owner.report(caller, shown_id, result, elapsed_ms)
         match result:
             case Ok(answer):
                 return AnswerFrame(request_id=frame.request_id, answer=answer)
@@ -154,11 +164,11 @@
     def _run(
         self, caller: CallerIdentity, frame: CallerFrame
     ) -> Result[Answer, QuetzalrudderError]:
-        checked = authenticate(self._owner.store, caller)
+        tree = self._owner.store.tree
+        checked = caller.recheck().and_then(lambda _: check_frame(tree, caller, frame))
         if isinstance(checked, Err):
-            return Err(_withdrawn(checked.err_value))
+            return checked
         runner = self._owner.runner
-        tree = self._owner.store.tree
         match frame:
             case CallerFrame(statement=Statement() as stmt):
                 planned = runner.plan(tree, caller, frame.request_id, stmt)
@@ -170,12 +180,6 @@
                 return Err(MalformedMessage("a frame of no known kind", place="frame"))
 
 
-def _withdrawn(exc: QuetzalrudderError) -> QuetzalrudderError:
-    if type(exc) is Unauthenticated:
-        return KeyWithdrawn("the key was withdrawn", place=exc.place)
-    return exc
-
-
 class CallerConnections:
     """All caller connections of an instance, and what they share.
 
@@ -224,6 +228,7 @@
         self._metrics = metrics
         self._changed = threading.Condition()
         self._count = 0
+        self._live: set[CallerConnection] = set()
 
     @property
     def count(self) -> int:
@@ -250,14 +255,31 @@
 
     def _serve(self, pipe: CallerPipe) -> None:
         self._timeline.record(EventKind.CALLER_CONNECTED)
+        conn = CallerConnection(pipe, self)
+        with self._changed:
+            self._live.add(conn)
         try:
-            CallerConnection(pipe, self).serve()
+            conn.serve()
         finally:
             self._timeline.record(EventKind.CALLER_LEFT)
             with self._changed:
+                self._live.discard(conn)
                 self._count -= 1
                 self._changed.notify_all()
 
+    def watch_keys(self, stopping: threading.Event) -> None:
+        """End connections whose key is withdrawn, until told to stop; one task runs this."""
+        seen = None
+        while not stopping.wait(KEY_SWEEP_INTERVAL_S):
+            tree = self.store.tree
+            if tree is seen:
+                continue
+            seen = tree
+            with self._changed:
+                live = list(self._live)
+            for conn in live:
+                conn.end_if_withdrawn()
+
     def wait_until_empty(self, timeout_s: float) -> int:
         """Wait for all connections to end; gives how many are left."""
         with self._changed:
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -109,6 +109,7 @@
         self.connections = self._make_connections(callers, max_tasks)
         control.submit(self.store.watch)
         control.submit(self._follow_lists)
+        control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
--- a/src/quetzalrudder/keys.py
+++ b/src/quetzalrudder/keys.py
@@ -4,10 +4,12 @@
 import hmac
 import secrets
 
-__all__ = ["digest_key", "key_matches", "make_key"]
+__all__ = ["KEY_PATTERN", "KEY_PREFIX", "digest_key", "has_digest", "key_matches", "make_key"]
 
 KEY_PREFIX = "qrk_"
 KEY_BYTES = 24
+# Matches every made key inside a text; a digit or letter after it does not hide it.
+KEY_PATTERN = KEY_PREFIX + "[A-Za-z0-9_-]{32}"
 
 
 def make_key() -> str:
@@ -26,8 +28,12 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def has_digest(digest: str, digests: list[str]) -> bool:
+    """Tell whether a digest is among others, comparing each in constant time."""
+    matches = [hmac.compare_digest(digest.encode(), known.encode()) for known in digests]
+    return any(matches)
+
+
 def key_matches(key: str, digests: list[str]) -> bool:
     """Tell whether a key has one of the digests, comparing each in constant time."""
-    digest = digest_key(key)
-    matches = [hmac.compare_digest(digest, known) for known in digests]
-    return any(matches)
+    return has_digest(digest_key(key), digests)
--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -10,6 +10,7 @@
 from quetzalrudder.callers import GrpcCallerAdapter
 from quetzalrudder.exceptions import (
     Draining,
+    KeyWithdrawn,
     LinkLost,
     OutcomeUnknown,
     QuetzalrudderError,
@@ -187,7 +188,10 @@
 
     def _connected(self) -> GrpcCallerAdapter:
         if self._adapter is None or self._adapter.broken:
+            refusal = self._adapter.last_refusal() if self._adapter is not None else None
             self.roam()
+            if isinstance(refusal, KeyWithdrawn):
+                raise refusal
             self._adapter = GrpcCallerAdapter(
                 self._loop, next(self._next_address), self._workspace, self._key, self._timeout_s
             )
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -1,20 +1,18 @@
 """Runs one request of a caller, whatever its kind, and gives its whole answer."""
 
-import hashlib
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from quetzalrudder.access import CallerIdentity, check_route
 from quetzalrudder.exceptions import (
-    AccessDenied,
     DeadlineExceeded,
-    KeyInStatement,
     MalformedMessage,
     QuetzalrudderError,
     RouteNotFound,
 )
 from quetzalrudder.groups import GroupTable, TargetView
-from quetzalrudder.models import GroupId, RequestId, RouteName, WorkspaceId
+from quetzalrudder.models import GroupId, RequestId, RouteName
 from quetzalrudder.pool import ConnectionPool
 from quetzalrudder.routing import ReadPolicy, ReadRouter
 from quetzalrudder.schema.caller import Access, Answer, AskOutcome, Statement
@@ -33,19 +31,6 @@
 MAX_REQUEST_ID_BYTES = 128
 
 
-@dataclass(frozen=True)
-class CallerIdentity:
-    """Who a connection works for. The key stays in the instance."""
-
-    workspace: WorkspaceId
-    key: str
-
-    @property
-    def digest(self) -> str:
-        """Short digest of the key, fit for comparing but not for use."""
-        return hashlib.sha256(self.key.encode()).hexdigest()
-
-
 @dataclass(frozen=True)
 class Plan:
     """A request with everything that its route says."""
@@ -105,8 +90,9 @@
         settings = tree.effective(route)
         if not settings.group:
             return Err(RouteNotFound("the route has no group", place=route))
-        if not settings.open and not may_use(caller.workspace, route):
-            return Err(AccessDenied("the workspace may not use the route", place=route))
+        allowed = check_route(caller, route, settings)
+        if isinstance(allowed, Err):
+            return allowed
         marks = decode_token(caller.workspace, getattr(req, "token", b""))
         if isinstance(marks, Err):
             return marks
@@ -124,8 +110,6 @@
 
     def run(self, plan: Plan, stmt: Statement) -> Result[Answer, QuetzalrudderError]:
         """Run one statement outside a transaction."""
-        if contains_key(plan.caller.key, stmt):
-            return Err(KeyInStatement("the statement contains the caller's key"))
         match stmt.access:
             case Access.READ:
                 return self._read(plan, stmt)
@@ -210,6 +194,9 @@
         if isinstance(borrowed, Err):
             return borrowed
         with borrowed.ok_value as pooled:
+            allowed = plan.caller.recheck()
+            if isinstance(allowed, Err):
+                return allowed
             asked_at = self._clock.monotonic()
             answer = pooled.conn.request(req, plan.deadline.remaining_s)
         if isinstance(answer, Ok) and answer.ok_value.state is not None:
@@ -228,28 +215,6 @@
         )
 
 
-def may_use(workspace: WorkspaceId, route: RouteName) -> bool:
-    """Tell whether a workspace stands under the same branch as a route.
-
-    Examples
-    --------
-    >>> may_use("steppe/almaty", "steppe/offers"), may_use("venues/bern", "steppe/offers")
-    (True, False)
-    """
-    return workspace.rpartition("/")[0] == route.rpartition("/")[0]
-
-
-def contains_key(key: str, stmt: Statement) -> bool:
-    """Tell whether a statement or one of its parameters contains a key."""
-    if not key:
-        return False
-    if key in stmt.sql:
-        return True
-    texts = [param.text for param in stmt.params if param.text is not None]
-    blobs = [param.blob for param in stmt.params if param.blob is not None]
-    return any(key in text for text in texts) or any(key.encode() in blob for blob in blobs)
-
-
 def not_run(exc: QuetzalrudderError) -> QuetzalrudderError:
     """Tell the failure of a read, which had no effect, as not run."""
     exc.ending = Ending.NOT_RUN
