Test the daemon without its platform, its metrics, and the tool's help

The test of the help failed: the top level showed options only, no command. Ruled out: naming the commands in the class comment by hand (drifts). Change: an overview made from the commands' own doc comments; three tests.

--- a/src/quetzalrudder/ctl.py
+++ b/src/quetzalrudder/ctl.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import getpass
+import inspect
 import json
 import sys
 from contextlib import ExitStack
@@ -27,6 +28,7 @@
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
+HELP_FLAGS = ("-h", "--help")
 DEFAULT_CONTROL = "127.0.0.1:7002"
 DEFAULT_INSTANCE = "127.0.0.1:7001"
 
@@ -332,6 +334,30 @@
         raise InvalidSettings(f"cannot be read: {exc}", place=file) from exc
 
 
+def overview() -> str:
+    """Describe every command in a line of its own."""
+    lines = [
+        "usage: quetzalrudderctl COMMAND [ARGUMENTS] [--control=HOST:PORT] [--json]",
+        "",
+        "Operate quetzalrudder through the control address of any instance.",
+        "",
+    ]
+    for path, command in _commands(Commands(), ""):
+        first_line = inspect.getdoc(command).splitlines()[0]
+        lines.append(f"  {path:20} {first_line}")
+    lines += ["", "'quetzalrudderctl COMMAND --help' describes a command and its arguments."]
+    return "\n".join(lines)
+
+
+def _commands(group: object, prefix: str) -> list[tuple[str, object]]:
+    found: list[tuple[str, object]] = []
+    for name in sorted(name for name in dir(group) if not name.startswith("_")):
+        member = getattr(group, name)
+        path = f"{prefix} {name}".strip()
+        found += [(path, member)] if inspect.ismethod(member) else _commands(member, path)
+    return found
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run one command.
 
@@ -341,6 +367,9 @@
         0 done, 1 refused or failed, 2 wrong use.
     """
     args = sys.argv[1:] if argv is None else argv
+    if not args or args[0] in HELP_FLAGS:
+        print(overview())
+        return EXIT_DONE if args else EXIT_USAGE
     try:
         fire.Fire(Commands, command=args, name="quetzalrudderctl")
     except FireExit as exc:
--- /dev/null
+++ b/tests/test_daemon_alone.py
@@ -0,0 +1,86 @@
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from quetzalrudder import Session
+from quetzalrudder.ctl import main as ctl
+from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.schema.common import Ending
+from standins.fleet import ROOT, free_addresses
+from tests.helpers import wait_for
+
+
+def accepts(address):
+    host, port = address.split(":")
+    with socket.socket() as sock:
+        return sock.connect_ex((host, int(port))) == 0
+
+
+@pytest.fixture
+def daemon(tmp_path):
+    """A daemon whose platform does not answer, and the server that takes its metrics."""
+    listen, control, platform = free_addresses(3)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd:
+        statsd.bind(("127.0.0.1", 0))
+        statsd.settimeout(10)
+        path = tmp_path / "daemon.ini"
+        path.write_text(
+            f"[daemon]\ninstance = bern-a-1\ndata_centre = bern-a\nlisten = {listen}\n"
+            f"control_listen = {control}\nplatform = {platform}\n"
+            f"statsd = 127.0.0.1:{statsd.getsockname()[1]}\ndrain_s = 5\n",
+            encoding="utf-8",
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-m", "quetzalrudder.daemon", str(path)],
+            stderr=subprocess.PIPE,
+            cwd=ROOT,
+            env={"PYTHONPATH": f"{ROOT}/src"},
+        )
+        try:
+            wait_for(lambda: accepts(listen), "the daemon listens")
+            yield process, listen, control, statsd
+        finally:
+            process.kill()
+            process.communicate()
+
+
+def test_platform_that_does_not_answer_is_told_and_status_still_works(daemon, capsys):
+    process, listen, control, _ = daemon
+    assert ctl(["status", f"--control={control}", "--json"]) == 0
+    assert json.loads(capsys.readouterr().out)["settings_revision"] == 0
+    assert ctl(["settings", "history", f"--control={control}", "--json"]) == 1
+    told = json.loads(capsys.readouterr().err)
+    assert told["error"] == "platform_unavailable"
+    assert told["place"]
+    with Session(listen, "venues/hall-1", "key") as session:
+        with pytest.raises(QuetzalrudderError) as refused:
+            session.read("venues/calendar", "SELECT 1")
+        assert refused.value.ending is Ending.NOT_RUN
+    process.send_signal(signal.SIGTERM)
+    _, stderr = process.communicate(timeout=20)
+    assert process.returncode == 0
+    messages = [json.loads(line)["message"] for line in stderr.splitlines()]
+    assert "platform list failed" in messages
+    assert messages[-1] == "stopped"
+
+
+def test_metrics_reach_the_statsd_server(daemon):
+    _, listen, _, statsd = daemon
+    with Session(listen) as session, pytest.raises(QuetzalrudderError):
+        session.read("venues/calendar", "SELECT 1")
+    received = {statsd.recv(4096).decode().partition(":")[0] for _ in range(2)}
+    assert "quetzalrudder.request" in received
+
+
+def test_help_names_every_command(capsys):
+    assert ctl(["--help"]) == 0
+    shown = capsys.readouterr().out
+    for command in ("settings apply", "workspace create", "key grant", "route add", "status"):
+        assert f"  {command} " in shown
+    assert ctl([]) == 2
+    assert ctl(["key", "grant", "--help"]) == 0
+    assert "Path of the workspace" in capsys.readouterr().err
