Accept settings as a log of changes in the platform

Cause: the tree was one value, so it could not exceed a megabyte, every change was read whole by everybody, an apply whose answers were all lost told "not run" although it may have run, and a lost answer was recognised only while the trimmed history still named it.

The entry in the way names the other change, and a repeated request finds its own at base + 1. Without any answer the result is OutcomeUnknown. Single-branch edits run again on the newest tree.

--- a/src/quetzalrudder/ctl.py
+++ b/src/quetzalrudder/ctl.py
@@ -1,26 +1,21 @@
 """``quetzalrudderctl``: the operators' tool."""
 
-import dataclasses
-import getpass
 import json
 import sys
 from contextlib import ExitStack
-from enum import Enum
-from pathlib import Path
 from typing import Any
 
 import fire
 from fire.core import FireExit
 
-from quetzalrudder.bridge import Loop
-from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
-from quetzalrudder.operators import OperatorClient
+from quetzalrudder.ctl_context import Context, Report
+from quetzalrudder.ctl_settings import SettingsCommands
+from quetzalrudder.exceptions import QuetzalrudderError
 from quetzalrudder.schema.operators import Event
-from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings
+from quetzalrudder.schema.settings import Branch, BranchKind
 from quetzalrudder.sessions import QueryResult, Session
-from quetzalrudder.settings import SettingsTree, branches_to_ini, header_of, parse_branches
+from quetzalrudder.settings import header_of, parse_branches
 from quetzalrudder.timeline import merge_events
-from quetzalrudder.utils import parse_address
 
 __all__ = ["main"]
 
@@ -31,113 +26,6 @@
 DEFAULT_INSTANCE = "127.0.0.1:7001"
 
 
-@dataclasses.dataclass
-class Report:
-    """What a command has to say: lines for a person, data for a script."""
-
-    lines: list[str]
-    data: Any
-
-
-class Context:
-    """What every command shares."""
-
-    def __init__(self, control: str, json_output: bool) -> None:
-        self.control = control
-        self.json_output = json_output
-
-    def client(self, stack: ExitStack, address: str | None = None) -> OperatorClient:
-        """Open a client on an exit stack."""
-        loop = stack.enter_context(Loop())
-        return OperatorClient(loop, parse_address(address or self.control), getpass.getuser())
-
-    def show(self, report: Report) -> None:
-        """Print a report as text, or as JSON."""
-        if self.json_output:
-            print(json.dumps(report.data, default=_jsonable))
-            return
-        for line in report.lines:
-            print(line)
-
-
-def _jsonable(value: Any) -> Any:
-    match value:
-        case bytes():
-            return value.hex()
-        case Enum():
-            return value.name.lower()
-        case _ if dataclasses.is_dataclass(value):
-            return dataclasses.asdict(value)
-        case _:
-            return str(value)
-
-
-class SettingsCommands:
-    """Read and change the operators' settings tree."""
-
-    def __init__(self, context: Context) -> None:
-        self._context = context
-
-    def check(self, file: str) -> None:
-        """Check a settings file without applying it.
-
-        Parameters
-        ----------
-        file : str
-            Path of an INI file.
-        """
-        branches = parse_branches(_read(file), file)
-        self._context.show(Report([f"{file}: {len(branches)} branches, no errors"], {"ok": True}))
-
-    def apply(self, file: str) -> None:
-        """Replace the whole tree by a settings file.
-
-        Parameters
-        ----------
-        file : str
-            Path of an INI file.
-        """
-        branches = parse_branches(_read(file), file)
-        with ExitStack() as stack:
-            client = self._context.client(stack)
-            base = client.tree().revision
-            change = client.apply(branches, base_revision=base, summary=f"apply {Path(file).name}")
-        self._context.show(Report([f"revision {change.revision} accepted"], change))
-
-    def show(self, path: str = "", effective: bool = False) -> None:
-        """Show the tree, or one branch with all that it inherits.
-
-        Parameters
-        ----------
-        path : str
-            Path of a branch; with ``--effective`` its inherited settings.
-        effective : bool
-            Show what is in force at the path.
-        """
-        with ExitStack() as stack:
-            tree = self._context.client(stack).tree()
-        if effective:
-            settings = SettingsTree(tree).effective(path)
-            branches = [Branch(kind=BranchKind.BRANCH, path=path or "(root)", settings=settings)]
-        else:
-            branches = [b for b in tree.branches if b.path.startswith(path)]
-        lines = [f"# revision {tree.revision}", branches_to_ini(branches)]
-        shown = {header_of(branch): _set_fields(branch.settings) for branch in branches}
-        self._context.show(Report(lines, {"revision": tree.revision, "branches": shown}))
-
-    def history(self) -> None:
-        """List the accepted changes, oldest first."""
-        with ExitStack() as stack:
-            history = self._context.client(stack).tree().history
-        lines = [f"{c.revision}  {c.operator_name}  {c.summary}" for c in history]
-        self._context.show(Report(lines, history))
-
-
-def _set_fields(settings: BranchSettings) -> dict[str, Any]:
-    values = dataclasses.asdict(settings)
-    return {name: value for name, value in values.items() if value is not None}
-
-
 class WorkspaceCommands:
     """Create workspaces."""
 
@@ -325,13 +213,6 @@
     return lines
 
 
-def _read(file: str) -> str:
-    try:
-        return Path(file).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise InvalidSettings(f"cannot be read: {exc}", place=file) from exc
-
-
 def main(argv: list[str] | None = None) -> int:
     """Run one command.
 
--- /dev/null
+++ b/src/quetzalrudder/ctl_settings.py
@@ -0,0 +1,155 @@
+"""``quetzalrudderctl settings``: read and change the operators' settings tree."""
+
+import dataclasses
+from contextlib import ExitStack
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+from quetzalrudder.ctl_context import Context, Report, read_file
+from quetzalrudder.schema.settings import Branch, BranchSettings, Change, Tree
+from quetzalrudder.settings import SettingsTree, branches_to_ini, header_of, parse_branches
+from quetzalrudder.utils import MS_PER_S
+
+__all__ = ["SettingsCommands"]
+
+
+class SettingsCommands:
+    """Read and change the operators' settings tree."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def check(self, file: str) -> None:
+        """Check a settings file without applying it.
+
+        Parameters
+        ----------
+        file : str
+            Path of an INI file.
+        """
+        branches = parse_branches(read_file(file), file)
+        self._context.show(Report([f"{file}: {len(branches)} branches, no errors"], {"ok": True}))
+
+    def diff(self, file: str) -> None:
+        """Show what applying a settings file would change.
+
+        Parameters
+        ----------
+        file : str
+            Path of an INI file.
+        """
+        branches = parse_branches(read_file(file), file)
+        with ExitStack() as stack:
+            tree = self._context.client(stack).tree()
+        lines = diff_lines(tree, branches)
+        shown = [f"# against revision {tree.revision}", *lines]
+        self._context.show(Report(shown, {"revision": tree.revision, "changes": lines}))
+
+    def apply(self, file: str, base: int | None = None, change_id: str = "") -> None:
+        """Replace the whole tree by a settings file.
+
+        Parameters
+        ----------
+        file : str
+            Path of an INI file.
+        base : int
+            Revision that the file was made from; refused if another came since.
+            The newest one if omitted.
+        change_id : str
+            Repeat an apply of unknown outcome, with the id and the base that it had.
+        """
+        branches = parse_branches(read_file(file), file)
+        with ExitStack() as stack:
+            client = self._context.client(stack)
+            change = client.apply(
+                branches,
+                base_revision=client.tree().revision if base is None else base,
+                summary=f"apply {Path(file).name}",
+                change_id=change_id or None,
+            )
+        self._context.show(Report([f"revision {change.revision} accepted"], change))
+
+    def show(self, path: str = "", effective: bool = False) -> None:
+        """Show the tree, or one branch with all that it inherits.
+
+        Parameters
+        ----------
+        path : str
+            Path of a branch.
+        effective : bool
+            Show what is in force at the path, and the branch that each value comes from.
+        """
+        with ExitStack() as stack:
+            tree = self._context.client(stack).tree()
+        report = _effective(tree, path) if effective else _subtree(tree, path)
+        self._context.show(report)
+
+    def history(self) -> None:
+        """List the accepted changes, oldest first."""
+        with ExitStack() as stack:
+            history = self._context.client(stack).tree().history
+        self._context.show(Report([_history_line(change) for change in history], history))
+
+
+def diff_lines(tree: Tree, branches: list[Branch]) -> list[str]:
+    """Write the difference between a tree and other branches, one line for each value."""
+    old = {branch.path: branch for branch in tree.branches}
+    put, removed = SettingsTree(tree).difference_to(branches)
+    lines: list[str] = []
+    for path in removed:
+        lines.append(f"- [{header_of(old[path])}]")
+    for branch in put:
+        before = old.get(branch.path)
+        sign = "~" if before is not None else "+"
+        lines.append(f"{sign} [{header_of(branch)}]")
+        lines += _value_lines(before, branch)
+    return lines
+
+
+def _value_lines(before: Branch | None, after: Branch) -> list[str]:
+    old = set_fields(before.settings) if before is not None else {}
+    new = set_fields(after.settings)
+    lines: list[str] = []
+    for name in sorted(old.keys() | new.keys()):
+        if name in old and old.get(name) != new.get(name):
+            lines.append(f"-   {name} = {old[name]}")
+        if name in new and old.get(name) != new.get(name):
+            lines.append(f"+   {name} = {new[name]}")
+    return lines
+
+
+def _effective(tree: Tree, path: str) -> Report:
+    settings = SettingsTree(tree)
+    values = set_fields(settings.effective(path))
+    sources = settings.sources(path)
+    lines = [f"# revision {tree.revision}, in force at {path or '(root)'}"]
+    lines += [f"{name} = {value}    # [{sources[name]}]" for name, value in values.items()]
+    return Report(
+        lines,
+        {
+            "revision": tree.revision,
+            "branches": {path or "root": values},
+            "sources": {path or "root": sources},
+        },
+    )
+
+
+def _subtree(tree: Tree, path: str) -> Report:
+    inside = f"{path}/"
+    branches = [b for b in tree.branches if not path or b.path == path or b.path.startswith(inside)]
+    lines = [f"# revision {tree.revision}", branches_to_ini(branches)]
+    shown = {header_of(branch): set_fields(branch.settings) for branch in branches}
+    return Report(lines, {"revision": tree.revision, "branches": shown})
+
+
+def set_fields(settings: BranchSettings | None) -> dict[str, Any]:
+    """Give the settings that are set, by name."""
+    values = dataclasses.asdict(settings or BranchSettings())
+    return {name: value for name, value in values.items() if value is not None}
+
+
+def _history_line(change: Change) -> str:
+    at = datetime.fromtimestamp(change.accepted_unix_ms / MS_PER_S, UTC)
+    when = at.isoformat(timespec="seconds")
+    return f"{change.revision}  {when}  {change.operator_name}  {change.summary}"
--- a/src/quetzalrudder/operators.py
+++ b/src/quetzalrudder/operators.py
@@ -1,6 +1,7 @@
 """The operators' side: calls to an instance's control address, and changes to the tree."""
 
 import copy
+import random
 import uuid
 from collections.abc import Callable
 from typing import Any
@@ -9,7 +10,13 @@
 from grpclib.exceptions import StreamTerminatedError
 
 from quetzalrudder.bridge import Loop, call_once
-from quetzalrudder.exceptions import InvalidSettings, TargetUnavailable, from_failure
+from quetzalrudder.exceptions import (
+    Conflict,
+    InvalidSettings,
+    OutcomeUnknown,
+    TargetUnavailable,
+    from_failure,
+)
 from quetzalrudder.keys import digest_key, make_key
 from quetzalrudder.schema.operators import (
     ApplyRequest,
@@ -21,11 +28,16 @@
     TimelineRequest,
 )
 from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings, Change, Tree
-from quetzalrudder.utils import Address
+from quetzalrudder.settings import SettingsTree
+from quetzalrudder.utils import Address, Clock, SystemClock
 
 __all__ = ["OperatorClient"]
 
 CALL_TIMEOUT_S = 5.0
+MAX_SEND_ATTEMPTS = 3
+SEND_PAUSE_S = 0.2
+MAX_EDIT_ATTEMPTS = 30
+EDIT_PAUSE_S = 0.05
 
 Edit = Callable[[list[Branch]], list[Branch]]
 
@@ -41,12 +53,23 @@
         The instance's control address.
     operator_name : str
         Written into the history with each change.
+    clock, rng
+        Sources of time and of random pauses.
     """
 
-    def __init__(self, loop: Loop, address: Address, operator_name: str) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        operator_name: str,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         self._loop = loop
         self._address = address
         self._operator_name = operator_name
+        self._clock: Clock = clock or SystemClock()
+        self._rng = rng or random.Random()
 
     def _call(self, method: str, req: Any) -> Any:
         async def call(channel: Any) -> Any:
@@ -71,36 +94,105 @@
 
     def tree(self) -> Tree:
         """Ask for the newest accepted settings."""
-        return self._call("show_settings", ShowRequest()).tree
+        while True:
+            pages = [self._call("show_settings", ShowRequest())]
+            while not pages[-1].last_page:
+                after = pages[-1].tree.branches[-1].path
+                req = ShowRequest(after_path=after, next_page=True)
+                pages.append(self._call("show_settings", req))
+            tree = pages[0].tree
+            if all(page.tree.revision == tree.revision for page in pages):
+                tree.branches = [branch for page in pages for branch in page.tree.branches]
+                return tree
 
     def events(self) -> list[Event]:
         """Ask for the instance's events."""
         return self._call("read_timeline", TimelineRequest()).events
 
-    def apply(self, branches: list[Branch], *, base_revision: int, summary: str) -> Change:
+    def apply(
+        self,
+        branches: list[Branch],
+        *,
+        base_revision: int,
+        summary: str,
+        change_id: str | None = None,
+    ) -> Change:
         """Replace the whole tree.
 
+        Parameters
+        ----------
+        branches : list of Branch
+            The tree after the change.
+        base_revision : int
+            The revision that the change was made from.
+        summary : str
+            What it does, for the history.
+        change_id : str, optional
+            Repeat a change of unknown outcome with the id that it had.
+
         Raises
         ------
         Conflict
-            Another operator was first.
+            Another operator was first; names the other change.
         InvalidSettings
-            Something in the tree is wrong.
+            Something in the tree is wrong; nothing was changed.
+        OutcomeUnknown
+            No answer came; repeat the change with the id in ``place``.
         """
+        base = self.tree()
+        change_id = change_id or uuid.uuid4().hex
+        if base.revision != base_revision:
+            return self._accepted_before(base, base_revision, change_id)
+        put, removed = SettingsTree(base).difference_to(branches)
+        return self._send_change(base_revision, put, removed, summary, change_id)
+
+    def _accepted_before(self, tree: Tree, base_revision: int, change_id: str) -> Change:
+        for change in tree.history:
+            if change.change_id == change_id:
+                return change
+        return self._send_change(base_revision, [], [], "", change_id)
+
+    def _send_change(
+        self,
+        base_revision: int,
+        put: list[Branch],
+        removed: list[str],
+        summary: str,
+        change_id: str,
+    ) -> Change:
         req = ApplyRequest(
-            change_id=uuid.uuid4().hex,
+            change_id=change_id,
             operator_name=self._operator_name,
             summary=summary,
             base_revision=base_revision,
-            branches=branches,
+            put=put,
+            removed=removed,
         )
-        return self._call("apply_settings", req).change
+        for _ in range(MAX_SEND_ATTEMPTS):
+            try:
+                return self._call("apply_settings", req).change
+            except (TargetUnavailable, OutcomeUnknown) as exc:
+                last = exc
+                self._clock.sleep(SEND_PAUSE_S)
+        raise OutcomeUnknown(f"no answer: {last}", place=change_id) from last
 
     def edit(self, edit: Edit, summary: str) -> Change:
-        """Change the newest tree by a function of its branches."""
-        tree = self.tree()
-        branches = edit(copy.deepcopy(tree.branches))
-        return self.apply(branches, base_revision=tree.revision, summary=summary)
+        """Change the newest tree by a function of its branches.
+
+        Where another operator is first, the function runs again on the newer tree.
+        """
+        change_id = uuid.uuid4().hex
+        for attempt in range(MAX_EDIT_ATTEMPTS):
+            tree = self.tree()
+            branches = edit(copy.deepcopy(tree.branches))
+            try:
+                return self.apply(
+                    branches, base_revision=tree.revision, summary=summary, change_id=change_id
+                )
+            except Conflict as exc:
+                last = exc
+                self._clock.sleep(self._rng.uniform(0, EDIT_PAUSE_S * (attempt + 1)))
+        raise last
 
     def put_branch(self, branch: Branch) -> Change:
         """Add a branch, or replace the settings of one."""
--- a/src/quetzalrudder/schema/operators/__init__.py
+++ b/src/quetzalrudder/schema/operators/__init__.py
@@ -60,9 +60,14 @@
 
     base_revision: "int" = betterproto2.field(4, betterproto2.TYPE_UINT64)
 
-    branches: "list[_settings__.Branch]" = betterproto2.field(
+    put: "list[_settings__.Branch]" = betterproto2.field(
         5, betterproto2.TYPE_MESSAGE, repeated=True
     )
+    """
+    The difference to the base: branches added or replaced, and paths removed.
+    """
+
+    removed: "list[str]" = betterproto2.field(6, betterproto2.TYPE_STRING, repeated=True)
 
 
 default_message_pool.register_message("operators", "ApplyRequest", ApplyRequest)
@@ -108,13 +113,21 @@
         2, betterproto2.TYPE_MESSAGE, optional=True
     )
 
+    last_page: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+
 
 default_message_pool.register_message("operators", "ShowAnswer", ShowAnswer)
 
 
 @dataclass(eq=False, repr=False)
 class ShowRequest(betterproto2.Message):
-    pass
+    """
+    Asks for the tree, page by page: branches whose path sorts after the given one.
+    """
+
+    after_path: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    next_page: "bool" = betterproto2.field(2, betterproto2.TYPE_BOOL)
 
 
 default_message_pool.register_message("operators", "ShowRequest", ShowRequest)
@@ -208,16 +221,13 @@
 
     async def show_settings(
         self,
-        message: "ShowRequest | None" = None,
+        message: "ShowRequest",
         *,
         timeout: "float | None" = None,
         deadline: "Deadline | None" = None,
         metadata: "MetadataLike | None" = None,
     ) -> "ShowAnswer":
 
-        if message is None:
-            message = ShowRequest()
-
         return await self._unary_unary(
             "/operators.Operators/ShowSettings",
             message,
--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -109,6 +109,20 @@
 @dataclass(eq=False, repr=False)
 class SettingsRequest(betterproto2.Message):
     above_revision: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+    """
+    The revision that the asker has, and its chain.
+    """
+
+    chain: "bytes" = betterproto2.field(2, betterproto2.TYPE_BYTES)
+
+    whole: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+    """
+    Asks for a page of the whole tree: branches whose path sorts after this one.
+    """
+
+    after_path: "str" = betterproto2.field(4, betterproto2.TYPE_STRING)
+
+    next_page: "bool" = betterproto2.field(5, betterproto2.TYPE_BOOL)
 
 
 default_message_pool.register_message("peers", "SettingsRequest", SettingsRequest)
@@ -116,9 +130,20 @@
 
 @dataclass(eq=False, repr=False)
 class SettingsUpdate(betterproto2.Message):
-    tree: "_settings__.Tree | None" = betterproto2.field(
-        1, betterproto2.TYPE_MESSAGE, optional=True
+    changes: "list[_settings__.TreeChange]" = betterproto2.field(
+        1, betterproto2.TYPE_MESSAGE, repeated=True
     )
+    """
+    The changes above the asker's revision; or, where they no longer reach back, a page.
+    """
+
+    whole_needed: "bool" = betterproto2.field(2, betterproto2.TYPE_BOOL)
+
+    page: "_settings__.Tree | None" = betterproto2.field(
+        3, betterproto2.TYPE_MESSAGE, optional=True
+    )
+
+    last_page: "bool" = betterproto2.field(4, betterproto2.TYPE_BOOL)
 
 
 default_message_pool.register_message("peers", "SettingsUpdate", SettingsUpdate)
--- a/src/quetzalrudder/schema/settings/__init__.py
+++ b/src/quetzalrudder/schema/settings/__init__.py
@@ -3,7 +3,18 @@
 # plugin: python-betterproto2
 # This file has been @generated
 
-__all__ = ("Branch", "BranchKind", "BranchSettings", "Change", "DaemonSettings", "Tree")
+__all__ = (
+    "Branch",
+    "BranchKind",
+    "BranchSettings",
+    "Change",
+    "DaemonSettings",
+    "PartsIntent",
+    "Snapshot",
+    "Tree",
+    "TreeChange",
+    "TreePart",
+)
 
 from dataclasses import dataclass
 
@@ -151,6 +162,11 @@
 
     accepted_unix_ms: "int" = betterproto2.field(5, betterproto2.TYPE_INT64)
 
+    chain: "bytes" = betterproto2.field(6, betterproto2.TYPE_BYTES)
+    """
+    Digest of this change's id and, through the chain of its predecessor, of all before it.
+    """
+
 
 default_message_pool.register_message("settings", "Change", Change)
 
@@ -210,6 +226,51 @@
 default_message_pool.register_message("settings", "DaemonSettings", DaemonSettings)
 
 
+@dataclass(eq=False, repr=False)
+class PartsIntent(betterproto2.Message):
+    """
+    Written before any part, deleted once something names the parts.
+    """
+
+    change_id: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    parts: "list[str]" = betterproto2.field(2, betterproto2.TYPE_STRING, repeated=True)
+
+    written_unix_ms: "int" = betterproto2.field(3, betterproto2.TYPE_INT64)
+
+    revision: "int" = betterproto2.field(4, betterproto2.TYPE_UINT64)
+    """
+    The change's place in the log; 0 for a snapshot.
+    """
+
+
+default_message_pool.register_message("settings", "PartsIntent", PartsIntent)
+
+
+@dataclass(eq=False, repr=False)
+class Snapshot(betterproto2.Message):
+    """
+    The whole tree as of one change, so that older changes may be dropped.
+    """
+
+    change: "Change | None" = betterproto2.field(1, betterproto2.TYPE_MESSAGE, optional=True)
+
+    parts: "list[str]" = betterproto2.field(2, betterproto2.TYPE_STRING, repeated=True)
+
+    trimmed_revision: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+    """
+    Changes up to this revision are no longer in the log.
+    """
+
+    unused_parts: "list[str]" = betterproto2.field(4, betterproto2.TYPE_STRING, repeated=True)
+    """
+    Parts of the previous snapshot, to be deleted.
+    """
+
+
+default_message_pool.register_message("settings", "Snapshot", Snapshot)
+
+
 @dataclass(eq=False, repr=False)
 class Tree(betterproto2.Message):
     """
@@ -224,3 +285,39 @@
 
 
 default_message_pool.register_message("settings", "Tree", Tree)
+
+
+@dataclass(eq=False, repr=False)
+class TreeChange(betterproto2.Message):
+    """
+    A change as a difference to the tree before it.
+    """
+
+    change: "Change | None" = betterproto2.field(1, betterproto2.TYPE_MESSAGE, optional=True)
+
+    put: "list[Branch]" = betterproto2.field(2, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    Branches added or replaced, whole.
+    """
+
+    removed: "list[str]" = betterproto2.field(3, betterproto2.TYPE_STRING, repeated=True)
+
+    parts: "list[str]" = betterproto2.field(4, betterproto2.TYPE_STRING, repeated=True)
+    """
+    Keys of the parts that hold the branches put, where one value cannot.
+    """
+
+
+default_message_pool.register_message("settings", "TreeChange", TreeChange)
+
+
+@dataclass(eq=False, repr=False)
+class TreePart(betterproto2.Message):
+    """
+    Branches in a value of their own.
+    """
+
+    branches: "list[Branch]" = betterproto2.field(1, betterproto2.TYPE_MESSAGE, repeated=True)
+
+
+default_message_pool.register_message("settings", "TreePart", TreePart)
--- a/src/quetzalrudder/services.py
+++ b/src/quetzalrudder/services.py
@@ -25,6 +25,7 @@
     TimelineAnswer,
     TimelineRequest,
 )
+from quetzalrudder.schema.settings import Tree
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.timeline import Timeline
 
@@ -32,6 +33,8 @@
 
 T = TypeVar("T")
 
+PAGE_BYTES = 1024 * 1024
+
 
 class CallerService(CallerBase):
     """Takes caller connections and hands each to a task."""
@@ -82,10 +85,16 @@
 
     async def show_settings(self, message: ShowRequest) -> ShowAnswer:
         """Give the newest accepted tree."""
-        loaded = await self._in_thread(self._store.load)
-        if isinstance(loaded, Err):
-            return ShowAnswer(tree=self._store.tree.tree, failure=to_failure(loaded.err_value))
-        return ShowAnswer(tree=self._store.tree.tree)
+        failure = None
+        if not message.next_page:
+            loaded = await self._in_thread(self._store.load)
+            failure = to_failure(loaded.err_value) if isinstance(loaded, Err) else None
+        tree = self._store.tree
+        after = message.after_path if message.next_page else None
+        branches, last = tree.branches_after(after, PAGE_BYTES)
+        history = [] if message.next_page else tree.tree.history
+        page = Tree(revision=tree.revision, branches=branches, history=history)
+        return ShowAnswer(tree=page, failure=failure, last_page=last)
 
     async def apply_settings(self, message: ApplyRequest) -> ApplyAnswer:
         """Have a change accepted."""
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -15,8 +15,10 @@
     rate_per_s = 100
 """
 
+import bisect
 import configparser
 import dataclasses
+import re
 from collections.abc import Iterable
 from pathlib import Path
 from typing import TypeVar
@@ -27,8 +29,10 @@
     Branch,
     BranchKind,
     BranchSettings,
+    Change,
     DaemonSettings,
     Tree,
+    TreeChange,
 )
 from quetzalrudder.utils import field_types, parse_address
 
@@ -56,6 +60,7 @@
     key_view_max_age_ms=60_000,
 )
 
+MAX_HISTORY = 1000
 LOG_LEVELS = ("debug", "info", "warning", "error")
 REQUIRED_DAEMON_KEYS = ("instance", "data_centre", "listen", "control_listen", "platform")
 KIND_BY_NAME = {
@@ -65,6 +70,16 @@
     "route": BranchKind.ROUTE,
 }
 NAME_BY_KIND = {kind: name for name, kind in KIND_BY_NAME.items()}
+MAX_NUMBER = 2**32 - 1
+# Least and most value of a setting; for those not named, 0 and MAX_NUMBER.
+RANGES: dict[str, tuple[float, float]] = {
+    "deadline_ms": (1, 3_600_000),
+    "weight": (0.001, 1000),
+    "replica_wait_ms": (0, 60_000),
+    "max_tasks": (1, 100_000),
+    "drain_s": (0, 3600),
+}
+DIGEST = re.compile("[0-9a-f]{64}")
 BOOLEANS = {"true": True, "yes": True, "on": True, "false": False, "no": False, "off": False}
 
 
@@ -104,11 +119,32 @@
     except ValueError:
         word = "a whole number" if kind is int else "a number"
         raise InvalidSettings(f"not {word}: {text!r}", place=place) from None
-    if not 0 <= number < float("inf"):
-        raise InvalidSettings(f"out of range: {text}", place=place)
     return number
 
 
+def check_value(key: str, value: object, place: str) -> None:
+    """Check one value against the range of its key.
+
+    Raises
+    ------
+    InvalidSettings
+        The value is out of range.
+    """
+    if isinstance(value, str):
+        _check_text(key, value, place)
+    elif not isinstance(value, bool) and value is not None:
+        least, most = RANGES.get(key, (0, MAX_NUMBER))
+        if not least <= value <= most:
+            raise InvalidSettings(f"out of range {least} to {most}: {value}", place=place)
+
+
+def _check_text(key: str, value: str, place: str) -> None:
+    if key == "key_digests" and not all(DIGEST.fullmatch(part) for part in value.split()):
+        raise InvalidSettings("not SHA-256 digests in hexadecimal", place=place)
+    if key == "group" and (not value or value != value.strip()):
+        raise InvalidSettings("empty, or blanks around it", place=place)
+
+
 def _fill(
     message: M, section: configparser.SectionProxy, file: str
 ) -> tuple[M, list[QuetzalrudderError]]:
@@ -120,7 +156,9 @@
             errors.append(InvalidSettings("unknown setting", place=place))
             continue
         try:
-            setattr(message, key, _convert(text, types[key], place))
+            value = _convert(text, types[key], place)
+            check_value(key, value, place)
+            setattr(message, key, value)
         except InvalidSettings as exc:
             errors.append(exc)
     return message, errors
@@ -227,22 +265,39 @@
     seen: set[str] = set()
     for branch in branches:
         place = f"{file} [{header_of(branch)}]"
+        if (branch.kind is BranchKind.ROOT) != (branch.path == ""):
+            errors.append(InvalidSettings("only the root has no path", place=place))
         if branch.path in seen:
             errors.append(InvalidSettings("path stands twice", place=place))
         seen.add(branch.path)
         parent = parent_path(branch.path)
         if branch.path and parent not in parents:
             errors.append(InvalidSettings(f"no parent [branch {parent}]", place=place))
-        if branch.kind is BranchKind.ROUTE and branch.settings.key_digests:
+        if branch.kind not in NAME_BY_KIND:
+            errors.append(InvalidSettings("unknown kind of branch", place=branch.path))
+            continue
+        settings = branch.settings or BranchSettings()
+        if branch.kind is BranchKind.ROUTE and settings.key_digests:
             errors.append(
                 InvalidSettings("only workspaces have keys", place=f"{place} key_digests")
             )
+        errors += _check_values(branch.settings or BranchSettings(), place)
+    return errors
+
+
+def _check_values(settings: BranchSettings, place: str) -> list[QuetzalrudderError]:
+    errors: list[QuetzalrudderError] = []
+    for field in dataclasses.fields(settings):
+        try:
+            check_value(field.name, getattr(settings, field.name), f"{place} {field.name}")
+        except InvalidSettings as exc:
+            errors.append(exc)
     return errors
 
 
 def header_of(branch: Branch) -> str:
     """Give the INI section name of a branch."""
-    return f"{NAME_BY_KIND[branch.kind]} {branch.path}".strip()
+    return f"{NAME_BY_KIND.get(branch.kind, 'unknown')} {branch.path}".strip()
 
 
 def parent_path(path: str) -> str:
@@ -250,13 +305,18 @@
     return path.rpartition("/")[0]
 
 
+def _ancestors(path: str) -> list[str]:
+    parts = path.split("/") if path else []
+    return ["", *("/".join(parts[: n + 1]) for n in range(len(parts)))]
+
+
 def branches_to_ini(branches: Iterable[Branch]) -> str:
     """Write branches as INI text that :func:`parse_branches` reads back."""
     lines: list[str] = []
     for branch in branches:
         lines.append(f"[{header_of(branch)}]")
         for field in dataclasses.fields(BranchSettings):
-            value = getattr(branch.settings, field.name)
+            value = getattr(branch.settings or BranchSettings(), field.name)
             if value is not None:
                 shown = str(value).lower() if isinstance(value, bool) else value
                 lines.append(f"{field.name} = {shown}")
@@ -283,6 +343,68 @@
         """Number of this revision; 0 before any was accepted."""
         return self.tree.revision
 
+    @property
+    def chain(self) -> bytes:
+        """Digest of all changes up to this revision."""
+        return self.latest.chain
+
+    @property
+    def latest(self) -> Change:
+        """The change that made this revision."""
+        return self.tree.history[-1] if self.tree.history else Change()
+
+    def with_change(self, change: TreeChange) -> "SettingsTree":
+        """Give the next revision, made by a change to this one."""
+        by_path = dict(self._by_path)
+        for path in change.removed:
+            by_path.pop(path, None)
+        by_path.update((branch.path, branch) for branch in change.put)
+        return SettingsTree(
+            Tree(
+                revision=change.change.revision,
+                branches=[by_path[path] for path in sorted(by_path)],
+                history=[*self.tree.history, change.change][-MAX_HISTORY:],
+            )
+        )
+
+    def difference_to(self, branches: list[Branch]) -> tuple[list[Branch], list[str]]:
+        """Give the branches to put and the paths to remove that lead to other branches."""
+        paths = {branch.path for branch in branches}
+        put = [branch for branch in branches if self._by_path.get(branch.path) != branch]
+        removed = [path for path in sorted(self._by_path) if path not in paths]
+        return put, removed
+
+    def branches_after(self, path: str | None, max_bytes: int) -> tuple[list[Branch], bool]:
+        """Give a page of branches in order of paths, and whether it is the last one."""
+        paths = sorted(self._by_path)
+        start = 0 if path is None else bisect.bisect_right(paths, path)
+        page: list[Branch] = []
+        size = 0
+        for found in paths[start:]:
+            size += len(bytes(self._by_path[found]))
+            if page and size > max_bytes:
+                return page, False
+            page.append(self._by_path[found])
+        return page, True
+
+    def sources(self, path: str) -> dict[str, str]:
+        """Give, for each setting in force at a path, the path of the branch it comes from.
+
+        A setting that no branch sets comes from ``(default)``.
+        """
+        found = {
+            field.name: "(default)"
+            for field in dataclasses.fields(BranchSettings)
+            if getattr(ROOT_DEFAULTS, field.name) is not None
+        }
+        for ancestor in _ancestors(path):
+            branch = self._by_path.get(ancestor)
+            if branch is not None and branch.settings is not None:
+                names = (field.name for field in dataclasses.fields(BranchSettings))
+                own = [name for name in names if getattr(branch.settings, name) is not None]
+                found.update(dict.fromkeys(own, header_of(branch)))
+        return found
+
     def workspace(self, workspace: WorkspaceId) -> Branch | None:
         """Find a workspace."""
         return self._find(workspace, BranchKind.WORKSPACE)
@@ -306,7 +428,7 @@
     def _inherit(self, path: str) -> BranchSettings:
         parent = ROOT_DEFAULTS if path == "" else self.effective(parent_path(path))
         branch = self._by_path.get(path)
-        if branch is None:
+        if branch is None or branch.settings is None:
             return parent
         own = {
             field.name: getattr(branch.settings, field.name)
--- /dev/null
+++ b/src/quetzalrudder/settings_log.py
@@ -0,0 +1,296 @@
+"""The accepted settings in the platform: a log of changes, and a snapshot of the tree.
+
+The change of revision N is the one that created the key of N, so one
+compare-and-swap accepts it, and the entry in the way names the change that came
+first. Readers take the snapshot and the changes above it. What exceeds one value
+is written in parts before the entry that names them.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from quetzalrudder.adapters import Platform
+from quetzalrudder.exceptions import PlatformUnavailable, QuetzalrudderError
+from quetzalrudder.schema.platform import Entry, PutAnswer, PutRequest
+from quetzalrudder.schema.settings import (
+    Branch,
+    Change,
+    PartsIntent,
+    Snapshot,
+    TreeChange,
+    TreePart,
+)
+from quetzalrudder.utils import MS_PER_S, Clock
+
+__all__ = ["LOG_PREFIX", "LogTail", "SettingsLog", "chain_after"]
+
+SNAPSHOT_KEY = "settings/snapshot"
+LOG_PREFIX = "settings/log/"
+PART_PREFIX = "settings/part/"
+INTENT_PREFIX = "settings/intent/"
+BUCKET_CHANGES = 64
+MAX_VALUE_BYTES = 512 * 1024
+SNAPSHOT_INTERVAL = 256
+KEPT_CHANGES = 16_384
+ABANDONED_AFTER_S = 3600
+CHAIN_BYTES = 16
+
+
+def chain_after(chain: bytes, change_id: str) -> bytes:
+    """Digest a change's id together with all changes before it."""
+    return hashlib.blake2b(chain + change_id.encode(), digest_size=CHAIN_BYTES).digest()
+
+
+def bucket_of(revision: int) -> str:
+    """Give the prefix of the log keys around a revision."""
+    return f"{LOG_PREFIX}{revision // BUCKET_CHANGES:010d}/"
+
+
+def log_key(revision: int) -> str:
+    """Give the key of the change of a revision.
+
+    Examples
+    --------
+    >>> log_key(65)
+    'settings/log/0000000001/000000000065'
+    """
+    return f"{bucket_of(revision)}{revision:012d}"
+
+
+def split_branches(branches: Iterable[Branch]) -> list[TreePart]:
+    """Divide branches into parts that each fit into one value."""
+    parts = [TreePart()]
+    size = 0
+    for branch in branches:
+        branch_bytes = len(bytes(branch))
+        if size + branch_bytes > MAX_VALUE_BYTES and parts[-1].branches:
+            parts.append(TreePart())
+            size = 0
+        parts[-1].branches.append(branch)
+        size += branch_bytes
+    return parts
+
+
+@dataclass(frozen=True)
+class LogTail:
+    """The changes from one revision on."""
+
+    changes: list[TreeChange]
+    # The store's version as of which the changes are complete; a watch goes on from it.
+    version: int
+
+
+class SettingsLog:
+    """Reads and appends accepted changes.
+
+    Parameters
+    ----------
+    platform : Platform
+        Where the log lives.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, platform: Platform, clock: Clock) -> None:
+        self._platform = platform
+        self._clock = clock
+
+    def change_at(self, revision: int) -> Result[TreeChange | None, QuetzalrudderError]:
+        """Read the change of a revision; None if there is none."""
+        entry = self._platform.get(log_key(revision))
+        if isinstance(entry, Err):
+            return entry
+        return Ok(TreeChange.parse(entry.ok_value.value) if entry.ok_value.version else None)
+
+    def tail(self, revision: int) -> Result[LogTail, QuetzalrudderError]:
+        """Read the changes from a revision on, and those shortly before it."""
+        changes: list[TreeChange] = []
+        version = None
+        while True:
+            answer = self._platform.list_entries(bucket_of(revision))
+            if isinstance(answer, Err):
+                return answer
+            version = answer.ok_value.version if version is None else version
+            found = [TreeChange.parse(entry.value) for entry in answer.ok_value.entries]
+            changes += found
+            revision = (revision // BUCKET_CHANGES + 1) * BUCKET_CHANGES
+            if not found or found[-1].change.revision != revision - 1:
+                return Ok(LogTail(changes, version))
+
+    def snapshot(self) -> Result[Snapshot, QuetzalrudderError]:
+        """Read the snapshot's head; revision 0 if there is none."""
+        entry = self._platform.get(SNAPSHOT_KEY)
+        return entry.map(_to_snapshot)
+
+    def is_near(self, snapshot: Snapshot, revision: int) -> bool:
+        """Tell whether a revision is better brought up by the log than by the snapshot."""
+        reached = snapshot.trimmed_revision <= revision
+        behind = _revision(snapshot.change) - revision
+        return reached and revision > 0 and behind <= 2 * SNAPSHOT_INTERVAL
+
+    def whole_changes(
+        self, changes: list[TreeChange]
+    ) -> Result[list[TreeChange], QuetzalrudderError]:
+        """Fetch the branches that changes hold in parts."""
+        whole: list[TreeChange] = []
+        for change in changes:
+            put = change.put
+            if change.parts:
+                branches = self.read_parts(change.parts)
+                if isinstance(branches, Err):
+                    return branches
+                put = branches.ok_value
+            whole.append(TreeChange(change=change.change, put=put, removed=change.removed))
+        return Ok(whole)
+
+    def read_parts(self, keys: list[str]) -> Result[list[Branch], QuetzalrudderError]:
+        """Read the branches of several parts."""
+        branches: list[Branch] = []
+        for key in keys:
+            entry = self._platform.get(key)
+            if isinstance(entry, Err):
+                return entry
+            if not entry.ok_value.version:
+                return Err(PlatformUnavailable("a part is no longer there", place=key))
+            branches += TreePart.parse(entry.ok_value.value).branches
+        return Ok(branches)
+
+    def append(self, change: TreeChange) -> Result[PutAnswer, QuetzalrudderError]:
+        """Accept a change at its revision, unless another one is there already.
+
+        ``done`` is false if another change stands in the way; an error means that
+        this one may or may not have been accepted.
+        """
+        revision = change.change.revision
+        stored = change
+        if len(bytes(change)) > MAX_VALUE_BYTES:
+            owner = f"{change.change.change_id}-{revision}"
+            written = self._write_parts(owner, revision, change.put)
+            if isinstance(written, Err):
+                return written
+            stored = TreeChange(
+                change=change.change, removed=change.removed, parts=written.ok_value
+            )
+        answer = self._create(log_key(revision), bytes(stored))
+        if stored.parts and isinstance(answer, Ok) and answer.ok_value.done:
+            self._delete(f"{INTENT_PREFIX}{change.change.change_id}-{revision}")
+        return answer
+
+    def _create(self, key: str, value: bytes) -> Result[PutAnswer, QuetzalrudderError]:
+        return self._platform.put(PutRequest(key=key, value=value))
+
+    def _write_parts(
+        self, owner: str, revision: int, branches: list[Branch]
+    ) -> Result[list[str], QuetzalrudderError]:
+        parts = split_branches(branches)
+        keys = [f"{PART_PREFIX}{owner}/{n:04d}" for n in range(len(parts))]
+        intent = PartsIntent(
+            change_id=owner,
+            parts=keys,
+            revision=revision,
+            written_unix_ms=int(self._clock.wall() * MS_PER_S),
+        )
+        values = {INTENT_PREFIX + owner: bytes(intent)}
+        values |= {key: bytes(part) for key, part in zip(keys, parts, strict=True)}
+        for key, value in values.items():
+            answer = self._create(key, value)
+            if isinstance(answer, Err):
+                return answer
+        return Ok(keys)
+
+    def _delete(self, key: str) -> None:
+        entry = self._platform.get(key)
+        if isinstance(entry, Ok) and entry.ok_value.version:
+            self._platform.put(
+                PutRequest(key=key, expected_version=entry.ok_value.version, delete=True)
+            )
+
+    def snapshot_due(self, revision: int) -> bool:
+        """Tell whether the tree is to be written whole at a revision."""
+        return revision % SNAPSHOT_INTERVAL == 0
+
+    def write_snapshot(
+        self, change: Change, branches: list[Branch]
+    ) -> Result[bool, QuetzalrudderError]:
+        """Write the tree as of a change, and drop what it makes superfluous.
+
+        Gives false if a newer snapshot is there already.
+        """
+        entry = self._platform.get(SNAPSHOT_KEY)
+        if isinstance(entry, Err):
+            return entry
+        old = _to_snapshot(entry.ok_value)
+        if _revision(old.change) >= change.revision:
+            return Ok(False)
+        owner = f"snapshot-{change.revision}-{change.chain.hex()}"
+        written = self._write_parts(owner, 0, branches)
+        if isinstance(written, Err):
+            return written
+        trimmed = max(old.trimmed_revision, change.revision - KEPT_CHANGES)
+        trimmed -= trimmed % BUCKET_CHANGES
+        new = Snapshot(
+            change=change,
+            parts=written.ok_value,
+            trimmed_revision=max(trimmed, 0),
+            unused_parts=[key for key in old.parts if key not in written.ok_value],
+        )
+        put = PutRequest(
+            key=SNAPSHOT_KEY, value=bytes(new), expected_version=entry.ok_value.version
+        )
+        answer = self._platform.put(put)
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.done:
+            self._delete(INTENT_PREFIX + owner)
+            self._drop_superfluous(old, new)
+        return Ok(answer.ok_value.done)
+
+    def _drop_superfluous(self, old: Snapshot, new: Snapshot) -> None:
+        for key in [*old.unused_parts, *new.unused_parts]:
+            self._delete(key)
+        for revision in range(old.trimmed_revision + 1, new.trimmed_revision + 1):
+            self._drop_change(revision)
+        self.drop_abandoned_parts(new)
+
+    def _drop_change(self, revision: int) -> None:
+        found = self.change_at(revision)
+        if isinstance(found, Ok) and found.ok_value is not None:
+            self._delete(log_key(revision))
+            for key in found.ok_value.parts:
+                self._delete(key)
+
+    def drop_abandoned_parts(self, snapshot: Snapshot) -> None:
+        """Delete parts whose writer ended before anything named them."""
+        answer = self._platform.list_entries(INTENT_PREFIX)
+        if isinstance(answer, Err):
+            return
+        now_ms = self._clock.wall() * MS_PER_S
+        for entry in answer.ok_value.entries:
+            intent = PartsIntent.parse(entry.value)
+            if now_ms - intent.written_unix_ms < ABANDONED_AFTER_S * MS_PER_S:
+                continue
+            used = self._parts_in_use(intent, snapshot)
+            if isinstance(used, Err):
+                return
+            for key in intent.parts if not used.ok_value else []:
+                self._delete(key)
+            self._delete(entry.key)
+
+    def _parts_in_use(
+        self, intent: PartsIntent, snapshot: Snapshot
+    ) -> Result[bool, QuetzalrudderError]:
+        if not intent.revision:
+            return Ok(bool(set(intent.parts) & set(snapshot.parts)))
+        found = self.change_at(intent.revision)
+        return found.map(lambda change: change is not None and change.parts == intent.parts)
+
+
+def _to_snapshot(entry: Entry) -> Snapshot:
+    return Snapshot.parse(entry.value) if entry.version else Snapshot()
+
+
+def _revision(change: Change | None) -> int:
+    return change.revision if change is not None else 0
--- /dev/null
+++ b/standins/memory_platform.py
@@ -0,0 +1,169 @@
+"""The platform in memory, for tests and benchmarks under a virtual clock."""
+
+import copy
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from quetzalrudder.exceptions import PlatformUnavailable, QuetzalrudderError
+from quetzalrudder.schema.platform import (
+    Entries,
+    Entry,
+    Groups,
+    Instances,
+    Lease,
+    PutAnswer,
+    PutRequest,
+    WatchRequest,
+)
+from quetzalrudder.utils import MS_PER_S, Clock
+
+__all__ = ["MemoryPlatform", "MemoryStore"]
+
+
+@dataclass
+class MemoryStore:
+    """What the platform holds; shared by all who call it."""
+
+    clock: Clock
+    entries: dict[str, Entry] = field(default_factory=dict)
+    version: int = 0
+    leases: dict[int, tuple[int, float]] = field(default_factory=dict)
+    groups: Groups = field(default_factory=Groups)
+    instances: Instances = field(default_factory=Instances)
+    down: bool = False
+    # Data centres that the platform cannot be reached from.
+    cut: set[str] = field(default_factory=set)
+    watches_broken: bool = False
+    # The next N writes take effect and their answers are lost.
+    lose_answers: int = 0
+    calls: Counter[str] = field(default_factory=Counter)
+    lease_ids: itertools.count = field(default_factory=lambda: itertools.count(1))
+
+    def backup(self) -> tuple[dict[str, Entry], int]:
+        """Copy the data, for :meth:`restore`."""
+        return copy.deepcopy(self.entries), self.version
+
+    def restore(self, backup: tuple[dict[str, Entry], int]) -> None:
+        """Go back to older data, as a platform that lost its newest."""
+        self.entries, self.version = copy.deepcopy(backup[0]), backup[1]
+
+    def expire_leases(self) -> None:
+        """Drop lapsed leases and their keys."""
+        now = self.clock.monotonic()
+        for lease_id in [i for i, (_, ends_at) in self.leases.items() if ends_at <= now]:
+            self.drop_lease(lease_id)
+
+    def drop_lease(self, lease_id: int) -> None:
+        """Drop one lease and its keys."""
+        if self.leases.pop(lease_id, None) is None:
+            return
+        for key in [k for k, e in self.entries.items() if e.lease_id == lease_id]:
+            del self.entries[key]
+            self.version += 1
+
+
+class MemoryPlatform:
+    """One caller's view of the platform; calls return at once.
+
+    Parameters
+    ----------
+    store : MemoryStore
+        What the platform holds.
+    data_centre : str
+        Where the caller is.
+    """
+
+    def __init__(self, store: MemoryStore, data_centre: str = "") -> None:
+        self.store = store
+        self.data_centre = data_centre
+
+    def _refusal(self, method: str) -> Err[QuetzalrudderError] | None:
+        self.store.calls[method] += 1
+        self.store.expire_leases()
+        if self.store.down or self.data_centre in self.store.cut:
+            return Err(PlatformUnavailable("no answer"))
+        return None
+
+    def get(self, key: str) -> Result[Entry, QuetzalrudderError]:
+        """Read one key; version 0 means absent."""
+        return self._refusal("get") or Ok(self.store.entries.get(key, Entry(key=key)))
+
+    def list_entries(self, prefix: str) -> Result[Entries, QuetzalrudderError]:
+        """Read all keys under a prefix."""
+        return self._refusal("list") or Ok(self._present(prefix, 0))
+
+    def _present(self, prefix: str, after: int) -> Entries:
+        found = [
+            entry
+            for key, entry in sorted(self.store.entries.items())
+            if key.startswith(prefix) and entry.version > after
+        ]
+        return Entries(entries=found, version=self.store.version)
+
+    def put(self, req: PutRequest) -> Result[PutAnswer, QuetzalrudderError]:
+        """Write or delete one key if its version is the expected one."""
+        refusal = self._refusal("put")
+        if refusal is not None:
+            return refusal
+        current = self.store.entries.get(req.key, Entry(key=req.key))
+        lapsed = req.lease_id and req.lease_id not in self.store.leases
+        if current.version != req.expected_version or lapsed:
+            return Ok(PutAnswer(done=False, entry=current))
+        self.store.version += 1
+        entry = Entry(key=req.key)
+        if req.delete:
+            self.store.entries.pop(req.key, None)
+        else:
+            entry = Entry(req.key, req.value, self.store.version, req.lease_id)
+            self.store.entries[req.key] = entry
+        if self.store.lose_answers:
+            self.store.lose_answers -= 1
+            return Err(PlatformUnavailable("the answer was lost"))
+        return Ok(PutAnswer(done=True, entry=entry))
+
+    def watch(self, req: WatchRequest) -> Result[Entries, QuetzalrudderError]:
+        """Give what is newer; nothing newer means that the wait is over."""
+        refusal = self._refusal("watch")
+        if refusal is None and self.store.watches_broken:
+            return Err(PlatformUnavailable("no answer to the watch"))
+        return refusal or Ok(self._present(req.prefix, req.after_version))
+
+    def grant_lease(self, ttl_ms: int) -> Result[Lease, QuetzalrudderError]:
+        """Take a lease."""
+        refusal = self._refusal("grant_lease")
+        if refusal is not None:
+            return refusal
+        lease_id = next(self.store.lease_ids)
+        ends_at = self.store.clock.monotonic() + ttl_ms / MS_PER_S
+        self.store.leases[lease_id] = (ttl_ms, ends_at)
+        return Ok(Lease(lease_id=lease_id, ttl_ms=ttl_ms, held=True))
+
+    def keep_alive(self, lease_id: int) -> Result[Lease, QuetzalrudderError]:
+        """Extend a lease; ``held`` is false if it has lapsed."""
+        refusal = self._refusal("keep_alive")
+        if refusal is not None:
+            return refusal
+        held = self.store.leases.get(lease_id)
+        if held is None:
+            return Ok(Lease(lease_id=lease_id))
+        ends_at = self.store.clock.monotonic() + held[0] / MS_PER_S
+        self.store.leases[lease_id] = (held[0], ends_at)
+        return Ok(Lease(lease_id=lease_id, ttl_ms=held[0], held=True))
+
+    def revoke(self, lease_id: int) -> Result[Lease, QuetzalrudderError]:
+        """Give a lease up."""
+        refusal = self._refusal("revoke")
+        if refusal is None:
+            self.store.drop_lease(lease_id)
+        return refusal or Ok(Lease(lease_id=lease_id))
+
+    def list_groups(self) -> Result[Groups, QuetzalrudderError]:
+        """Read the database groups."""
+        return self._refusal("list_groups") or Ok(self.store.groups)
+
+    def list_instances(self) -> Result[Instances, QuetzalrudderError]:
+        """Read the list of live and leaving instances."""
+        return self._refusal("list_instances") or Ok(self.store.instances)
