Check ranges of branches where they are checked against each other

Cause: a value out of range hid the error that only workspaces have keys, which tests/test_bad_input.py asks for. Now both are reported.

--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -156,9 +156,7 @@
             errors.append(InvalidSettings("unknown setting", place=place))
             continue
         try:
-            value = _convert(text, types[key], place)
-            check_value(key, value, place)
-            setattr(message, key, value)
+            setattr(message, key, _convert(text, types[key], place))
         except InvalidSettings as exc:
             errors.append(exc)
     return message, errors
@@ -198,6 +196,7 @@
         for key in REQUIRED_DAEMON_KEYS
         if not getattr(cfg, key)
     ]
+    errors += _check_values(cfg, place)
     for key in ("listen", "control_listen", "platform", "statsd"):
         try:
             if getattr(cfg, key):
@@ -285,7 +284,9 @@
     return errors
 
 
-def _check_values(settings: BranchSettings, place: str) -> list[QuetzalrudderError]:
+def _check_values(
+    settings: BranchSettings | DaemonSettings, place: str
+) -> list[QuetzalrudderError]:
     errors: list[QuetzalrudderError] = []
     for field in dataclasses.fields(settings):
         try:
