--- a/src/quetzalrudder/access.py
+++ b/src/quetzalrudder/access.py
@@ -1,7 +1,6 @@
 """Who calls and what that caller may reach; a key is compared, never passed on."""
 
 import base64
-import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -290,7 +289,7 @@
         text = text.decode("latin-1")
     if KEY_PREFIX not in text:
         return False
-    found = {digest_key(key) for key in re.findall(KEY_PATTERN, text)}
+    found = {digest_key(key) for key in KEY_PATTERN.findall(text)}
     return any(
         not found.isdisjoint((branch.settings.key_digests or "").split())
         for branch in tree.tree.branches
--- a/src/quetzalrudder/ctl.py
+++ b/src/quetzalrudder/ctl.py
@@ -4,6 +4,7 @@
 import getpass
 import inspect
 import json
+import os
 import sys
 from contextlib import ExitStack
 from enum import Enum
@@ -15,6 +16,8 @@
 
 from quetzalrudder.bridge import Loop
 from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
+from quetzalrudder.keys import digest_key, make_key
+from quetzalrudder.operator_keys import read_operator_key
 from quetzalrudder.operators import OperatorClient
 from quetzalrudder.schema.operators import Event
 from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings
@@ -30,6 +33,7 @@
 EXIT_USAGE = 2
 HELP_FLAGS = ("-h", "--help")
 DEFAULT_CONTROL = "127.0.0.1:7002"
+CALLER_KEY_VARIABLE = "QUETZALRUDDER_KEY"
 DEFAULT_INSTANCE = "127.0.0.1:7001"
 
 
@@ -44,14 +48,17 @@
 class Context:
     """What every command shares."""
 
-    def __init__(self, control: str, json_output: bool) -> None:
+    def __init__(self, control: str, json_output: bool, operator_key_file: str = "") -> None:
         self.control = control
         self.json_output = json_output
+        self._operator_key_file = operator_key_file
 
     def client(self, stack: ExitStack, address: str | None = None) -> OperatorClient:
         """Open a client on an exit stack."""
         loop = stack.enter_context(Loop())
-        return OperatorClient(loop, parse_address(address or self.control), getpass.getuser())
+        key = read_operator_key(self._operator_key_file)
+        where = parse_address(address or self.control)
+        return OperatorClient(loop, where, getpass.getuser(), key=key)
 
     def show(self, report: Report) -> None:
         """Print a report as text, or as JSON."""
@@ -179,11 +186,18 @@
 
 
 class KeyCommands:
-    """Grant and withdraw keys."""
+    """Make, grant and withdraw keys."""
 
     def __init__(self, context: Context) -> None:
         self._context = context
 
+    def make(self) -> None:
+        """Make an operator key and its digest for ``operator_key_digests``; asks no instance."""
+        key = make_key()
+        digest = digest_key(key)
+        lines = [f"key     {key}", f"digest  {digest}"]
+        self._context.show(Report(lines, {"key": key, "digest": digest}))
+
     def grant(self, workspace: str) -> None:
         """Grant a workspace a new key and print it; it cannot be shown again.
 
@@ -220,10 +234,14 @@
         Control address of an instance.
     json : bool
         Print JSON for scripts.
+    operator_key_file : str
+        File with the operator key; else QUETZALRUDDER_OPERATOR_KEY is taken.
     """
 
-    def __init__(self, control: str = DEFAULT_CONTROL, json: bool = False) -> None:
-        self._context = Context(control, json)
+    def __init__(
+        self, control: str = DEFAULT_CONTROL, json: bool = False, operator_key_file: str = ""
+    ) -> None:
+        self._context = Context(control, json, operator_key_file)
         self.settings = SettingsCommands(self._context)
         self.workspace = WorkspaceCommands(self._context)
         self.key = KeyCommands(self._context)
@@ -284,13 +302,14 @@
         instance : str
             Address of an instance for callers.
         workspace, key : str
-            Who calls.
+            Who calls; without a key, QUETZALRUDDER_KEY is taken.
         write : bool
             The statement changes data.
         max_age_ms : int
             Oldest acceptable data, in milliseconds.
         """
-        with Session(instance, workspace, str(key)) as session:
+        key = str(key) or os.environ.get(CALLER_KEY_VARIABLE, "")
+        with Session(instance, workspace, key) as session:
             if write:
                 result = session.write(route, sql, *params)
             else:
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -17,6 +17,7 @@
 from quetzalrudder.membership import Membership
 from quetzalrudder.metrics import Metrics
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, InstanceState, TargetId
+from quetzalrudder.operator_keys import GuardedService
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
 from quetzalrudder.routing import ReadRouter
@@ -146,7 +147,9 @@
         peers = PeerService(self.loop, self.peers, peer_tasks)
         callers = CallerService(self.loop, self.connections)
         address = parse_address(self.cfg.control_listen)
-        stack.enter_context(Listener(self.loop, address, [operators, peers]))
+        digests = (self.cfg.operator_key_digests or "").split()
+        services = [GuardedService(operators, digests), peers]
+        stack.enter_context(Listener(self.loop, address, services))
         address = parse_address(self.cfg.listen)
         stack.enter_context(Listener(self.loop, address, [callers]))
 
--- a/src/quetzalrudder/keys.py
+++ b/src/quetzalrudder/keys.py
@@ -2,14 +2,24 @@
 
 import hashlib
 import hmac
+import re
 import secrets
 
-__all__ = ["KEY_PATTERN", "KEY_PREFIX", "digest_key", "has_digest", "key_matches", "make_key"]
+__all__ = [
+    "DIGEST_PATTERN",
+    "KEY_PATTERN",
+    "KEY_PREFIX",
+    "digest_key",
+    "has_digest",
+    "key_matches",
+    "make_key",
+]
 
 KEY_PREFIX = "qrk_"
 KEY_BYTES = 24
 # Matches every made key inside a text; a digit or letter after it does not hide it.
-KEY_PATTERN = KEY_PREFIX + "[A-Za-z0-9_-]{32}"
+KEY_PATTERN = re.compile(KEY_PREFIX + "[A-Za-z0-9_-]{32}")
+DIGEST_PATTERN = re.compile("[0-9a-f]{64}")
 
 
 def make_key() -> str:
--- a/src/quetzalrudder/operators.py
+++ b/src/quetzalrudder/operators.py
@@ -6,11 +6,18 @@
 from typing import Any
 
 from grpclib import GRPCError
+from grpclib.const import Status as GrpcStatus
 from grpclib.exceptions import StreamTerminatedError
 
 from quetzalrudder.bridge import Loop, call_once
-from quetzalrudder.exceptions import InvalidSettings, TargetUnavailable, from_failure
+from quetzalrudder.exceptions import (
+    InvalidSettings,
+    TargetUnavailable,
+    Unauthenticated,
+    from_failure,
+)
 from quetzalrudder.keys import digest_key, make_key
+from quetzalrudder.operator_keys import KEY_HEADER
 from quetzalrudder.schema.operators import (
     ApplyRequest,
     Event,
@@ -41,23 +48,30 @@
         The instance's control address.
     operator_name : str
         Written into the history with each change.
+    key : str
+        The operator key.
     """
 
-    def __init__(self, loop: Loop, address: Address, operator_name: str) -> None:
+    def __init__(self, loop: Loop, address: Address, operator_name: str, key: str = "") -> None:
+        self._metadata = {KEY_HEADER: key} if key else {}
         self._loop = loop
         self._address = address
         self._operator_name = operator_name
 
     def _call(self, method: str, req: Any) -> Any:
         async def call(channel: Any) -> Any:
-            return await getattr(OperatorsStub(channel), method)(req)
+            return await getattr(OperatorsStub(channel), method)(req, metadata=self._metadata)
 
         try:
             answer = self._loop.run(
                 call_once(self._address, call, timeout_s=CALL_TIMEOUT_S),
                 timeout_s=CALL_TIMEOUT_S + 1,
             )
-        except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as exc:
+        except GRPCError as exc:
+            if exc.status is GrpcStatus.UNAUTHENTICATED:
+                raise Unauthenticated(exc.message or "", place=str(self._address)) from None
+            raise TargetUnavailable(str(exc), place=str(self._address)) from exc
+        except (OSError, StreamTerminatedError, TimeoutError) as exc:
             reason = str(exc) or type(exc).__name__
             raise TargetUnavailable(reason, place=str(self._address)) from exc
         failure = getattr(answer, "failure", None)
--- a/src/quetzalrudder/schema/settings/__init__.py
+++ b/src/quetzalrudder/schema/settings/__init__.py
@@ -206,6 +206,14 @@
     Threads for connections and peers. Default 256.
     """
 
+    operator_key_digests: "str | None" = betterproto2.field(
+        60, betterproto2.TYPE_STRING, optional=True
+    )
+    """
+    SHA-256 digests of the operators' keys, in hexadecimal, separated by blanks. Without
+    one, the instance answers no operator.
+    """
+
 
 default_message_pool.register_message("settings", "DaemonSettings", DaemonSettings)
 
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -23,6 +23,7 @@
 
 from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
 from quetzalrudder.models import RouteName, WorkspaceId
+from quetzalrudder.operator_keys import check_digests
 from quetzalrudder.schema.settings import (
     Branch,
     BranchKind,
@@ -166,6 +167,7 @@
                 parse_address(getattr(cfg, key), place=f"{place} {key}")
         except InvalidSettings as exc:
             errors.append(exc)
+    errors += check_digests(cfg.operator_key_digests or "", f"{place} operator_key_digests")
     if cfg.log_level is not None and cfg.log_level not in LOG_LEVELS:
         known = ", ".join(LOG_LEVELS)
         errors.append(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from quetzalrudder.bridge import Loop, call_once
+from quetzalrudder.keys import digest_key, make_key
 from quetzalrudder.operators import OperatorClient
 from quetzalrudder.schema.platform import Group, InstanceEntry, TargetEntry
 from quetzalrudder.schema.standin import (
@@ -30,9 +31,10 @@
 from standins.deployments import Deployment
 from standins.network import Network, Relay
 
-__all__ = ["Fleet", "free_addresses"]
+__all__ = ["OPERATOR_KEY", "Fleet", "free_addresses"]
 
 ROOT = Path(__file__).resolve().parent.parent
+OPERATOR_KEY = make_key()
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
@@ -188,7 +190,8 @@
             f"data_centre = {data_centre}\n"
             f"listen = {self.instance_addresses[name]}\n"
             f"control_listen = {self.control_addresses[name]}\n"
-            f"platform = {self.platform_address}\n",
+            f"platform = {self.platform_address}\n"
+            f"operator_key_digests = {digest_key(OPERATOR_KEY)}\n",
             encoding="utf-8",
         )
         self._spawn(name, "-m", "quetzalrudder.daemon", str(path))
@@ -253,7 +256,7 @@
     def operator(self, instance: str) -> OperatorClient:
         """Call an instance as an operator."""
         address = parse_address(self.control_addresses[instance])
-        return OperatorClient(self.loop, address, "operator")
+        return OperatorClient(self.loop, address, "operator", key=OPERATOR_KEY)
 
     def session(self, *instances: str, workspace: str = "", key: str = "") -> Session:
         """Open a session through one or more instances."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,9 +3,10 @@
 import pytest
 from hypothesis import settings
 
+from quetzalrudder.operator_keys import KEY_VARIABLE
 from standins.demo import STEPPE_SETTINGS
 from standins.deployments import Deployment
-from standins.fleet import Fleet
+from standins.fleet import OPERATOR_KEY, Fleet
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
@@ -38,6 +39,12 @@
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", run=False))
 
 
+@pytest.fixture(autouse=True)
+def operator_key(monkeypatch):
+    """Let the operators' tool reach every fleet, as an operator's shell does."""
+    monkeypatch.setenv(KEY_VARIABLE, OPERATOR_KEY)
+
+
 @pytest.fixture(scope="module")
 def fleet():
     with Fleet(SMALL, STEPPE_SETTINGS) as running:
--- a/tests/test_daemon_alone.py
+++ b/tests/test_daemon_alone.py
@@ -9,8 +9,9 @@
 from quetzalrudder import Session
 from quetzalrudder.ctl import main as ctl
 from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.keys import digest_key
 from quetzalrudder.schema.common import Ending
-from standins.fleet import ROOT, free_addresses
+from standins.fleet import OPERATOR_KEY, ROOT, free_addresses
 from tests.helpers import wait_for
 
 
@@ -31,7 +32,8 @@
         path.write_text(
             f"[daemon]\ninstance = bern-a-1\ndata_centre = bern-a\nlisten = {listen}\n"
             f"control_listen = {control}\nplatform = {platform}\n"
-            f"statsd = 127.0.0.1:{statsd.getsockname()[1]}\ndrain_s = 5\n",
+            f"statsd = 127.0.0.1:{statsd.getsockname()[1]}\ndrain_s = 5\n"
+            f"operator_key_digests = {digest_key(OPERATOR_KEY)}\n",
             encoding="utf-8",
         )
         process = subprocess.Popen(
