Choose ports of stand-ins outside the range of outgoing connections

Cause: one full run gave 21 errors and a failure, all in one module's fixture, and passed alone and in the next full run. Its output was not kept. Ports were found by binding port 0, which is the range that every outgoing connection draws from, so that a port could be taken between being found and being listened on. Ruled out: the tests themselves (no change between the runs). Change: ports come from a range below it, starting at a place of each process's own. Conclusion: a known hazard is gone; watch for it.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts a deployment as processes on loopback, and switches its faults."""
 
+import itertools
 import os
 import signal
 import socket
@@ -40,15 +41,34 @@
 POLL_S = 0.02
 CALL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 20.0
+FIRST_PORT = 10_000
+PORT_COUNT = 20_000
+PORT_STRIDE = 131
+
+_port_numbers = itertools.count(os.getpid() * PORT_STRIDE)
 
 
 def free_addresses(count: int) -> list[str]:
-    """Find loopback addresses whose ports are free."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+    """Find loopback addresses whose ports are free.
+
+    The ports lie below those that the system gives to outgoing connections, so that
+    none of these takes one before it is listened on.
+    """
+    found: list[str] = []
+    while len(found) < count:
+        port = FIRST_PORT + next(_port_numbers) % PORT_COUNT
+        if _is_free(port):
+            found.append(f"127.0.0.1:{port}")
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 class Fleet:
