--- a/src/quetzalrudder/__init__.py
+++ b/src/quetzalrudder/__init__.py
@@ -10,6 +10,7 @@
 
 from quetzalrudder.api import read, write
 from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.session_transactions import Transaction
 from quetzalrudder.sessions import QueryResult, Session
 
-__all__ = ["QueryResult", "QuetzalrudderError", "Session", "read", "write"]
+__all__ = ["QueryResult", "QuetzalrudderError", "Session", "Transaction", "read", "write"]
--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -27,15 +27,19 @@
     Answer,
     AnswerFrame,
     AskOutcome,
+    Begin,
     CallerFrame,
+    Commit,
     Hello,
     MoveOn,
+    Rollback,
     Statement,
     Welcome,
 )
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.statements import CallerIdentity, StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.transactions import CallerTransactions, TransactionRunner
 from quetzalrudder.utils import MS_PER_S, Clock
 
 __all__ = ["CallerConnection", "CallerConnections", "authenticate"]
@@ -86,6 +90,7 @@
     def __init__(self, pipe: CallerPipe, owner: "CallerConnections") -> None:
         self._pipe = pipe
         self._owner = owner
+        self._transactions = CallerTransactions(owner.transactions)
 
     def serve(self) -> None:
         """Serve until the caller leaves or the instance drains."""
@@ -109,12 +114,10 @@
 
     def _serve(self) -> None:
         caller = self._greet()
-        while True:
-            frame = self._next_frame()
-            if frame is None:
-                return
-            answer = self._handle(caller, frame)
-            self._pipe.send(answer, SEND_TIMEOUT_S)
+        with self._transactions:
+            while (frame := self._next_frame(caller)) is not None:
+                answer = self._handle(caller, frame)
+                self._pipe.send(answer, SEND_TIMEOUT_S)
 
     def _greet(self) -> CallerIdentity:
         try:
@@ -131,15 +134,23 @@
         self._pipe.send(AnswerFrame(request_id=frame.request_id, welcome=welcome), SEND_TIMEOUT_S)
         return caller
 
-    def _next_frame(self) -> CallerFrame | None:
+    def _next_frame(self, caller: CallerIdentity) -> CallerFrame | None:
         while True:
             try:
                 return self._pipe.recv(IDLE_TURN_S)
             except TimeoutError:
-                if self._owner.draining.is_set():
+                self._end_transactions(caller)
+                if self._owner.draining.is_set() and not self._transactions.count:
                     self._pipe.send(AnswerFrame(move_on=MoveOn()), SEND_TIMEOUT_S)
                     return None
 
+    def _end_transactions(self, caller: CallerIdentity) -> None:
+        if not self._transactions.count:
+            return
+        if isinstance(authenticate(self._owner.store, caller), Err):
+            self._transactions.abandon_all()
+        self._transactions.abandon_expired()
+
     def _handle(self, caller: CallerIdentity, frame: CallerFrame) -> AnswerFrame:
         started = self._owner.clock.monotonic()
         result = self._run(caller, frame)
@@ -156,16 +167,28 @@
     ) -> Result[Answer, QuetzalrudderError]:
         checked = authenticate(self._owner.store, caller)
         if isinstance(checked, Err):
+            self._transactions.abandon_all()
             return Err(_withdrawn(checked.err_value))
+        self._transactions.abandon_expired()
         runner = self._owner.runner
         tree = self._owner.store.tree
         match frame:
+            case CallerFrame(statement=Statement() as stmt) if stmt.transaction_id:
+                return self._transactions.run(caller, stmt)
             case CallerFrame(statement=Statement() as stmt):
                 planned = runner.plan(tree, caller, frame.request_id, stmt)
                 return planned.and_then(lambda plan: runner.run(plan, stmt))
             case CallerFrame(ask_outcome=AskOutcome() as ask):
                 planned = runner.plan(tree, caller, frame.request_id, ask)
                 return planned.and_then(lambda plan: runner.ask_outcome(plan, ask))
+            case CallerFrame(begin=Begin()) if self._owner.draining.is_set():
+                return Err(Draining("the instance is shutting down", retry_after_ms=1))
+            case CallerFrame(request_id=request_id, begin=Begin() as begin):
+                return self._transactions.begin(tree, caller, request_id, begin)
+            case CallerFrame(request_id=request_id, commit=Commit() as commit):
+                return self._transactions.commit(tree, caller, request_id, commit)
+            case CallerFrame(rollback=Rollback() as rollback):
+                return self._transactions.rollback(rollback.transaction_id)
             case _:
                 return Err(MalformedMessage("a frame of no known kind", place="frame"))
 
@@ -187,6 +210,8 @@
         Keys and routes.
     runner : StatementRunner
         Runs the requests.
+    transactions : TransactionRunner
+        Runs the transactions.
     executor : Executor
         One task for each connection.
     max_connections : int
@@ -206,6 +231,7 @@
         data_centre: DataCentre,
         store: SettingsStore,
         runner: StatementRunner,
+        transactions: TransactionRunner,
         executor: Executor,
         max_connections: int,
         clock: Clock,
@@ -216,6 +242,7 @@
         self.data_centre = data_centre
         self.store = store
         self.runner = runner
+        self.transactions = transactions
         self.clock = clock
         self.draining = threading.Event()
         self._executor = executor
--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -29,12 +29,14 @@
     "PositionLost",
     "QuetzalrudderError",
     "RateExceeded",
+    "RequestCancelled",
     "RequestChanged",
     "RouteNotFound",
     "SettingsTooOld",
     "StaleTerm",
     "StatementFailed",
     "TargetUnavailable",
+    "TransactionAborted",
     "TransactionNotFound",
     "TruncatedAnswer",
     "Unauthenticated",
@@ -264,6 +266,18 @@
     code = ErrorCode.REQUEST_CHANGED
 
 
+class RequestCancelled(QuetzalrudderError):
+    """The request id was told as not run, and is never run from then on."""
+
+    code = ErrorCode.REQUEST_CANCELLED
+
+
+class TransactionAborted(QuetzalrudderError):
+    """The transaction was rolled back; nothing of it happened."""
+
+    code = ErrorCode.TRANSACTION_ABORTED
+
+
 class BindFailed(QuetzalrudderError):
     """The address could not be listened on."""
 
@@ -305,5 +319,5 @@
         failure.message,
         place=failure.place,
         retry_after_ms=failure.retry_after_ms,
-        ending=failure.ending,
+        ending=failure.ending or Ending.UNKNOWN,
     )
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -27,6 +27,7 @@
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.transactions import TransactionRunner
 from quetzalrudder.utils import Clock, SystemClock, parse_address
 from quetzalrudder.writes import Confirmer
 
@@ -126,6 +127,9 @@
             data_centre=self.data_centre,
             store=self.store,
             runner=runner,
+            transactions=TransactionRunner(
+                runner, self.pool, self._connection_limit, self.clock, self.rng
+            ),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
--- /dev/null
+++ b/src/quetzalrudder/retries.py
@@ -0,0 +1,144 @@
+"""When a failed request may be sent again, and how many retries there may be."""
+
+import random
+import threading
+from dataclasses import dataclass
+
+from quetzalrudder.exceptions import (
+    Draining,
+    LinkLost,
+    NoPrimary,
+    NoReplica,
+    OutcomeUnknown,
+    QuetzalrudderError,
+    RequestCancelled,
+    RequestChanged,
+    StaleTerm,
+    TargetUnavailable,
+    TransactionNotFound,
+)
+from quetzalrudder.schema.common import Ending
+from quetzalrudder.utils import MS_PER_S, Deadline
+
+__all__ = ["ELSEWHERE", "RepeatPolicy", "RetryBudget", "attempt_ms", "final_error", "is_short"]
+
+RETRY_SHARE = 0.1
+RETRY_BURST = 10.0
+MAX_ATTEMPTS = 6
+JITTER = 0.5
+ATTEMPT_SHARE = 0.6
+ASK_SHARE = 0.25
+MIN_ATTEMPT_MS = 50
+REPEAT_PAUSE_S = 0.05
+
+ELSEWHERE_AT_ONCE = (LinkLost, Draining)
+ELSEWHERE_LATER = (NoPrimary, NoReplica, StaleTerm, TargetUnavailable)
+ELSEWHERE = ELSEWHERE_AT_ONCE + ELSEWHERE_LATER
+DEFINITE = (RequestCancelled, RequestChanged, TransactionNotFound)
+
+
+class RetryBudget:
+    """Token bucket that keeps retries to a share of the requests.
+
+    Parameters
+    ----------
+    share : float
+        Retries that each request adds to the budget.
+    burst : float
+        Most retries saved up.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(share=0.5, burst=1)
+    >>> budget.take(), budget.take()
+    (True, False)
+    >>> budget.add_request(); budget.add_request(); budget.take()
+    True
+    """
+
+    def __init__(self, share: float = RETRY_SHARE, burst: float = RETRY_BURST) -> None:
+        self._share = share
+        self._burst = burst
+        self._lock = threading.Lock()
+        self._tokens = burst
+
+    def add_request(self) -> None:
+        """Count one first attempt."""
+        with self._lock:
+            self._tokens = min(self._burst, self._tokens + self._share)
+
+    def take(self) -> bool:
+        """Take one retry out of the budget; false if none is left."""
+        with self._lock:
+            if self._tokens < 1:
+                return False
+            self._tokens -= 1
+            return True
+
+
+@dataclass(frozen=True)
+class RepeatPolicy:
+    """Decides whether a session sends a failed request again.
+
+    Every request that changes data carries its request id, so a repeat is safe
+    whatever became of the attempt before it.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+        Bounds the repeats of all requests of the session.
+    rng : random.Random
+        Spreads the pauses.
+    """
+
+    budget: RetryBudget
+    rng: random.Random
+
+    def pause_s(self, exc: QuetzalrudderError, attempts: int, deadline: Deadline) -> float | None:
+        """Give the pause before the next attempt, in seconds; None to give up.
+
+        Parameters
+        ----------
+        exc : QuetzalrudderError
+            How the last attempt failed.
+        attempts : int
+            Attempts made.
+        deadline : Deadline
+            When the request is given up.
+        """
+        pause_s = self._wanted_pause_s(exc, attempts)
+        if pause_s is None or attempts >= MAX_ATTEMPTS or pause_s >= deadline.remaining_s:
+            return None
+        return pause_s if self.budget.take() else None
+
+    def _wanted_pause_s(self, exc: QuetzalrudderError, attempts: int) -> float | None:
+        if isinstance(exc, ELSEWHERE_AT_ONCE):
+            return REPEAT_PAUSE_S * (attempts - 1)
+        if exc.ending is Ending.UNKNOWN or isinstance(exc, ELSEWHERE_LATER):
+            return exc.retry_after_ms / MS_PER_S * (1 + JITTER * self.rng.random())
+        return None
+
+
+def attempt_ms(deadline: Deadline) -> int:
+    """Give the time of one attempt, which leaves some for another, in milliseconds."""
+    remaining_ms = deadline.remaining_ms
+    return max(min(remaining_ms, MIN_ATTEMPT_MS), int(remaining_ms * ATTEMPT_SHARE))
+
+
+def is_short(deadline: Deadline, timeout_s: float) -> bool:
+    """Tell whether the time left is better spent on asking than on a repeat."""
+    return deadline.remaining_s < timeout_s * ASK_SHARE
+
+
+def final_error(
+    exc: QuetzalrudderError, lost: QuetzalrudderError | None, request_id: str
+) -> QuetzalrudderError:
+    """Give the failure that a caller is told after the last attempt.
+
+    A refusal of the last attempt says nothing of an earlier one whose answer was
+    lost; the whole is then unknown, unless the refusal settles the request id.
+    """
+    if lost is None or isinstance(exc, DEFINITE):
+        return exc
+    reason = f"{lost.message}; then {exc.message}"
+    return OutcomeUnknown(reason, place=request_id, retry_after_ms=exc.retry_after_ms)
--- a/src/quetzalrudder/routing.py
+++ b/src/quetzalrudder/routing.py
@@ -75,6 +75,23 @@
             return Err(self._none_qualifies(group, policy))
         return Ok(self._pick(found))
 
+    def check_primary(
+        self, group: GroupId, primary: TargetView, covers: Position
+    ) -> Result[TargetView, QuetzalrudderError]:
+        """Check that a primary is not older than what a session has seen.
+
+        Returns
+        -------
+        Result[TargetView, QuetzalrudderError]
+            The primary, or ``PositionLost`` or ``NoPrimary``.
+        """
+        if log_dropped(primary.state.term_starts, covers):
+            return Err(PositionLost("a failover dropped what the session has seen", place=group))
+        if covers.term > primary.state.term:
+            reason = f"the primary of term {covers.term} is not known yet"
+            return Err(NoPrimary(reason, place=group, retry_after_ms=RETRY_AFTER_MS))
+        return Ok(primary)
+
     def _check_not_lost(self, group: GroupId, policy: ReadPolicy) -> PositionLost | None:
         primary = self._groups.primary(group)
         if primary is None or not log_dropped(primary.state.term_starts, policy.covers):
--- a/src/quetzalrudder/schema/caller/__init__.py
+++ b/src/quetzalrudder/schema/caller/__init__.py
@@ -78,6 +78,13 @@
 
     transaction_id: "str" = betterproto2.field(5, betterproto2.TYPE_STRING)
 
+    ending: "_common__.Ending" = betterproto2.field(
+        6, betterproto2.TYPE_ENUM, default_factory=lambda: _common__.Ending(0)
+    )
+    """
+    How the request that was asked about ended.
+    """
+
 
 default_message_pool.register_message("caller", "Answer", Answer)
 
@@ -125,6 +132,11 @@
 
     deadline_ms: "int" = betterproto2.field(3, betterproto2.TYPE_UINT32)
 
+    sent_ago_ms: "int | None" = betterproto2.field(4, betterproto2.TYPE_UINT32, optional=True)
+    """
+    Time since the write was first sent; without it, an unrecorded write is unknown.
+    """
+
 
 default_message_pool.register_message("caller", "AskOutcome", AskOutcome)
 
@@ -189,6 +201,18 @@
 
     deadline_ms: "int" = betterproto2.field(2, betterproto2.TYPE_UINT32)
 
+    token: "bytes" = betterproto2.field(3, betterproto2.TYPE_BYTES)
+
+    route: "str" = betterproto2.field(4, betterproto2.TYPE_STRING)
+    """
+    Where to ask about the outcome if the transaction is not open at this instance.
+    """
+
+    sent_ago_ms: "int | None" = betterproto2.field(5, betterproto2.TYPE_UINT32, optional=True)
+    """
+    Time since the commit was first sent; without it, an unrecorded commit is unknown.
+    """
+
 
 default_message_pool.register_message("caller", "Commit", Commit)
 
--- a/src/quetzalrudder/schema/common/__init__.py
+++ b/src/quetzalrudder/schema/common/__init__.py
@@ -125,6 +125,10 @@
 
     SETTINGS_TOO_OLD = 30
 
+    REQUEST_CANCELLED = 40
+
+    TRANSACTION_ABORTED = 41
+
     @classmethod
     def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
         return {
@@ -159,6 +163,8 @@
             28: "ERROR_CODE_REQUEST_CHANGED",
             29: "ERROR_CODE_BIND_FAILED",
             30: "ERROR_CODE_SETTINGS_TOO_OLD",
+            40: "ERROR_CODE_REQUEST_CANCELLED",
+            41: "ERROR_CODE_TRANSACTION_ABORTED",
         }
 
     @classmethod
@@ -195,6 +201,8 @@
             "ERROR_CODE_REQUEST_CHANGED": 28,
             "ERROR_CODE_BIND_FAILED": 29,
             "ERROR_CODE_SETTINGS_TOO_OLD": 30,
+            "ERROR_CODE_REQUEST_CANCELLED": 40,
+            "ERROR_CODE_TRANSACTION_ABORTED": 41,
         }
 
 
@@ -278,6 +286,11 @@
 
     marks: "list[Mark]" = betterproto2.field(2, betterproto2.TYPE_MESSAGE, repeated=True)
 
+    incomplete: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+    """
+    Marks were left out; a group without one is read at a primary that a majority confirms.
+    """
+
 
 default_message_pool.register_message("common", "SessionToken", SessionToken)
 
--- a/src/quetzalrudder/schema/settings/__init__.py
+++ b/src/quetzalrudder/schema/settings/__init__.py
@@ -131,6 +131,20 @@
     Oldest view of the keys that requests are served on, in milliseconds; 0 sets no bound.
     """
 
+    transaction_max_ms: "int | None" = betterproto2.field(
+        20, betterproto2.TYPE_UINT32, optional=True
+    )
+    """
+    Longest life of a transaction, in milliseconds.
+    """
+
+    transaction_idle_ms: "int | None" = betterproto2.field(
+        21, betterproto2.TYPE_UINT32, optional=True
+    )
+    """
+    A transaction without a statement for this time is rolled back, in milliseconds.
+    """
+
 
 default_message_pool.register_message("settings", "BranchSettings", BranchSettings)
 
--- a/src/quetzalrudder/schema/target/__init__.py
+++ b/src/quetzalrudder/schema/target/__init__.py
@@ -73,10 +73,29 @@
 
 @dataclass(eq=False, repr=False)
 class AskOutcome(betterproto2.Message):
+    """
+    Asks what became of a write; one that has not run is recorded as such and never runs.
+    """
+
     workspace: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
 
     request_id: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
 
+    term: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+    """
+    The term that the sender believes to be current.
+    """
+
+    sent_ago_ms: "int | None" = betterproto2.field(4, betterproto2.TYPE_UINT32, optional=True)
+    """
+    Time since the write was first sent; without it, nothing is recorded.
+    """
+
+    wait_ms: "int" = betterproto2.field(5, betterproto2.TYPE_UINT32)
+    """
+    Longest wait for locks; 0 takes the target's own limit.
+    """
+
 
 default_message_pool.register_message("target", "AskOutcome", AskOutcome)
 
@@ -87,6 +106,16 @@
 
     term: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
 
+    wait_ms: "int" = betterproto2.field(3, betterproto2.TYPE_UINT32)
+    """
+    Longest wait for locks; 0 takes the target's own limit.
+    """
+
+    idle_ms: "int" = betterproto2.field(4, betterproto2.TYPE_UINT32)
+    """
+    The target rolls back after this time without a statement; 0 takes its own limit.
+    """
+
 
 default_message_pool.register_message("target", "Begin", Begin)
 
@@ -147,6 +176,11 @@
     Set inside a transaction of this connection.
     """
 
+    wait_ms: "int" = betterproto2.field(8, betterproto2.TYPE_UINT32)
+    """
+    Longest wait for locks; 0 takes the target's own limit.
+    """
+
 
 default_message_pool.register_message("target", "Execute", Execute)
 
--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -1,28 +1,56 @@
 """A session: reads its own writes through whichever instance it reaches."""
 
 import itertools
+import random
 import uuid
 from collections.abc import Iterable
 from contextlib import ExitStack
 from dataclasses import dataclass
 
+import betterproto2
+
 from quetzalrudder.bridge import Loop
 from quetzalrudder.callers import GrpcCallerAdapter
 from quetzalrudder.exceptions import (
-    Draining,
     LinkLost,
     OutcomeUnknown,
     QuetzalrudderError,
-    TargetUnavailable,
+    RequestCancelled,
+)
+from quetzalrudder.retries import (
+    ELSEWHERE,
+    RepeatPolicy,
+    RetryBudget,
+    attempt_ms,
+    final_error,
+    is_short,
+)
+from quetzalrudder.schema.caller import (
+    Access,
+    Answer,
+    AskOutcome,
+    CallerFrame,
+    Commit,
+    Statement,
+)
+from quetzalrudder.schema.common import Ending, Rows
+from quetzalrudder.session_transactions import Transaction
+from quetzalrudder.utils import (
+    MS_PER_S,
+    Clock,
+    Deadline,
+    SqlValue,
+    SystemClock,
+    from_value,
+    parse_address,
+    to_value,
 )
-from quetzalrudder.schema.caller import Access, Answer, AskOutcome, CallerFrame, Statement
-from quetzalrudder.schema.common import Rows
-from quetzalrudder.utils import MS_PER_S, SqlValue, from_value, parse_address, to_value
 
 __all__ = ["QueryResult", "Session"]
 
 DEFAULT_TIMEOUT_S = 5.0
-ANSWER_GRACE_S = 1.0
+ANSWER_GRACE_S = 0.2
+MAX_REMEMBERED = 1024
 
 
 @dataclass(frozen=True)
@@ -38,6 +66,16 @@
     instance: str
     # True if an earlier run of the same request id gave this outcome.
     repeated: bool
+    ending: Ending = Ending.DONE
+
+
+@dataclass(frozen=True)
+class Sent:
+    """An answer, and the connection that it came by."""
+
+    adapter: GrpcCallerAdapter
+    answer: Answer
+    result: QueryResult
 
 
 class Session:
@@ -51,6 +89,10 @@
         Who calls; without a key only open routes are reached.
     timeout_s : float
         Longest wait for one request, in seconds.
+    clock : Clock, optional
+        Source of time.
+    rng : random.Random, optional
+        Spreads the pauses before repeats.
 
     Examples
     --------
@@ -66,13 +108,20 @@
         workspace: str = "",
         key: str = "",
         timeout_s: float = DEFAULT_TIMEOUT_S,
+        *,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         texts = [addresses] if isinstance(addresses, str) else list(addresses)
         self._addresses = [parse_address(text) for text in texts]
         self._next_address = itertools.cycle(self._addresses)
         self._workspace = workspace
         self._key = key
-        self._timeout_s = timeout_s
+        self.timeout_s = timeout_s
+        self._clock: Clock = clock or SystemClock()
+        self._repeats = RepeatPolicy(RetryBudget(), rng or random.Random())
+        # When each write that is still without an outcome was first sent, in seconds.
+        self._sent_at: dict[str, float] = {}
         self._stack = ExitStack()
         self._loop = self._stack.enter_context(Loop())
         self._adapter: GrpcCallerAdapter | None = None
@@ -139,12 +188,61 @@
         """
         return self._run(route, sql, params, access=Access.WRITE, request_id=request_id)
 
-    def ask_outcome(self, route: str, request_id: str) -> QueryResult:
-        """Ask what became of a write whose answer was lost."""
-        ask = AskOutcome(
-            route=route, request_id=request_id, deadline_ms=int(self._timeout_s * MS_PER_S)
-        )
-        return self._send(CallerFrame(request_id=uuid.uuid4().hex, ask_outcome=ask))
+    def transaction(self, route: str, *, request_id: str | None = None) -> Transaction:
+        """Open a transaction, to be used in a ``with`` block.
+
+        Parameters
+        ----------
+        route : str
+            Path of the route.
+        request_id : str, optional
+            Id of the commit; repeat a failed transaction with the id that it had.
+
+        Examples
+        --------
+        >>> with session.transaction("steppe/bookings") as tx:  # doctest: +SKIP
+        ...     tx.write("UPDATE offers SET booked = 1 WHERE plate = ?", "01 KZ 777")
+        ...     tx.write("INSERT INTO bookings VALUES (?)", "01 KZ 777")
+        """
+        return Transaction(self, route, request_id or uuid.uuid4().hex)
+
+    def ask_outcome(
+        self, route: str, request_id: str, *, sent_ago_s: float | None = None
+    ) -> QueryResult:
+        """Ask what became of a write or commit whose answer was lost.
+
+        Parameters
+        ----------
+        route : str
+            Path of the route.
+        request_id : str
+            Id of the write or commit.
+        sent_ago_s : float, optional
+            Time since it was first sent, in seconds; the session knows it of what
+            it sent itself. Without it, an unrecorded write stays unknown.
+
+        Returns
+        -------
+        QueryResult
+            With ending *done*, the first answer; with ending *not run*, a promise
+            that the request id never runs from now on.
+
+        Raises
+        ------
+        OutcomeUnknown
+            The question could not be answered yet.
+        """
+        ask = AskOutcome(route=route, request_id=request_id)
+        sent_at = self._sent_at.get(request_id)
+        if sent_ago_s is None and sent_at is not None:
+            sent_ago_s = self._clock.monotonic() - sent_at
+        if sent_ago_s is not None:
+            ask.sent_ago_ms = int(sent_ago_s * MS_PER_S)
+        return self.send(CallerFrame(request_id=uuid.uuid4().hex, ask_outcome=ask)).result
+
+    def reset_token(self) -> None:
+        """Forget what the session has seen, for example after ``PositionLost``."""
+        self.token = b""
 
     def _run(
         self,
@@ -163,36 +261,134 @@
             access=access,
             token=self.token,
             max_age_ms=max_age_ms,
-            deadline_ms=int(self._timeout_s * MS_PER_S),
         )
-        return self._send(CallerFrame(request_id=request_id or uuid.uuid4().hex, statement=stmt))
+        frame = CallerFrame(request_id=request_id or uuid.uuid4().hex, statement=stmt)
+        return self.send(frame).result
+
+    def send(self, frame: CallerFrame, first: GrpcCallerAdapter | None = None) -> Sent:
+        """Send a request, again through other instances where that is safe.
+
+        Parameters
+        ----------
+        frame : CallerFrame
+            The request.
+        first : GrpcCallerAdapter, optional
+            Connection of the first attempt; the session's own if omitted.
 
-    def _send(self, frame: CallerFrame) -> QueryResult:
-        last: QuetzalrudderError = TargetUnavailable("no instance")
-        for _ in range(len(self._addresses) + 1):
+        Raises
+        ------
+        QuetzalrudderError
+            The request failed; ``ending`` says whether it ran.
+        """
+        deadline = Deadline.after_ms(self._clock, int(self.timeout_s * MS_PER_S))
+        sent_at = self._clock.monotonic()
+        lost: QuetzalrudderError | None = None
+        self._repeats.budget.add_request()
+        for attempt in itertools.count(1):
             try:
-                adapter = self._connected()
-                answer = adapter.exchange(frame, self._timeout_s + ANSWER_GRACE_S).answer
-            except (LinkLost, Draining) as exc:
-                last = exc
-                self.roam()
-                continue
-            except OutcomeUnknown:
-                if self._adapter is not None and self._adapter.broken:
-                    self.roam()
-                raise
-            self.token = answer.token or self.token
-            return _to_result(answer, adapter.welcome.instance)
-        raise last
-
-    def _connected(self) -> GrpcCallerAdapter:
+                adapter, first = first or self._connected(deadline), None
+                self._note_sent(frame, sent_at)
+                return self._attempt(adapter, frame, deadline, sent_at)
+            except QuetzalrudderError as exc:
+                self._leave_after(exc)
+                lost = lost or _lost(frame, exc)
+                if lost is not None and is_short(deadline, self.timeout_s):
+                    return self._settle(frame, deadline, sent_at, lost)
+                pause_s = self._repeats.pause_s(exc, attempt, deadline)
+                if pause_s is None:
+                    raise final_error(exc, lost, frame.request_id) from exc
+                self._clock.sleep(pause_s)
+        raise AssertionError
+
+    def _settle(
+        self, frame: CallerFrame, deadline: Deadline, sent_at: float, lost: QuetzalrudderError
+    ) -> Sent:
+        _, request = betterproto2.which_one_of(frame, "kind")
+        ask = AskOutcome(
+            route=request.route,
+            request_id=frame.request_id,
+            sent_ago_ms=int((self._clock.monotonic() - sent_at) * MS_PER_S),
+        )
+        question = CallerFrame(request_id=uuid.uuid4().hex, ask_outcome=ask)
+        try:
+            sent = self._attempt(self._connected(deadline), question, deadline, sent_at)
+        except QuetzalrudderError as exc:
+            self._leave_after(exc)
+            raise final_error(exc, lost, frame.request_id) from exc
+        if sent.answer.ending is Ending.NOT_RUN:
+            raise RequestCancelled("the request has not run, and never will", place=request.route)
+        return sent
+
+    def _attempt(
+        self, adapter: GrpcCallerAdapter, frame: CallerFrame, deadline: Deadline, sent_at: float
+    ) -> Sent:
+        time_ms = attempt_ms(deadline)
+        _, request = betterproto2.which_one_of(frame, "kind")
+        request.deadline_ms = time_ms
+        if isinstance(request, Commit):
+            request.sent_ago_ms = int((self._clock.monotonic() - sent_at) * MS_PER_S)
+        answer = adapter.exchange(frame, time_ms / MS_PER_S + ANSWER_GRACE_S).answer
+        self.token = answer.token or self.token
+        result = _to_result(answer, adapter.welcome.instance)
+        if isinstance(request, AskOutcome):
+            return Sent(adapter, answer, result)
+        self._sent_at.pop(frame.request_id, None)
+        return Sent(adapter, answer, result)
+
+    def _note_sent(self, frame: CallerFrame, sent_at: float) -> None:
+        if not _changes_data(frame):
+            return
+        self._sent_at.setdefault(frame.request_id, sent_at)
+        while len(self._sent_at) > MAX_REMEMBERED:
+            self._sent_at.pop(next(iter(self._sent_at)))
+
+    def _leave_after(self, exc: QuetzalrudderError) -> None:
+        broken = self._adapter is not None and self._adapter.broken
+        elsewhere = exc.ending is Ending.UNKNOWN or isinstance(exc, ELSEWHERE)
+        if broken or elsewhere:
+            self.roam()
+
+    def exchange_on(self, adapter: GrpcCallerAdapter, frame: CallerFrame) -> QueryResult:
+        """Send a request on one connection, once.
+
+        Raises
+        ------
+        QuetzalrudderError
+            The request failed; ``ending`` says whether it ran.
+        """
+        answer = adapter.exchange(frame, self.timeout_s + ANSWER_GRACE_S).answer
+        self.token = answer.token or self.token
+        return _to_result(answer, adapter.welcome.instance)
+
+    def _connected(self, deadline: Deadline) -> GrpcCallerAdapter:
         if self._adapter is None or self._adapter.broken:
             self.roam()
-            self._adapter = GrpcCallerAdapter(
-                self._loop, next(self._next_address), self._workspace, self._key, self._timeout_s
-            )
+            self._adapter = self._connect(attempt_ms(deadline) / MS_PER_S)
         return self._adapter
 
+    def _connect(self, timeout_s: float) -> GrpcCallerAdapter:
+        address = next(self._next_address)
+        try:
+            return GrpcCallerAdapter(self._loop, address, self._workspace, self._key, timeout_s)
+        except (LinkLost, OutcomeUnknown) as exc:
+            reason = exc.message
+            raise LinkLost(reason, place=str(address), ending=Ending.NOT_RUN) from exc
+
+
+def _changes_data(frame: CallerFrame) -> bool:
+    match frame:
+        case CallerFrame(commit=Commit()):
+            return True
+        case CallerFrame(statement=Statement(access=Access.WRITE)):
+            return True
+        case _:
+            return False
+
+
+def _lost(frame: CallerFrame, exc: QuetzalrudderError) -> QuetzalrudderError | None:
+    """Give the failure if a change may have taken effect in spite of it."""
+    return exc if exc.ending is Ending.UNKNOWN and _changes_data(frame) else None
+
 
 def _to_result(answer: Answer, instance: str) -> QueryResult:
     rows = answer.rows or Rows()
@@ -203,4 +399,5 @@
         target=answer.target,
         instance=instance,
         repeated=answer.repeated_request,
+        ending=answer.ending or Ending.DONE,
     )
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -54,6 +54,8 @@
     confirm_majority=True,
     replica_wait_ms=20,
     key_view_max_age_ms=60_000,
+    transaction_max_ms=30_000,
+    transaction_idle_ms=5_000,
 )
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -1,23 +1,27 @@
 """Runs one request of a caller, whatever its kind, and gives its whole answer."""
 
 import hashlib
+import re
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from quetzalrudder.adapters import TargetRequest
 from quetzalrudder.exceptions import (
     AccessDenied,
     DeadlineExceeded,
     KeyInStatement,
     MalformedMessage,
+    OutcomeUnknown,
     QuetzalrudderError,
     RouteNotFound,
+    StatementFailed,
 )
 from quetzalrudder.groups import GroupTable, TargetView
 from quetzalrudder.models import GroupId, RequestId, RouteName, WorkspaceId
-from quetzalrudder.pool import ConnectionPool
+from quetzalrudder.pool import ConnectionPool, PooledConn
 from quetzalrudder.routing import ReadPolicy, ReadRouter
-from quetzalrudder.schema.caller import Access, Answer, AskOutcome, Statement
+from quetzalrudder.schema.caller import Access, Answer, AskOutcome, Begin, Statement
 from quetzalrudder.schema.common import Ending, Position
 from quetzalrudder.schema.settings import BranchSettings
 from quetzalrudder.schema.target import AskOutcome as TargetAskOutcome
@@ -27,10 +31,21 @@
 from quetzalrudder.utils import Clock, Deadline
 from quetzalrudder.writes import Confirmer, current_primary, unknown_if_sent
 
-__all__ = ["CallerIdentity", "StatementRunner"]
+__all__ = [
+    "CallerIdentity",
+    "Plan",
+    "StatementRunner",
+    "check_request_id",
+    "contains_key",
+    "controls_transaction",
+]
 
 MAX_READ_ATTEMPTS = 3
 MAX_REQUEST_ID_BYTES = 128
+LOCK_WAIT_SHARE = 0.8
+FIRST_WORD = re.compile(r"(?:\s|;|--[^\n]*(?:\n|$)|/\*.*?\*/)*([A-Za-z]+)", re.DOTALL)
+TRANSACTION_WORDS = {"BEGIN", "COMMIT", "END", "ROLLBACK", "SAVEPOINT", "RELEASE"}
+RETRY_AFTER_MS = 100
 
 
 @dataclass(frozen=True)
@@ -57,6 +72,11 @@
     marks: Marks
     deadline: Deadline
 
+    @property
+    def lock_wait_ms(self) -> int:
+        """Longest wait for locks at the target; leaves time for its refusal to come back."""
+        return max(1, int(self.deadline.remaining_ms * LOCK_WAIT_SHARE))
+
 
 class StatementRunner:
     """Runs reads, writes and questions about outcomes.
@@ -94,11 +114,12 @@
         tree: SettingsTree,
         caller: CallerIdentity,
         request_id: str,
-        req: Statement | AskOutcome,
+        req: Statement | Begin | AskOutcome,
     ) -> Result[Plan, QuetzalrudderError]:
         """Look up the route and check that the caller may use it."""
-        if not request_id or len(request_id.encode()) > MAX_REQUEST_ID_BYTES:
-            return Err(MalformedMessage("request id missing or too long", place="request_id"))
+        checked = check_request_id(request_id)
+        if isinstance(checked, Err):
+            return checked
         route = RouteName(req.route)
         if tree.route(route) is None:
             return Err(RouteNotFound("no such route", place=route))
@@ -126,6 +147,8 @@
         """Run one statement outside a transaction."""
         if contains_key(plan.caller.key, stmt):
             return Err(KeyInStatement("the statement contains the caller's key"))
+        if controls_transaction(stmt.sql):
+            return Err(StatementFailed("transactions are begun and ended by their own requests"))
         match stmt.access:
             case Access.READ:
                 return self._read(plan, stmt)
@@ -161,7 +184,7 @@
         return Err(last)
 
     def _write(self, plan: Plan, stmt: Statement) -> Result[Answer, QuetzalrudderError]:
-        primary = current_primary(self._groups, plan.group)
+        primary = self.primary(plan)
         if isinstance(primary, Err):
             return primary
         view = primary.ok_value
@@ -172,36 +195,81 @@
             write=True,
             term=view.state.term,
             request_id=plan.request_id,
+            wait_ms=plan.lock_wait_ms,
         )
-        return self._finish_write(plan, view, self._send(plan, view, req))
+        return self.finish_write(plan, view, self._send(plan, view, req))
 
-    def _finish_write(
+    def primary(self, plan: Plan) -> Result[TargetView, QuetzalrudderError]:
+        """Find the primary, which must not be older than what the session has seen."""
+        primary = current_primary(self._groups, plan.group)
+        if isinstance(primary, Err):
+            return primary
+        return self._router.check_primary(plan.group, primary.ok_value, plan.marks.of(plan.group))
+
+    def finish_write(
         self, plan: Plan, view: TargetView, sent: Result[TargetAnswer, QuetzalrudderError]
     ) -> Result[Answer, QuetzalrudderError]:
+        """Confirm a write that the primary has answered, and make the caller's answer."""
         if isinstance(sent, Err):
             return Err(unknown_if_sent(sent.err_value))
         answer = sent.ok_value
-        if plan.settings.confirm_majority:
-            confirmed = self._confirmer.confirm(plan.group, answer.position, plan.deadline)
-            if isinstance(confirmed, Err):
-                return confirmed
+        confirmed = self._confirm(plan, answer, answer.position)
+        if isinstance(confirmed, Err):
+            return confirmed
         return Ok(self._answer(plan, view, answer, answer.position))
 
+    def _confirm(
+        self, plan: Plan, answer: TargetAnswer, position: Position
+    ) -> Result[None, QuetzalrudderError]:
+        if not plan.settings.confirm_majority and not answer.repeated_request:
+            return Ok(None)
+        position = position_to_confirm(answer, position)
+        return self._confirmer.confirm(plan.group, position, plan.deadline)
+
     def ask_outcome(self, plan: Plan, ask: AskOutcome) -> Result[Answer, QuetzalrudderError]:
-        """Tell what became of an earlier write of the same workspace."""
-        primary = current_primary(self._groups, plan.group)
+        """Tell what became of an earlier write of the same workspace.
+
+        Returns
+        -------
+        Result[Answer, QuetzalrudderError]
+            The first answer, with ending *done*; or an answer with ending *not run*,
+            after which the request id never runs; or ``OutcomeUnknown``.
+        """
+        primary = self.primary(plan)
         if isinstance(primary, Err):
-            return primary
+            return Err(still_unknown(primary.err_value))
         view = primary.ok_value
-        req = TargetAskOutcome(workspace=plan.caller.workspace, request_id=ask.request_id)
+        req = TargetAskOutcome(
+            workspace=plan.caller.workspace,
+            request_id=ask.request_id,
+            term=view.state.term,
+            sent_ago_ms=ask.sent_ago_ms,
+            wait_ms=plan.lock_wait_ms,
+        )
         sent = self._send(plan, view, req)
         if isinstance(sent, Err):
-            return Err(not_run(sent.err_value))
-        outcome = sent.ok_value.outcome
+            return Err(still_unknown(sent.err_value))
+        return self._tell_outcome(plan, view, sent.ok_value)
+
+    def _tell_outcome(
+        self, plan: Plan, view: TargetView, answer: TargetAnswer
+    ) -> Result[Answer, QuetzalrudderError]:
+        outcome = answer.outcome
         if outcome is None or not outcome.found:
-            return Ok(Answer(target=view.info.target))
-        found = TargetAnswer(rows=outcome.rows, position=outcome.position, repeated_request=True)
-        return self._finish_write(plan, view, Ok(found))
+            return Err(OutcomeUnknown("the target recorded no outcome", place=plan.group))
+        found = TargetAnswer(
+            rows=outcome.rows,
+            position=outcome.position,
+            state=answer.state,
+            repeated_request=True,
+        )
+        confirmed = self._confirm(plan, found, outcome.position)
+        if isinstance(confirmed, Err):
+            return confirmed
+        told = self._answer(plan, view, found, outcome.position)
+        told.ending = Ending.NOT_RUN if outcome.failure is not None else Ending.DONE
+        told.repeated_request = outcome.failure is None
+        return Ok(told)
 
     def _send(
         self, plan: Plan, view: TargetView, req: Execute | TargetAskOutcome
@@ -210,8 +278,19 @@
         if isinstance(borrowed, Err):
             return borrowed
         with borrowed.ok_value as pooled:
-            asked_at = self._clock.monotonic()
-            answer = pooled.conn.request(req, plan.deadline.remaining_s)
+            return self.exchange(pooled, view, req, plan.deadline)
+
+    def exchange(
+        self, pooled: PooledConn, view: TargetView, req: TargetRequest, deadline: Deadline
+    ) -> Result[TargetAnswer, QuetzalrudderError]:
+        """Send one request on a borrowed connection, and note what the target says of itself."""
+        if deadline.passed:
+            reason = "no time was left to send the statement"
+            return Err(
+                DeadlineExceeded(reason, place=view.info.target, retry_after_ms=RETRY_AFTER_MS)
+            )
+        asked_at = self._clock.monotonic()
+        answer = pooled.conn.request(req, deadline.remaining_s)
         if isinstance(answer, Ok) and answer.ok_value.state is not None:
             self._groups.observe(view.info, answer.ok_value.state, asked_at)
         return answer
@@ -228,6 +307,13 @@
         )
 
 
+def check_request_id(request_id: str) -> Result[None, MalformedMessage]:
+    """Check that a request id is there and short enough to be recorded."""
+    if request_id and len(request_id.encode()) <= MAX_REQUEST_ID_BYTES:
+        return Ok(None)
+    return Err(MalformedMessage("request id missing or too long", place="request_id"))
+
+
 def may_use(workspace: WorkspaceId, route: RouteName) -> bool:
     """Tell whether a workspace stands under the same branch as a route.
 
@@ -250,6 +336,37 @@
     return any(key in text for text in texts) or any(key.encode() in blob for blob in blobs)
 
 
+def controls_transaction(sql: str) -> bool:
+    """Tell whether a statement would begin or end a transaction behind the proxy's back.
+
+    Examples
+    --------
+    >>> controls_transaction(" /* now */ commit;"), controls_transaction("SELECT 'COMMIT'")
+    (True, False)
+    """
+    match = FIRST_WORD.match(sql)
+    return match is not None and match[1].upper() in TRANSACTION_WORDS
+
+
+def position_to_confirm(answer: TargetAnswer, position: Position) -> Position:
+    """Give the position whose confirmation proves that a write stays.
+
+    Targets confirm positions of the current term only. An outcome that an earlier
+    term recorded is covered by what the primary has appended since it was promoted.
+    """
+    state = answer.state
+    if state is None or state.received is None or state.term == position.term:
+        return position
+    return state.received
+
+
+def still_unknown(exc: QuetzalrudderError) -> QuetzalrudderError:
+    """Tell that a question about an outcome got no answer."""
+    return OutcomeUnknown(
+        exc.message, place=exc.place, retry_after_ms=exc.retry_after_ms or RETRY_AFTER_MS
+    )
+
+
 def not_run(exc: QuetzalrudderError) -> QuetzalrudderError:
     """Tell the failure of a read, which had no effect, as not run."""
     exc.ending = Ending.NOT_RUN
--- a/src/quetzalrudder/tokens.py
+++ b/src/quetzalrudder/tokens.py
@@ -37,6 +37,13 @@
             return self
         return Marks({**self.by_group, group: position})
 
+    def merge(self, other: "Marks") -> "Marks":
+        """Give marks that cover both."""
+        merged = self
+        for group, position in other.by_group.items():
+            merged = merged.advance(group, position)
+        return merged
+
 
 def encode_token(workspace: WorkspaceId, marks: Marks) -> bytes:
     """Write marks as an opaque token."""
--- a/standins/database.py
+++ b/standins/database.py
@@ -2,12 +2,13 @@
 
 import hashlib
 import sqlite3
-from collections.abc import Iterable, Iterator
+import time
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 
 from result import Err, Ok, Result
 
-from quetzalrudder.exceptions import RequestChanged, StatementFailed
+from quetzalrudder.exceptions import RequestCancelled, RequestChanged, StatementFailed, to_failure
 from quetzalrudder.schema.common import Position, Row, Rows, TermStart
 from quetzalrudder.schema.standin import Change, LogEntry
 from quetzalrudder.schema.target import Outcome
@@ -17,11 +18,19 @@
 CREATE TABLE IF NOT EXISTS quetzalrudder_requests (
     request_key TEXT PRIMARY KEY,
     fingerprint TEXT NOT NULL,
-    outcome BLOB NOT NULL
+    outcome BLOB NOT NULL,
+    recorded_ms INTEGER NOT NULL
 )
 """
-RECORD_OUTCOME = "INSERT INTO quetzalrudder_requests VALUES (?, ?, ?)"
+REQUESTS_INDEX = """
+CREATE INDEX IF NOT EXISTS quetzalrudder_requests_by_age ON quetzalrudder_requests (recorded_ms)
+"""
+RECORD_OUTCOME = "INSERT INTO quetzalrudder_requests VALUES (?, ?, ?, ?)"
+FORGET_OUTCOMES = "DELETE FROM quetzalrudder_requests WHERE recorded_ms < ?"
 FIND_OUTCOME = "SELECT fingerprint, outcome FROM quetzalrudder_requests WHERE request_key = ?"
+OUTCOME_AGE_MS = 3_600_000
+CLOCK_SKEW_MS = 60_000
+MS_PER_S = 1000
 
 
 def fingerprint(changes: Iterable[Change]) -> str:
@@ -43,6 +52,7 @@
 def _new_database() -> sqlite3.Connection:
     db = sqlite3.connect(":memory:", isolation_level=None)
     db.execute(REQUESTS_TABLE)
+    db.execute(REQUESTS_INDEX)
     return db
 
 
@@ -51,9 +61,20 @@
 
     Every entry that is applied is run on both, so that a rolled-back transaction
     touches only its own copy.
+
+    Parameters
+    ----------
+    wall : Callable
+        Gives the time in seconds since the Unix epoch; outcomes are dated by it.
+    outcome_age_ms : int
+        Outcomes older than this are forgotten, in milliseconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, wall: Callable[[], float] = time.time, outcome_age_ms: int = OUTCOME_AGE_MS
+    ) -> None:
+        self.outcome_age_ms = outcome_age_ms
+        self._wall = wall
         self.entries: list[LogEntry] = []
         self.applied_index = 0
         self._visible = _new_database()
@@ -117,20 +138,48 @@
         row = self._visible.execute(FIND_OUTCOME, [request_key]).fetchone()
         if row is None:
             return Ok(None)
-        if row[0] != fingerprint(changes):
+        outcome = Outcome.parse(row[1])
+        if outcome.failure is None and row[0] != fingerprint(changes):
             return Err(RequestChanged("the request id was used for another statement"))
-        return Ok(Outcome.parse(row[1]))
+        return Ok(outcome)
+
+    def remembers(self, ago_ms: int) -> bool:
+        """Tell whether an outcome recorded that long ago would still be found."""
+        return ago_ms < self.outcome_age_ms - CLOCK_SKEW_MS
+
+    def record_not_run(self, term: int, request_key: str) -> Outcome:
+        """Append a record that a request has not run, so that it never runs."""
+        position = Position(term=term, index=len(self.entries) + 1)
+        refusal = RequestCancelled("the request was told as not run")
+        outcome = Outcome(found=True, position=position, failure=to_failure(refusal))
+        self.begin()
+        self._finish(position, [], self._records(request_key, "", outcome))
+        return outcome
+
+    def _records(self, request_key: str, digest: str, outcome: Outcome) -> list[Change]:
+        now_ms = int(self._wall() * MS_PER_S)
+        params = [request_key, digest, bytes(outcome), now_ms]
+        forget = [to_value(now_ms - self.outcome_age_ms)]
+        return [
+            Change(sql=FORGET_OUTCOMES, params=forget),
+            Change(sql=RECORD_OUTCOME, params=[to_value(p) for p in params]),
+        ]
 
     def begin(self) -> None:
         """Open a transaction on the working copy."""
         self._working.execute("BEGIN")
 
-    def run_in_transaction(self, change: Change) -> Result[Rows, StatementFailed]:
+    def run_in_transaction(
+        self, change: Change, *, write: bool = True
+    ) -> Result[Rows, StatementFailed]:
         """Run a statement on the working copy."""
+        self._working.execute(f"PRAGMA query_only = {'OFF' if write else 'ON'}")
         try:
             return Ok(run_sql(self._working, change))
         except (sqlite3.Error, ValueError, OverflowError) as exc:
             return Err(StatementFailed(str(exc)))
+        finally:
+            self._working.execute("PRAGMA query_only = OFF")
 
     def rollback(self) -> None:
         """Undo the open transaction."""
@@ -139,20 +188,21 @@
 
     def commit(self, term: int, changes: list[Change], request_key: str, rows: Rows) -> Position:
         """Commit the open transaction with its outcome, append it and make it visible."""
-        index = len(self.entries) + 1
-        position = Position(term=term, index=index)
-        logged = list(changes)
-        if request_key:
-            outcome = Outcome(found=True, position=position, rows=rows)
-            params = [request_key, fingerprint(changes), bytes(outcome)]
-            record = Change(sql=RECORD_OUTCOME, params=[to_value(p) for p in params])
+        position = Position(term=term, index=len(self.entries) + 1)
+        outcome = Outcome(found=True, position=position, rows=rows)
+        digest = fingerprint(changes)
+        records = self._records(request_key, digest, outcome) if request_key else []
+        self._finish(position, changes, records)
+        return position
+
+    def _finish(self, position: Position, changes: list[Change], records: list[Change]) -> None:
+        for record in records:
             run_sql(self._working, record)
-            logged.append(record)
         self._working.execute("COMMIT")
-        self.entries.append(LogEntry(term=term, index=index, changes=logged))
+        logged = [*changes, *records]
+        self.entries.append(LogEntry(term=position.term, index=position.index, changes=logged))
         self._run_entry(self._visible, self.entries[-1])
-        self.applied_index = index
-        return position
+        self.applied_index = position.index
 
     def append_empty(self, term: int) -> None:
         """Append an entry that only marks the start of a term."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -15,26 +15,17 @@
     MalformedMessage,
     QuetzalrudderError,
     StaleTerm,
-    StatementFailed,
-    TransactionNotFound,
     to_failure,
 )
 from quetzalrudder.schema.common import Position, Rows
-from quetzalrudder.schema.standin import Change
 from quetzalrudder.schema.target import (
-    AskOutcome,
-    Begin,
-    Commit,
     Confirm,
-    Execute,
     Fence,
     Follow,
     Open,
-    Outcome,
     Probe,
     Promote,
     Role,
-    Rollback,
     State,
     TargetAnswer,
     TargetBase,
@@ -43,9 +34,9 @@
 from standins.database import Database
 from standins.replication import Follower, ReplicationService
 from standins.serving import FaultState, RecordingCodec, StandInControl, serve
+from standins.statements import StatementConn
 
 OPEN_S = 0.012
-STATEMENT_S = 0.001
 RETRY_AFTER_MS = 100
 
 
@@ -77,6 +68,7 @@
         self.connections = 0
         self.statements = 0
         self.follower: Follower | None = None
+        self.open_transaction: StatementConn | None = None
 
     def state(self) -> State:
         """Tell role, term, positions and load."""
@@ -124,6 +116,8 @@
         self.term = term
         self.proposer = proposer
         self.role = role
+        if self.open_transaction is not None:
+            self.open_transaction.abandon()
         if self.follower is not None:
             self.follower.stop()
             self.follower = None
@@ -174,145 +168,6 @@
                     await asyncio.wait_for(self.changed.wait(), left)
 
 
-class StatementConn:
-    """One connection: runs its frames in order, and owns at most one transaction."""
-
-    def __init__(self, target: TargetState) -> None:
-        self._target = target
-        self._changes: list[Change] | None = None
-        self._term = 0
-
-    @property
-    def in_transaction(self) -> bool:
-        """True while a transaction is open."""
-        return self._changes is not None
-
-    async def run(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
-        """Run one request in a slot."""
-        target = self._target
-        target.load += 1
-        try:
-            async with target.slots:
-                await asyncio.sleep(STATEMENT_S)
-                target.statements += 1
-                return await self._dispatch(req)
-        finally:
-            target.load -= 1
-
-    async def _dispatch(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
-        match req:
-            case Execute(in_transaction=True):
-                return self._run_in_transaction(req)
-            case Execute(write=True):
-                return await self._write(req)
-            case Execute():
-                return self._read(req)
-            case AskOutcome():
-                return self._ask_outcome(req)
-            case Begin():
-                return await self._begin(req)
-            case Commit():
-                return await self._commit(req)
-            case Rollback():
-                self.abandon()
-                return Ok(TargetAnswer())
-            case _:
-                return Err(MalformedMessage("not a request for a statement connection"))
-
-    def _read(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
-        rows = self._target.database.read(Change(sql=req.sql, params=req.params))
-        return rows.map(lambda found: TargetAnswer(rows=found))
-
-    async def _write(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
-        target = self._target
-        changes = [Change(sql=req.sql, params=req.params)]
-        async with target.write_lock:
-            if not target.accepts_writes(req.term):
-                return Err(target.stale())
-            key = request_key(req.workspace, req.request_id)
-            recorded = target.database.recorded(key, changes)
-            if isinstance(recorded, Err):
-                return recorded
-            if recorded.ok_value is not None:
-                return Ok(_repeat(recorded.ok_value))
-            answer = self._commit_single(changes[0], req.term, key)
-        await target.notify()
-        return answer
-
-    def _commit_single(
-        self, change: Change, term: int, key: str
-    ) -> Result[TargetAnswer, QuetzalrudderError]:
-        database = self._target.database
-        database.begin()
-        ran = database.run_in_transaction(change)
-        if isinstance(ran, Err):
-            database.rollback()
-            return ran
-        position = database.commit(term, [change], key, ran.ok_value)
-        return Ok(TargetAnswer(rows=ran.ok_value, position=position))
-
-    def _ask_outcome(self, req: AskOutcome) -> Result[TargetAnswer, QuetzalrudderError]:
-        key = request_key(req.workspace, req.request_id)
-        outcome = self._target.database.outcome(key)
-        return Ok(TargetAnswer(outcome=outcome or Outcome(found=False)))
-
-    async def _begin(self, req: Begin) -> Result[TargetAnswer, QuetzalrudderError]:
-        if self.in_transaction:
-            return Err(StatementFailed("a transaction is open already"))
-        if not self._target.accepts_writes(req.term):
-            return Err(self._target.stale())
-        await self._target.write_lock.acquire()
-        if not self._target.accepts_writes(req.term):
-            self._target.write_lock.release()
-            return Err(self._target.stale())
-        self._target.database.begin()
-        self._changes = []
-        self._term = req.term
-        return Ok(TargetAnswer())
-
-    def _run_in_transaction(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
-        if self._changes is None:
-            return Err(TransactionNotFound("no transaction is open"))
-        change = Change(sql=req.sql, params=req.params)
-        ran = self._target.database.run_in_transaction(change)
-        if isinstance(ran, Err):
-            return ran
-        self._changes.append(change)
-        return Ok(TargetAnswer(rows=ran.ok_value))
-
-    async def _commit(self, req: Commit) -> Result[TargetAnswer, QuetzalrudderError]:
-        target = self._target
-        if self._changes is None:
-            return Err(TransactionNotFound("no transaction is open"))
-        if not target.accepts_writes(self._term):
-            self.abandon()
-            return Err(target.stale())
-        key = request_key(req.workspace, req.request_id)
-        position = target.database.commit(self._term, self._changes, key, Rows())
-        self._release()
-        await target.notify()
-        return Ok(TargetAnswer(position=position))
-
-    def abandon(self) -> None:
-        """Roll back what is open."""
-        if self._changes is not None:
-            self._target.database.rollback()
-            self._release()
-
-    def _release(self) -> None:
-        self._changes = None
-        self._target.write_lock.release()
-
-
-def request_key(workspace: str, request_id: str) -> str:
-    """Name a request among those of all workspaces; empty without a request id."""
-    return f"{workspace}\n{request_id}" if request_id else ""
-
-
-def _repeat(outcome: Outcome) -> TargetAnswer:
-    return TargetAnswer(rows=outcome.rows, position=outcome.position, repeated_request=True)
-
-
 class TargetService(TargetBase):
     """The published protocol of a target."""
 
--- /dev/null
+++ b/tests/test_transactions.py
@@ -0,0 +1,208 @@
+import signal
+import threading
+import time
+
+import pytest
+
+from quetzalrudder.exceptions import (
+    KeyWithdrawn,
+    Overloaded,
+    QuetzalrudderError,
+    StatementFailed,
+    TransactionAborted,
+    TransactionNotFound,
+)
+from quetzalrudder.schema.caller import CallerFrame, Commit
+from quetzalrudder.schema.common import Ending
+from standins.demo import STEPPE_SETTINGS
+from standins.fleet import Fleet
+from tests.conftest import SMALL
+from tests.helpers import grant_key, wait_for, wait_for_revision
+
+WORKSPACE = "steppe/branch-1"
+ROUTE = "steppe/bookings"
+INSERT = "INSERT INTO bookings VALUES (?, ?)"
+SELECT = "SELECT price FROM bookings WHERE plate = ? ORDER BY price"
+PRIMARY = "valuation-core-2-a"
+SETTINGS = STEPPE_SETTINGS.replace(
+    "[route steppe/bookings]",
+    "[route steppe/bookings]\ntransaction_idle_ms = 3000",
+)
+BRIEF = "[route steppe/brief]\ngroup = valuation-core-2\ntransaction_idle_ms = 200\n"
+
+
+@pytest.fixture(scope="module")
+def tx_fleet():
+    with Fleet(SMALL, f"{SETTINGS}\n{BRIEF}") as running:
+        yield running
+
+
+@pytest.fixture(scope="module")
+def key(tx_fleet):
+    granted = grant_key(tx_fleet, WORKSPACE)
+    with tx_fleet.session("astana-a-1", workspace=WORKSPACE, key=granted) as session:
+        session.write(ROUTE, "CREATE TABLE bookings (plate TEXT, price INTEGER)")
+    return granted
+
+
+@pytest.fixture
+def sessions(tx_fleet, key):
+    """Two sessions, through different instances."""
+    first = tx_fleet.session("astana-a-1", "astana-b-1", workspace=WORKSPACE, key=key)
+    second = tx_fleet.session("karaganda-1", workspace=WORKSPACE, key=key)
+    with first, second:
+        yield first, second
+
+
+def prices(session, plate):
+    return [row[0] for row in session.read(ROUTE, SELECT, plate).rows]
+
+
+def test_commit_takes_effect_together_and_reads_inside_see_the_writes(sessions):
+    first, second = sessions
+    with first.transaction(ROUTE) as tx:
+        tx.write(INSERT, "tx-1", 1)
+        tx.write(INSERT, "tx-1", 2)
+        assert [row[0] for row in tx.read(SELECT, "tx-1").rows] == [1, 2]
+        assert prices(second, "tx-1") == []
+    first.roam()
+    assert prices(first, "tx-1") == [1, 2]
+    assert tx.result.ending is Ending.DONE
+
+
+def test_exception_in_the_block_rolls_back(sessions):
+    first, _ = sessions
+    with pytest.raises(ZeroDivisionError), first.transaction(ROUTE) as tx:
+        tx.write(INSERT, "tx-2", 1)
+        tx.write(INSERT, "tx-2", 1 // 0)
+    assert prices(first, "tx-2") == []
+
+
+def test_failed_statement_leaves_the_transaction_open(sessions):
+    first, _ = sessions
+    with first.transaction(ROUTE) as tx:
+        tx.write(INSERT, "tx-3", 1)
+        with pytest.raises(StatementFailed):
+            tx.write("INSERT INTO nowhere VALUES (1)")
+        with pytest.raises(StatementFailed):
+            tx.write(" commit")
+        with pytest.raises(StatementFailed):
+            tx.read(INSERT, "tx-3", 2)
+    assert prices(first, "tx-3") == [1]
+
+
+def test_caller_that_dies_is_rolled_back_at_once(sessions):
+    first, second = sessions
+    tx = first.transaction(ROUTE).__enter__()
+    tx.write(INSERT, "tx-4", 1)
+    first.roam()
+    second.write(ROUTE, INSERT, "tx-4", 2)
+    assert prices(second, "tx-4") == [2]
+    with pytest.raises(TransactionAborted):
+        tx.write(INSERT, "tx-4", 3)
+
+
+def test_idle_transaction_is_rolled_back(sessions):
+    first, second = sessions
+    tx = first.transaction("steppe/brief").__enter__()
+    tx.write(INSERT, "tx-5", 1)
+    second.write(ROUTE, INSERT, "tx-5", 2)
+    with pytest.raises((TransactionAborted, TransactionNotFound)) as ended:
+        tx.commit()
+    assert ended.value.ending is Ending.NOT_RUN
+    assert prices(first, "tx-5") == [2]
+
+
+def test_waiting_transactions_end_in_time_and_hold_no_slot(sessions, tx_fleet, key):
+    first, second = sessions
+    second.timeout_s = 1.0
+    refused = []
+    with first.transaction(ROUTE) as tx:
+        tx.write(INSERT, "tx-6", 1)
+        waiting = [
+            threading.Thread(target=begin_expecting_overload, args=(tx_fleet, key, refused))
+            for _ in range(SMALL.slots + 1)
+        ]
+        for thread in waiting:
+            thread.start()
+        tx.write(INSERT, "tx-6", 2)
+        assert prices(second, "tx-6") == []
+        for thread in waiting:
+            thread.join()
+    assert prices(first, "tx-6") == [1, 2]
+    assert all(exc.ending is Ending.NOT_RUN and exc.retry_after_ms for exc in refused)
+    assert len(refused) == SMALL.slots + 1
+    assert any(isinstance(exc, Overloaded) for exc in refused)
+
+
+def begin_expecting_overload(fleet, key, refused):
+    session = fleet.session("astana-b-1", workspace=WORKSPACE, key=key)
+    session.timeout_s = 1.0
+    try:
+        with session, session.transaction(ROUTE):
+            pass
+    except QuetzalrudderError as exc:
+        refused.append(exc)
+
+
+def test_commit_repeated_through_another_instance_gets_the_first_outcome(sessions):
+    first, second = sessions
+    for repeated in (False, True):
+        with first.transaction(ROUTE, request_id="commit-7") as tx:
+            tx.write(INSERT, "tx-7", 7)
+        assert tx.result.repeated is repeated
+    commit = Commit(transaction_id=tx._transaction_id, route=ROUTE)
+    answer = second.send(CallerFrame(request_id="commit-7", commit=commit)).result
+    assert (answer.ending, answer.repeated) == (Ending.DONE, True)
+    assert prices(second, "tx-7") == [7]
+
+
+def test_commit_of_a_lost_transaction_is_told_as_not_run_only_once_it_never_can(sessions):
+    first, second = sessions
+    frame = CallerFrame(request_id="commit-8", commit=Commit(transaction_id="x", route=ROUTE))
+    with pytest.raises(TransactionNotFound) as ended:
+        second.send(frame)
+    assert ended.value.ending is Ending.NOT_RUN
+    with (
+        pytest.raises(QuetzalrudderError) as refused,
+        first.transaction(ROUTE, request_id="commit-8") as tx,
+    ):
+        tx.write(INSERT, "tx-8", 8)
+    assert refused.value.ending is Ending.NOT_RUN
+    assert prices(first, "tx-8") == []
+
+
+def test_withdrawn_key_rolls_back(tx_fleet, sessions):
+    granted = grant_key(tx_fleet, "steppe/branch-2")
+    with tx_fleet.session("astana-b-1", workspace="steppe/branch-2", key=granted) as session:
+        tx = session.transaction(ROUTE).__enter__()
+        tx.write(INSERT, "tx-9", 1)
+        change = tx_fleet.operator("astana-a-1").withdraw_key("steppe/branch-2", granted)
+        wait_for_revision(tx_fleet, change.revision)
+        sessions[1].write(ROUTE, INSERT, "tx-9", 2)
+        with pytest.raises(KeyWithdrawn):
+            tx.commit()
+    assert prices(sessions[1], "tx-9") == [2]
+
+
+def test_drain_waits_for_an_open_transaction_and_a_killed_instance_rolls_back(tx_fleet, key):
+    drained = tx_fleet.session("astana-b-1", "karaganda-1", workspace=WORKSPACE, key=key)
+    killed = tx_fleet.session("astana-a-1", "karaganda-1", workspace=WORKSPACE, key=key)
+    with drained, killed:
+        with drained.transaction(ROUTE) as tx:
+            tx.write(INSERT, "tx-10", 1)
+            tx_fleet.signal("astana-b-1", signal.SIGTERM)
+            state = tx_fleet.operator("astana-b-1").status
+            wait_for(lambda: state().state == "draining", "the drain")
+            time.sleep(0.6)
+            tx.write(INSERT, "tx-10", 2)
+        assert prices(drained, "tx-10") == [1, 2]
+        tx = killed.transaction(ROUTE).__enter__()
+        tx.write(INSERT, "tx-10", 3)
+        tx_fleet.kill("astana-a-1")
+        with pytest.raises(TransactionAborted) as ended:
+            tx.write(INSERT, "tx-10", 4)
+        with killed.transaction(ROUTE) as successor:
+            successor.write(INSERT, "tx-10", 5)
+        assert ended.value.ending is Ending.NOT_RUN
+        assert prices(killed, "tx-10") == [1, 2, 5]
