At most once, shown against a naive proxy under random faults

Change: a naive proxy and an in-process group (the stand-in's targets without network); histories of writes, reads, questions, kills, isolation, failovers and late deliveries. The stand-in loses answers when told so.

Ruled out: the property passing for lack of power.

--- a/standins/target.py
+++ b/standins/target.py
@@ -203,6 +203,8 @@
             async for frame in messages:
                 await target.faults.wait_while_blocked(opening.open.data_centre)
                 answer = self._answer(frame, await conn.run(_request_of(frame)))
+                if answer.position is not None and target.faults.take("lose_answers"):
+                    return
                 await target.faults.wait_while_blocked(opening.open.data_centre)
                 yield answer
         finally:
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,270 @@
+"""One database group in this process: the stand-in's targets without their network."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+from result import Err, Ok
+
+from quetzalrudder.adapters import TargetInfo
+from quetzalrudder.exceptions import (
+    LinkLost,
+    OutcomeUnknown,
+    TargetUnavailable,
+    TruncatedAnswer,
+)
+from quetzalrudder.groups import GroupTable
+from quetzalrudder.pool import ConnectionPool
+from quetzalrudder.routing import ReadRouter
+from quetzalrudder.schema.settings import Tree
+from quetzalrudder.schema.target import Fence, Promote, Role
+from quetzalrudder.settings import SettingsTree, parse_branches
+from quetzalrudder.statements import CallerIdentity, StatementRunner
+from quetzalrudder.utils import Address
+from standins.database import Database
+from standins.serving import FaultState
+from standins.statements import StatementConn
+from standins.target import TargetConfig, TargetState
+from tests.clocks import ManualClock
+
+GROUP = "valuation"
+ROUTE = "steppe/offers"
+DATA_CENTRES = ("astana-a", "astana-b", "karaganda")
+CALLER = CallerIdentity("steppe/branch-1", "")
+SETTINGS = """
+[root]
+deadline_ms = 1000
+[branch steppe]
+group = valuation
+open = true
+[route steppe/offers]
+[route steppe/comparables]
+max_age_ms = 500
+[workspace steppe/branch-1]
+"""
+
+
+class Fault(Enum):
+    NONE = "none"
+    # The request never arrives.
+    DROP = "drop"
+    # The request runs, and its answer is lost.
+    LOSE_ANSWER = "lose-answer"
+    # The request runs once the test says so, long after it was given up.
+    LATE = "late"
+    # The answer misses its last row.
+    TRUNCATE = "truncate"
+
+
+def make_tree(text=SETTINGS):
+    return SettingsTree(Tree(revision=1, branches=parse_branches(text)))
+
+
+class FakeConn:
+    """A target connection that fails as its group says."""
+
+    def __init__(self, group, target, generation):
+        self.group = group
+        self.target = target
+        self.conn = StatementConn(target)
+        self.broken = False
+
+    def request(self, req, timeout_s):
+        group, fault = self.group, self.group.take_fault()
+        if not group.reaches(self.target):
+            self.broken = True
+            return Err(LinkLost("cut off", place=self.target.cfg.target))
+        if fault is Fault.DROP:
+            self.broken = True
+            return Err(OutcomeUnknown("no answer in time"))
+        if fault is Fault.LATE:
+            self.broken = True
+            group.late.append((self, req))
+            return Err(OutcomeUnknown("no answer in time"))
+        answer = group.run(self.conn, req)
+        if fault is Fault.LOSE_ANSWER:
+            self.broken = True
+            return Err(LinkLost("the connection broke"))
+        if fault is Fault.TRUNCATE and isinstance(answer, Ok) and answer.ok_value.rows:
+            self.broken = True
+            return Err(TruncatedAnswer("0 of 1 rows came"))
+        return answer
+
+    def close(self):
+        self.conn.abandon()
+
+
+class FakeConfirmer:
+    """Confirms by looking at the targets, as the real one does by asking them."""
+
+    def __init__(self, group, data_centre):
+        self.group = group
+        self.data_centre = data_centre
+
+    def confirm(self, _, position, deadline):
+        group = self.group
+        group.replicate()
+        holders = [
+            target
+            for target in group.targets
+            if group.reaches(target, self.data_centre)
+            and target.term == position.term
+            and target.role is not Role.FENCED
+            and target.database.holds(position)
+        ]
+        if len(holders) <= len(group.targets) // 2:
+            return Err(OutcomeUnknown("no majority"))
+        return Ok(None)
+
+
+@dataclass
+class FakeInstance:
+    data_centre: str
+    groups: GroupTable
+    runner: object
+
+
+@dataclass
+class FakeGroup:
+    """Three targets, one in each data centre, and the instances before them."""
+
+    clock: ManualClock = field(default_factory=ManualClock)
+    seed: int = 1
+
+    def __post_init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.targets = [self._make_target(n, dc) for n, dc in enumerate(DATA_CENTRES)]
+        self.infos = {
+            target.cfg.target: TargetInfo(
+                target.cfg.target, GROUP, target.cfg.data_centre, Address("127.0.0.1", n + 1)
+            )
+            for n, target in enumerate(self.targets)
+        }
+        self.faults = []
+        self.late = []
+        self.isolated = ""
+        self.down = set()
+        self.at = ""
+        self.lags = False
+        self.targets[0].role = Role.PRIMARY
+        self.targets[0].database.append_empty(1)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.loop.close()
+
+    def _make_target(self, number, data_centre):
+        cfg = TargetConfig(f"{GROUP}-{'abc'[number]}", data_centre, "", 3, 20)
+        target = TargetState(cfg, FaultState())
+        target.database = Database(self.clock.wall)
+        target.term = 1
+        return target
+
+    @property
+    def primary(self):
+        found = [target for target in self.targets if target.role is Role.PRIMARY]
+        return max(found, key=lambda target: target.term)
+
+    def take_fault(self):
+        return self.faults.pop(0) if self.faults else Fault.NONE
+
+    def reaches(self, target, data_centre=None):
+        data_centre = self.at if data_centre is None else data_centre
+        if target.cfg.target in self.down:
+            return False
+        here, there = data_centre == self.isolated, target.cfg.data_centre == self.isolated
+        return not self.isolated or here == there
+
+    def run(self, conn, req):
+        answer = self.loop.run_until_complete(conn.run(req))
+        if isinstance(answer, Ok):
+            answer.ok_value.state = conn._target.state()
+        return answer
+
+    def deliver_late(self):
+        late, self.late = self.late, []
+        for conn, req in late:
+            self.run(StatementConn(conn.target), req)
+
+    def replicate(self, apply=True):
+        """Bring every replica that reaches the primary up to it; applied unless it lags."""
+        source = self.primary
+        for target in self.targets:
+            if target.role is not Role.REPLICA or target.term != source.term:
+                continue
+            if not self.reaches(target, source.cfg.data_centre) or source.cfg.target in self.down:
+                continue
+            database = target.database
+            database.truncate(source.database.keep_index(database.received))
+            for entry in source.database.entries[len(database.entries) :]:
+                database.receive(entry)
+            if apply and not self.lags:
+                database.apply_all()
+
+    def fail_over(self):
+        """Promote the furthest of a majority that does not include what is cut off."""
+        reached = [
+            target
+            for target in self.targets
+            if target.cfg.target not in self.down and target.cfg.data_centre != self.isolated
+        ]
+        if len(reached) <= len(self.targets) // 2:
+            return
+        term = max(target.term for target in self.targets) + 1
+        for target in reached:
+            self.loop.run_until_complete(target.fence(Fence(term=term, proposer="p")))
+        best = max(
+            reached,
+            key=lambda t: (t.database.received.term, t.database.received.index),
+        )
+        self.loop.run_until_complete(best.promote(Promote(term=term, proposer="p")))
+        for target in reached:
+            if target is not best:
+                target.role = Role.REPLICA
+        self.replicate()
+
+    def heal(self):
+        self.isolated = ""
+        self.down.clear()
+        term = max(target.term for target in self.targets)
+        for target in self.targets:
+            if target.term < term:
+                target._set_term(term, "p", Role.REPLICA)
+        self.replicate()
+
+    def instance(self, data_centre, make_runner=None):
+        groups = GroupTable(self.clock)
+        groups.set_targets([(info, False) for info in self.infos.values()])
+        rng = random.Random(self.seed)
+
+        def open_conn(info, generation, timeout_s):
+            target = next(t for t in self.targets if t.cfg.target == info.target)
+            if not self.reaches(target, data_centre):
+                return Err(TargetUnavailable("cut off", place=info.target))
+            return Ok(FakeConn(self, target, generation))
+
+        pool = ConnectionPool(open_conn, lambda target: 4)
+        router = ReadRouter(groups, data_centre, rng)
+        confirmer = FakeConfirmer(self, data_centre)
+        make = make_runner or StatementRunner
+        runner = make(groups, router, pool, confirmer, self.clock)
+        found = FakeInstance(data_centre, groups, runner)
+        self.probe(found)
+        return found
+
+    def probe(self, instance):
+        """Let an instance hear of every target that it reaches."""
+        for target in self.targets:
+            info = self.infos[target.cfg.target]
+            if self.reaches(target, instance.data_centre):
+                instance.groups.observe(info, target.state(), self.clock.monotonic())
+            else:
+                instance.groups.mark_unreachable(info.target, GROUP)
+
+    def count(self, plate):
+        """Count the rows of a plate at the current primary."""
+        sql = "SELECT count(*) FROM offers WHERE plate = ?"
+        return self.primary.database._visible.execute(sql, [plate]).fetchone()[0]
--- /dev/null
+++ b/tests/naive/proxy.py
@@ -0,0 +1,68 @@
+"""A naive proxy: any replica for any read, blind retries, trust in the primary it knows."""
+
+import random
+
+from result import Err, Ok
+
+from quetzalrudder.exceptions import NoPrimary, TargetUnavailable
+from quetzalrudder.schema.caller import Access, Answer
+from quetzalrudder.schema.common import Ending
+from quetzalrudder.schema.target import Execute, Role
+from quetzalrudder.statements import StatementRunner
+
+ATTEMPTS = 3
+
+
+class NaiveRunner:
+    """Stands in for :class:`~quetzalrudder.statements.StatementRunner`."""
+
+    def __init__(self, groups, router, pool, confirmer, clock):
+        self._groups = groups
+        self._pool = pool
+        self._rng = random.Random(1)
+        self._primaries = {}
+        self.plan = StatementRunner(groups, router, pool, confirmer, clock).plan
+
+    def run(self, plan, stmt):
+        """Send to a target, and again whenever that fails."""
+        write = stmt.access is Access.WRITE
+        last = TargetUnavailable("no target")
+        for _ in range(ATTEMPTS):
+            view = self._primary(plan.group) if write else self._any(plan.group)
+            if view is None:
+                return Err(NoPrimary("none known"))
+            req = Execute(
+                workspace=plan.caller.workspace,
+                sql=stmt.sql,
+                params=stmt.params,
+                write=write,
+                term=view.state.term,
+            )
+            match self._send(plan, view, req):
+                case Ok(found):
+                    return Ok(Answer(rows=found.rows, target=view.info.target))
+                case Err(exc):
+                    last = exc
+        last.ending = Ending.NOT_RUN
+        return Err(last)
+
+    def ask_outcome(self, plan, ask):
+        """Know nothing of earlier requests."""
+        return Ok(Answer(ending=Ending.NOT_RUN))
+
+    def _primary(self, group):
+        if group not in self._primaries:
+            self._primaries[group] = self._groups.primary(group)
+        return self._primaries[group]
+
+    def _any(self, group):
+        views = [v for v in self._groups.members(group) if v.reachable and v.state]
+        replicas = [v for v in views if v.state.role is Role.REPLICA]
+        return self._rng.choice(replicas or views) if views else None
+
+    def _send(self, plan, view, req):
+        borrowed = self._pool.checkout(view.info, plan.deadline)
+        if isinstance(borrowed, Err):
+            return borrowed
+        with borrowed.ok_value as pooled:
+            return pooled.conn.request(req, plan.deadline.remaining_s)
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,163 @@
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalrudder.exceptions import (
+    Draining,
+    LinkLost,
+    NoPrimary,
+    OutcomeUnknown,
+    Overloaded,
+    RequestCancelled,
+)
+from quetzalrudder.retries import RepeatPolicy, RetryBudget, final_error
+from quetzalrudder.schema.common import Ending
+from quetzalrudder.utils import Deadline
+from standins.database import Database
+from tests.clocks import ManualClock
+from tests.fakes import Fault
+from tests.helpers import grant_key
+from tests.histories import Ask, Event, History, Read, Write
+from tests.naive.proxy import NaiveRunner
+
+WORKSPACE = "steppe/branch-1"
+ROUTE = "steppe/offers"
+FAULTS = st.sampled_from([Fault.NONE] * 4 + list(Fault))
+EVENTS = [
+    *("isolate", "kill", "fail-over", "heal", "heal"),
+    *("late", "replicate", "lag", "lag", "probe", "probe", "probe"),
+]
+PLATES = st.sampled_from(["01 KZ", "02 KZ", "03 KZ"])
+AT = st.integers(0, 2)
+STEPS = st.lists(
+    st.one_of(
+        st.builds(Write, PLATES, AT, FAULTS),
+        st.builds(Ask, PLATES, AT, FAULTS),
+        st.builds(Read, AT, FAULTS),
+        st.sampled_from([Event(kind) for kind in EVENTS]),
+    ),
+    min_size=10,
+    max_size=30,
+)
+KILLED = [Event("kill"), Event("fail-over"), Event("probe")]
+HISTORIES = {
+    "run twice": [Write("01 KZ", 0, Fault.LOSE_ANSWER), Write("01 KZ", 1)],
+    "not run but ran": [Write("01 KZ", 0, Fault.LATE), Ask("01 KZ", 1), Event("late")],
+    "done but lost": [Event("isolate"), Write("01 KZ", 0), Event("fail-over"), Event("heal")],
+    "own write not read": [Event("lag"), Write("01 KZ", 0), Event("probe"), Read(2)],
+}
+
+
+@pytest.mark.parametrize("promise", HISTORIES)
+def test_naive_version_breaks_the_promise_and_the_product_keeps_it(promise):
+    assert promise in History(NaiveRunner).run(HISTORIES[promise])
+    assert History().run(HISTORIES[promise]) == set()
+
+
+def test_write_repeated_across_a_failover_gets_the_first_outcome():
+    history = History()
+    steps = [Write("01 KZ", 0, Fault.LOSE_ANSWER), Event("replicate"), *KILLED]
+    assert history.run([*steps, Write("01 KZ", 1), Ask("01 KZ", 2), Read(2)]) == set()
+    assert history.told.done == {"01 KZ"}
+    assert history.told.seen == {"01 KZ"}
+
+
+def test_unknown_write_is_settled_by_asking():
+    history = History()
+    steps = [Write("01 KZ", 0, Fault.LATE), Ask("01 KZ", 1), Event("late"), Write("01 KZ", 1)]
+    assert history.run(steps) == set()
+    assert history.told.cancelled == {"01 KZ"}
+    assert not history.told.done
+
+
+def test_question_without_a_primary_stays_unknown():
+    history = History()
+    steps = [Write("01 KZ", 0, Fault.DROP), Event("kill"), Event("probe"), Ask("01 KZ", 1)]
+    assert history.run(steps) == set()
+    assert not history.told.cancelled
+
+
+@settings(max_examples=250)
+@given(STEPS)
+def test_what_callers_are_told_is_true_under_random_faults(steps):
+    assert History().run(steps) == set()
+
+
+@pytest.fixture(scope="module")
+def key(fleet):
+    granted = grant_key(fleet, WORKSPACE)
+    with fleet.session("astana-a-1", workspace=WORKSPACE, key=granted) as session:
+        session.write(ROUTE, "CREATE TABLE lodged (plate TEXT)")
+    return granted
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+def test_session_repeats_a_lost_write_by_itself(fleet, key, lost):
+    instances = ("astana-a-1", "astana-b-1", "karaganda-1")
+    plate = f"lost {lost}"
+    with fleet.session(*instances, workspace=WORKSPACE, key=key) as session:
+        fleet.set_faults("valuation-core-1-a", lose_answers=lost)
+        written = session.write(ROUTE, "INSERT INTO lodged VALUES (?)", plate)
+        found = session.read(ROUTE, "SELECT count(*) FROM lodged WHERE plate = ?", plate)
+    assert (written.ending, written.repeated) == (Ending.DONE, True)
+    assert found.rows == [(1,)]
+
+
+def test_outcome_of_an_id_is_asked_about_and_settled(fleet, key):
+    with fleet.session("astana-b-1", workspace=WORKSPACE, key=key) as session:
+        session.write(ROUTE, "INSERT INTO lodged VALUES ('asked')", request_id="asked-1")
+        assert session.ask_outcome(ROUTE, "asked-1").ending is Ending.DONE
+        with pytest.raises(OutcomeUnknown):
+            session.ask_outcome(ROUTE, "asked-2")
+        with pytest.raises(OutcomeUnknown):
+            session.ask_outcome(ROUTE, "asked-2", sent_ago_s=7200)
+        assert session.ask_outcome(ROUTE, "asked-2", sent_ago_s=1).ending is Ending.NOT_RUN
+        with pytest.raises(RequestCancelled) as refused:
+            session.write(ROUTE, "INSERT INTO lodged VALUES ('asked')", request_id="asked-2")
+        assert refused.value.ending is Ending.NOT_RUN
+
+
+def test_refusal_of_a_repeat_does_not_hide_a_lost_attempt():
+    lost, refusal = LinkLost("gone"), Overloaded("busy", retry_after_ms=5)
+    assert final_error(refusal, None, "r").ending is Ending.NOT_RUN
+    assert final_error(refusal, lost, "r").ending is Ending.UNKNOWN
+    assert final_error(RequestCancelled("told"), lost, "r").ending is Ending.NOT_RUN
+
+
+def test_repeats_stay_a_share_of_the_requests_however_all_fail():
+    clock = ManualClock()
+    budget = RetryBudget(share=0.1, burst=10)
+    policy = RepeatPolicy(budget, random.Random(1))
+    repeats = 0
+    for _ in range(1000):
+        budget.add_request()
+        deadline = Deadline.after_ms(clock, 1000)
+        attempt = 1
+        while policy.pause_s(LinkLost("gone"), attempt, deadline) is not None:
+            attempt += 1
+            repeats += 1
+    assert repeats <= 10 + 0.1 * 1000
+
+
+def test_what_may_be_repeated():
+    policy = RepeatPolicy(RetryBudget(), random.Random(1))
+    deadline = Deadline.after_ms(ManualClock(), 1000)
+    assert policy.pause_s(Draining("stopping"), 1, deadline) == 0
+    assert 0.2 <= policy.pause_s(NoPrimary("none", retry_after_ms=200), 1, deadline) <= 0.3
+    assert policy.pause_s(Overloaded("busy", retry_after_ms=10), 1, deadline) is None
+    assert policy.pause_s(OutcomeUnknown("lost", retry_after_ms=2000), 1, deadline) is None
+
+
+def test_recorded_outcomes_are_forgotten_after_their_age():
+    clock = ManualClock()
+    database = Database(clock.wall, outcome_age_ms=100_000)
+    for number in range(20):
+        database.record_not_run(1, f"id {number}")
+        clock.advance(10)
+    kept = database._visible.execute("SELECT count(*) FROM quetzalrudder_requests").fetchone()
+    assert kept == (11,)
+    assert database.outcome("id 19") is not None
+    assert database.outcome("id 1") is None
+    assert not database.remembers(100_000)
