--- a/src/quetzalrudder/session_transactions.py
+++ b/src/quetzalrudder/session_transactions.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from quetzalrudder.exceptions import (
+    KeyWithdrawn,
     QuetzalrudderError,
     StatementFailed,
     TransactionAborted,
@@ -97,7 +98,7 @@
         frame = CallerFrame(request_id=uuid.uuid4().hex, statement=stmt)
         try:
             return session.exchange_on(self._adapter, frame)
-        except StatementFailed:
+        except (StatementFailed, KeyWithdrawn):
             raise
         except QuetzalrudderError as exc:
             if exc.ending is Ending.NOT_RUN and not self._adapter.broken:
@@ -107,6 +108,9 @@
             raise TransactionAborted(exc.message, place=exc.place, retry_after_ms=1) from exc
 
     def _check_open(self) -> None:
+        refusal = self._adapter.last_refusal() if self._adapter.broken else None
+        if isinstance(refusal, KeyWithdrawn):
+            raise refusal
         if self._ended or self._adapter.broken:
             raise TransactionAborted("the transaction has ended", place=self._transaction_id)
 
--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -12,6 +12,7 @@
 from quetzalrudder.bridge import Loop
 from quetzalrudder.callers import GrpcCallerAdapter
 from quetzalrudder.exceptions import (
+    KeyWithdrawn,
     LinkLost,
     OutcomeUnknown,
     QuetzalrudderError,
@@ -362,7 +363,10 @@
 
     def _connected(self, deadline: Deadline) -> GrpcCallerAdapter:
         if self._adapter is None or self._adapter.broken:
+            refusal = self._adapter.last_refusal() if self._adapter is not None else None
             self.roam()
+            if isinstance(refusal, KeyWithdrawn):
+                raise refusal
             self._adapter = self._connect(attempt_ms(deadline) / MS_PER_S)
         return self._adapter
 
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -1,16 +1,14 @@
 """Runs one request of a caller, whatever its kind, and gives its whole answer."""
 
-import hashlib
 import re
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from quetzalrudder.access import CallerIdentity, check_route
 from quetzalrudder.adapters import TargetRequest
 from quetzalrudder.exceptions import (
-    AccessDenied,
     DeadlineExceeded,
-    KeyInStatement,
     MalformedMessage,
     OutcomeUnknown,
     QuetzalrudderError,
@@ -18,7 +16,7 @@
     StatementFailed,
 )
 from quetzalrudder.groups import GroupTable, TargetView
-from quetzalrudder.models import GroupId, RequestId, RouteName, WorkspaceId
+from quetzalrudder.models import GroupId, RequestId, RouteName
 from quetzalrudder.pool import ConnectionPool, PooledConn
 from quetzalrudder.routing import ReadPolicy, ReadRouter
 from quetzalrudder.schema.caller import Access, Answer, AskOutcome, Begin, Statement
@@ -36,7 +34,6 @@
     "Plan",
     "StatementRunner",
     "check_request_id",
-    "contains_key",
     "controls_transaction",
 ]
 
@@ -48,19 +45,6 @@
 RETRY_AFTER_MS = 100
 
 
-@dataclass(frozen=True)
-class CallerIdentity:
-    """Who a connection works for. The key stays in the instance."""
-
-    workspace: WorkspaceId
-    key: str
-
-    @property
-    def digest(self) -> str:
-        """Short digest of the key, fit for comparing but not for use."""
-        return hashlib.sha256(self.key.encode()).hexdigest()
-
-
 @dataclass(frozen=True)
 class Plan:
     """A request with everything that its route says."""
@@ -126,8 +110,9 @@
         settings = tree.effective(route)
         if not settings.group:
             return Err(RouteNotFound("the route has no group", place=route))
-        if not settings.open and not may_use(caller.workspace, route):
-            return Err(AccessDenied("the workspace may not use the route", place=route))
+        allowed = check_route(caller, route, settings)
+        if isinstance(allowed, Err):
+            return allowed
         marks = decode_token(caller.workspace, getattr(req, "token", b""))
         if isinstance(marks, Err):
             return marks
@@ -145,8 +130,6 @@
 
     def run(self, plan: Plan, stmt: Statement) -> Result[Answer, QuetzalrudderError]:
         """Run one statement outside a transaction."""
-        if contains_key(plan.caller.key, stmt):
-            return Err(KeyInStatement("the statement contains the caller's key"))
         if controls_transaction(stmt.sql):
             return Err(StatementFailed("transactions are begun and ended by their own requests"))
         match stmt.access:
@@ -278,6 +261,9 @@
         if isinstance(borrowed, Err):
             return borrowed
         with borrowed.ok_value as pooled:
+            allowed = plan.caller.recheck()
+            if isinstance(allowed, Err):
+                return allowed
             return self.exchange(pooled, view, req, plan.deadline)
 
     def exchange(
@@ -314,28 +300,6 @@
     return Err(MalformedMessage("request id missing or too long", place="request_id"))
 
 
-def may_use(workspace: WorkspaceId, route: RouteName) -> bool:
-    """Tell whether a workspace stands under the same branch as a route.
-
-    Examples
-    --------
-    >>> may_use("steppe/almaty", "steppe/offers"), may_use("venues/bern", "steppe/offers")
-    (True, False)
-    """
-    return workspace.rpartition("/")[0] == route.rpartition("/")[0]
-
-
-def contains_key(key: str, stmt: Statement) -> bool:
-    """Tell whether a statement or one of its parameters contains a key."""
-    if not key:
-        return False
-    if key in stmt.sql:
-        return True
-    texts = [param.text for param in stmt.params if param.text is not None]
-    blobs = [param.blob for param in stmt.params if param.blob is not None]
-    return any(key in text for text in texts) or any(key.encode() in blob for blob in blobs)
-
-
 def controls_transaction(sql: str) -> bool:
     """Tell whether a statement would begin or end a transaction behind the proxy's back.
 
--- a/src/quetzalrudder/transactions.py
+++ b/src/quetzalrudder/transactions.py
@@ -10,8 +10,8 @@
 
 from result import Err, Ok, Result
 
+from quetzalrudder.access import CallerIdentity
 from quetzalrudder.exceptions import (
-    KeyInStatement,
     MalformedMessage,
     Overloaded,
     QuetzalrudderError,
@@ -30,11 +30,9 @@
 from quetzalrudder.schema.target import Rollback as TargetRollback
 from quetzalrudder.settings import SettingsTree
 from quetzalrudder.statements import (
-    CallerIdentity,
     Plan,
     StatementRunner,
     check_request_id,
-    contains_key,
     controls_transaction,
 )
 from quetzalrudder.tokens import decode_token, encode_token
@@ -309,7 +307,7 @@
         tx = self._open.get(stmt.transaction_id)
         if tx is None:
             return Err(_not_open(stmt.transaction_id))
-        refused = _check(caller, stmt) or self._merge_token(tx, caller, stmt.token)
+        refused = _check(stmt) or self._merge_token(tx, caller, stmt.token)
         if refused is not None:
             return Err(refused)
         answer = self._shared.run(tx, stmt)
@@ -371,9 +369,7 @@
         return None
 
 
-def _check(caller: CallerIdentity, stmt: Statement) -> QuetzalrudderError | None:
-    if contains_key(caller.key, stmt):
-        return KeyInStatement("the statement contains the caller's key")
+def _check(stmt: Statement) -> QuetzalrudderError | None:
     if controls_transaction(stmt.sql):
         return StatementFailed("transactions are begun and ended by their own requests")
     if stmt.access not in (Access.READ, Access.WRITE):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok
 
+from quetzalrudder.access import CallerIdentity
 from quetzalrudder.adapters import TargetInfo
 from quetzalrudder.exceptions import (
     LinkLost,
@@ -20,7 +21,7 @@
 from quetzalrudder.schema.settings import Tree
 from quetzalrudder.schema.target import Fence, Promote, Role
 from quetzalrudder.settings import SettingsTree, parse_branches
-from quetzalrudder.statements import CallerIdentity, StatementRunner
+from quetzalrudder.statements import StatementRunner
 from quetzalrudder.utils import Address
 from standins.database import Database
 from standins.serving import FaultState
