Promotion ordered by the instances; links only where they are needed

Cause: nothing ordered a promotion, so a lost primary ended all writes of its group.

Change: the watchers of a group (rendezvous order, two in each of up to four data centres) suspect a primary that is silent, ask each other, and need two instances in two data centres that do not reach it and none that does. One after another, in an order that depends on the term, they fence a majority at the next term, fence it again (a member that restarted in between does not count), promote the furthest, have the others follow, tell the peers and, when it is up, the platform. A group left without a primary goes to the next proposer. Links are opened for watched and used groups only, and idle groups are probed every 2 s. Each unanswered probe is repeated every 100 ms; a link is lost after 0.8 s of silence.

Found on the way in the stand-in target, each with a test: - Logs that parted in different terms were joined at the wrong index (test_logs_that_parted...: fails with the former keep_index, passes with this one). - A target that lost its log started again as the primary of term 1. It now starts as rejoining: it confirms nothing, does not count and cannot win until it has taken a primary's whole log, and an instance lets it do so only after a majority without it is in the term by answers to questions asked after its restart. - A transaction that was open when the term ended kept the write lock, so that the target could not be promoted again. It is now rolled back with the term. - A write repeated in a later term could never be confirmed, because members refuse the older term. The first position of the primary's own term is confirmed in its place.

The primary's own answer counts as its confirmation, so a write of a group of three asks two members in place of three.

--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -12,6 +12,7 @@
 from quetzalrudder.bridge import Listener, Loop
 from quetzalrudder.connections import CallerConnections
 from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.failover import Failover, FailoverHandlers, FleetLinks
 from quetzalrudder.groups import GroupTable
 from quetzalrudder.links import ControlLinks
 from quetzalrudder.membership import Membership
@@ -19,7 +20,9 @@
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, InstanceState, TargetId
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
+from quetzalrudder.promotion import Promoter, group_watchers
 from quetzalrudder.routing import ReadRouter
+from quetzalrudder.schema.peers import PrimaryChanged, PrimaryQuestion
 from quetzalrudder.schema.platform import Group
 from quetzalrudder.schema.settings import DaemonSettings
 from quetzalrudder.schema.target import Open
@@ -38,6 +41,7 @@
 DEFAULT_DRAIN_S = 30
 MAX_CONTROL_TASKS = 256
 MAX_PEER_TASKS = 256
+MAX_FAILOVER_TASKS = 16
 LIST_INTERVAL_S = 1.0
 DEFAULT_CONNECTION_LIMIT = 4
 
@@ -106,6 +110,8 @@
                 self.loop, self.instance, self.data_centre, self.membership, self.timeline.clock
             )
         )
+        self.failover = self._make_failover(stack)
+        control.submit(self.failover.run)
         self.connections = self._make_connections(callers, max_tasks)
         control.submit(self.store.watch)
         control.submit(self._follow_lists)
@@ -133,6 +139,35 @@
             metrics=self.metrics,
         )
 
+    def _make_failover(self, stack: ExitStack) -> Failover:
+        tasks = stack.enter_context(ThreadPoolExecutor(MAX_FAILOVER_TASKS, "failover"))
+        links = FleetLinks(self.links, self.peers, self.clock)
+        handlers = FailoverHandlers(self.groups, links, self.clock)
+        self.peers.on(PrimaryQuestion, handlers.on_question)
+        self.peers.on(PrimaryChanged, handlers.on_changed)
+        promoter = Promoter(
+            self.instance,
+            self.data_centre,
+            self.groups,
+            self.membership,
+            links,
+            self.rng,
+            self.timeline,
+        )
+        failover = Failover(
+            self.instance,
+            self.groups,
+            self.membership,
+            links,
+            promoter,
+            self.platform,
+            self.clock,
+            self.rng,
+            tasks.submit,
+        )
+        stack.callback(failover.stop)
+        return failover
+
     def _listen(self, stack: ExitStack, control: Executor, peer_tasks: Executor) -> None:
         operators = OperatorService(
             executor=control,
@@ -162,7 +197,7 @@
 
     def _follow_lists(self) -> None:
         while not self._stopping.is_set():
-            for refresh in (self._refresh_groups, self._refresh_instances):
+            for refresh in (self._refresh_instances, self._refresh_groups):
                 exc = refresh()
                 if exc is not None:
                     log.warning("platform list failed", extra={"reason": str(exc)})
@@ -174,9 +209,18 @@
             return answer.err_value
         for group in answer.ok_value.groups:
             self.groups.set_targets(_targets_of(group))
-        self.links.watch_all()
+        self._watch_groups()
         return None
 
+    def _watch_groups(self) -> None:
+        groups = {view.info.group for view in self.groups.targets()}
+        watched = []
+        for group in groups:
+            watchers = group_watchers(self.groups, self.membership, group)
+            if self.instance in {info.instance for info in watchers}:
+                watched.append(group)
+        self.links.watch(watched)
+
     def _refresh_instances(self) -> QuetzalrudderError | None:
         answer = self.platform.list_instances()
         if isinstance(answer, Err):
--- a/src/quetzalrudder/links.py
+++ b/src/quetzalrudder/links.py
@@ -1,41 +1,44 @@
-"""Control links: one task for each target, which probes it and carries confirmations."""
+"""Control links: one task for each target in use, which probes it and carries requests."""
 
 import itertools
 import logging
 import threading
-from collections.abc import Callable
-from concurrent.futures import Executor, Future
+from collections.abc import Callable, Iterable
+from concurrent.futures import FIRST_COMPLETED, Executor, Future, wait
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import suppress
 
 from result import Err, Ok, Result
 
 from quetzalrudder.adapters import TargetConn, TargetInfo, TargetRequest
-from quetzalrudder.exceptions import (
-    LinkLost,
-    QuetzalrudderError,
-    TargetUnavailable,
-)
+from quetzalrudder.exceptions import LinkLost, QuetzalrudderError, TargetUnavailable
 from quetzalrudder.groups import GroupTable
-from quetzalrudder.models import TargetId
+from quetzalrudder.models import GroupId, TargetId
 from quetzalrudder.schema.target import Probe, TargetAnswer
 from quetzalrudder.timeline import EventKind, Timeline
-from quetzalrudder.utils import Clock
+from quetzalrudder.utils import Clock, Deadline
 
 __all__ = ["ControlLinks"]
 
 log = logging.getLogger(__name__)
 
 OpenControl = Callable[[TargetInfo, int, float], Result[TargetConn, QuetzalrudderError]]
+Answers = dict[TargetId, TargetAnswer]
 
 PROBE_INTERVAL_S = 0.1
-PROBE_TIMEOUT_S = 0.5
+IDLE_PROBE_INTERVAL_S = 2.0
+IN_USE_S = 10.0
+KEEP_OPEN_S = 60.0
+# Longest silence of a probed target before the link counts as lost.
+SILENCE_S = 0.8
 OPEN_TIMEOUT_S = 1.0
 REOPEN_PAUSE_S = 0.2
+FIRST_STATE_TIMEOUT_S = 0.5
+FIRST_STATE_POLL_S = 0.01
 
 
 class ControlLinks:
-    """Keeps a control connection to every target and probes it.
+    """Keeps control connections to the targets of watched and used groups, and probes them.
 
     Parameters
     ----------
@@ -44,7 +47,7 @@
     open_control : Callable
         Opens a control connection, given its generation and a timeout in seconds.
     executor : Executor
-        Runs one task for each target.
+        Runs one task for each linked target.
     clock : Clock
         Source of time.
     timeline : Timeline
@@ -68,33 +71,79 @@
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._tasks: dict[TargetId, Future[None]] = {}
+        self._wake: dict[TargetId, threading.Event] = {}
         self._conns: dict[TargetId, TargetConn] = {}
+        self._watched: frozenset[GroupId] = frozenset()
+        # Clock reading of the last use of a group by a request, in seconds.
+        self._used_at: dict[GroupId, float] = {}
 
     def __enter__(self) -> "ControlLinks":
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         self._stopping.set()
+        for wake in list(self._wake.values()):
+            wake.set()
         for fut in list(self._tasks.values()):
             with suppress(FutureTimeoutError):
-                fut.result(PROBE_TIMEOUT_S + OPEN_TIMEOUT_S)
-
-    def watch_all(self) -> None:
-        """Start a task for every target that has none."""
+                fut.result(SILENCE_S + OPEN_TIMEOUT_S)
+
+    def watch(self, groups: Iterable[GroupId]) -> None:
+        """Keep links to the targets of these groups, whether they are used or not."""
+        self._watched = frozenset(groups)
+        for group in self._watched:
+            self._link(group)
+
+    def use(self, group: GroupId) -> None:
+        """Note that a request uses a group; on its first use, wait for a target's state."""
+        idle = self._clock.monotonic() - self._used_at.get(group, float("-inf")) > IN_USE_S
+        self._used_at[group] = self._clock.monotonic()
+        if not idle:
+            return
+        self._link(group)
+        self.refresh(group)
+        deadline = Deadline(self._clock, self._clock.monotonic() + FIRST_STATE_TIMEOUT_S)
+        while self._groups.term(group) == 0 and not deadline.passed:
+            self._clock.sleep(FIRST_STATE_POLL_S)
+
+    def refresh(self, group: GroupId) -> None:
+        """Ask a group's targets for their states now."""
+        for view in self._groups.members(group):
+            wake = self._wake.get(view.info.target)
+            if wake is not None:
+                wake.set()
+
+    def _link(self, group: GroupId) -> None:
         with self._lock:
-            for view in self._groups.targets():
+            for view in self._groups.members(group):
                 target = view.info.target
-                if target not in self._tasks:
+                task = self._tasks.get(target)
+                if task is None and not self._stopping.is_set():
+                    self._wake[target] = threading.Event()
                     self._tasks[target] = self._executor.submit(self._serve, view.info)
 
-    def request(
-        self, target: TargetId, req: TargetRequest, timeout_s: float
-    ) -> Result[TargetAnswer, QuetzalrudderError]:
-        """Send a request on a target's control connection and wait for the answer."""
-        conn = self._conns.get(target)
-        if conn is None:
-            return Err(TargetUnavailable("no control connection", place=target))
-        return conn.request(req, timeout_s)
+    def follows(self, group: GroupId) -> bool:
+        """Tell whether this instance keeps links to the group's targets."""
+        return self._is_wanted(group)
+
+    def _keeps_task(self, info: TargetInfo) -> bool:
+        with self._lock:
+            if self._is_wanted(info.group):
+                return True
+            self._tasks.pop(info.target, None)
+            return False
+
+    def _is_wanted(self, group: GroupId) -> bool:
+        if self._stopping.is_set():
+            return False
+        used_at = self._used_at.get(group, float("-inf"))
+        return group in self._watched or self._clock.monotonic() - used_at < KEEP_OPEN_S
+
+    def _interval_s(self, group: GroupId) -> float:
+        used_at = self._used_at.get(group, float("-inf"))
+        in_use = self._clock.monotonic() - used_at < IN_USE_S
+        settled = self._groups.primary(group) is not None
+        return PROBE_INTERVAL_S if in_use or not settled else IDLE_PROBE_INTERVAL_S
 
     def start(self, target: TargetId, req: TargetRequest) -> "Future[TargetAnswer]":
         """Send a request on a target's control connection; the future gives the answer.
@@ -109,8 +158,48 @@
             raise TargetUnavailable("no control connection", place=target)
         return conn.start(req)
 
+    def ask_targets(
+        self,
+        targets: list[TargetInfo],
+        req: TargetRequest,
+        timeout_s: float,
+        is_enough: Callable[[Answers], bool],
+    ) -> Answers:
+        """Ask targets at once; give the answers that came in time, refusals too.
+
+        Parameters
+        ----------
+        targets : list of TargetInfo
+            Whom to ask; those without a connection are passed over.
+        req : TargetRequest
+            What to ask.
+        timeout_s : float
+            Longest wait, in seconds; 0 sends and waits for nothing.
+        is_enough : Callable
+            Ends the wait early, given the answers so far.
+        """
+        asked_at = self._clock.monotonic()
+        deadline = Deadline(self._clock, asked_at + timeout_s)
+        pending: dict[Future[TargetAnswer], TargetInfo] = {}
+        for info in targets:
+            with suppress(TargetUnavailable):
+                pending[self.start(info.target, req)] = info
+        answers: Answers = {}
+        while pending and not deadline.passed and not is_enough(answers):
+            done, _ = wait(pending, deadline.remaining_s, return_when=FIRST_COMPLETED)
+            for fut in done:
+                info = pending.pop(fut)
+                if fut.exception() is None:
+                    answers[info.target] = fut.result()
+                    self._observe(info, fut.result(), asked_at)
+        return answers
+
+    def _observe(self, info: TargetInfo, answer: TargetAnswer, asked_at: float) -> None:
+        if answer.state is not None:
+            self._groups.observe(info, answer.state, asked_at)
+
     def _serve(self, info: TargetInfo) -> None:
-        while not self._stopping.is_set():
+        while self._keeps_task(info):
             opened = self._open_control(info, next(self._generations), OPEN_TIMEOUT_S)
             match opened:
                 case Ok(conn):
@@ -123,19 +212,32 @@
     def _probe_until_lost(self, info: TargetInfo, conn: TargetConn) -> None:
         self._conns[info.target] = conn
         self._timeline.record(EventKind.TARGET_REACHED, target=info.target, group=info.group)
-        reason: QuetzalrudderError = LinkLost("stopping", place=info.target)
+        reason: QuetzalrudderError = LinkLost("no longer needed", place=info.target)
         try:
-            while not self._stopping.is_set():
-                asked_at = self._clock.monotonic()
-                answer = conn.request(Probe(), PROBE_TIMEOUT_S)
-                if isinstance(answer, Err):
-                    reason = answer.err_value
-                    return
-                self._groups.observe(info, answer.ok_value.state, asked_at)
-                self._stopping.wait(PROBE_INTERVAL_S)
+            while self._is_wanted(info.group):
+                self._probe(info, conn)
+                wake = self._wake[info.target]
+                wake.wait(self._interval_s(info.group))
+                wake.clear()
+        except QuetzalrudderError as exc:
+            reason = exc
         finally:
             self._conns.pop(info.target, None)
             conn.close()
             self._timeline.record(
                 EventKind.TARGET_LOST, target=info.target, group=info.group, detail=str(reason)
             )
+
+    def _probe(self, info: TargetInfo, conn: TargetConn) -> None:
+        """Probe until an answer comes, each interval anew, so that one loss costs little."""
+        deadline = Deadline(self._clock, self._clock.monotonic() + SILENCE_S)
+        pending: dict[Future[TargetAnswer], float] = {}
+        while not deadline.passed:
+            asked_at = self._clock.monotonic()
+            pending[conn.start(Probe())] = asked_at
+            timeout_s = min(PROBE_INTERVAL_S, deadline.remaining_s)
+            done, _ = wait(pending, timeout_s, return_when=FIRST_COMPLETED)
+            for fut in done:
+                self._observe(info, fut.result(), pending[fut])
+                return
+        raise LinkLost("no answer in time", place=info.target)
--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -9,6 +9,9 @@
     "PeerFrame",
     "PeersBase",
     "PeersStub",
+    "PrimaryChanged",
+    "PrimaryQuestion",
+    "PrimaryReport",
     "SettingsRequest",
     "SettingsUpdate",
     "Welcome",
@@ -90,6 +93,18 @@
         11, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
+    primary_question: "PrimaryQuestion | None" = betterproto2.field(
+        20, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    primary_report: "PrimaryReport | None" = betterproto2.field(
+        21, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    primary_changed: "PrimaryChanged | None" = betterproto2.field(
+        22, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
     digest: "Digest | None" = betterproto2.field(
         40, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
@@ -106,6 +121,54 @@
 default_message_pool.register_message("peers", "PeerFrame", PeerFrame)
 
 
+@dataclass(eq=False, repr=False)
+class PrimaryChanged(betterproto2.Message):
+    """
+    Tells that a target became the primary of a term.
+    """
+
+    group: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    term: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    primary: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+
+
+default_message_pool.register_message("peers", "PrimaryChanged", PrimaryChanged)
+
+
+@dataclass(eq=False, repr=False)
+class PrimaryQuestion(betterproto2.Message):
+    """
+    Asks whether the peer reaches a primary of the group in this term or a later one.
+    """
+
+    group: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    term: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("peers", "PrimaryQuestion", PrimaryQuestion)
+
+
+@dataclass(eq=False, repr=False)
+class PrimaryReport(betterproto2.Message):
+    known: "bool" = betterproto2.field(1, betterproto2.TYPE_BOOL)
+    """
+    False if the peer has not seen the group at all; then the rest says nothing.
+    """
+
+    reached: "bool" = betterproto2.field(2, betterproto2.TYPE_BOOL)
+
+    term: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+    """
+    The highest term that the peer has seen.
+    """
+
+
+default_message_pool.register_message("peers", "PrimaryReport", PrimaryReport)
+
+
 @dataclass(eq=False, repr=False)
 class SettingsRequest(betterproto2.Message):
     above_revision: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
--- a/src/quetzalrudder/schema/standin/__init__.py
+++ b/src/quetzalrudder/schema/standin/__init__.py
@@ -212,6 +212,13 @@
 
     term: "int" = betterproto2.field(4, betterproto2.TYPE_UINT64)
 
+    term_starts: "list[_common__.TermStart]" = betterproto2.field(
+        5, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+    """
+    Where each term starts in the follower's log.
+    """
+
 
 default_message_pool.register_message("standin", "ReplicateRequest", ReplicateRequest)
 
--- a/src/quetzalrudder/schema/target/__init__.py
+++ b/src/quetzalrudder/schema/target/__init__.py
@@ -180,6 +180,11 @@
 
     address: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
 
+    incarnation: "str" = betterproto2.field(20, betterproto2.TYPE_STRING)
+    """
+    A rejoining target follows only if this is its own incarnation.
+    """
+
 
 default_message_pool.register_message("target", "Follow", Follow)
 
@@ -286,6 +291,17 @@
 
     connection_limit: "int" = betterproto2.field(9, betterproto2.TYPE_UINT32)
 
+    rejoining: "bool" = betterproto2.field(20, betterproto2.TYPE_BOOL)
+    """
+    Started without its log, and has not yet taken it from a primary: it confirms
+    nothing, cannot be promoted and does not count for a majority.
+    """
+
+    incarnation: "str" = betterproto2.field(21, betterproto2.TYPE_STRING)
+    """
+    Changes with every start.
+    """
+
 
 default_message_pool.register_message("target", "State", State)
 
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -110,6 +110,7 @@
         marks = decode_token(caller.workspace, getattr(req, "token", b""))
         if isinstance(marks, Err):
             return marks
+        self._confirmer.links.use(GroupId(settings.group))
         deadline_ms = req.deadline_ms or settings.deadline_ms
         return Ok(
             Plan(
@@ -182,7 +183,9 @@
             return Err(unknown_if_sent(sent.err_value))
         answer = sent.ok_value
         if plan.settings.confirm_majority:
-            confirmed = self._confirmer.confirm(plan.group, answer.position, plan.deadline)
+            confirmed = self._confirmer.confirm(
+                plan.group, answer.position, plan.deadline, view.info.target, answer.state
+            )
             if isinstance(confirmed, Err):
                 return confirmed
         return Ok(self._answer(plan, view, answer, answer.position))
@@ -201,6 +204,7 @@
         if outcome is None or not outcome.found:
             return Ok(Answer(target=view.info.target))
         found = TargetAnswer(rows=outcome.rows, position=outcome.position, repeated_request=True)
+        found.state = sent.ok_value.state
         return self._finish_write(plan, view, Ok(found))
 
     def _send(
--- a/src/quetzalrudder/timeline.py
+++ b/src/quetzalrudder/timeline.py
@@ -27,6 +27,8 @@
     SETTINGS_APPLIED = "settings-applied"
     TARGET_REACHED = "target-reached"
     TARGET_LOST = "target-lost"
+    PRIMARY_SUSPECTED = "primary-suspected"
+    GROUP_FENCED = "group-fenced"
     PRIMARY_CHANGED = "primary-changed"
 
 
--- a/src/quetzalrudder/writes.py
+++ b/src/quetzalrudder/writes.py
@@ -14,12 +14,12 @@
 )
 from quetzalrudder.groups import GroupTable, TargetView
 from quetzalrudder.links import ControlLinks
-from quetzalrudder.models import GroupId
+from quetzalrudder.models import GroupId, TargetId
 from quetzalrudder.schema.common import Ending, Position
-from quetzalrudder.schema.target import Confirm, TargetAnswer
+from quetzalrudder.schema.target import Confirm, Role, State, TargetAnswer
 from quetzalrudder.utils import Deadline
 
-__all__ = ["Confirmer", "current_primary", "unknown_if_sent"]
+__all__ = ["Confirmer", "current_primary", "position_in_term", "unknown_if_sent"]
 
 RETRY_AFTER_MS = 200
 
@@ -55,9 +55,14 @@
     links: ControlLinks
 
     def confirm(
-        self, group: GroupId, position: Position, deadline: Deadline
+        self,
+        group: GroupId,
+        position: Position,
+        deadline: Deadline,
+        primary: TargetId | None = None,
+        state: State | None = None,
     ) -> Result[None, QuetzalrudderError]:
-        """Wait until a majority of the group holds the position in the same term.
+        """Wait until a majority of the group holds the position in the current term.
 
         Parameters
         ----------
@@ -67,6 +72,12 @@
             Position of the write.
         deadline : Deadline
             When to give up.
+        primary : TargetId, optional
+            The target that answered the write.
+        state : State, optional
+            Its state in that answer. The primary's answer then counts as its own
+            confirmation, and a position of an earlier term is confirmed by the first
+            position of the primary's term, which follows it in the same log.
 
         Returns
         -------
@@ -75,8 +86,12 @@
         """
         members = self.groups.members(group)
         needed = len(members) // 2 + 1
-        pending = self._ask_all(members, position, deadline)
         confirmed = 0
+        if primary is not None and state is not None and state.role is Role.PRIMARY:
+            members = [view for view in members if view.info.target != primary]
+            confirmed = 1
+            position = position_in_term(position, state)
+        pending = self._ask_all(members, position, deadline)
         while pending and confirmed < needed and not deadline.passed:
             done, pending = wait(pending, deadline.remaining_s, return_when=FIRST_COMPLETED)
             confirmed += sum(1 for fut in done if _is_confirmed(fut))
@@ -96,5 +111,20 @@
         return futures
 
 
+def position_in_term(position: Position, state: State) -> Position:
+    """Give what to confirm in a primary's term for a position that its log holds.
+
+    Examples
+    --------
+    >>> state = State(term=3, term_starts=[TermStart(term=3, first_index=9)])
+    >>> position_in_term(Position(term=1, index=4), state)
+    Position(term=3, index=9)
+    """
+    if position.term >= state.term:
+        return position
+    starts = [start for start in state.term_starts if start.term == state.term]
+    return Position(term=state.term, index=starts[0].first_index) if starts else position
+
+
 def _is_confirmed(fut: "Future[TargetAnswer]") -> bool:
     return fut.exception() is None and fut.result().failure is None and fut.result().confirmed
--- a/standins/database.py
+++ b/standins/database.py
@@ -32,6 +32,12 @@
     return digest.hexdigest()
 
 
+def _term_ends(starts: list[TermStart], last_index: int) -> list[tuple[TermStart, int]]:
+    """Pair each start of a term with the last index of that term."""
+    ends = [start.first_index - 1 for start in starts[1:]] + [last_index]
+    return list(zip(starts, ends, strict=False))
+
+
 def run_sql(db: sqlite3.Connection, change: Change) -> Rows:
     """Run one statement and give its rows."""
     cursor = db.execute(change.sql, [from_value(param) for param in change.params])
@@ -89,11 +95,29 @@
                 starts.append(TermStart(term=entry.term, first_index=entry.index))
         return starts
 
-    def keep_index(self, last: Position) -> int:
-        """Give how much of a follower's log, which ends at a position, is in this one."""
-        later = [s.first_index for s in self.term_starts() if s.term > last.term]
-        end = later[0] - 1 if later else len(self.entries)
-        return min(last.index, end)
+    def keep_index(self, last: Position, starts: Iterable[TermStart]) -> int:
+        """Give how much of a follower's log is in this one.
+
+        Two logs agree up to an entry of the same term and index, so they agree as far
+        as the same terms start at the same indexes, and end with the shorter last one.
+
+        Parameters
+        ----------
+        last : Position
+            End of the follower's log.
+        starts : Iterable of TermStart
+            Where each term starts in the follower's log.
+        """
+        theirs = _term_ends(list(starts), last.index)
+        own = _term_ends(self.term_starts(), len(self.entries))
+        keep = 0
+        for (start, end), (other_start, other_end) in zip(own, theirs, strict=False):
+            if start != other_start:
+                break
+            keep = min(end, other_end)
+            if end != other_end:
+                break
+        return keep
 
     def read(self, change: Change) -> Result[Rows, StatementFailed]:
         """Run a statement that may change nothing."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -162,8 +162,12 @@
             self.start_target(target)
         self._wait_for_ports(self.target_addresses.values())
 
-    def start_target(self, target: str) -> None:
-        """Start a target; the first one of each group begins as its primary."""
+    def start_target(self, target: str, *, rejoin: bool = False) -> None:
+        """Start a target.
+
+        The first one of each new group begins as its primary. One that rejoins has lost
+        its log and waits for an instance that tells it whom to follow.
+        """
         group, data_centre = next((g, dc) for g, t, dc in self.deployment.targets() if t == target)
         primary = f"{group}-a"
         self._spawn(
@@ -173,7 +177,7 @@
             f"--target={target}",
             f"--data_centre={data_centre}",
             f"--listen={self.target_addresses[target]}",
-            f"--primary={primary}",
+            f"--primary={'' if rejoin else primary}",
             f"--primary_address={self.target_addresses[primary]}",
             f"--slots={self.deployment.slots}",
             f"--connection_limit={self.deployment.connection_limit}",
--- a/standins/replication.py
+++ b/standins/replication.py
@@ -31,6 +31,39 @@
 HEARTBEAT_S = 0.5
 
 
+def replicate_request(target: "TargetState", term: int) -> ReplicateRequest:
+    """Ask the primary of a term for what the target's log lacks."""
+    return ReplicateRequest(
+        target=target.cfg.target,
+        data_centre=target.cfg.data_centre,
+        last=target.database.received,
+        term=term,
+        term_starts=target.database.term_starts(),
+    )
+
+
+def first_batch(primary: "TargetState", req: ReplicateRequest) -> LogBatch:
+    """Say how much of the follower's log stays, and give all that it lacks."""
+    keep = primary.database.keep_index(req.last, req.term_starts)
+    return LogBatch(term=primary.term, keep_index=keep, entries=primary.database.entries[keep:])
+
+
+def take_batch(target: "TargetState", term: int, batch: LogBatch) -> bool:
+    """Take over a batch of the primary of a term; false if the target left the term.
+
+    The first batch holds all that the primary had when it was asked, so a target that
+    started without its log holds again what it may have confirmed before.
+    """
+    if target.term != term or target.role is not Role.REPLICA:
+        return False
+    if batch.keep_index is not None:
+        target.database.truncate(batch.keep_index)
+        target.rejoining = False
+    for entry in batch.entries:
+        target.database.receive(entry)
+    return True
+
+
 class ReplicationService(ReplicationBase):
     """Sends the log to followers while this target is the primary of the term."""
 
@@ -43,8 +76,9 @@
         await target.faults.wait_while_blocked(message.data_centre)
         if not target.accepts_writes(message.term):
             return
-        sent = target.database.keep_index(message.last)
-        yield LogBatch(term=target.term, keep_index=sent)
+        batch = first_batch(target, message)
+        sent = batch.keep_index + len(batch.entries)
+        yield batch
         while target.accepts_writes(message.term):
             entries = target.database.entries[sent:]
             if entries:
@@ -91,12 +125,7 @@
 
     async def _receive(self) -> None:
         target = self._target
-        req = ReplicateRequest(
-            target=target.cfg.target,
-            data_centre=target.cfg.data_centre,
-            last=target.database.received,
-            term=self._term,
-        )
+        req = replicate_request(target, self._term)
         channel = Channel(self._address.host, self._address.port)
         try:
             metadata = {"data-centre": target.cfg.data_centre}
@@ -108,14 +137,12 @@
 
     async def _take(self, batch: LogBatch) -> None:
         target = self._target
-        if target.term != self._term or target.role is not Role.REPLICA:
+        if not take_batch(target, self._term, batch):
             return
+        waiting = len(target.database.entries) - target.database.applied_index
         if batch.keep_index is not None:
-            target.database.truncate(batch.keep_index)
-            waiting = len(target.database.entries) - target.database.applied_index
-            self._arrivals = deque([time.monotonic()] * waiting)
-        for entry in batch.entries:
-            target.database.receive(entry)
+            self._arrivals.clear()
+        while len(self._arrivals) < waiting:
             self._arrivals.append(time.monotonic())
         await target.notify()
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
+import uuid
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
+from typing import Any
 
 import betterproto2
 import fire
@@ -44,6 +46,7 @@
 from standins.replication import Follower, ReplicationService
 from standins.serving import FaultState, RecordingCodec, StandInControl, serve
 
+FIRST_TERM = 1
 OPEN_S = 0.012
 STATEMENT_S = 0.001
 RETRY_AFTER_MS = 100
@@ -63,7 +66,17 @@
 class TargetState:
     """One target: its database, its place in the group, its slots."""
 
-    def __init__(self, cfg: TargetConfig, faults: FaultState) -> None:
+    def __init__(
+        self,
+        cfg: TargetConfig,
+        faults: FaultState,
+        make_follower: Callable[["TargetState", str, str, int], Any] = Follower,
+    ) -> None:
+        self._make_follower = make_follower
+        self.incarnation = uuid.uuid4().hex
+        # Started without a log: true until the whole log of a primary has been taken.
+        self.rejoining = True
+        self.open_transaction: StatementConn | None = None
         self.cfg = cfg
         self.faults = faults
         self.database = Database()
@@ -90,8 +103,18 @@
             slots=self.cfg.slots,
             connections=self.connections,
             connection_limit=self.cfg.connection_limit,
+            rejoining=self.rejoining,
+            incarnation=self.incarnation,
         )
 
+    def start_new_group(self, primary: bool) -> None:
+        """Begin as a member of a group that has never run, in its first term."""
+        self.rejoining = False
+        self.term = FIRST_TERM
+        if primary:
+            self.database.append_empty(self.term)
+            self.role = Role.PRIMARY
+
     async def notify(self) -> None:
         """Wake everyone who waits for the log or the term."""
         async with self.changed:
@@ -124,17 +147,19 @@
         self.term = term
         self.proposer = proposer
         self.role = role
+        if self.open_transaction is not None:
+            self.open_transaction.abandon()
         if self.follower is not None:
             self.follower.stop()
             self.follower = None
 
     async def promote(self, req: Promote) -> Result[None, QuetzalrudderError]:
         """Become the primary of a term that this proposer has fenced."""
-        if req.term != self.term or req.proposer != self.proposer:
+        if req.term != self.term or req.proposer != self.proposer or self.rejoining:
             return Err(self.stale())
         if self.role is not Role.PRIMARY:
             async with self.write_lock:
-                if req.term != self.term:
+                if req.term != self.term or self.role is not Role.FENCED:
                     return Err(self.stale())
                 self.database.apply_all()
                 self.database.append_empty(self.term)
@@ -144,7 +169,7 @@
 
     async def follow(self, req: Follow) -> Result[None, QuetzalrudderError]:
         """Take the log from the primary of a term."""
-        if req.term < self.term:
+        if req.term < self.term or (self.rejoining and req.incarnation != self.incarnation):
             return Err(self.stale())
         if self.role is Role.PRIMARY and req.term == self.term:
             return Err(self.stale())
@@ -152,7 +177,7 @@
         if req.term == self.term and following == req.primary:
             return Ok(None)
         self._set_term(req.term, self.proposer, Role.REPLICA)
-        self.follower = Follower(self, req.primary, req.address, req.term)
+        self.follower = self._make_follower(self, req.primary, req.address, req.term)
         self.follower.start()
         await self.notify()
         return Ok(None)
@@ -164,7 +189,7 @@
         while True:
             if self.term != position.term or self.role is Role.FENCED:
                 return Err(self.stale())
-            if self.database.holds(position):
+            if not self.rejoining and self.database.holds(position):
                 return Ok(True)
             left = deadline - time.monotonic()
             if left <= 0:
@@ -195,11 +220,12 @@
             async with target.slots:
                 await asyncio.sleep(STATEMENT_S)
                 target.statements += 1
-                return await self._dispatch(req)
+                return await self.dispatch(req)
         finally:
             target.load -= 1
 
-    async def _dispatch(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
+    async def dispatch(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
+        """Run one request at once."""
         match req:
             case Execute(in_transaction=True):
                 return self._run_in_transaction(req)
@@ -266,6 +292,7 @@
             self._target.write_lock.release()
             return Err(self._target.stale())
         self._target.database.begin()
+        self._target.open_transaction = self
         self._changes = []
         self._term = req.term
         return Ok(TargetAnswer())
@@ -301,6 +328,7 @@
 
     def _release(self) -> None:
         self._changes = None
+        self._target.open_transaction = None
         self._target.write_lock.release()
 
 
@@ -387,10 +415,14 @@
         self, opening: Open, frame: TargetFrame, answers: "asyncio.Queue[TargetAnswer | None]"
     ) -> None:
         await self._target.faults.wait_while_blocked(opening.data_centre)
-        answer = self._answer(frame, await self._control(_request_of(frame)))
+        answer = await self.control(frame)
         await self._target.faults.wait_while_blocked(opening.data_centre)
         answers.put_nowait(answer)
 
+    async def control(self, frame: TargetFrame) -> TargetAnswer:
+        """Answer one request of a control connection."""
+        return self._answer(frame, await self._control(_request_of(frame)))
+
     async def _control(self, req: object) -> Result[TargetAnswer, QuetzalrudderError]:
         target = self._target
         match req:
@@ -434,12 +466,11 @@
     """Serve a target until SIGTERM."""
     faults = FaultState()
     target = TargetState(cfg, faults)
-    target.term = 1
-    if primary == cfg.target:
-        target.database.append_empty(target.term)
-        target.role = Role.PRIMARY
-    else:
-        await target.follow(Follow(term=1, primary=primary, address=primary_address))
+    if primary:
+        target.start_new_group(primary == cfg.target)
+    if primary and primary != cfg.target:
+        follow = Follow(term=FIRST_TERM, primary=primary, address=primary_address)
+        await target.follow(follow)
     control = StandInControl(faults, RecordingCodec(), lambda: target.statements)
     services = [TargetService(target), ReplicationService(target)]
     await serve(cfg.listen, services, control)
@@ -449,7 +480,7 @@
     target: str,
     data_centre: str,
     listen: str,
-    primary: str,
+    primary: str = "",
     primary_address: str = "",
     slots: int = 3,
     connection_limit: int = 20,
@@ -463,7 +494,7 @@
     listen : str
         IP address and port.
     primary, primary_address : str
-        The group's first primary.
+        The first primary of a new group; without one the target rejoins its group.
     slots : int
         Statements that run at once.
     connection_limit : int
--- /dev/null
+++ b/tests/naive/failover.py
@@ -0,0 +1,29 @@
+"""A proxy that trusts the primary it knows, and promotes on what it sees alone."""
+
+from quetzalrudder.schema.target import Fence, Follow, Promote
+
+
+def naive_write(instance, request_id, timeout_s):
+    """Acknowledge what the known primary says, without asking any other database."""
+    primary = instance.groups.primary(instance.group)
+    if primary is None:
+        return None
+    answer = instance.links.write(primary.info, primary.state.term, request_id, timeout_s)
+    return answer.position if answer is not None else None
+
+
+def naive_promote(instance):
+    """Promote the first replica that answers, as soon as the own link to the primary is down."""
+    term = instance.groups.term(instance.group) + 1
+    primary = instance.groups.primary(instance.group)
+    replicas = [info for target, info in instance.infos.items() if target != primary.info.target]
+    fence = Fence(term=term, proposer=instance.name)
+    for info in replicas:
+        if instance.links.ask_targets([info], fence, 0.5, bool):
+            promote = Promote(term=term, proposer=instance.name)
+            instance.links.ask_targets([info], promote, 0.5, bool)
+            others = [other for other in replicas if other != info]
+            follow = Follow(term=term, primary=info.target, address=str(info.address))
+            instance.links.ask_targets(others, follow, 0, bool)
+            return info.target
+    return None
