--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -202,7 +202,7 @@
         assert lost_writes(fleet, writers) == []
 
 
-@pytest.mark.parametrize("offset_ms", [n for n in range(7)])
+@pytest.mark.parametrize("offset_ms", range(7))
 def test_proposer_paused_half_way_is_taken_over_and_does_no_harm_later(offset_ms):
     with make_fleet(3) as fleet:
         writers = [Writer(fleet, "b-1"), Writer(fleet, "d-1")]
