--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -116,6 +116,7 @@
         marks = decode_token(caller.workspace, getattr(req, "token", b""))
         if isinstance(marks, Err):
             return marks
+        self._confirmer.use(GroupId(settings.group))
         deadline_ms = req.deadline_ms or settings.deadline_ms
         return Ok(
             Plan(
@@ -196,18 +197,18 @@
         if isinstance(sent, Err):
             return Err(unknown_if_sent(sent.err_value))
         answer = sent.ok_value
-        confirmed = self._confirm(plan, answer, answer.position)
+        confirmed = self._confirm(plan, view, answer, answer.position)
         if isinstance(confirmed, Err):
             return confirmed
         return Ok(self._answer(plan, view, answer, answer.position))
 
     def _confirm(
-        self, plan: Plan, answer: TargetAnswer, position: Position
+        self, plan: Plan, view: TargetView, answer: TargetAnswer, position: Position
     ) -> Result[None, QuetzalrudderError]:
         if not plan.settings.confirm_majority and not answer.repeated_request:
             return Ok(None)
-        position = position_to_confirm(answer, position)
-        return self._confirmer.confirm(plan.group, position, plan.deadline)
+        target = view.info.target
+        return self._confirmer.confirm(plan.group, position, plan.deadline, target, answer.state)
 
     def ask_outcome(self, plan: Plan, ask: AskOutcome) -> Result[Answer, QuetzalrudderError]:
         """Tell what became of an earlier write of the same workspace.
@@ -246,7 +247,7 @@
             state=answer.state,
             repeated_request=True,
         )
-        confirmed = self._confirm(plan, found, outcome.position)
+        confirmed = self._confirm(plan, view, found, outcome.position)
         if isinstance(confirmed, Err):
             return confirmed
         told = self._answer(plan, view, found, outcome.position)
@@ -312,18 +313,6 @@
     return match is not None and match[1].upper() in TRANSACTION_WORDS
 
 
-def position_to_confirm(answer: TargetAnswer, position: Position) -> Position:
-    """Give the position whose confirmation proves that a write stays.
-
-    Targets confirm positions of the current term only. An outcome that an earlier
-    term recorded is covered by what the primary has appended since it was promoted.
-    """
-    state = answer.state
-    if state is None or state.received is None or state.term == position.term:
-        return position
-    return state.received
-
-
 def still_unknown(exc: QuetzalrudderError) -> QuetzalrudderError:
     """Tell that a question about an outcome got no answer."""
     return OutcomeUnknown(
