Add the ledger of shares, with epochs, numbered transfers and a census

Rate, burst and permits are conserved units; a unit carries its part of the rate, so a changed rate needs no transfer. Property-based interleavings lose, repeat and reorder transfers, pause, kill, delist and replace instances, stop the platform and change rates; sums are checked at every step, admissions over every window. Equal division exceeds the burst in a rolling restart and the rate under a cut; the ledger does not.

--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -4,13 +4,24 @@
 # This file has been @generated
 
 __all__ = (
+    "CensusAnswer",
+    "CensusRequest",
     "Digest",
+    "EpochAnswer",
+    "EpochRequest",
     "Hello",
     "PeerFrame",
     "PeersBase",
     "PeersStub",
     "SettingsRequest",
     "SettingsUpdate",
+    "ShareAck",
+    "ShareClaim",
+    "ShareGrant",
+    "ShareItem",
+    "ShareOffer",
+    "ShareRecord",
+    "ShareRequest",
     "Welcome",
 )
 
@@ -33,6 +44,30 @@
 betterproto2.check_compiler_version(_COMPILER_VERSION)
 
 
+@dataclass(eq=False, repr=False)
+class CensusAnswer(betterproto2.Message):
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    epoch: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    items: "list[ShareItem]" = betterproto2.field(3, betterproto2.TYPE_MESSAGE, repeated=True)
+
+
+default_message_pool.register_message("peers", "CensusAnswer", CensusAnswer)
+
+
+@dataclass(eq=False, repr=False)
+class CensusRequest(betterproto2.Message):
+    """
+    Moves the receiver to an epoch and asks what it held at that moment.
+    """
+
+    epoch: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("peers", "CensusRequest", CensusRequest)
+
+
 @dataclass(eq=False, repr=False)
 class Digest(betterproto2.Message):
     settings_revision: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
@@ -46,6 +81,30 @@
 default_message_pool.register_message("peers", "Digest", Digest)
 
 
+@dataclass(eq=False, repr=False)
+class EpochAnswer(betterproto2.Message):
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    epoch: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    suspended: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+
+
+default_message_pool.register_message("peers", "EpochAnswer", EpochAnswer)
+
+
+@dataclass(eq=False, repr=False)
+class EpochRequest(betterproto2.Message):
+    """
+    Asks for the epoch of an instance that has not been paused.
+    """
+
+    pass
+
+
+default_message_pool.register_message("peers", "EpochRequest", EpochRequest)
+
+
 @dataclass(eq=False, repr=False)
 class Hello(betterproto2.Message):
     """
@@ -90,6 +149,38 @@
         11, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
+    share_request: "ShareRequest | None" = betterproto2.field(
+        30, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    share_grant: "ShareGrant | None" = betterproto2.field(
+        31, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    share_offer: "ShareOffer | None" = betterproto2.field(
+        32, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    share_ack: "ShareAck | None" = betterproto2.field(
+        33, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    census_request: "CensusRequest | None" = betterproto2.field(
+        34, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    census_answer: "CensusAnswer | None" = betterproto2.field(
+        35, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    epoch_request: "EpochRequest | None" = betterproto2.field(
+        36, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    epoch_answer: "EpochAnswer | None" = betterproto2.field(
+        37, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
     digest: "Digest | None" = betterproto2.field(
         40, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
@@ -124,6 +215,150 @@
 default_message_pool.register_message("peers", "SettingsUpdate", SettingsUpdate)
 
 
+@dataclass(eq=False, repr=False)
+class ShareAck(betterproto2.Message):
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    transfer: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    epoch: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("peers", "ShareAck", ShareAck)
+
+
+@dataclass(eq=False, repr=False)
+class ShareClaim(betterproto2.Message):
+    data_centre: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    incarnation: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+    """
+    The process that holds the data centre's part of every key not divided yet.
+    """
+
+
+default_message_pool.register_message("peers", "ShareClaim", ShareClaim)
+
+
+@dataclass(eq=False, repr=False)
+class ShareGrant(betterproto2.Message):
+    """
+    Shares that the giver has taken from its own before it sends them.
+    """
+
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    transfer: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    epoch: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+
+    items: "list[ShareItem]" = betterproto2.field(4, betterproto2.TYPE_MESSAGE, repeated=True)
+
+    refused: "bool" = betterproto2.field(5, betterproto2.TYPE_BOOL)
+    """
+    The request was for another epoch, or an older one; nothing was given.
+    """
+
+    left: "list[ShareItem]" = betterproto2.field(6, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    The giver's tokens left, so that the taker knows whom to ask.
+    """
+
+
+default_message_pool.register_message("peers", "ShareGrant", ShareGrant)
+
+
+@dataclass(eq=False, repr=False)
+class ShareItem(betterproto2.Message):
+    """
+    A share of one conserved quantity: a workspace's rate and burst, or a target's connections.
+    """
+
+    key: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    units: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    tokens: "float" = betterproto2.field(3, betterproto2.TYPE_DOUBLE)
+    """
+    Tokens of the bucket that move along with the units.
+    """
+
+    demand_per_s: "float" = betterproto2.field(4, betterproto2.TYPE_DOUBLE)
+    """
+    Cost asked for a second, as the sender measures it.
+    """
+
+    lack: "float" = betterproto2.field(5, betterproto2.TYPE_DOUBLE)
+    """
+    What the sender lacks right now: tokens, or permits.
+    """
+
+
+default_message_pool.register_message("peers", "ShareItem", ShareItem)
+
+
+@dataclass(eq=False, repr=False)
+class ShareOffer(betterproto2.Message):
+    """
+    Shares handed over unasked, by an instance that leaves.
+    """
+
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    transfer: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    epoch: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+
+    items: "list[ShareItem]" = betterproto2.field(4, betterproto2.TYPE_MESSAGE, repeated=True)
+
+
+default_message_pool.register_message("peers", "ShareOffer", ShareOffer)
+
+
+@dataclass(eq=False, repr=False)
+class ShareRecord(betterproto2.Message):
+    """
+    The platform's record of the division; changed by compare-and-swap.
+    """
+
+    epoch: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+    closed: "bool" = betterproto2.field(2, betterproto2.TYPE_BOOL)
+    """
+    False while a census of the epoch is under way.
+    """
+
+    coordinator: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+
+    claims: "list[ShareClaim]" = betterproto2.field(4, betterproto2.TYPE_MESSAGE, repeated=True)
+
+    counted: "list[str]" = betterproto2.field(5, betterproto2.TYPE_STRING, repeated=True)
+    """
+    Every process whose shares were counted when the epoch was closed.
+    """
+
+
+default_message_pool.register_message("peers", "ShareRecord", ShareRecord)
+
+
+@dataclass(eq=False, repr=False)
+class ShareRequest(betterproto2.Message):
+    """
+    Asks for shares. A taker has one request outstanding with a giver and repeats it.
+    """
+
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    transfer: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    epoch: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+
+    items: "list[ShareItem]" = betterproto2.field(4, betterproto2.TYPE_MESSAGE, repeated=True)
+
+
+default_message_pool.register_message("peers", "ShareRequest", ShareRequest)
+
+
 @dataclass(eq=False, repr=False)
 class Welcome(betterproto2.Message):
     instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
--- /dev/null
+++ b/tests/naive/limits.py
@@ -0,0 +1,30 @@
+"""The naive way: each instance has its own bucket, an equal part by the live count it sees."""
+
+
+class EqualSplitBucket:
+    """A local token bucket of one workspace, full when the instance starts."""
+
+    def __init__(self, rate_per_s, burst, clock, live):
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.clock = clock
+        self.live = live
+        self.tokens = burst / live
+        self.refilled_at = clock.monotonic()
+
+    def set_live(self, live):
+        self._refill()
+        self.live = live
+
+    def _refill(self):
+        now = self.clock.monotonic()
+        grown = self.tokens + self.rate_per_s / self.live * (now - self.refilled_at)
+        self.tokens = min(self.burst / self.live, grown)
+        self.refilled_at = now
+
+    def spend(self, cost):
+        self._refill()
+        if self.tokens < cost:
+            return False
+        self.tokens -= cost
+        return True
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,448 @@
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalrudder.schema.peers import ShareClaim, ShareGrant, ShareRecord, ShareRequest
+from quetzalrudder.shares import (
+    PAUSE_LIMIT_S,
+    RATE_UNITS,
+    PermitLimit,
+    RateLimit,
+    ShareLedger,
+    lost_units,
+    permit_key,
+    rate_key,
+)
+from tests.clocks import ManualClock
+from tests.naive.limits import EqualSplitBucket
+
+RATE = rate_key("steppe/branch-1")
+PERMITS = permit_key("valuation-core-1-a")
+GONE_GRACE_S = 5.0
+CENTRES = ("astana-a", "astana-b", "karaganda")
+
+
+@dataclass
+class Node:
+    name: str
+    ledger: ShareLedger
+    paused: bool = False
+    paused_at: float = 0.0
+    dead: bool = False
+    # When the platform's list dropped it.
+    gone_at: float | None = None
+    answers: dict = field(default_factory=dict)
+
+
+class InMemoryFleet:
+    """Ledgers, a network that loses, repeats and reorders, and the platform's record."""
+
+    def __init__(self, count=4, rate_per_s=100.0, burst=20.0, permits=7):
+        self.clock = ManualClock()
+        self.limits = {RATE: RateLimit(rate_per_s, burst), PERMITS: PermitLimit(permits)}
+        self.largest = RateLimit(rate_per_s, burst)
+        self.permits = permits
+        self.record = ShareRecord(
+            epoch=1, closed=True, claims=[ShareClaim(data_centre=dc) for dc in CENTRES]
+        )
+        self.platform_up = True
+        self.nodes = []
+        self.network = []
+        self.admitted = []
+        for _ in range(count):
+            self.start()
+
+    def start(self, *_):
+        number = len(self.nodes)
+        dc = CENTRES[number % len(CENTRES)]
+        node = Node(f"n{number}", ShareLedger(f"n{number}/1", dc, self.limits.get, self.clock))
+        self.nodes.append(node)
+        if self.platform_up:
+            self._claim(node)
+            node.ledger.join(self.record)
+        else:
+            live = [other for other in self.nodes[:-1] if not other.dead and other.ledger.epoch]
+            if live:
+                node.ledger.adopt(live[0].ledger.epoch)
+
+    def _claim(self, node):
+        for claim in self.record.claims:
+            free = not claim.incarnation and claim.data_centre == node.ledger.data_centre
+            if free and self.record.closed:
+                claim.incarnation = node.ledger.incarnation
+
+    def running(self):
+        return [node for node in self.nodes if not node.dead and not node.paused]
+
+    def pick(self, number):
+        running = self.running()
+        return running[number % len(running)] if running else None
+
+    def spend(self, number, cost):
+        node = self.pick(number)
+        if node and node.ledger.spend(RATE, cost):
+            self.admitted.append((self.clock.now, cost))
+
+    def reserve(self, number, _):
+        node = self.pick(number)
+        if node:
+            node.ledger.reserve(PERMITS)
+
+    def release(self, number, _):
+        node = self.pick(number)
+        held = node and node.ledger._holdings.get(PERMITS)
+        if held and held.in_use:
+            node.ledger.release(PERMITS)
+
+    def ask(self, number, other):
+        taker, giver = self.pick(number), self.nodes[other % len(self.nodes)]
+        if taker and giver is not taker:
+            req = taker.ledger.request(giver.name, [RATE, PERMITS])
+            self.network.append((taker, giver, req))
+
+    def deliver(self, number, keep):
+        if not self.network:
+            return
+        index = number % len(self.network)
+        sender, receiver, message = self.network[index]
+        if receiver.paused:
+            return
+        if keep % 3 != 0:
+            self.network.pop(index)
+        if not receiver.dead:
+            self._receive(sender, receiver, message)
+
+    def _receive(self, sender, receiver, message):
+        match message:
+            case ShareRequest():
+                grant = receiver.ledger.grant(sender.name, message)
+                self.network.append((receiver, sender, grant))
+            case ShareGrant():
+                receiver.ledger.accept(sender.name, message)
+            case ("turn", epoch):
+                answer = receiver.ledger.turn(epoch)
+                self.network.append((receiver, sender, answer))
+            case offer if hasattr(offer, "items") and hasattr(offer, "transfer"):
+                ack = receiver.ledger.accept_offer(offer)
+                sender.ledger.acknowledged(receiver.name, ack)
+            case answer:
+                receiver.answers[(answer.epoch, sender.name)] = answer
+
+    def lose(self, number, _):
+        if self.network:
+            self.network.pop(number % len(self.network))
+
+    def advance(self, number, _):
+        self.clock.advance((number % 20) / 10)
+        for node in self.running():
+            node.ledger.tick()
+            self.check_record(node)
+
+    def check_record(self, node):
+        if not self.platform_up:
+            return
+        if node.gone_at is not None:
+            node.ledger.suspend()
+            return
+        node.ledger.join(self.record)
+        if node.ledger.suspended:
+            node.ledger.prove(self.record.epoch, self.clock.now)
+
+    def pause(self, number, _):
+        node = self.pick(number)
+        if node:
+            node.paused, node.paused_at = True, self.clock.now
+
+    def resume(self, number, _):
+        paused = [node for node in self.nodes if node.paused and not node.dead]
+        if paused:
+            paused[number % len(paused)].paused = False
+
+    def kill(self, number, _):
+        node = self.pick(number)
+        if node and len(self.running()) > 1:
+            node.dead, node.paused_at = True, self.clock.now
+
+    def delist(self, number, _):
+        silent = [
+            node
+            for node in self.nodes
+            if (node.dead or node.paused)
+            and node.gone_at is None
+            and self.clock.now - node.paused_at > PAUSE_LIMIT_S
+        ]
+        if silent and self.platform_up:
+            silent[number % len(silent)].gone_at = self.clock.now
+
+    def leave(self, number, other):
+        node, taker = self.pick(number), self.pick(other)
+        if node and node is not taker:
+            self.network.append((node, taker, node.ledger.offer(taker.name)))
+
+    def census(self, number, _):
+        node = self.pick(number)
+        if node is None or not self.platform_up or node.gone_at is not None:
+            return
+        if node.ledger.state().suspended or node.ledger.epoch != self.record.epoch:
+            return
+        self.record = ShareRecord(
+            epoch=self.record.epoch + 1,
+            coordinator=node.ledger.incarnation,
+            claims=self.record.claims,
+            counted=self.record.counted,
+        )
+        for other in self.nodes:
+            self.network.append((node, other, ("turn", self.record.epoch)))
+
+    def close(self, *_):
+        record = self.record
+        found = [n for n in self.nodes if n.ledger.incarnation == record.coordinator]
+        if record.closed or not found or found[0].dead or found[0].paused or not self.platform_up:
+            return
+        node = found[0]
+        if node.gone_at is not None or node.ledger.state().suspended:
+            return
+        answers = {key[1]: a for key, a in node.answers.items() if key[0] == record.epoch}
+        for other in self.nodes:
+            listed = other.gone_at is None or self.clock.now - other.gone_at < GONE_GRACE_S
+            if listed and other.name not in answers:
+                return
+        counted = list(answers.values())
+        names = [answer.incarnation for answer in counted]
+        lost = lost_units(counted, record.claims, self.limits.get)
+        claims = [
+            claim
+            if claim.incarnation in names
+            else ShareClaim(data_centre=claim.data_centre, incarnation=record.coordinator)
+            for claim in record.claims
+        ]
+        self.record = ShareRecord(
+            epoch=record.epoch,
+            closed=True,
+            coordinator=record.coordinator,
+            claims=claims,
+            counted=names,
+        )
+        node.ledger.settle(self.record, lost)
+
+    def platform(self, number, _):
+        self.platform_up = bool(number % 2)
+
+    def change_rate(self, number, other):
+        limit = RateLimit(20.0 * (1 + number % 10), 4.0 * (1 + other % 10))
+        self.limits[RATE] = limit
+        self.largest = RateLimit(
+            max(limit.rate_per_s, self.largest.rate_per_s), max(limit.burst, self.largest.burst)
+        )
+
+    def check(self):
+        believed = [n.ledger for n in self.nodes if not n.dead and not n.ledger.state().suspended]
+        assert sum(ledger.units(RATE) for ledger in believed) <= RATE_UNITS
+        assert sum(ledger.tokens(RATE) for ledger in believed) <= self.largest.burst + 1e-6
+        assert sum(ledger.units(PERMITS) for ledger in believed) <= self.permits
+        assert all(h.units >= 0 for led in believed for h in led._holdings.values())
+
+    def check_windows(self):
+        for start in range(len(self.admitted)):
+            total = 0.0
+            for at, cost in self.admitted[start:]:
+                total += cost
+                window_s = at - self.admitted[start][0]
+                assert total <= self.largest.rate_per_s * window_s + self.largest.burst + 1e-6
+
+
+OPS = [
+    "spend", "spend", "reserve", "release", "ask", "ask", "deliver", "deliver", "deliver",
+    "lose", "advance", "advance", "pause", "resume", "kill", "delist", "leave", "census",
+    "close", "platform", "change_rate", "start",
+]  # fmt: skip
+steps = st.lists(
+    st.tuples(st.sampled_from(OPS), st.integers(0, 40), st.integers(0, 40)), min_size=20,
+    max_size=120,
+)  # fmt: skip
+
+
+@settings(max_examples=200)
+@given(steps)
+def test_shares_and_admissions_stay_within_the_whole_under_any_interleaving(script):
+    fleet = InMemoryFleet()
+    for op, first, second in script:
+        if op == "start" and len(fleet.nodes) >= 9:
+            continue
+        if op == "spend":
+            fleet.spend(first, 1 + second % 3)
+        else:
+            getattr(fleet, op)(first, second)
+        fleet.check()
+    fleet.check_windows()
+
+
+def run_census(fleet, number=0):
+    fleet.network.clear()
+    fleet.census(number, 0)
+    for index in range(3 * len(fleet.nodes)):
+        fleet.deliver(index, 1)
+    fleet.close()
+
+
+def total(fleet, key):
+    return sum(node.ledger.units(key) for node in fleet.nodes if not node.dead)
+
+
+def exchange(fleet, taker, giver):
+    fleet.ask(taker, giver)
+    fleet.deliver(-1, 1)
+    fleet.deliver(-1, 1)
+
+
+def test_first_division_is_whole_and_one_part_for_each_data_centre():
+    fleet = InMemoryFleet(count=6)
+    assert total(fleet, RATE) == RATE_UNITS
+    assert total(fleet, PERMITS) == fleet.permits
+    assert [node.ledger.units(PERMITS) for node in fleet.nodes] == [3, 2, 2, 0, 0, 0]
+
+
+def test_a_new_instance_is_supplied_by_peers_while_the_platform_is_down():
+    fleet = InMemoryFleet(count=3)
+    fleet.platform_up = False
+    fleet.start()
+    newcomer = fleet.nodes[3].ledger
+    assert not newcomer.spend(RATE, 1)
+    exchange(fleet, 3, 0)
+    assert newcomer.retry_spend(RATE, 1)
+    assert total(fleet, RATE) == RATE_UNITS
+
+
+def test_a_lost_grant_is_had_by_asking_again_and_a_repeated_one_counts_once():
+    fleet = InMemoryFleet(count=3)
+    fleet.nodes[1].ledger.spend(RATE, 1)
+    fleet.ask(1, 0)
+    fleet.deliver(0, 1)
+    fleet.lose(0, 0)
+    assert total(fleet, RATE) < RATE_UNITS
+    fleet.ask(1, 0)
+    fleet.deliver(0, 1)
+    grant = fleet.network[0]
+    fleet.deliver(0, 1)
+    assert total(fleet, RATE) == RATE_UNITS
+    fleet.network.append(grant)
+    fleet.deliver(0, 1)
+    assert total(fleet, RATE) == RATE_UNITS
+
+
+def test_shares_of_a_killed_instance_come_back_only_once_the_list_drops_it():
+    fleet = InMemoryFleet(count=3)
+    fleet.kill(1, 0)
+    held = total(fleet, RATE)
+    run_census(fleet)
+    assert total(fleet, RATE) == held < RATE_UNITS
+    fleet.clock.advance(PAUSE_LIMIT_S + 1)
+    fleet.advance(0, 0)
+    fleet.delist(0, 0)
+    for _ in range(6):
+        fleet.advance(10, 0)
+    run_census(fleet)
+    assert total(fleet, RATE) == RATE_UNITS
+    assert total(fleet, PERMITS) == fleet.permits
+
+
+def test_a_paused_instance_does_not_spend_what_was_taken_back():
+    fleet = InMemoryFleet(count=3)
+    node = fleet.nodes[1]
+    fleet.pause(1, 0)
+    for _ in range(3):
+        fleet.advance(10, 0)
+    fleet.delist(0, 0)
+    for _ in range(6):
+        fleet.advance(10, 0)
+    run_census(fleet)
+    assert fleet.record.closed
+    node.paused = False
+    assert not node.ledger.spend(RATE, 1)
+    node.ledger.join(fleet.record)
+    node.ledger.prove(fleet.record.epoch, fleet.clock.now)
+    assert node.ledger.units(RATE) == 0
+    fleet.check()
+
+
+def test_a_pause_without_consequences_keeps_the_shares():
+    fleet = InMemoryFleet(count=3)
+    fleet.pause(1, 0)
+    for _ in range(4):
+        fleet.advance(10, 0)
+    fleet.resume(0, 0)
+    ledger = fleet.nodes[1].ledger
+    assert not ledger.spend(RATE, 1)
+    fleet.advance(0, 0)
+    assert ledger.spend(RATE, 1)
+
+
+def test_a_changed_rate_needs_no_transfer():
+    fleet = InMemoryFleet(count=3, rate_per_s=90, burst=9)
+    fleet.limits[RATE] = RateLimit(30, 3)
+    fleet.advance(10, 0)
+    assert sum(node.ledger.tokens(RATE) for node in fleet.nodes) == pytest.approx(3)
+
+
+def test_all_through_one_instance_gets_the_whole_rate_within_a_second():
+    fleet = InMemoryFleet(count=6, rate_per_s=300, burst=20)
+    ledger = fleet.nodes[5].ledger
+    for step in range(200):
+        fleet.clock.advance(0.005)
+        for node in fleet.nodes:
+            node.ledger.tick()
+        ledger.spend(RATE, 1)
+        if step % 20 == 0:
+            exchange(fleet, 5, step // 20 % 5)
+    assert ledger.units(RATE) > 0.99 * RATE_UNITS
+
+
+def rolling_restart(spend_at_new_bucket):
+    """Count what one burst after each of six restarts admits, the clock standing still."""
+    return sum(spend_at_new_bucket(number) for number in range(6))
+
+
+def test_naive_buckets_exceed_the_burst_in_a_rolling_restart_and_the_ledger_does_not():
+    clock = ManualClock()
+
+    def naive(_):
+        bucket = EqualSplitBucket(100, 60, clock, live=5)
+        return sum(bucket.spend(1) for _ in range(60))
+
+    fleet = InMemoryFleet(count=6, burst=60)
+
+    def product(number):
+        fleet.leave(number, number + 1)
+        fleet.deliver(0, 1)
+        fleet.nodes[number].dead = True
+        fleet.start()
+        running = len(fleet.running()) - 1
+        admitted = 0
+        for other in range(running):
+            exchange(fleet, running, other)
+            admitted += sum(fleet.running()[-1].ledger.spend(RATE, 1) for _ in range(60))
+        return admitted
+
+    assert rolling_restart(naive) > 60
+    assert rolling_restart(product) <= 60
+
+
+def test_naive_buckets_exceed_the_rate_when_a_data_centre_is_cut_off():
+    clock = ManualClock()
+    # Three on either side of the cut, each counting three live ones.
+    buckets = [EqualSplitBucket(100, 30, clock, live=3) for _ in range(6)]
+    admitted = 0
+    for _ in range(200):
+        clock.advance(0.01)
+        admitted += sum(bucket.spend(1) for bucket in buckets)
+    assert admitted > 100 * 2 + 30
+    fleet = InMemoryFleet(count=6, burst=30)
+    admitted = 0
+    for _ in range(200):
+        fleet.clock.advance(0.01)
+        for node in fleet.nodes:
+            node.ledger.tick()
+        admitted += sum(node.ledger.spend(RATE, 1) for node in fleet.nodes)
+    assert admitted <= 100 * 2 + 30
