--- a/src/quetzalrudder/groups.py
+++ b/src/quetzalrudder/groups.py
@@ -89,6 +89,12 @@
         with self._lock:
             return [view for group in self._groups.values() for view in group.targets.values()]
 
+    def find(self, target: TargetId) -> TargetView | None:
+        """Find a target by name."""
+        with self._lock:
+            groups = self._groups.values()
+            return next((g.targets[target] for g in groups if target in g.targets), None)
+
     def members(self, group: GroupId) -> list[TargetView]:
         """Give the targets of one group."""
         with self._lock:
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -19,12 +19,15 @@
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, InstanceState, TargetId
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
+from quetzalrudder.rates import FleetLimits, RateGate
 from quetzalrudder.routing import ReadRouter
 from quetzalrudder.schema.platform import Group
 from quetzalrudder.schema.settings import DaemonSettings
 from quetzalrudder.schema.target import Open
 from quetzalrudder.services import CallerService, OperatorService
 from quetzalrudder.settings_store import SettingsStore
+from quetzalrudder.share_exchange import ShareExchange
+from quetzalrudder.shares import ShareLedger
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
 from quetzalrudder.utils import Clock, SystemClock, parse_address
@@ -40,6 +43,7 @@
 MAX_PEER_TASKS = 256
 LIST_INTERVAL_S = 1.0
 DEFAULT_CONNECTION_LIMIT = 4
+INCARNATION_BITS = 64
 
 
 class Instance:
@@ -106,13 +110,32 @@
                 self.loop, self.instance, self.data_centre, self.membership, self.timeline.clock
             )
         )
+        self.exchange = self._make_exchange()
+        stack.callback(self.exchange.stop)
         self.connections = self._make_connections(callers, max_tasks)
+        control.submit(self.exchange.run)
+        control.submit(self.exchange.run_census)
         control.submit(self.store.watch)
         control.submit(self._follow_lists)
         self._listen(stack, control, peer_tasks)
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
 
+    def _make_exchange(self) -> ShareExchange:
+        ledger = ShareLedger(
+            incarnation=f"{self.instance}/{self.rng.getrandbits(INCARNATION_BITS):x}",
+            data_centre=self.data_centre,
+            limits=FleetLimits(lambda: self.store.tree, self._fleet_connection_limit),
+            clock=self.clock,
+        )
+        return ShareExchange(
+            ledger, self.peers, self.membership, self.platform, self.clock, self.rng
+        )
+
+    def _fleet_connection_limit(self, target: TargetId) -> int:
+        view = self.groups.find(target)
+        return view.state.connection_limit if view and view.state else 0
+
     def _make_connections(self, callers: Executor, max_tasks: int) -> CallerConnections:
         runner = StatementRunner(
             self.groups,
@@ -126,6 +149,7 @@
             data_centre=self.data_centre,
             store=self.store,
             runner=runner,
+            rates=RateGate(self.exchange.ledger, self.exchange.seek),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
@@ -196,7 +220,9 @@
         self.timeline.record(EventKind.DRAINING)
         self.connections.draining.set()
         wait_s = timeout_s if timeout_s is not None else self.cfg.drain_s or DEFAULT_DRAIN_S
-        return self.connections.wait_until_empty(wait_s)
+        left = self.connections.wait_until_empty(wait_s)
+        self.exchange.hand_over()
+        return left
 
 
 def _targets_of(group: Group) -> list[tuple[TargetInfo, bool]]:
--- /dev/null
+++ b/src/quetzalrudder/share_exchange.py
@@ -0,0 +1,404 @@
+"""Moves shares between instances, joins the division, and finds what has been lost."""
+
+import logging
+import random
+import threading
+from collections.abc import Iterable
+
+from result import Err, Ok, Result
+
+from quetzalrudder.adapters import Platform
+from quetzalrudder.exceptions import Conflict, PlatformUnavailable, QuetzalrudderError
+from quetzalrudder.membership import Membership
+from quetzalrudder.models import InstanceId
+from quetzalrudder.peers import PeerLinks
+from quetzalrudder.schema.peers import (
+    CensusAnswer,
+    CensusRequest,
+    EpochAnswer,
+    EpochRequest,
+    ShareAck,
+    ShareClaim,
+    ShareGrant,
+    ShareOffer,
+    ShareRecord,
+    ShareRequest,
+)
+from quetzalrudder.schema.platform import PutRequest
+from quetzalrudder.shares import ShareKey, ShareLedger, lost_units
+from quetzalrudder.utils import Clock
+
+__all__ = ["AskBudget", "ShareExchange", "choose_giver"]
+
+log = logging.getLogger(__name__)
+
+RECORD_KEY = "shares/record"
+TICK_S = 0.1
+SEEK_BOUND_S = 0.03
+SEEK_ATTEMPTS = 3
+ASK_TIMEOUT_S = 0.2
+AVOID_S = 1.0
+MAX_ASKS_PER_S = 40.0
+MAX_CANDIDATES = 8
+GONE_GRACE_S = 5.0
+LIST_LAG_S = 3.0
+CENSUS_INTERVAL_S = 10.0
+CENSUS_TIMEOUT_S = 3.0
+HAND_OVER_ATTEMPTS = 3
+
+
+class AskBudget:
+    """Bounds the requests for shares that an instance sends in a second.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    per_s : float
+        Most requests a second.
+    """
+
+    def __init__(self, clock: Clock, per_s: float = MAX_ASKS_PER_S) -> None:
+        self._clock = clock
+        self._per_s = per_s
+        self._left = per_s
+        self._at = clock.monotonic()
+
+    def take(self) -> bool:
+        """Take one request from the budget; false if it is used up."""
+        now = self._clock.monotonic()
+        self._left = min(self._per_s, self._left + (now - self._at) * self._per_s)
+        self._at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+def choose_giver(
+    peers: Iterable[InstanceId], left: dict[InstanceId, float], rng: random.Random
+) -> InstanceId | None:
+    """Choose the peer with the most left, by its own last word; unknown ones come first."""
+    candidates = sorted(peers)
+    if not candidates:
+        return None
+    if len(candidates) > MAX_CANDIDATES:
+        candidates = rng.sample(candidates, MAX_CANDIDATES)
+    rng.shuffle(candidates)
+    return max(candidates, key=lambda peer: left.get(peer, float("inf")))
+
+
+class ShareExchange:
+    """Keeps an instance's ledger supplied.
+
+    Parameters
+    ----------
+    ledger : ShareLedger
+        The shares of this instance.
+    links : PeerLinks
+        The way to peers.
+    membership : Membership
+        Who they are.
+    platform : Platform
+        Holds the record of the division.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        ledger: ShareLedger,
+        links: PeerLinks,
+        membership: Membership,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.ledger = ledger
+        self._links = links
+        self._membership = membership
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._budget = AskBudget(clock)
+        self._seeking = threading.Lock()
+        self._stopping = threading.Event()
+        self._left: dict[ShareKey, dict[InstanceId, float]] = {}
+        self._avoided: dict[InstanceId, float] = {}
+        self._incarnations: dict[InstanceId, str] = {}
+        self._seen: set[InstanceId] = set()
+        self._gone_at: dict[InstanceId, float] = {}
+        self._census_wanted = False
+        self._census_at = float("-inf")
+        self._listed = False
+        # The platform's record has been read, and the own data centre's part claimed if free.
+        self._joined = False
+        links.on(ShareRequest, ledger.grant)
+        links.on(ShareOffer, lambda _, offer: ledger.accept_offer(offer))
+        links.on(CensusRequest, lambda _, req: ledger.turn(req.epoch))
+        links.on(EpochRequest, lambda _, req: ledger.state())
+
+    def stop(self) -> None:
+        """End :meth:`run` and :meth:`run_census` at their next turn."""
+        self._stopping.set()
+
+    def run(self) -> None:
+        """Exchange shares until :meth:`stop`; one task runs this."""
+        while not self._stopping.wait(TICK_S):
+            try:
+                self.ledger.tick()
+                self._settle_in()
+                self._balance()
+            except Exception:
+                log.exception("exchange of shares ended by a defect")
+
+    # Entering the fleet
+
+    def _settle_in(self) -> None:
+        own = self._membership.find(InstanceId(self.ledger.incarnation.partition("/")[0]))
+        if self._listed and own is None:
+            self.ledger.suspend()
+        self._listed = self._listed or own is not None
+        suspended = self.ledger.suspended and own is not None
+        if suspended or not (self._joined and self.ledger.epoch):
+            self._enter()
+
+    def _enter(self) -> None:
+        asked_at = self._clock.monotonic()
+        record = self._claim()
+        if isinstance(record, Err) and isinstance(record.err_value, Conflict):
+            return
+        if isinstance(record, Ok):
+            self.ledger.join(record.ok_value)
+            self.ledger.prove(record.ok_value.epoch, asked_at)
+            self._joined = True
+            return
+        if self.ledger.epoch and not self.ledger.suspended:
+            return
+        for peer in self._candidates():
+            match self._links.ask(peer, EpochRequest(), ASK_TIMEOUT_S):
+                case Ok(EpochAnswer(suspended=False, epoch=epoch)) if epoch:
+                    self.ledger.adopt(epoch)
+                    self.ledger.prove(epoch, asked_at)
+                    return
+
+    def _read_record(self) -> Result[tuple[ShareRecord, int], QuetzalrudderError]:
+        entry = self._platform.get(RECORD_KEY)
+        return entry.map(lambda found: (ShareRecord.parse(found.value), found.version))
+
+    def _write_record(
+        self, record: ShareRecord, version: int
+    ) -> Result[ShareRecord, QuetzalrudderError]:
+        put = PutRequest(key=RECORD_KEY, value=bytes(record), expected_version=version)
+        answer = self._platform.put(put)
+        if isinstance(answer, Err):
+            return answer
+        if not answer.ok_value.done:
+            return Err(Conflict("the record of shares was changed", place=RECORD_KEY))
+        return Ok(record)
+
+    def _claim(self) -> Result[ShareRecord, QuetzalrudderError]:
+        """Read the record, after making it or claiming the own data centre's part."""
+        found = self._read_record()
+        if isinstance(found, Err):
+            return found
+        record, version = found.ok_value
+        if version == 0:
+            centres = sorted({info.data_centre for info in self._membership.instances()})
+            if not centres:
+                return Err(PlatformUnavailable("no list of instances yet", place=RECORD_KEY))
+            claims = [ShareClaim(data_centre=data_centre) for data_centre in centres]
+            record = ShareRecord(epoch=1, closed=True, claims=claims)
+        free = [
+            claim
+            for claim in record.claims
+            if claim.data_centre == self.ledger.data_centre and not claim.incarnation
+        ]
+        if not free or not record.closed:
+            return Ok(record)
+        free[0].incarnation = self.ledger.incarnation
+        return self._write_record(record, version)
+
+    # Transfers
+
+    def _candidates(self) -> list[InstanceId]:
+        now = self._clock.monotonic()
+        peers = [info.instance for info in self._membership.peers() if not info.leaving]
+        return [peer for peer in peers if self._avoided.get(peer, 0.0) <= now]
+
+    def _ask(self, keys: list[ShareKey], timeout_s: float, tried: set[InstanceId]) -> None:
+        peers = [peer for peer in self._candidates() if peer not in tried]
+        left = self._left.get(keys[0], {})
+        giver = choose_giver(peers, left, self._rng)
+        if giver is None or not self._budget.take():
+            return
+        tried.add(giver)
+        answer = self._links.ask(giver, self.ledger.request(giver, keys), timeout_s)
+        match answer:
+            case Ok(ShareGrant() as grant):
+                self._take(giver, grant)
+            case _:
+                self._avoided[giver] = self._clock.monotonic() + AVOID_S
+
+    def _take(self, giver: InstanceId, grant: ShareGrant) -> None:
+        self.ledger.accept(giver, grant)
+        self._note_incarnation(giver, grant.incarnation)
+        for item in grant.left:
+            self._left.setdefault(ShareKey(item.key), {})[giver] = item.tokens
+        if grant.refused and grant.epoch > self.ledger.epoch:
+            found = self._read_record()
+            if isinstance(found, Ok):
+                self.ledger.join(found.ok_value[0])
+
+    def _balance(self) -> None:
+        keys = self.ledger.active_keys()
+        if keys and self.ledger.epoch:
+            # A balance goes to any peer, so that shares spread to where the demand is.
+            self._left.pop(keys[0], None)
+            self._ask(keys, ASK_TIMEOUT_S, set())
+
+    def seek(self, key: ShareKey, cost: float) -> bool:
+        """Ask a few peers for the tokens of one request, within a small bound."""
+        until = self._clock.monotonic() + SEEK_BOUND_S
+        if not self._seeking.acquire(timeout=SEEK_BOUND_S):
+            return False
+        try:
+            tried: set[InstanceId] = set()
+            for _ in range(SEEK_ATTEMPTS):
+                if self.ledger.retry_spend(key, cost):
+                    return True
+                left_s = until - self._clock.monotonic()
+                if left_s <= 0 or not self.ledger.epoch:
+                    return False
+                self._ask([key], left_s, tried)
+            return self.ledger.retry_spend(key, cost)
+        finally:
+            self._seeking.release()
+
+    def hand_over(self) -> None:
+        """Give all shares to a peer, before this instance stops."""
+        for peer in self._rng.sample(self._candidates(), len(self._candidates())):
+            for _ in range(HAND_OVER_ATTEMPTS):
+                answer = self._links.ask(peer, self.ledger.offer(peer), ASK_TIMEOUT_S)
+                if isinstance(answer, Ok) and isinstance(answer.ok_value, ShareAck):
+                    self.ledger.acknowledged(peer, answer.ok_value)
+                    return
+                if self._sent_nothing(answer):
+                    break
+
+    def _sent_nothing(self, answer: Result[object, QuetzalrudderError]) -> bool:
+        return isinstance(answer, Err) and not answer.err_value.ending
+
+    # Census
+
+    def _note_incarnation(self, peer: InstanceId, incarnation: str) -> None:
+        known = self._incarnations.get(peer)
+        self._incarnations[peer] = incarnation
+        self._census_wanted = self._census_wanted or known not in (None, incarnation)
+
+    def run_census(self) -> None:
+        """Take back shares of instances that are gone, until :meth:`stop`; one task."""
+        while not self._stopping.wait(1.0):
+            try:
+                self._note_gone()
+                if self._census_wanted and self._is_due():
+                    self._census_at = self._clock.monotonic()
+                    outcome = self._take_census()
+                    self._census_wanted = isinstance(outcome, Err)
+                    log.info("census of shares", extra={"outcome": str(outcome)})
+            except Exception:
+                log.exception("census of shares ended by a defect")
+
+    def _note_gone(self) -> None:
+        now = self._clock.monotonic()
+        listed = {info.instance for info in self._membership.instances()}
+        for name in self._seen - listed:
+            self._gone_at.setdefault(name, now)
+        self._gone_at = {name: at for name, at in self._gone_at.items() if name not in listed}
+        due = [name for name, at in self._gone_at.items() if now - at >= GONE_GRACE_S]
+        for name in due:
+            self._gone_at.pop(name)
+            self._incarnations.pop(name, None)
+            self.ledger.abandon(name)
+            self._census_wanted = True
+        self._seen = (self._seen | listed) - set(due)
+
+    def _is_due(self) -> bool:
+        names = sorted(info.instance for info in self._membership.instances())
+        own = InstanceId(self.ledger.incarnation.partition("/")[0])
+        if own not in names or self._gone_at:
+            return False
+        # The first by name goes first; the others follow if it has not done it.
+        wait_s = CENSUS_INTERVAL_S * (1 + min(names.index(own), 2))
+        return self._clock.monotonic() - self._census_at >= wait_s
+
+    def _take_census(self) -> Result[None, QuetzalrudderError]:
+        if not all(
+            self._links.ask(p, EpochRequest(), ASK_TIMEOUT_S).is_ok() for p in self._peers()
+        ):
+            return Err(Conflict("an instance of the list does not answer", place=RECORD_KEY))
+        found = self._read_record()
+        if isinstance(found, Err):
+            return found
+        old, version = found.ok_value
+        if old.epoch != self.ledger.epoch or self.ledger.state().suspended:
+            self.ledger.join(old)
+            return Err(Conflict("another census came first", place=RECORD_KEY))
+        opened = ShareRecord(
+            epoch=old.epoch + 1,
+            coordinator=self.ledger.incarnation,
+            claims=old.claims,
+            counted=old.counted,
+        )
+        written = self._write_record(opened, version)
+        return written.and_then(self._count_and_close)
+
+    def _peers(self) -> list[InstanceId]:
+        return [info.instance for info in self._membership.peers()]
+
+    def _count_and_close(self, opened: ShareRecord) -> Result[None, QuetzalrudderError]:
+        answers = {InstanceId(""): self.ledger.turn(opened.epoch)}
+        for peer in self._peers():
+            answer = self._links.ask(peer, CensusRequest(epoch=opened.epoch), CENSUS_TIMEOUT_S)
+            match answer:
+                case Ok(CensusAnswer() as told) if told.epoch == opened.epoch:
+                    answers[peer] = told
+        self._stopping.wait(LIST_LAG_S)
+        if not set(self._peers()) <= set(answers):
+            return Err(Conflict("an instance of the list was not counted", place=RECORD_KEY))
+        return self._close(opened, list(answers.values()))
+
+    def _close(
+        self, opened: ShareRecord, answers: list[CensusAnswer]
+    ) -> Result[None, QuetzalrudderError]:
+        counted = [answer.incarnation for answer in answers]
+        lost = lost_units(answers, opened.claims, self.ledger.limits)
+        claims = [
+            claim
+            if claim.incarnation in counted
+            else ShareClaim(data_centre=claim.data_centre, incarnation=opened.coordinator)
+            for claim in opened.claims
+        ]
+        closed = ShareRecord(
+            epoch=opened.epoch,
+            closed=True,
+            coordinator=opened.coordinator,
+            claims=claims,
+            counted=counted,
+        )
+        found = self._read_record()
+        if isinstance(found, Err):
+            return found
+        if found.ok_value[0] != opened:
+            return Err(Conflict("another census came first", place=RECORD_KEY))
+        self._write_record(closed, found.ok_value[1])
+        # The answer to the write may be lost; what counts is what the record says.
+        again = self._read_record()
+        if isinstance(again, Err):
+            return again
+        if again.ok_value[0] != closed:
+            return Err(Conflict("another census came first", place=RECORD_KEY))
+        self.ledger.settle(closed, lost)
+        return Ok(None)
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -27,7 +27,7 @@
 from quetzalrudder.utils import Clock, Deadline
 from quetzalrudder.writes import Confirmer, current_primary, unknown_if_sent
 
-__all__ = ["CallerIdentity", "StatementRunner"]
+__all__ = ["CallerIdentity", "Plan", "StatementRunner"]
 
 MAX_READ_ATTEMPTS = 3
 MAX_REQUEST_ID_BYTES = 128
