--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -117,6 +117,7 @@
         control.submit(self.exchange.run_census)
         control.submit(self.store.watch)
         control.submit(self._follow_lists)
+        control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
