--- a/src/quetzalrudder/share_exchange.py
+++ b/src/quetzalrudder/share_exchange.py
@@ -4,11 +4,17 @@
 import random
 import threading
 from collections.abc import Iterable
+from concurrent.futures import Future
 
 from result import Err, Ok, Result
 
 from quetzalrudder.adapters import Platform
-from quetzalrudder.exceptions import Conflict, PlatformUnavailable, QuetzalrudderError
+from quetzalrudder.exceptions import (
+    Conflict,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    QuetzalrudderError,
+)
 from quetzalrudder.membership import Membership
 from quetzalrudder.models import InstanceId
 from quetzalrudder.peers import PeerLinks
@@ -17,6 +23,7 @@
     CensusRequest,
     EpochAnswer,
     EpochRequest,
+    PeerFrame,
     ShareAck,
     ShareClaim,
     ShareGrant,
@@ -34,7 +41,10 @@
 
 RECORD_KEY = "shares/record"
 TICK_S = 0.1
-SEEK_BOUND_S = 0.03
+SEEK_BOUND_S = 0.05
+# While the instance enters the fleet and holds nothing of a key yet.
+EMPTY_SEEK_BOUND_S = 1.0
+EMPTY_SEEK_TURN_S = 0.02
 SEEK_ATTEMPTS = 3
 ASK_TIMEOUT_S = 0.2
 AVOID_S = 1.0
@@ -150,6 +160,7 @@
             try:
                 self.ledger.tick()
                 self._settle_in()
+                self._warm_up()
                 self._balance()
             except Exception:
                 log.exception("exchange of shares ended by a defect")
@@ -235,12 +246,27 @@
         if giver is None or not self._budget.take():
             return
         tried.add(giver)
-        answer = self._links.ask(giver, self.ledger.request(giver, keys), timeout_s)
+        try:
+            fut = self._links.start(giver, self.ledger.request(giver, keys))
+        except QuetzalrudderError:
+            self._avoid(giver)
+            return
+        answer = self._links.answer_of(fut, timeout_s)
         match answer:
             case Ok(ShareGrant() as grant):
                 self._take(giver, grant)
+            case Err(OutcomeUnknown()) if timeout_s < ASK_TIMEOUT_S:
+                fut.add_done_callback(lambda late: self._take_late(giver, late))
             case _:
-                self._avoided[giver] = self._clock.monotonic() + AVOID_S
+                self._avoid(giver)
+
+    def _avoid(self, peer: InstanceId) -> None:
+        self._avoided[peer] = self._clock.monotonic() + AVOID_S
+
+    def _take_late(self, giver: InstanceId, fut: "Future[PeerFrame]") -> None:
+        answer = self._links.answer_of(fut, 0)
+        if isinstance(answer, Ok) and isinstance(answer.ok_value, ShareGrant):
+            self.ledger.accept(giver, answer.ok_value)
 
     def _take(self, giver: InstanceId, grant: ShareGrant) -> None:
         self.ledger.accept(giver, grant)
@@ -261,8 +287,20 @@
 
     def seek(self, key: ShareKey, cost: float) -> bool:
         """Ask a few peers for the tokens of one request, within a small bound."""
-        until = self._clock.monotonic() + SEEK_BOUND_S
-        if not self._seeking.acquire(timeout=SEEK_BOUND_S):
+        started = self._clock.monotonic()
+        if self._seek_within(key, cost, started + SEEK_BOUND_S):
+            return True
+        while self._is_empty(key) and self._clock.monotonic() - started < EMPTY_SEEK_BOUND_S:
+            self._stopping.wait(EMPTY_SEEK_TURN_S)
+            if self._seek_within(key, cost, self._clock.monotonic() + ASK_TIMEOUT_S):
+                return True
+        return False
+
+    def _is_empty(self, key: ShareKey) -> bool:
+        return not self.ledger.epoch or self.ledger.units(key) == 0
+
+    def _seek_within(self, key: ShareKey, cost: float, until: float) -> bool:
+        if not self._seeking.acquire(timeout=max(0.0, until - self._clock.monotonic())):
             return False
         try:
             tried: set[InstanceId] = set()
@@ -277,6 +315,17 @@
         finally:
             self._seeking.release()
 
+    def _warm_up(self) -> None:
+        """Open a link to one more peer, so that the first request need not wait for it."""
+        cold = [peer for peer in self._candidates() if peer not in self._incarnations]
+        if cold and len(self._incarnations) < MAX_CANDIDATES:
+            peer = self._rng.choice(cold)
+            match self._links.ask(peer, EpochRequest(), ASK_TIMEOUT_S):
+                case Ok(EpochAnswer(incarnation=incarnation)):
+                    self._note_incarnation(peer, incarnation)
+                case _:
+                    self._avoid(peer)
+
     def hand_over(self) -> None:
         """Give all shares to a peer, before this instance stops."""
         for peer in self._rng.sample(self._candidates(), len(self._candidates())):
