--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -1,19 +1,25 @@
 import signal
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
+from result import Err, Ok
 
+from quetzalrudder.access import CallerIdentity
 from quetzalrudder.exceptions import (
     KeyWithdrawn,
     Overloaded,
     QuetzalrudderError,
+    RateExceeded,
     StatementFailed,
     TransactionAborted,
     TransactionNotFound,
 )
-from quetzalrudder.schema.caller import CallerFrame, Commit
+from quetzalrudder.schema.caller import Access, Answer, Begin, CallerFrame, Commit, Statement
 from quetzalrudder.schema.common import Ending
+from quetzalrudder.tokens import Marks
+from quetzalrudder.transactions import CallerTransactions
 from standins.demo import STEPPE_SETTINGS
 from standins.fleet import Fleet
 from tests.conftest import SMALL
@@ -206,3 +212,47 @@
             successor.write(INSERT, "tx-10", 5)
         assert ended.value.ending is Ending.NOT_RUN
         assert prices(killed, "tx-10") == [1, 2, 5]
+
+
+class SharedFake:
+    """Counts what is passed on to targets."""
+
+    def __init__(self):
+        self.runner = self
+        self.ran = []
+
+    def plan(self, tree, caller, request_id, begin):
+        return Ok(SimpleNamespace(caller=caller, marks=Marks()))
+
+    def begin(self, plan):
+        self.ran.append("begin")
+        view = SimpleNamespace(info=SimpleNamespace(target="t"))
+        return Ok(SimpleNamespace(transaction_id="tx", plan=plan, view=view))
+
+    def run(self, tx, stmt):
+        self.ran.append(stmt.sql)
+        return Ok(Answer())
+
+    def commit(self, tx, request_id, commit):
+        self.ran.append("commit")
+        return Ok(Answer())
+
+
+def test_requests_of_a_transaction_count_against_the_rate_and_its_end_does_not(monkeypatch):
+    left = iter([True, True, False])
+
+    def admit(plan):
+        return Ok(plan) if next(left) else Err(RateExceeded("used up", retry_after_ms=5))
+
+    shared = SharedFake()
+    caller = CallerIdentity(WORKSPACE, "key")
+    transactions = CallerTransactions(shared, admit)
+    monkeypatch.setattr(transactions, "_merge_token", lambda *_: None)
+    assert transactions.begin(None, caller, "one", Begin()).is_ok()
+    for sql in ("first", "second"):
+        stmt = Statement(sql=sql, access=Access.WRITE, transaction_id="tx")
+        answer = transactions.run(caller, stmt)
+    assert isinstance(answer.err_value, RateExceeded)
+    commit = Commit(transaction_id="tx")
+    assert transactions.commit(None, caller, "two", commit).is_ok()
+    assert shared.ran == ["begin", "first", "commit"]
