--- a/src/quetzalrudder/promotion.py
+++ b/src/quetzalrudder/promotion.py
@@ -32,7 +32,7 @@
 
 log = logging.getLogger(__name__)
 
-EVIDENCE_TIMEOUT_S = 0.4
+EVIDENCE_TIMEOUT_S = 0.3
 FENCE_TIMEOUT_S = 0.5
 PROMOTE_TIMEOUT_S = 1.0
 SEND_ONLY_S = 0.0
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -9,7 +9,7 @@
 
 from quetzalrudder.adapters import TargetInfo
 from quetzalrudder.exceptions import PlatformUnavailable, QuetzalrudderError
-from quetzalrudder.failover import Failover, FailoverHandlers
+from quetzalrudder.failover import TICK_S, Failover, FailoverHandlers
 from quetzalrudder.groups import GroupTable
 from quetzalrudder.links import PROBE_INTERVAL_S, SILENCE_S
 from quetzalrudder.membership import Membership
@@ -40,7 +40,7 @@
 T = TypeVar("T")
 PLATFORM = "platform"
 LOCAL_DELAY_S = 0.0001
-REPLICATION_POLL_S = 0.002
+CONFIRM_TIMEOUT_S = 0.01
 FIELD_BY_TYPE = field_by_type(TargetFrame)
 
 
@@ -135,6 +135,8 @@
     one_way_s: float = 0.0005
     loss: float = 0.0
     replication_lag_s: float = 0.0
+    # Time between two looks of a follower at its primary's log.
+    poll_s: float = 0.002
     # Added to each message at random, up to this, so that messages overtake each other.
     max_extra_s: float = 0.0
 
@@ -204,7 +206,7 @@
         for instance in self.instances.values():
             instance.membership.set_list(entries)
             instance.start()
-        self.time.spawn("network", self._replicate_for_ever)
+        self._replicate_all()
 
     def __enter__(self) -> "MemoryFleet":
         return self
@@ -256,21 +258,22 @@
 
         self.time.call_at(at, owner, arrive)
 
-    def _replicate_for_ever(self) -> None:
-        while True:
-            for name in self.group.targets:
-                self._replicate(name)
-            self.time.sleep(REPLICATION_POLL_S)
+    def _replicate_all(self) -> None:
+        for name in self.group.targets:
+            self._replicate(name)
+        self.time.call_at(self.time.now + self.conditions.poll_s, "network", self._replicate_all)
+
+    def _is_connected(self, one: TargetState, other: TargetState) -> bool:
+        stopped = [s for s in (one, other) if self.time.is_paused(s.cfg.target)]
+        return not stopped and not self.is_cut(one.cfg.data_centre, other.cfg.data_centre)
 
     def _replicate(self, name: str) -> None:
         follower = self.group.targets[name].state
-        if follower.follower is None or {name, follower.follower.primary} & self.dead:
+        if follower.follower is None:
             return
         primary = self.group.targets[follower.follower.primary].state
         term = follower.follower.term
-        stopped = self.time.is_paused(name) or self.time.is_paused(primary.cfg.target)
-        cut = self.is_cut(follower.cfg.data_centre, primary.cfg.data_centre)
-        if stopped or cut or not primary.accepts_writes(term):
+        if not self._is_connected(follower, primary) or not primary.accepts_writes(term):
             return
         if follower.database.received == primary.database.received and not follower.rejoining:
             return
@@ -278,6 +281,9 @@
         delay_s = self.conditions.one_way_s + self.conditions.replication_lag_s
 
         def take() -> None:
+            # The lag is spent at the primary: what it has not sent is lost with it.
+            if not self._is_connected(follower, primary):
+                return
             _drop_held(follower, batch)
             if take_batch(follower, term, batch):
                 follower.database.apply_all()
@@ -343,16 +349,21 @@
 
     def start(self) -> None:
         """Start probing and watching."""
-        self._fleet.time.spawn(self.name, self._probe_for_ever)
-        self._fleet.time.spawn(self.name, self.failover.run)
+        time = self._fleet.time
+        time.call_at(time.now + self._phase_s, self.name, self._probe)
+        time.call_at(time.now + self._phase_s, self.name, self._watch)
+
+    def _probe(self) -> None:
+        self.links.probe_all()
+        time = self._fleet.time
+        time.call_at(time.now + PROBE_INTERVAL_S, self.name, self._probe)
 
-    def _probe_for_ever(self) -> None:
-        self._fleet.time.sleep(self._phase_s)
-        while True:
-            self.links.probe_all()
-            self._fleet.time.sleep(PROBE_INTERVAL_S)
+    def _watch(self) -> None:
+        self.failover.tick()
+        time = self._fleet.time
+        time.call_at(time.now + TICK_S, self.name, self._watch)
 
-    def write(self, request_id: str, timeout_s: float) -> Position | None:
+    def write(self, request_id: str, timeout_s: float, *, confirm: bool = True) -> Position | None:
         """Run a write and confirm it; gives its position once acknowledged."""
         primary = self.groups.primary(self._fleet.group_id)
         if primary is None or not primary.reachable:
@@ -361,17 +372,22 @@
         answer = self.links.write(primary.info, primary.state.term, request_id, timeout_s)
         if answer is None or answer.position is None:
             return None
+        if not confirm:
+            return answer.position
         confirmed = {primary.info.target}
         others = [info for target, info in self.infos.items() if target not in confirmed]
         req = Confirm(position=answer.position)
         while self._fleet.time.now < deadline:
             found = self.links.ask_targets(
-                others, req, PROBE_INTERVAL_S, lambda answers: any(map(_confirms, answers.values()))
+                others,
+                req,
+                CONFIRM_TIMEOUT_S,
+                lambda answers: any(map(_confirms, answers.values())),
             )
             confirmed |= {target for target, answer in found.items() if _confirms(answer)}
             if len(confirmed) > len(self.infos) // 2:
                 return answer.position
-            self._fleet.time.sleep(REPLICATION_POLL_S)
+            self._fleet.time.sleep(self._fleet.conditions.poll_s)
         return None
 
 
