--- a/src/quetzalrudder/failover.py
+++ b/src/quetzalrudder/failover.py
@@ -39,9 +39,9 @@
 
 TICK_S = 0.05
 # Time without contact to a primary, or without a primary, before an attempt.
-UNREACHED_GRACE_S = 0.3
+UNREACHED_GRACE_S = 0.2
 LEADERLESS_GRACE_S = 1.0
-PROPOSER_STAGGER_S = 0.25
+PROPOSER_STAGGER_S = 0.2
 MAX_JITTER_S = 0.1
 FOLLOW_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 0.2
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -18,6 +18,7 @@
 from quetzalrudder.membership import Membership
 from quetzalrudder.metrics import Metrics
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, InstanceState, TargetId
+from quetzalrudder.operator_keys import GuardedService
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
 from quetzalrudder.promotion import Promoter, group_watchers
@@ -30,6 +31,7 @@
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.transactions import TransactionRunner
 from quetzalrudder.utils import Clock, SystemClock, parse_address
 from quetzalrudder.writes import Confirmer
 
@@ -133,6 +135,9 @@
             data_centre=self.data_centre,
             store=self.store,
             runner=runner,
+            transactions=TransactionRunner(
+                runner, self.pool, self._connection_limit, self.clock, self.rng
+            ),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
@@ -181,7 +186,9 @@
         peers = PeerService(self.loop, self.peers, peer_tasks)
         callers = CallerService(self.loop, self.connections)
         address = parse_address(self.cfg.control_listen)
-        stack.enter_context(Listener(self.loop, address, [operators, peers]))
+        digests = (self.cfg.operator_key_digests or "").split()
+        services = [GuardedService(operators, digests), peers]
+        stack.enter_context(Listener(self.loop, address, services))
         address = parse_address(self.cfg.listen)
         stack.enter_context(Listener(self.loop, address, [callers]))
 
--- a/src/quetzalrudder/writes.py
+++ b/src/quetzalrudder/writes.py
@@ -19,7 +19,7 @@
 from quetzalrudder.schema.target import Confirm, Role, State, TargetAnswer
 from quetzalrudder.utils import Deadline
 
-__all__ = ["Confirmer", "current_primary", "position_in_term", "unknown_if_sent"]
+__all__ = ["Confirmer", "current_primary", "unknown_if_sent"]
 
 RETRY_AFTER_MS = 200
 
@@ -75,9 +75,7 @@
         primary : TargetId, optional
             The target that answered the write.
         state : State, optional
-            Its state in that answer. The primary's answer then counts as its own
-            confirmation, and a position of an earlier term is confirmed by the first
-            position of the primary's term, which follows it in the same log.
+            Its state in that answer, which then counts as its own confirmation.
 
         Returns
         -------
@@ -90,7 +88,6 @@
         if primary is not None and state is not None and state.role is Role.PRIMARY:
             members = [view for view in members if view.info.target != primary]
             confirmed = 1
-            position = position_in_term(position, state)
         pending = self._ask_all(members, position, deadline)
         while pending and confirmed < needed and not deadline.passed:
             done, pending = wait(pending, deadline.remaining_s, return_when=FIRST_COMPLETED)
@@ -111,20 +108,5 @@
         return futures
 
 
-def position_in_term(position: Position, state: State) -> Position:
-    """Give what to confirm in a primary's term for a position that its log holds.
-
-    Examples
-    --------
-    >>> state = State(term=3, term_starts=[TermStart(term=3, first_index=9)])
-    >>> position_in_term(Position(term=1, index=4), state)
-    Position(term=3, index=9)
-    """
-    if position.term >= state.term:
-        return position
-    starts = [start for start in state.term_starts if start.term == state.term]
-    return Position(term=state.term, index=starts[0].first_index) if starts else position
-
-
 def _is_confirmed(fut: "Future[TargetAnswer]") -> bool:
     return fut.exception() is None and fut.result().failure is None and fut.result().confirmed
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts a deployment as processes on loopback, and switches its faults."""
 
+import itertools
 import os
 import signal
 import socket
@@ -13,6 +14,7 @@
 from typing import Any
 
 from quetzalrudder.bridge import Loop, call_once
+from quetzalrudder.keys import digest_key, make_key
 from quetzalrudder.operators import OperatorClient
 from quetzalrudder.schema.platform import Group, InstanceEntry, TargetEntry
 from quetzalrudder.schema.standin import (
@@ -30,23 +32,43 @@
 from standins.deployments import Deployment
 from standins.network import Network, Relay
 
-__all__ = ["Fleet", "free_addresses"]
+__all__ = ["OPERATOR_KEY", "Fleet", "free_addresses"]
 
 ROOT = Path(__file__).resolve().parent.parent
+OPERATOR_KEY = make_key()
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
 CALL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 20.0
+FIRST_PORT = 10_000
+PORT_COUNT = 20_000
+PORT_STRIDE = 131
+
+_port_numbers = itertools.count(os.getpid() * PORT_STRIDE)
 
 
 def free_addresses(count: int) -> list[str]:
-    """Find loopback addresses whose ports are free."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+    """Find loopback addresses whose ports are free.
+
+    The ports lie below those that the system gives to outgoing connections, so that
+    none of these takes one before it is listened on.
+    """
+    found: list[str] = []
+    while len(found) < count:
+        port = FIRST_PORT + next(_port_numbers) % PORT_COUNT
+        if _is_free(port):
+            found.append(f"127.0.0.1:{port}")
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 class Fleet:
@@ -192,7 +214,8 @@
             f"data_centre = {data_centre}\n"
             f"listen = {self.instance_addresses[name]}\n"
             f"control_listen = {self.control_addresses[name]}\n"
-            f"platform = {self.platform_address}\n",
+            f"platform = {self.platform_address}\n"
+            f"operator_key_digests = {digest_key(OPERATOR_KEY)}\n",
             encoding="utf-8",
         )
         self._spawn(name, "-m", "quetzalrudder.daemon", str(path))
@@ -257,7 +280,7 @@
     def operator(self, instance: str) -> OperatorClient:
         """Call an instance as an operator."""
         address = parse_address(self.control_addresses[instance])
-        return OperatorClient(self.loop, address, "operator")
+        return OperatorClient(self.loop, address, "operator", key=OPERATOR_KEY)
 
     def session(self, *instances: str, workspace: str = "", key: str = "") -> Session:
         """Open a session through one or more instances."""
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -32,7 +32,8 @@
 from quetzalrudder.utils import Address, field_by_type
 from standins.replication import first_batch, replicate_request, take_batch
 from standins.serving import FaultState
-from standins.target import StatementConn, TargetConfig, TargetService, TargetState
+from standins.statements import StatementConn
+from standins.target import TargetConfig, TargetService, TargetState
 from standins.virtual import VirtualTime
 
 __all__ = ["Conditions", "MemoryFleet", "MemoryFollower", "MemoryGroup", "MemoryTarget", "run_now"]
@@ -94,7 +95,7 @@
             term=term,
             request_id=request_id,
         )
-        return run_now(StatementConn(self.state).dispatch(req))
+        return StatementConn(self.state).write(req)
 
     def holds_request(self, request_id: str) -> bool:
         """Tell whether the visible data has the outcome of a request."""
