--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -116,7 +116,7 @@
         marks = decode_token(caller.workspace, getattr(req, "token", b""))
         if isinstance(marks, Err):
             return marks
-        self._confirmer.links.use(GroupId(settings.group))
+        self._confirmer.use(GroupId(settings.group))
         deadline_ms = req.deadline_ms or settings.deadline_ms
         return Ok(
             Plan(
--- a/src/quetzalrudder/writes.py
+++ b/src/quetzalrudder/writes.py
@@ -54,6 +54,10 @@
     groups: GroupTable
     links: ControlLinks
 
+    def use(self, group: GroupId) -> None:
+        """Note that a request uses a group, so that links to its members are kept."""
+        self.links.use(group)
+
     def confirm(
         self,
         group: GroupId,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -103,7 +103,10 @@
         self.group = group
         self.data_centre = data_centre
 
-    def confirm(self, _, position, deadline):
+    def use(self, group):
+        """Nothing to open."""
+
+    def confirm(self, _, position, deadline, primary=None, state=None):
         group = self.group
         group.replicate()
         holders = [
@@ -161,7 +164,7 @@
         cfg = TargetConfig(f"{GROUP}-{'abc'[number]}", data_centre, "", 3, 20)
         target = TargetState(cfg, FaultState())
         target.database = Database(self.clock.wall)
-        target.term = 1
+        target.start_new_group(primary=False)
         return target
 
     @property
@@ -199,7 +202,8 @@
             if not self.reaches(target, source.cfg.data_centre) or source.cfg.target in self.down:
                 continue
             database = target.database
-            database.truncate(source.database.keep_index(database.received))
+            starts = database.term_starts()
+            database.truncate(source.database.keep_index(database.received, starts))
             for entry in source.database.entries[len(database.entries) :]:
                 database.receive(entry)
             if apply and not self.lags:
