--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,122 @@
+import threading
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import ExitStack
+
+import pytest
+from result import Ok
+
+from quetzalrudder.adapters import TargetInfo
+from quetzalrudder.groups import GroupTable
+from quetzalrudder.links import KEEP_OPEN_S, ControlLinks
+from quetzalrudder.schema.target import Role, State, TargetAnswer
+from quetzalrudder.timeline import Timeline
+from quetzalrudder.utils import Address, SystemClock
+from tests.helpers import wait_for
+
+GROUP = "valuation-core-1"
+INFO = TargetInfo("t-a", GROUP, "astana-a", Address("127.0.0.1", 1))
+
+
+class ShiftedClock(SystemClock):
+    """Real time, which a test can move forward."""
+
+    shift_s = 0.0
+
+    def monotonic(self):
+        return super().monotonic() + self.shift_s
+
+
+class FakeConn:
+    """Answers at once, but for the messages that it is told to lose."""
+
+    broken = False
+
+    def __init__(self):
+        self.lose = 0
+        self.probes = 0
+        self.closed = threading.Event()
+
+    def start(self, req):
+        self.probes += 1
+        fut = Future()
+        if self.lose:
+            self.lose -= 1
+        else:
+            fut.set_result(TargetAnswer(state=State(role=Role.PRIMARY, term=1)))
+        return fut
+
+    def close(self):
+        self.closed.set()
+
+
+class Rig:
+    def __init__(self, stack):
+        self.clock = ShiftedClock()
+        self.groups = GroupTable(self.clock)
+        self.groups.set_targets([(INFO, False)])
+        self.conns = []
+        executor = stack.enter_context(ThreadPoolExecutor(4))
+        timeline = Timeline("astana-a-1", self.clock)
+        links = ControlLinks(self.groups, self.open, executor, self.clock, timeline)
+        self.links = stack.enter_context(links)
+
+    def open(self, info, generation, timeout_s):
+        self.conns.append(FakeConn())
+        return Ok(self.conns[-1])
+
+    @property
+    def is_reachable(self):
+        return self.groups.members(GROUP)[0].reachable
+
+
+@pytest.fixture
+def rig():
+    with ExitStack() as stack:
+        yield Rig(stack)
+
+
+def test_link_opens_on_first_use_and_closes_when_the_group_is_idle(rig):
+    rig.links.watch([])
+    assert rig.conns == []
+    assert not rig.links.follows(GROUP)
+    rig.links.use(GROUP)
+    assert rig.groups.term(GROUP) == 1
+    assert rig.links.follows(GROUP)
+    rig.clock.shift_s += KEEP_OPEN_S
+    rig.links.refresh(GROUP)
+    wait_for(rig.conns[0].closed.is_set, "idle link closed")
+    assert not rig.links.follows(GROUP)
+    rig.links.use(GROUP)
+    wait_for(lambda: len(rig.conns) > 1 and rig.is_reachable, "link opened again")
+
+
+def test_link_of_a_watched_group_stays_open_and_is_probed_slowly(rig):
+    rig.links.watch([GROUP])
+    wait_for(lambda: rig.is_reachable, "first state")
+    rig.clock.shift_s += KEEP_OPEN_S
+    probes = rig.conns[0].probes
+    rig.links.refresh(GROUP)
+    wait_for(lambda: rig.conns[0].probes > probes, "probe on demand")
+    assert not rig.conns[0].closed.is_set()
+
+
+def test_lost_probes_are_repeated_and_do_not_lose_the_link(rig):
+    rig.links.watch([GROUP])
+    wait_for(lambda: rig.is_reachable, "first state")
+    rig.conns[0].lose = 3
+    probes = rig.conns[0].probes
+    rig.links.refresh(GROUP)
+    wait_for(lambda: rig.conns[0].probes >= probes + 4, "probe repeated")
+    assert len(rig.conns) == 1
+    assert rig.is_reachable
+
+
+def test_silent_target_is_noted_as_unreachable_and_tried_again(rig):
+    rig.links.watch([GROUP])
+    wait_for(lambda: rig.is_reachable, "first state")
+    rig.conns[0].lose = 1000
+    rig.links.refresh(GROUP)
+    wait_for(lambda: not rig.is_reachable, "silence noted")
+    assert rig.conns[0].closed.is_set()
+    wait_for(lambda: rig.is_reachable, "link opened again")
+    assert len(rig.conns) == 2
