--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -207,9 +207,8 @@
     ) -> Result[None, QuetzalrudderError]:
         if not plan.settings.confirm_majority and not answer.repeated_request:
             return Ok(None)
-        position = position_to_confirm(answer, position)
-        primary = view.info.target
-        return self._confirmer.confirm(plan.group, position, plan.deadline, primary, answer.state)
+        target = view.info.target
+        return self._confirmer.confirm(plan.group, position, plan.deadline, target, answer.state)
 
     def ask_outcome(self, plan: Plan, ask: AskOutcome) -> Result[Answer, QuetzalrudderError]:
         """Tell what became of an earlier write of the same workspace.
@@ -314,18 +313,6 @@
     return match is not None and match[1].upper() in TRANSACTION_WORDS
 
 
-def position_to_confirm(answer: TargetAnswer, position: Position) -> Position:
-    """Give the position whose confirmation proves that a write stays.
-
-    Targets confirm positions of the current term only. An outcome that an earlier
-    term recorded is covered by what the primary has appended since it was promoted.
-    """
-    state = answer.state
-    if state is None or state.received is None or state.term == position.term:
-        return position
-    return state.received
-
-
 def still_unknown(exc: QuetzalrudderError) -> QuetzalrudderError:
     """Tell that a question about an outcome got no answer."""
     return OutcomeUnknown(
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -72,7 +72,7 @@
     """One target stand-in, without sockets."""
 
     def __init__(self, name: str, data_centre: str) -> None:
-        self.cfg = TargetConfig(name, data_centre, "", 3, 20)
+        self.cfg = TargetConfig(name, data_centre, "", 3, 20, statement_s=0.0)
         self.restart()
 
     def restart(self) -> None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -40,6 +40,7 @@
 
 FIRST_TERM = 1
 OPEN_S = 0.012
+STATEMENT_S = 0.001
 RETRY_AFTER_MS = 100
 
 
@@ -52,6 +53,8 @@
     listen: str
     slots: int
     connection_limit: int
+    # Time that each statement occupies a slot, in seconds.
+    statement_s: float = STATEMENT_S
 
 
 class TargetState:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -23,6 +23,7 @@
 from quetzalrudder.settings import SettingsTree, parse_branches
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.utils import Address
+from quetzalrudder.writes import position_in_term
 from standins.database import Database
 from standins.serving import FaultState
 from standins.statements import StatementConn
@@ -104,10 +105,11 @@
         self.data_centre = data_centre
 
     def use(self, group):
-        """Nothing to open."""
+        pass
 
     def confirm(self, _, position, deadline, primary=None, state=None):
         group = self.group
+        position = position_in_term(position, state) if state else position
         group.replicate()
         holders = [
             target
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -10,9 +10,9 @@
 from quetzalrudder.promotion import AttemptEnd
 from quetzalrudder.schema.platform import Group
 from quetzalrudder.schema.target import Begin, Commit, Confirm, Fence, Follow, Promote, Role
-from quetzalrudder.statements import position_to_confirm
 from quetzalrudder.suspicion import Report, Verdict, judge, watchers_of
 from quetzalrudder.utils import Address
+from quetzalrudder.writes import position_in_term
 from standins.memory import Conditions, MemoryFleet, MemoryGroup
 from standins.statements import StatementConn
 from tests.naive.failover import naive_promote, naive_write
@@ -334,8 +334,7 @@
     repeat = group.targets["t-b"].write(2, "once").ok_value
     assert repeat.repeated_request
     assert repeat.position == first.position
-    repeat.state = group.targets["t-b"].state.state()
-    position = position_to_confirm(repeat, repeat.position)
+    position = position_in_term(repeat.position, group.targets["t-b"].state.state())
     confirm = Confirm(position=position)
     assert not group.targets["t-c"].control(confirm).confirmed
     group.replicate("t-c")
