--- a/src/quetzalrudder/failover.py
+++ b/src/quetzalrudder/failover.py
@@ -39,12 +39,12 @@
 
 TICK_S = 0.05
 # Time without contact to a primary, or without a primary, before an attempt.
-UNREACHED_GRACE_S = 0.3
+UNREACHED_GRACE_S = 0.2
 LEADERLESS_GRACE_S = 1.0
-PROPOSER_STAGGER_S = 0.25
+PROPOSER_STAGGER_S = 0.2
 MAX_JITTER_S = 0.1
 FOLLOW_INTERVAL_S = 0.5
-PROBE_TIMEOUT_S = 0.3
+PROBE_TIMEOUT_S = 0.2
 FRESH_S = 0.35
 PUBLISH_INTERVAL_S = 1.0
 
--- a/standins/statements.py
+++ b/standins/statements.py
@@ -83,7 +83,7 @@
             case Execute(in_transaction=True):
                 return await self._in_slot(lambda: self._run_in_transaction(req))
             case Execute(write=True):
-                return await self._locked(req.wait_ms, lambda: self._write(req))
+                return await self._locked(req.wait_ms, lambda: self.write(req))
             case Execute():
                 return await self._in_slot(lambda: self._read(req))
             case AskOutcome():
@@ -137,7 +137,8 @@
         rows = self._target.database.read(Change(sql=req.sql, params=req.params))
         return rows.map(lambda found: TargetAnswer(rows=found))
 
-    def _write(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
+    def write(self, req: Execute) -> Result[TargetAnswer, QuetzalrudderError]:
+        """Run a write; the write lock is held or not needed."""
         target = self._target
         changes = [Change(sql=req.sql, params=req.params)]
         if not target.accepts_writes(req.term):
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -1,5 +1,6 @@
 """Promotion and confirmation on virtual time: real decisions, target stand-ins in memory."""
 
+import asyncio
 import random
 
 import pytest
@@ -12,8 +13,8 @@
 from quetzalrudder.suspicion import Report, Verdict, judge, watchers_of
 from quetzalrudder.utils import Address
 from quetzalrudder.writes import position_in_term
-from standins.memory import Conditions, MemoryFleet, MemoryGroup, run_now
-from standins.target import StatementConn
+from standins.memory import Conditions, MemoryFleet, MemoryGroup
+from standins.statements import StatementConn
 from tests.naive.failover import naive_promote, naive_write
 
 PLACES = {"t-a": "a", "t-b": "b", "t-c": "c"}
@@ -309,14 +310,17 @@
 
 
 def test_open_transaction_ends_with_the_term():
-    group = MemoryGroup(PLACES)
-    target = group.targets["t-a"]
-    conn = StatementConn(target.state)
-    assert run_now(conn.dispatch(Begin(workspace="w", term=1))).is_ok()
-    target.control(Fence(term=2, proposer="one"))
-    assert not conn.in_transaction
-    assert isinstance(run_now(conn.dispatch(Commit())).err_value, TransactionNotFound)
-    assert target.control(Promote(term=2, proposer="one")).failure is None
+    target = MemoryGroup(PLACES).targets["t-a"]
+
+    async def run():
+        conn = StatementConn(target.state)
+        assert (await conn.run(Begin(workspace="w", term=1))).is_ok()
+        target.control(Fence(term=2, proposer="one"))
+        assert not conn.in_transaction
+        assert isinstance((await conn.run(Commit())).err_value, TransactionNotFound)
+        assert target.control(Promote(term=2, proposer="one")).failure is None
+
+    asyncio.run(run())
 
 
 def test_position_of_an_earlier_term_is_confirmed_by_the_start_of_the_current_one():
@@ -330,7 +334,7 @@
     repeat = group.targets["t-b"].write(2, "once").ok_value
     assert repeat.repeated_request
     assert repeat.position == first.position
-    position = position_in_term(repeat.position, repeat.state or group.targets["t-b"].state.state())
+    position = position_in_term(repeat.position, group.targets["t-b"].state.state())
     confirm = Confirm(position=position)
     assert not group.targets["t-c"].control(confirm).confirmed
     group.replicate("t-c")
