Measure processor time per statement; encode statement frames by the compiled runtime

Cause (cProfile of the daemon under bench/speed.py): the generated classes' own codec is written in Python and took about half of the loop's time, among it a warnings.catch_warnings() for every default, which is also not thread-safe. Ruled out: a codec of our own (codecs come from libraries), and overriding the library's private methods.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,7 @@
 import bench
 from bench.measures import Measure, read_bounds, violations
 
-HELPERS = {"__main__", "measures"}
+HELPERS = {"__main__", "measures", "processes", "relay"}
 
 
 def benchmark_names() -> list[str]:
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,23 @@
+"""Processor time and memory of processes that a benchmark started."""
+
+import os
+from pathlib import Path
+
+__all__ = ["processor_s", "resident_bytes"]
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def processor_s(pid: int) -> float:
+    """Give the processor time that a process has used, in seconds."""
+    text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii", errors="replace")
+    fields = text.rpartition(")")[2].split()
+    user, system = int(fields[11]), int(fields[12])
+    return (user + system) / TICKS_PER_S
+
+
+def resident_bytes(pid: int) -> int:
+    """Give the resident memory of a process."""
+    text = Path(f"/proc/{pid}/statm").read_text(encoding="ascii")
+    return int(text.split()[1]) * PAGE_BYTES
--- a/src/quetzalrudder/codec.py
+++ b/src/quetzalrudder/codec.py
@@ -8,16 +8,27 @@
 from grpclib.encoding.proto import ProtoCodec
 from grpclib.server import Stream
 
+from quetzalrudder import wire
 from quetzalrudder.exceptions import MalformedMessage, MessageTooLarge
+from quetzalrudder.schema.caller import AnswerFrame, CallerFrame
+from quetzalrudder.schema.target import TargetAnswer, TargetFrame
 
 __all__ = ["MAX_MESSAGE_BYTES", "CheckedCodec", "limit_message_size"]
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# Frames that carry statements go through the compiled codec.
+STATEMENT_FRAMES = frozenset({AnswerFrame, CallerFrame, TargetAnswer, TargetFrame})
 
 
 class CheckedCodec(ProtoCodec):
     """Protocol buffers whose decoding failures are typed."""
 
+    def encode(self, message: Any, message_type: type) -> bytes:
+        """Encode one message."""
+        if message_type in STATEMENT_FRAMES and type(message) is message_type:
+            return wire.encode(message)
+        return super().encode(message, message_type)
+
     def decode(self, data: bytes, message_type: type) -> Any:
         """Decode one message.
 
@@ -30,8 +41,9 @@
         """
         if len(data) > MAX_MESSAGE_BYTES:
             raise _too_large(len(data))
+        read = wire.decode if message_type in STATEMENT_FRAMES else super().decode
         try:
-            return super().decode(data, message_type)
+            return read(data, message_type)
         except Exception as exc:
             reason = f"not a {message_type.__name__}: {type(exc).__name__}"
             raise MalformedMessage(reason) from exc
--- a/src/quetzalrudder/groups.py
+++ b/src/quetzalrudder/groups.py
@@ -33,7 +33,7 @@
     """Tell whether reads at a target see everything up to the position."""
     if log_dropped(state.term_starts, position):
         return False
-    applied = state.applied or Position()
+    applied = state.applied if state.applied is not None else Position()
     return applied.term >= position.term and applied.index >= position.index
 
 
@@ -116,7 +116,8 @@
             view.state = state
             view.asked_at = asked_at
             if state.role is Role.PRIMARY and state.term == self._term_of(group):
-                group.primary_samples.append((asked_at, state.applied or Position()))
+                applied = state.applied if state.applied is not None else Position()
+                group.primary_samples.append((asked_at, applied))
 
     def mark_unreachable(self, target: TargetId, group: GroupId) -> None:
         """Note that a target did not answer."""
@@ -157,7 +158,7 @@
         with self._lock:
             found = self._groups.get(group)
             samples = list(found.primary_samples) if found else []
-        applied = state.applied or Position()
+        applied = state.applied if state.applied is not None else Position()
         covered = [
             asked_at
             for asked_at, position in samples
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -88,7 +88,7 @@
             self._set_lists()
             for name, data_centre in self.deployment.instances():
                 self.start_instance(name, data_centre)
-            self._wait_for_ports(self.control_addresses.values())
+            self.wait_for_ports(self.control_addresses.values())
             self._apply_settings()
             self._wait_until_ready()
             self._stack = stack.pop_all()
@@ -157,12 +157,12 @@
 
     def _start_platform(self) -> None:
         self._spawn("platform", "-m", "standins.platform", f"--listen={self.platform_address}")
-        self._wait_for_ports([self.platform_address])
+        self.wait_for_ports([self.platform_address])
 
     def _start_targets(self) -> None:
         for _, target, _ in self.deployment.targets():
             self.start_target(target)
-        self._wait_for_ports(self.target_addresses.values())
+        self.wait_for_ports(self.target_addresses.values())
 
     def start_target(self, target: str) -> None:
         """Start a target; the first one of each group begins as its primary."""
@@ -196,7 +196,8 @@
         )
         self._spawn(name, "-m", "quetzalrudder.daemon", str(path))
 
-    def _wait_for_ports(self, addresses: Iterable[str]) -> None:
+    def wait_for_ports(self, addresses: Iterable[str]) -> None:
+        """Wait until something listens on each address."""
         deadline = time.monotonic() + START_TIMEOUT_S
         for text in addresses:
             address = parse_address(text)
@@ -290,6 +291,10 @@
         """Send a signal to a process of the fleet."""
         self._processes[name].send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Give the process id of a process of the fleet."""
+        return self._processes[name].pid
+
     def kill(self, name: str) -> None:
         """End a process at once."""
         self.signal(name, signal.SIGKILL)
