Encode session tokens by the compiled codec; cheaper inbox; no truth tests of messages

Cause (cProfile, callers' threads): bytes() of the token took 0.56 s of 2.3 s at work for 2000 statements, truth tests of messages, which compare every field with its default, 0.38 s, the inbox's condition variable 0.1 s.

--- a/src/quetzalrudder/bridge.py
+++ b/src/quetzalrudder/bridge.py
@@ -110,7 +110,7 @@
 
     def __init__(self, loop: Loop, capacity: int = PIPE_CAPACITY) -> None:
         self._loop = loop
-        self._inbox: queue.Queue[M | QuetzalrudderError] = queue.Queue()
+        self._inbox: queue.SimpleQueue[M | QuetzalrudderError] = queue.SimpleQueue()
         self._capacity = capacity
         self._outbox: asyncio.Queue[S | _Closed] = asyncio.Queue()
         self._room = threading.BoundedSemaphore(capacity)
--- a/src/quetzalrudder/groups.py
+++ b/src/quetzalrudder/groups.py
@@ -127,7 +127,7 @@
                 found.targets[target].reachable = False
 
     def _term_of(self, group: GroupView) -> int:
-        terms = [view.state.term for view in group.targets.values() if view.state]
+        terms = [view.state.term for view in group.targets.values() if view.state is not None]
         return max(terms, default=0)
 
     def term(self, group: GroupId) -> int:
@@ -145,7 +145,7 @@
             term = self._term_of(found)
             for view in found.targets.values():
                 state = view.state
-                if state and state.role is Role.PRIMARY and state.term == term:
+                if state is not None and state.role is Role.PRIMARY and state.term == term:
                     return view
             return None
 
--- a/src/quetzalrudder/tokens.py
+++ b/src/quetzalrudder/tokens.py
@@ -5,8 +5,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from google.protobuf.message import DecodeError
 from result import Err, Ok, Result
 
+from quetzalrudder import wire
 from quetzalrudder.exceptions import AccessDenied, InvalidToken, QuetzalrudderError
 from quetzalrudder.models import GroupId, WorkspaceId
 from quetzalrudder.schema.common import Mark, Position, SessionToken
@@ -43,7 +45,7 @@
     pairs = sorted(marks.by_group.items())
     entries = [Mark(group=group, position=position) for group, position in pairs]
     token = SessionToken(workspace=workspace, marks=entries)
-    return base64.urlsafe_b64encode(bytes(token))
+    return base64.urlsafe_b64encode(wire.encode(token))
 
 
 def decode_token(workspace: WorkspaceId, token: bytes) -> Result[Marks, QuetzalrudderError]:
@@ -66,8 +68,9 @@
     if len(token) > MAX_TOKEN_BYTES:
         return Err(InvalidToken(f"{len(token)} bytes, at most {MAX_TOKEN_BYTES}"))
     try:
-        parsed = SessionToken.parse(base64.b64decode(token, altchars=b"-_", validate=True))
-    except (binascii.Error, ValueError, EOFError) as exc:
+        raw = base64.b64decode(token, altchars=b"-_", validate=True)
+        parsed = wire.decode(raw, SessionToken)
+    except (binascii.Error, ValueError, DecodeError) as exc:
         return Err(InvalidToken(f"not a session token: {type(exc).__name__}"))
     if parsed.workspace != workspace:
         return Err(AccessDenied("the session token belongs to another workspace"))
