--- a/src/quetzalrudder/codec.py
+++ b/src/quetzalrudder/codec.py
@@ -18,6 +18,7 @@
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Frames that carry statements go through the compiled codec.
 STATEMENT_FRAMES = frozenset({AnswerFrame, CallerFrame, TargetAnswer, TargetFrame})
+TYPE_BY_NAME = {"string": str, "bytes": bytes, "bool": bool, "double": float}
 
 
 class CheckedCodec(ProtoCodec):
@@ -41,14 +42,31 @@
         """
         if len(data) > MAX_MESSAGE_BYTES:
             raise _too_large(len(data))
-        read = wire.decode if message_type in STATEMENT_FRAMES else super().decode
         try:
-            return read(data, message_type)
+            if message_type in STATEMENT_FRAMES:
+                return wire.decode(data, message_type)
+            message = super().decode(data, message_type)
+            _check_types(message)
+            return message
         except Exception as exc:
             reason = f"not a {message_type.__name__}: {type(exc).__name__}"
             raise MalformedMessage(reason) from exc
 
 
+def _check_types(message: Any) -> None:
+    """Refuse values that the generated classes' codec took over in another field's form."""
+    for name, meta in message._betterproto.meta_by_field_name.items():
+        found = getattr(message, name)
+        values = found if meta.repeated else [found]
+        for value in values:
+            if value is None and meta.optional:
+                continue
+            if meta.proto_type == "message" and value is not None:
+                _check_types(value)
+            elif not isinstance(value, TYPE_BY_NAME.get(meta.proto_type, int)):
+                raise TypeError(name)
+
+
 def _too_large(size: int) -> MessageTooLarge:
     return MessageTooLarge(f"{size} bytes, at most {MAX_MESSAGE_BYTES}")
 
--- /dev/null
+++ b/tests/naive/direct.py
@@ -0,0 +1,39 @@
+"""The naive version of running requests: straight at one database, one after the other."""
+
+from quetzalrudder.schema.common import Rows, Value
+from quetzalrudder.schema.standin import Change
+from quetzalrudder.utils import SqlValue, from_value, to_value
+from standins.database import Database
+
+
+class DirectSession:
+    """Answers what a session answers, without instances, replicas or sessions."""
+
+    def __init__(self) -> None:
+        self._database = Database()
+        self._database.append_empty(1)
+        self._outcomes: dict[str, Rows] = {}
+
+    def read(self, sql: str, *params: SqlValue) -> tuple[list[str], list[tuple], int]:
+        """Run a statement that changes nothing."""
+        return _shown(self._database.read(_change(sql, params)).unwrap())
+
+    def write(self, sql: str, *params: SqlValue, request_id: str) -> tuple:
+        """Run a statement that changes data; a repeated id gets the first outcome."""
+        if request_id not in self._outcomes:
+            change = _change(sql, params)
+            self._database.begin()
+            rows = self._database.run_in_transaction(change).unwrap()
+            self._database.commit(1, [change], "", rows)
+            self._outcomes[request_id] = rows
+        return _shown(self._outcomes[request_id])
+
+
+def _change(sql: str, params: tuple[SqlValue, ...]) -> Change:
+    values: list[Value] = [to_value(param) for param in params]
+    return Change(sql=sql, params=values)
+
+
+def _shown(rows: Rows) -> tuple[list[str], list[tuple], int]:
+    shown = [tuple(from_value(value) for value in row.values) for row in rows.rows]
+    return rows.columns, shown, rows.changed
--- /dev/null
+++ b/tests/test_doctests.py
@@ -0,0 +1,19 @@
+import doctest
+import importlib
+import pkgutil
+
+import pytest
+
+import quetzalrudder
+
+MODULES = sorted(
+    info.name
+    for info in pkgutil.walk_packages(quetzalrudder.__path__, "quetzalrudder.")
+    if not info.name.startswith("quetzalrudder.schema")
+)
+
+
+@pytest.mark.parametrize("name", MODULES)
+def test_examples_in_doc_comments(name):
+    failed, _ = doctest.testmod(importlib.import_module(name))
+    assert failed == 0
