--- a/src/quetzalrudder/ctl_context.py
+++ b/src/quetzalrudder/ctl_context.py
@@ -29,9 +29,9 @@
     """What every command shares."""
 
     def __init__(self, control: str, json_output: bool, operator_key_file: str = "") -> None:
-        self._operator_key_file = operator_key_file
         self.control = control
         self.json_output = json_output
+        self._operator_key_file = operator_key_file
 
     def client(self, stack: ExitStack, address: str | None = None) -> OperatorClient:
         """Open a client on an exit stack."""
--- a/src/quetzalrudder/operators.py
+++ b/src/quetzalrudder/operators.py
@@ -56,10 +56,10 @@
         The instance's control address.
     operator_name : str
         Written into the history with each change.
-    clock, rng
-        Sources of time and of random pauses.
     key : str
         The operator key.
+    clock, rng
+        Sources of time and of random pauses.
     """
 
     def __init__(
@@ -67,9 +67,10 @@
         loop: Loop,
         address: Address,
         operator_name: str,
+        *,
+        key: str = "",
         clock: Clock | None = None,
         rng: random.Random | None = None,
-        key: str = "",
     ) -> None:
         self._metadata = {KEY_HEADER: key} if key else {}
         self._loop = loop
