--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROTO = src/quetzalrudder/schema/proto
 SCHEMA = src/quetzalrudder/schema
 
-.PHONY: install demo test bench format lint check-format generate check-schema
+.PHONY: install demo test bench format lint check-format generate check-schema settings-reference check-settings-reference
 
 install: $(VENV)/.installed
 
@@ -38,3 +38,9 @@
 
 check-schema: install
 	$(PYTHON) tools/generate_schema.py --check $(SCHEMA)
+
+settings-reference: install
+	$(PYTHON) tools/settings_reference.py
+
+check-settings-reference: install
+	$(PYTHON) tools/settings_reference.py --check
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,7 @@
 import bench
 from bench.measures import Measure, read_bounds, violations
 
-HELPERS = {"__main__", "measures", "processes", "relay"}
+HELPERS = {"__main__", "measures", "plot", "processes", "relay"}
 
 
 def benchmark_names() -> list[str]:
--- /dev/null
+++ b/tools/measure_code.py
@@ -0,0 +1,74 @@
+"""Counts lines of Python by folder, the share of tests, and the share of decision modules.
+
+``measure_code.py [ROOT]`` prints the table; generated code is left out.
+"""
+
+import sys
+from pathlib import Path
+
+GENERATED = "src/quetzalrudder/schema"
+FOLDERS = ("src", "standins", "tests", "bench", "tools")
+
+# What each module of the package decides; every other module is plumbing.
+DECISIONS = {
+    "access": "who may reach what; withdrawal of keys",
+    "admission": "fair queueing and refusals",
+    "election": "promotion",
+    "failover": "promotion",
+    "gossip": "membership",
+    "groups": "state of targets",
+    "ledger": "limits",
+    "limits": "limits",
+    "membership": "membership",
+    "permits": "limits",
+    "pool": "connections to targets",
+    "promotion": "promotion",
+    "proposer": "promotion",
+    "rates": "limits",
+    "recovery": "recovery",
+    "routing": "routing",
+    "settings": "state of settings",
+    "settings_log": "state of settings",
+    "settings_store": "state of settings",
+    "shares": "limits",
+    "spreading": "state of settings",
+    "statements": "retries and endings",
+    "suspicion": "promotion",
+    "tokens": "state of sessions",
+    "transactions": "retries and endings",
+    "writes": "retries and endings",
+}
+
+
+def count_lines(path: Path) -> int:
+    """Count the lines of a file that are not blank."""
+    return sum(1 for line in path.read_text(encoding="utf-8").splitlines() if line.strip())
+
+
+def source_files(root: Path, folder: str) -> list[Path]:
+    """List the files of a folder that were written by hand."""
+    generated = root / GENERATED
+    return [path for path in sorted((root / folder).rglob("*.py")) if generated not in path.parents]
+
+
+def main(argv: list[str]) -> int:
+    """Print the counts."""
+    root = Path(argv[0] if argv else ".")
+    totals = {
+        folder: sum(count_lines(path) for path in source_files(root, folder)) for folder in FOLDERS
+    }
+    everything = sum(totals.values())
+    for folder, lines in totals.items():
+        print(f"{folder:10} {lines:7}  {lines / everything:6.1%}")
+    package = {path.stem: count_lines(path) for path in source_files(root, "src")}
+    decisions = {name: lines for name, lines in package.items() if name in DECISIONS}
+    share = sum(decisions.values()) / sum(package.values())
+    print(f"decisions in the package: {sum(decisions.values())} lines, {share:.1%}")
+    for name, lines in sorted(decisions.items()):
+        print(f"  {name:16} {lines:5}  {DECISIONS[name]}")
+    print("plumbing:", ", ".join(sorted(package.keys() - decisions.keys())))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
