--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -34,9 +34,12 @@
     Answer,
     AnswerFrame,
     AskOutcome,
+    Begin,
     CallerFrame,
+    Commit,
     Hello,
     MoveOn,
+    Rollback,
     Statement,
     Welcome,
 )
@@ -44,6 +47,7 @@
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.transactions import CallerTransactions, TransactionRunner
 from quetzalrudder.utils import MS_PER_S, Clock
 
 __all__ = ["CallerConnection", "CallerConnections"]
@@ -71,6 +75,7 @@
     def __init__(self, pipe: CallerPipe, owner: "CallerConnections") -> None:
         self._pipe = pipe
         self._owner = owner
+        self._transactions = CallerTransactions(owner.transactions)
         self._guard: KeyGuard | None = None
         # The request being run, for the ending told if the connection is ended from outside.
         self._running: CallerFrame | None = None
@@ -97,16 +102,14 @@
 
     def _serve(self) -> None:
         caller = self._greet()
-        while True:
-            frame = self._next_frame()
-            if frame is None:
-                return
-            self._running = frame
-            answer = self._handle(caller, frame)
-            self._pipe.send(answer, SEND_TIMEOUT_S)
-            self._running = None
-            if self._guard.withdrawn:
-                return
+        with self._transactions:
+            while (frame := self._next_frame(caller)) is not None:
+                self._running = frame
+                answer = self._handle(caller, frame)
+                self._pipe.send(answer, SEND_TIMEOUT_S)
+                self._running = None
+                if self._guard.withdrawn:
+                    return
 
     def end_if_withdrawn(self) -> None:
         """Tell the caller and close the connection once its key is withdrawn; any thread."""
@@ -138,15 +141,23 @@
         self._pipe.send(AnswerFrame(request_id=frame.request_id, welcome=welcome), SEND_TIMEOUT_S)
         return guard.caller
 
-    def _next_frame(self) -> CallerFrame | None:
+    def _next_frame(self, caller: CallerIdentity) -> CallerFrame | None:
         while True:
             try:
                 return self._pipe.recv(IDLE_TURN_S)
             except TimeoutError:
-                if self._owner.draining.is_set():
+                self._end_transactions(caller)
+                if self._owner.draining.is_set() and not self._transactions.count:
                     self._pipe.send(AnswerFrame(move_on=MoveOn()), SEND_TIMEOUT_S)
                     return None
 
+    def _end_transactions(self, caller: CallerIdentity) -> None:
+        if not self._transactions.count:
+            return
+        if isinstance(caller.recheck(), Err):
+            self._transactions.abandon_all()
+        self._transactions.abandon_expired()
+
     def _handle(self, caller: CallerIdentity, frame: CallerFrame) -> AnswerFrame:
         started = self._owner.clock.monotonic()
         result = self._run(caller, frame)
@@ -164,18 +175,31 @@
     def _run(
         self, caller: CallerIdentity, frame: CallerFrame
     ) -> Result[Answer, QuetzalrudderError]:
+        self._transactions.abandon_expired()
         tree = self._owner.store.tree
         checked = caller.recheck().and_then(lambda _: check_frame(tree, caller, frame))
         if isinstance(checked, Err):
+            if self._guard.withdrawn:
+                self._transactions.abandon_all()
             return checked
         runner = self._owner.runner
         match frame:
+            case CallerFrame(statement=Statement() as stmt) if stmt.transaction_id:
+                return self._transactions.run(caller, stmt)
             case CallerFrame(statement=Statement() as stmt):
                 planned = runner.plan(tree, caller, frame.request_id, stmt)
                 return planned.and_then(lambda plan: runner.run(plan, stmt))
             case CallerFrame(ask_outcome=AskOutcome() as ask):
                 planned = runner.plan(tree, caller, frame.request_id, ask)
                 return planned.and_then(lambda plan: runner.ask_outcome(plan, ask))
+            case CallerFrame(begin=Begin()) if self._owner.draining.is_set():
+                return Err(Draining("the instance is shutting down", retry_after_ms=1))
+            case CallerFrame(request_id=request_id, begin=Begin() as begin):
+                return self._transactions.begin(tree, caller, request_id, begin)
+            case CallerFrame(request_id=request_id, commit=Commit() as commit):
+                return self._transactions.commit(tree, caller, request_id, commit)
+            case CallerFrame(rollback=Rollback() as rollback):
+                return self._transactions.rollback(rollback.transaction_id)
             case _:
                 return Err(MalformedMessage("a frame of no known kind", place="frame"))
 
@@ -191,6 +215,8 @@
         Keys and routes.
     runner : StatementRunner
         Runs the requests.
+    transactions : TransactionRunner
+        Runs the transactions.
     executor : Executor
         One task for each connection.
     max_connections : int
@@ -210,6 +236,7 @@
         data_centre: DataCentre,
         store: SettingsStore,
         runner: StatementRunner,
+        transactions: TransactionRunner,
         executor: Executor,
         max_connections: int,
         clock: Clock,
@@ -220,6 +247,7 @@
         self.data_centre = data_centre
         self.store = store
         self.runner = runner
+        self.transactions = transactions
         self.clock = clock
         self.draining = threading.Event()
         self._executor = executor
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -1,6 +1,6 @@
 import pytest
 
-from quetzalrudder.exceptions import AccessDenied, InvalidToken
+from quetzalrudder.exceptions import AccessDenied, InvalidToken, OutcomeUnknown
 from quetzalrudder.schema.common import Ending
 from standins.demo import STEPPE_SETTINGS
 from standins.fleet import Fleet
@@ -60,9 +60,10 @@
         token = owner.token
     with fleet.session("karaganda-1", workspace=OWN) as claimant:
         assert claimant.read("steppe/prices", "SELECT 1").rows == [(1,)]
-        found = claimant.ask_outcome("steppe/prices", "owned")
-        assert found.changed == 0
-        assert not found.repeated
+        with pytest.raises(OutcomeUnknown):
+            claimant.ask_outcome("steppe/prices", "owned")
+        found = claimant.ask_outcome("steppe/prices", "owned", sent_ago_s=1)
+        assert (found.ending, found.changed, found.repeated) == (Ending.NOT_RUN, 0, False)
         claimant.token = token
         with pytest.raises((AccessDenied, InvalidToken)):
             claimant.read("steppe/prices", "SELECT 1")
@@ -84,7 +85,7 @@
     with fleet.session("astana-a-1", workspace=OWN, key=keys[OWN]) as owner:
         owner.write("steppe/offers", INSERT, "first", request_id="shared-id")
     with fleet.session("astana-a-1", workspace=OTHER, key=keys[OTHER]) as borrower:
-        asked = borrower.ask_outcome("steppe/offers", "shared-id")
-        assert (asked.changed, asked.repeated) == (0, False)
+        with pytest.raises(OutcomeUnknown):
+            borrower.ask_outcome("steppe/offers", "shared-id")
         written = borrower.write("steppe/offers", INSERT, "second", request_id="shared-id")
         assert (written.changed, written.repeated) == (1, False)
