--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -292,6 +292,8 @@
                 return self._attempt(adapter, frame, deadline, sent_at)
             except QuetzalrudderError as exc:
                 self._leave_after(exc)
+                if isinstance(exc, KeyWithdrawn) and lost is None:
+                    raise
                 lost = lost or _lost(frame, exc)
                 if lost is not None and is_short(deadline, self.timeout_s):
                     return self._settle(frame, deadline, sent_at, lost)
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -1,6 +1,14 @@
+import uuid
+
 import pytest
 
-from quetzalrudder.exceptions import AccessDenied, InvalidToken, OutcomeUnknown
+from quetzalrudder.exceptions import (
+    AccessDenied,
+    InvalidToken,
+    OutcomeUnknown,
+    QuetzalrudderError,
+)
+from quetzalrudder.schema.caller import Access, CallerFrame, Commit, Rollback, Statement
 from quetzalrudder.schema.common import Ending
 from standins.demo import STEPPE_SETTINGS
 from standins.fleet import Fleet
@@ -89,3 +97,38 @@
             borrower.ask_outcome("steppe/offers", "shared-id")
         written = borrower.write("steppe/offers", INSERT, "second", request_id="shared-id")
         assert (written.changed, written.repeated) == (1, False)
+
+
+def test_transaction_of_another_workspace_is_refused(fleet, keys):
+    with fleet.session("astana-a-1", workspace=OTHER, key=keys[OTHER]) as borrower:
+        stmt = Statement(
+            route="steppe/offers",
+            sql=SELECT,
+            access=Access.READ,
+            deadline_ms=2000,
+            transaction_id=uuid.uuid4().hex,
+        )
+        with pytest.raises(QuetzalrudderError) as refused:
+            borrower.send(CallerFrame(request_id="in-transaction", statement=stmt))
+        assert refused.value.ending is Ending.NOT_RUN
+
+
+def test_open_transaction_of_another_workspace_is_out_of_reach(fleet, keys):
+    with fleet.session("astana-a-1", workspace=OWN, key=keys[OWN]) as owner:
+        with owner.transaction("steppe/offers") as transaction:
+            transaction.write(INSERT, "pinned")
+            borrowed = transaction._transaction_id
+            for workspace, key in ((OTHER, keys[OTHER]), (OWN, "")):
+                with fleet.session("astana-a-1", workspace=workspace, key=key) as borrower:
+                    for kind in (
+                        Commit(transaction_id=borrowed, route="steppe/offers"),
+                        Rollback(transaction_id=borrowed),
+                    ):
+                        name = type(kind).__name__.lower()
+                        frame = CallerFrame(request_id=uuid.uuid4().hex, **{name: kind})
+                        with pytest.raises(QuetzalrudderError) as refused:
+                            borrower.send(frame)
+                        assert refused.value.ending is not Ending.DONE
+            transaction.write(INSERT, "pinned too")
+        rows = owner.read("steppe/offers", SELECT).rows
+        assert {("pinned",), ("pinned too",)} <= set(rows)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from random import Random
 
 import pytest
 from hypothesis import given
@@ -37,6 +38,7 @@
 from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings, Tree
 from quetzalrudder.settings import SettingsTree
 from quetzalrudder.timeline import Timeline
+from quetzalrudder.transactions import TransactionRunner
 from quetzalrudder.utils import parse_address
 from standins.fleet import OPERATOR_KEY
 from tests.clocks import ManualClock
@@ -130,6 +132,7 @@
             data_centre="astana-a",
             store=self.view,
             runner=self.runner,
+            transactions=TransactionRunner(self.runner, None, lambda _: 1, clock, Random(1)),
             executor=executor,
             max_connections=4,
             clock=clock,
