--- a/src/quetzalrudder/bridge.py
+++ b/src/quetzalrudder/bridge.py
@@ -46,6 +46,13 @@
 CLOSED = _Closed()
 
 
+class _Wake:
+    """Ends a thread's wait for a message, without one."""
+
+
+WAKE = _Wake()
+
+
 class Loop:
     """An asyncio loop in a thread of its own.
 
@@ -110,7 +117,7 @@
 
     def __init__(self, loop: Loop, capacity: int = PIPE_CAPACITY) -> None:
         self._loop = loop
-        self._inbox: queue.SimpleQueue[M | QuetzalrudderError] = queue.SimpleQueue()
+        self._inbox: queue.SimpleQueue[M | _Wake | QuetzalrudderError] = queue.SimpleQueue()
         self._capacity = capacity
         self._outbox: asyncio.Queue[S | _Closed] = asyncio.Queue()
         self._room = threading.BoundedSemaphore(capacity)
@@ -157,7 +164,7 @@
         Raises
         ------
         TimeoutError
-            Nothing came in time.
+            Nothing came in time, or :meth:`wake` ended the wait.
         QuetzalrudderError
             The stream has ended, or a message could not be read.
         """
@@ -165,11 +172,18 @@
             message = self._inbox.get(timeout=timeout_s)
         except queue.Empty:
             raise TimeoutError from None
+        if isinstance(message, _Wake):
+            raise TimeoutError
         if isinstance(message, QuetzalrudderError):
             self._inbox.put(message)
             raise message
         return message
 
+    def wake(self) -> None:
+        """End the wait of a thread that has nothing to read; any thread may call it."""
+        if self._inbox.empty():
+            self._inbox.put(WAKE)
+
     def send(self, message: S, timeout_s: float) -> None:
         """Queue a message for sending.
 
--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -111,6 +111,11 @@
                 if self._guard.withdrawn:
                     return
 
+    def wake(self) -> None:
+        """Have an idle connection look whether the instance drains; any thread."""
+        if self._guard is not None:
+            self._pipe.wake()
+
     def end_if_withdrawn(self) -> None:
         """Tell the caller and close the connection once its key is withdrawn; any thread."""
         guard = self._guard
@@ -144,7 +149,8 @@
     def _next_frame(self, caller: CallerIdentity) -> CallerFrame | None:
         while True:
             try:
-                return self._pipe.recv(IDLE_TURN_S)
+                # A connection without a transaction sleeps until a frame or a wake-up comes.
+                return self._pipe.recv(IDLE_TURN_S if self._transactions.count else None)
             except TimeoutError:
                 self._end_transactions(caller)
                 if self._owner.draining.is_set() and not self._transactions.count:
@@ -296,17 +302,20 @@
                 self._changed.notify_all()
 
     def watch_keys(self, stopping: threading.Event) -> None:
-        """End connections whose key is withdrawn, until told to stop; one task runs this."""
+        """End connections of withdrawn keys and wake idle ones to drain; one task runs this."""
         seen = None
         while not stopping.wait(KEY_SWEEP_INTERVAL_S):
             tree = self.store.tree
-            if tree is seen:
+            if tree is seen and not self.draining.is_set():
                 continue
-            seen = tree
             with self._changed:
                 live = list(self._live)
             for conn in live:
-                conn.end_if_withdrawn()
+                if tree is not seen:
+                    conn.end_if_withdrawn()
+                if self.draining.is_set():
+                    conn.wake()
+            seen = tree
 
     def wait_until_empty(self, timeout_s: float) -> int:
         """Wait for all connections to end; gives how many are left."""
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -12,6 +12,7 @@
 
 from quetzalrudder import connections
 from quetzalrudder.access import CallerIdentity, KeyGuard, authenticate, check_frame
+from quetzalrudder.bridge import WAKE
 from quetzalrudder.connections import CallerConnections
 from quetzalrudder.ctl import main as ctl
 from quetzalrudder.exceptions import (
@@ -80,16 +81,23 @@
         self.inbox = queue.Queue()
         self.sent = queue.Queue()
         self.closed = threading.Event()
+        self.waits = []
 
     def recv(self, timeout_s=None):
+        self.waits.append(timeout_s)
         try:
             frame = self.inbox.get(timeout=timeout_s)
         except queue.Empty:
             raise TimeoutError from None
+        if frame is WAKE:
+            raise TimeoutError
         if frame is None:
             raise LinkLost("closed")
         return frame
 
+    def wake(self):
+        self.inbox.put(WAKE)
+
     def send(self, message, timeout_s):
         if self.closed.is_set():
             raise LinkLost("closed")
@@ -186,6 +194,14 @@
     assert connected.pipe.closed.wait(5)
 
 
+def test_idle_connection_sleeps_until_it_is_told_to_move_on(connected):
+    """A wake-up twice a second for each of a node's 7,714 connections took 77 % of a core."""
+    wait_for(lambda: connected.pipe.waits[1:] == [None], "it waits without end")
+    connected.owner.draining.set()
+    assert connected.next_answer().move_on is not None
+    wait_for(lambda: connected.owner.count == 0, "the connection ends")
+
+
 def test_naive_idle_caller_goes_on_after_withdrawal(naive_connected):
     naive_connected.view.tree = tree_with(revision=2)
     naive_connected.start(Access.WRITE)
