--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -23,6 +23,7 @@
 from quetzalrudder.settings import SettingsTree, parse_branches
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.utils import Address
+from quetzalrudder.writes import position_in_term
 from standins.database import Database
 from standins.serving import FaultState
 from standins.statements import StatementConn
@@ -103,8 +104,12 @@
         self.group = group
         self.data_centre = data_centre
 
-    def confirm(self, _, position, deadline):
+    def use(self, group):
+        pass
+
+    def confirm(self, _, position, deadline, primary=None, state=None):
         group = self.group
+        position = position_in_term(position, state) if state else position
         group.replicate()
         holders = [
             target
@@ -161,7 +166,7 @@
         cfg = TargetConfig(f"{GROUP}-{'abc'[number]}", data_centre, "", 3, 20)
         target = TargetState(cfg, FaultState())
         target.database = Database(self.clock.wall)
-        target.term = 1
+        target.start_new_group(primary=False)
         return target
 
     @property
@@ -199,7 +204,8 @@
             if not self.reaches(target, source.cfg.data_centre) or source.cfg.target in self.down:
                 continue
             database = target.database
-            database.truncate(source.database.keep_index(database.received))
+            starts = database.term_starts()
+            database.truncate(source.database.keep_index(database.received, starts))
             for entry in source.database.entries[len(database.entries) :]:
                 database.receive(entry)
             if apply and not self.lags:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,9 +1,9 @@
 import base64
 import queue
+import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
-from random import Random
 
 import pytest
 from hypothesis import given
@@ -140,7 +140,7 @@
             data_centre="astana-a",
             store=self.view,
             runner=self.runner,
-            transactions=TransactionRunner(self.runner, None, lambda _: 1, clock, Random(1)),
+            transactions=TransactionRunner(self.runner, None, lambda _: 1, clock, random.Random(1)),
             executor=executor,
             max_connections=4,
             clock=clock,
