Reads: verified answers, conservative age, replicas that have probably caught up

The age counted from any primary's word, also one that a majority had left. An answer was never checked against the token. A question about an old outcome replaced the session's token by an older one (found by the property test of at-most-once).

Change: samples are spaced and bisected; what a target said is kept as plain tuples and read without a lock. The age counts from the earlier of the sample and the moment a majority was asked and knew no newer term. Every answer is checked to cover the token. A replica expected to have caught up is asked before the primary; a failure of such a guess, a missing table included, falls back. Retries come out of a budget. Tokens hold at most 32 groups; one that was left out is read at a primary that a majority confirms.

--- a/src/quetzalrudder/groups.py
+++ b/src/quetzalrudder/groups.py
@@ -1,9 +1,10 @@
 """What this instance knows of each database group: roles, terms, positions, ages."""
 
 import threading
-from collections import deque
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from quetzalrudder.adapters import TargetInfo
 from quetzalrudder.models import GroupId, TargetId
@@ -12,29 +13,83 @@
 from quetzalrudder.tokens import position_key
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["GroupTable", "TargetView", "log_covers", "log_dropped"]
+__all__ = [
+    "GroupTable",
+    "GroupView",
+    "Seen",
+    "TargetView",
+    "dropped",
+    "log_covers",
+    "log_dropped",
+]
 
-PRIMARY_SAMPLES = 512
+MAX_SAMPLES = 1024
+SAMPLE_SPACING_S = 0.02
+LAG_DECAY = 0.8
+NEVER = float("-inf")
+
+# A position as (term, index), and the start of a term as (term, first index).
+Key = tuple[int, int]
 
 
 def log_dropped(term_starts: Iterable[TermStart], position: Position) -> bool:
     """Tell whether a later term started at or before the position, dropping it.
 
+    A list that does not reach back to the position's term cannot tell; the
+    position is then taken as dropped.
+
     Examples
     --------
     >>> log_dropped([TermStart(term=2, first_index=9)], Position(term=1, index=9))
     True
+    >>> log_dropped([TermStart(term=2, first_index=9)], Position(term=2, index=9))
+    False
     """
-    later = [start for start in term_starts if start.term > position.term]
-    return any(start.first_index <= position.index for start in later)
+    starts = tuple((start.term, start.first_index) for start in term_starts)
+    return dropped(starts, position_key(position))
+
+
+def dropped(starts: tuple[Key, ...], key: Key) -> bool:
+    """Tell the same as :func:`log_dropped`, of plain tuples."""
+    term, index = key
+    if index == 0 or not starts or starts[-1][0] <= term:
+        return False
+    if term < starts[0][0]:
+        return True
+    return any(start > term and first <= index for start, first in starts)
 
 
 def log_covers(state: State, position: Position) -> bool:
     """Tell whether reads at a target see everything up to the position."""
-    if log_dropped(state.term_starts, position):
-        return False
-    applied = state.applied or Position()
-    return applied.term >= position.term and applied.index >= position.index
+    return _seen_of(state, NEVER).covers(position_key(position))
+
+
+class Seen(NamedTuple):
+    """What a target said of itself, ready for routing."""
+
+    role: Role
+    term: int
+    applied: Key
+    starts: tuple[Key, ...]
+    load: int
+    # Clock reading when the question was asked, in seconds.
+    asked_at: float
+
+    def covers(self, key: Key) -> bool:
+        """Tell whether reads see everything up to a position."""
+        applied = self.applied
+        return applied[0] >= key[0] and applied[1] >= key[1] and not dropped(self.starts, key)
+
+
+def _seen_of(state: State, asked_at: float) -> Seen:
+    return Seen(
+        role=state.role,
+        term=state.term,
+        applied=position_key(state.applied),
+        starts=tuple((start.term, start.first_index) for start in state.term_starts),
+        load=state.active_statements,
+        asked_at=asked_at,
+    )
 
 
 @dataclass
@@ -45,20 +100,108 @@
     leaving: bool = False
     state: State | None = None
     # Clock reading when the last answered question was asked, in seconds.
-    asked_at: float = float("-inf")
+    asked_at: float = NEVER
     reachable: bool = False
+    seen: Seen | None = None
+    # How far the target was last seen behind the primary, in seconds, decaying.
+    lag_s: float = 0.0
 
 
 @dataclass
 class GroupView:
-    """One database group as last seen from here."""
+    """One database group as last seen from here.
+
+    Writers hold the table's lock. Readers hold none: they see the tuples and
+    ``Seen`` records that were current when they looked.
+    """
 
     group: GroupId
     targets: dict[TargetId, TargetView] = field(default_factory=dict)
-    # (asked at, position) of the primary, oldest first.
-    primary_samples: deque[tuple[float, Position]] = field(
-        default_factory=lambda: deque(maxlen=PRIMARY_SAMPLES)
-    )
+    members: tuple[TargetView, ...] = ()
+    # The highest term seen.
+    term: int = 0
+    primary: TargetView | None = None
+    # A majority answered in the current term when asked at this time or later.
+    majority_at: float = NEVER
+    # Positions of the primary, ascending, and when each was asked for.
+    positions: list[Key] = field(default_factory=list)
+    times: list[float] = field(default_factory=list)
+
+    def observe(self, view: TargetView, seen: Seen) -> None:
+        """Take over what a target said of itself."""
+        view.seen = seen
+        if seen.term > self.term:
+            self.term = seen.term
+            self.primary = None
+        if seen.term == self.term:
+            self._observe_current(view, seen)
+        elif self.primary is view:
+            self.primary = None
+        self.majority_at = self._majority_at()
+
+    def _observe_current(self, view: TargetView, seen: Seen) -> None:
+        if seen.role is Role.PRIMARY:
+            self.primary = view
+            self._add_sample(seen)
+            return
+        if self.primary is view:
+            self.primary = None
+        behind = bisect_right(self.positions, seen.applied)
+        lag_s = seen.asked_at - self.times[behind] if behind < len(self.times) else 0.0
+        view.lag_s = max(lag_s, view.lag_s * LAG_DECAY)
+
+    def _add_sample(self, seen: Seen) -> None:
+        if self.times and seen.asked_at < self.times[-1]:
+            return
+        if self.positions and seen.applied == self.positions[-1]:
+            self.times[-1] = seen.asked_at
+            return
+        if self.positions and seen.applied < self.positions[-1]:
+            return
+        same_term = bool(self.positions) and seen.applied[0] == self.positions[-1][0]
+        if same_term and seen.asked_at - self.times[-1] < SAMPLE_SPACING_S:
+            return
+        if len(self.times) >= MAX_SAMPLES:
+            half = MAX_SAMPLES // 2
+            self.positions, self.times = self.positions[half:], self.times[half:]
+        self.times.append(seen.asked_at)
+        self.positions.append(seen.applied)
+
+    def _majority_at(self) -> float:
+        asked = sorted(
+            (view.seen.asked_at for view in self.members if view.seen and self._votes(view.seen)),
+            reverse=True,
+        )
+        needed = len(self.members) // 2 + 1
+        return asked[needed - 1] if len(asked) >= needed else NEVER
+
+    def _votes(self, seen: Seen) -> bool:
+        return seen.term == self.term and seen.role is not Role.FENCED
+
+    def age_s(self, seen: Seen, now: float) -> float:
+        """Bound the age of the data that reads at a target see, in seconds.
+
+        Counted from when the primary was asked for a position that the target
+        has applied, or, if that is earlier, from when a majority of the group
+        was last asked and still knew no newer term.
+        """
+        key = seen.applied
+        while True:
+            index = bisect_right(self.positions, key)
+            if index == 0:
+                return float("inf")
+            sample = self.positions[index - 1]
+            if not dropped(seen.starts, sample):
+                return now - min(self.times[index - 1], self.majority_at)
+            first = min(start for term, start in seen.starts if term > sample[0])
+            key = min((sample[0], first - 1), (sample[0], sample[1] - 1))
+
+    def expected_at(self, view: TargetView, key: Key) -> float:
+        """Estimate when a replica will have applied a position, as a clock reading."""
+        index = bisect_left(self.positions, key)
+        if index == len(self.positions) or view.seen.term != self.term:
+            return float("inf")
+        return self.times[index] + view.lag_s
 
 
 class GroupTable:
@@ -83,6 +226,7 @@
                 view = group.targets.setdefault(info.target, TargetView(info))
                 view.info = info
                 view.leaving = leaving
+                group.members = tuple(group.targets.values())
 
     def targets(self) -> list[TargetView]:
         """Give every target of every group."""
@@ -91,9 +235,12 @@
 
     def members(self, group: GroupId) -> list[TargetView]:
         """Give the targets of one group."""
-        with self._lock:
-            found = self._groups.get(group)
-            return list(found.targets.values()) if found else []
+        found = self._groups.get(group)
+        return list(found.members) if found else []
+
+    def view(self, group: GroupId) -> GroupView | None:
+        """Give what is known of one group, to be read without a lock."""
+        return self._groups.get(group)
 
     def observe(self, info: TargetInfo, state: State, asked_at: float) -> None:
         """Take over what a target said of itself in an answer.
@@ -110,13 +257,14 @@
         with self._lock:
             group = self._groups.setdefault(info.group, GroupView(info.group))
             view = group.targets.setdefault(info.target, TargetView(info))
+            if len(group.members) != len(group.targets):
+                group.members = tuple(group.targets.values())
             view.reachable = True
             if asked_at < view.asked_at:
                 return
             view.state = state
             view.asked_at = asked_at
-            if state.role is Role.PRIMARY and state.term == self._term_of(group):
-                group.primary_samples.append((asked_at, state.applied or Position()))
+            group.observe(view, _seen_of(state, asked_at))
 
     def mark_unreachable(self, target: TargetId, group: GroupId) -> None:
         """Note that a target did not answer."""
@@ -125,45 +273,23 @@
             if found and target in found.targets:
                 found.targets[target].reachable = False
 
-    def _term_of(self, group: GroupView) -> int:
-        terms = [view.state.term for view in group.targets.values() if view.state]
-        return max(terms, default=0)
-
     def term(self, group: GroupId) -> int:
         """Give the highest term seen in a group."""
-        with self._lock:
-            found = self._groups.get(group)
-            return self._term_of(found) if found else 0
+        found = self._groups.get(group)
+        return found.term if found else 0
 
     def primary(self, group: GroupId) -> TargetView | None:
         """Give the primary of the highest term seen; None while there is none."""
-        with self._lock:
-            found = self._groups.get(group)
-            if found is None:
-                return None
-            term = self._term_of(found)
-            for view in found.targets.values():
-                state = view.state
-                if state and state.role is Role.PRIMARY and state.term == term:
-                    return view
-            return None
+        found = self._groups.get(group)
+        return found.primary if found else None
 
     def age_ms(self, group: GroupId, state: State) -> float:
         """Bound the age of the data that reads at a target see, in milliseconds.
 
-        Counted from when the primary was asked for a position that the target
-        has applied, so that it grows while contact with the primary is lost.
+        See :meth:`GroupView.age_s`.
         """
-        with self._lock:
-            found = self._groups.get(group)
-            samples = list(found.primary_samples) if found else []
-        applied = state.applied or Position()
-        covered = [
-            asked_at
-            for asked_at, position in samples
-            if position_key(position) <= position_key(applied)
-            and not log_dropped(state.term_starts, position)
-        ]
-        if not covered:
+        found = self._groups.get(group)
+        if found is None:
             return float("inf")
-        return (self._clock.monotonic() - max(covered)) * MS_PER_S
+        seen = _seen_of(state, NEVER)
+        return found.age_s(seen, self._clock.monotonic()) * MS_PER_S
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -118,7 +118,7 @@
     def _make_connections(self, callers: Executor, max_tasks: int) -> CallerConnections:
         runner = StatementRunner(
             self.groups,
-            ReadRouter(self.groups, self.data_centre, self.rng),
+            ReadRouter(self.groups, self.data_centre, self.rng, self.clock),
             self.pool,
             Confirmer(self.groups, self.links),
             self.clock,
--- a/src/quetzalrudder/schema/caller/__init__.py
+++ b/src/quetzalrudder/schema/caller/__init__.py
@@ -137,6 +137,8 @@
     Time since the write was first sent; without it, an unrecorded write is unknown.
     """
 
+    token: "bytes" = betterproto2.field(5, betterproto2.TYPE_BYTES)
+
 
 default_message_pool.register_message("caller", "AskOutcome", AskOutcome)
 
--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -326,6 +326,7 @@
         time_ms = attempt_ms(deadline)
         _, request = betterproto2.which_one_of(frame, "kind")
         request.deadline_ms = time_ms
+        request.token = self.token
         if isinstance(request, Commit):
             request.sent_ago_ms = int((self._clock.monotonic() - sent_at) * MS_PER_S)
         answer = adapter.exchange(frame, time_ms / MS_PER_S + ANSWER_GRACE_S).answer
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -10,14 +10,17 @@
 from quetzalrudder.exceptions import (
     DeadlineExceeded,
     MalformedMessage,
+    NoReplica,
     OutcomeUnknown,
+    PositionLost,
     QuetzalrudderError,
     RouteNotFound,
     StatementFailed,
 )
-from quetzalrudder.groups import GroupTable, TargetView
+from quetzalrudder.groups import GroupTable, TargetView, log_covers, log_dropped
 from quetzalrudder.models import GroupId, RequestId, RouteName
 from quetzalrudder.pool import ConnectionPool, PooledConn
+from quetzalrudder.retries import RetryBudget
 from quetzalrudder.routing import ReadPolicy, ReadRouter
 from quetzalrudder.schema.caller import Access, Answer, AskOutcome, Begin, Statement
 from quetzalrudder.schema.common import Ending, Position
@@ -25,7 +28,7 @@
 from quetzalrudder.schema.target import AskOutcome as TargetAskOutcome
 from quetzalrudder.schema.target import Execute, TargetAnswer
 from quetzalrudder.settings import SettingsTree
-from quetzalrudder.tokens import Marks, decode_token, encode_token
+from quetzalrudder.tokens import Marks, decode_token, encode_token, position_key
 from quetzalrudder.utils import Clock, Deadline
 from quetzalrudder.writes import Confirmer, current_primary, unknown_if_sent
 
@@ -40,6 +43,7 @@
 MAX_READ_ATTEMPTS = 3
 MAX_REQUEST_ID_BYTES = 128
 LOCK_WAIT_SHARE = 0.8
+WAIT_STEP_S = 0.002
 FIRST_WORD = re.compile(r"(?:\s|;|--[^\n]*(?:\n|$)|/\*.*?\*/)*([A-Za-z]+)", re.DOTALL)
 TRANSACTION_WORDS = {"BEGIN", "COMMIT", "END", "ROLLBACK", "SAVEPOINT", "RELEASE"}
 RETRY_AFTER_MS = 100
@@ -92,6 +96,7 @@
         self._pool = pool
         self._confirmer = confirmer
         self._clock = clock
+        self._retries = RetryBudget()
 
     def plan(
         self,
@@ -141,31 +146,58 @@
                 return Err(MalformedMessage("read or write must be stated", place="access"))
 
     def _read(self, plan: Plan, stmt: Statement) -> Result[Answer, QuetzalrudderError]:
+        strict = plan.marks.forgot(plan.group)
         policy = ReadPolicy(
-            max_age_ms=stmt.max_age_ms or plan.settings.max_age_ms,
+            max_age_ms=0 if strict else stmt.max_age_ms or plan.settings.max_age_ms,
             covers=plan.marks.of(plan.group),
         )
         req = Execute(workspace=plan.caller.workspace, sql=stmt.sql, params=stmt.params)
+        self._retries.add_request()
         failed: frozenset[str] = frozenset()
         last: QuetzalrudderError = DeadlineExceeded("no time left", place=plan.group)
+        guessed = True
         for _ in range(MAX_READ_ATTEMPTS):
-            if plan.deadline.passed:
+            if plan.deadline.passed or not (guessed or self._retries.take()):
                 break
-            chosen = self._router.choose(plan.group, policy, failed)
+            chosen = self._choose(plan, policy, failed)
             if isinstance(chosen, Err):
                 return Err(last) if failed else chosen
             view = chosen.ok_value
-            answer = self._send(plan, view, req)
+            guessed = not view.seen.covers(position_key(policy.covers))
+            answer = self._send(plan, view, req).and_then(lambda found: _check(found, policy))
+            if strict:
+                answer = answer.and_then(lambda found: self._prove_primary(plan, found))
             match answer:
                 case Ok(found):
                     return Ok(self._answer(plan, view, found, found.state.applied))
-                case Err(exc) if exc.ending is Ending.UNKNOWN or exc.retry_after_ms:
+                case Err(exc) if exc.ending is Ending.UNKNOWN or exc.retry_after_ms or guessed:
                     last = not_run(exc)
                 case Err(exc):
                     return Err(exc)
             failed = failed | {view.info.target}
         return Err(last)
 
+    def _prove_primary(
+        self, plan: Plan, found: TargetAnswer
+    ) -> Result[TargetAnswer, QuetzalrudderError]:
+        """Check that the target was still the primary after it answered."""
+        confirmed = self._confirmer.confirm(plan.group, found.state.received, plan.deadline)
+        return confirmed.map(lambda _: found)
+
+    def _choose(
+        self, plan: Plan, policy: ReadPolicy, failed: frozenset[str]
+    ) -> Result[TargetView, QuetzalrudderError]:
+        """Choose a target, waiting a little for one that may soon qualify."""
+        wait_ms = min(plan.settings.replica_wait_ms, plan.deadline.remaining_ms)
+        waited = Deadline.after_ms(self._clock, wait_ms)
+        while True:
+            chosen = self._router.choose(plan.group, policy, failed)
+            if isinstance(chosen, Ok) or waited.passed:
+                return chosen
+            if isinstance(chosen.err_value, PositionLost):
+                return chosen
+            self._clock.sleep(min(WAIT_STEP_S, waited.remaining_s))
+
     def _write(self, plan: Plan, stmt: Statement) -> Result[Answer, QuetzalrudderError]:
         primary = self.primary(plan)
         if isinstance(primary, Err):
@@ -324,6 +356,17 @@
     return state.received
 
 
+def _check(found: TargetAnswer, policy: ReadPolicy) -> Result[TargetAnswer, QuetzalrudderError]:
+    """Refuse an answer that is older than what the session has seen."""
+    state = found.state
+    if state is None or log_dropped(state.term_starts, policy.covers):
+        return Err(PositionLost("a failover dropped what the session has seen"))
+    if not log_covers(state, policy.covers):
+        reason = "the answer is older than what the session has seen"
+        return Err(NoReplica(reason, retry_after_ms=RETRY_AFTER_MS))
+    return Ok(found)
+
+
 def still_unknown(exc: QuetzalrudderError) -> QuetzalrudderError:
     """Tell that a question about an outcome got no answer."""
     return OutcomeUnknown(
--- a/src/quetzalrudder/tokens.py
+++ b/src/quetzalrudder/tokens.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
 
@@ -14,6 +14,7 @@
 __all__ = ["Marks", "decode_token", "encode_token", "position_key"]
 
 MAX_TOKEN_BYTES = 4096
+MAX_MARKS = 32
 
 
 def position_key(position: Position | None) -> tuple[int, int]:
@@ -23,34 +24,46 @@
 
 @dataclass(frozen=True)
 class Marks:
-    """The highest position that a session saw or wrote in each group."""
+    """The highest position that a session saw or wrote in each group, the latest last."""
 
     by_group: Mapping[GroupId, Position] = field(default_factory=dict)
+    # True if marks of other groups were left out to bound the token.
+    incomplete: bool = False
 
     def of(self, group: GroupId) -> Position:
         """Give the mark in one group; (0, 0) if the session saw nothing there."""
         return self.by_group.get(group, Position())
 
+    def forgot(self, group: GroupId) -> bool:
+        """Tell whether the session may have seen more of a group than the marks say."""
+        return self.incomplete and group not in self.by_group
+
     def advance(self, group: GroupId, position: Position | None) -> "Marks":
         """Give marks that cover the position too; a mark never goes back."""
         if position is None or position_key(position) <= position_key(self.of(group)):
             return self
-        return Marks({**self.by_group, group: position})
+        others = {name: held for name, held in self.by_group.items() if name != group}
+        return Marks({**others, group: position}, self.incomplete)
 
     def merge(self, other: "Marks") -> "Marks":
         """Give marks that cover both."""
-        merged = self
+        merged = replace(self, incomplete=self.incomplete or other.incomplete)
         for group, position in other.by_group.items():
             merged = merged.advance(group, position)
         return merged
 
 
 def encode_token(workspace: WorkspaceId, marks: Marks) -> bytes:
-    """Write marks as an opaque token."""
-    pairs = sorted(marks.by_group.items())
-    entries = [Mark(group=group, position=position) for group, position in pairs]
-    token = SessionToken(workspace=workspace, marks=entries)
-    return base64.urlsafe_b64encode(bytes(token))
+    """Write marks as an opaque token of bounded size; the oldest marks are left out first."""
+    pairs = list(marks.by_group.items())[-MAX_MARKS:]
+    while True:
+        entries = [Mark(group=group, position=position) for group, position in pairs]
+        incomplete = marks.incomplete or len(pairs) < len(marks.by_group)
+        token = SessionToken(workspace=workspace, marks=entries, incomplete=incomplete)
+        encoded = base64.urlsafe_b64encode(bytes(token))
+        if len(encoded) <= MAX_TOKEN_BYTES or not pairs:
+            return encoded
+        pairs = pairs[len(pairs) // 2 + 1 :]
 
 
 def decode_token(workspace: WorkspaceId, token: bytes) -> Result[Marks, QuetzalrudderError]:
@@ -78,4 +91,5 @@
         return Err(InvalidToken(f"not a session token: {type(exc).__name__}"))
     if parsed.workspace != workspace:
         return Err(AccessDenied("the session token belongs to another workspace"))
-    return Ok(Marks({mark.group: mark.position or Position() for mark in parsed.marks}))
+    by_group = {mark.group: mark.position or Position() for mark in parsed.marks}
+    return Ok(Marks(by_group, parsed.incomplete))
--- a/src/quetzalrudder/transactions.py
+++ b/src/quetzalrudder/transactions.py
@@ -339,6 +339,7 @@
             request_id=request_id,
             deadline_ms=commit.deadline_ms,
             sent_ago_ms=commit.sent_ago_ms,
+            token=commit.token,
         )
         planned = self._shared.runner.plan(tree, caller, request_id, ask)
         answer = planned.and_then(lambda plan: self._shared.runner.ask_outcome(plan, ask))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -248,7 +248,7 @@
             return Ok(FakeConn(self, target, generation))
 
         pool = ConnectionPool(open_conn, lambda target: 4)
-        router = ReadRouter(groups, data_centre, rng)
+        router = ReadRouter(groups, data_centre, rng, self.clock)
         confirmer = FakeConfirmer(self, data_centre)
         make = make_runner or StatementRunner
         runner = make(groups, router, pool, confirmer, self.clock)
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -74,8 +74,7 @@
         instance = self.instances[at]
         self.group.at = instance.data_centre
         self.group.faults = [fault]
-        if isinstance(req, Statement):
-            req.token = self.told.token
+        req.token = self.told.token
         planned = instance.runner.plan(self.tree, CALLER, request_id, req)
         runner = instance.runner
         call = runner.run if isinstance(req, Statement) else runner.ask_outcome
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -72,6 +72,12 @@
     assert not history.told.done
 
 
+def test_asking_about_an_old_write_keeps_what_the_session_has_seen():
+    history = History()
+    steps = [Write("01 KZ"), Event("probe"), Event("lag"), Write("02 KZ"), Ask("01 KZ", 2)]
+    assert history.run([*steps, Read(2), Read(1)]) == set()
+
+
 def test_question_without_a_primary_stays_unknown():
     history = History()
     steps = [Write("01 KZ", 0, Fault.DROP), Event("kill"), Event("probe"), Ask("01 KZ", 1)]
--- /dev/null
+++ b/tests/test_read_your_writes.py
@@ -0,0 +1,208 @@
+import random
+
+import pytest
+
+from quetzalrudder.adapters import TargetInfo
+from quetzalrudder.exceptions import InvalidToken, NoPrimary, NoReplica, PositionLost
+from quetzalrudder.groups import GroupTable, log_dropped
+from quetzalrudder.routing import ReadPolicy, ReadRouter
+from quetzalrudder.schema.caller import Access, Statement
+from quetzalrudder.schema.common import Ending, Position, TermStart
+from quetzalrudder.schema.target import Role, State
+from quetzalrudder.tokens import MAX_TOKEN_BYTES, Marks, decode_token, encode_token
+from quetzalrudder.utils import Address
+from tests.clocks import ManualClock
+from tests.fakes import CALLER, DATA_CENTRES, GROUP, ROUTE
+from tests.helpers import grant_key
+from tests.histories import SELECT, Event, History, Read, Write
+from tests.naive.proxy import NaiveRunner
+
+WORKSPACE = "steppe/branch-1"
+FAIL_OVER = [Event("kill"), Event("fail-over"), Event("probe")]
+HISTORIES = {
+    "lagging replica": [Event("lag"), Write("01 KZ"), Event("probe"), Read(0), Read(1), Read(2)],
+    "roaming": [Write("01 KZ"), Event("lag"), Write("02 KZ", 1), Read(2), Read(0)],
+    "primary killed": [Event("lag"), Write("01 KZ"), *FAIL_OVER, Read(1), Read(2)],
+    "instance behind": [Event("lag"), Event("isolate"), Event("fail-over"), Event("probe")]
+    + [Write("01 KZ", 1), Read(0), Read(1), Event("heal"), Event("probe"), Read(0)],
+}
+
+
+def position(term, index):
+    return Position(term=term, index=index)
+
+
+class Table:
+    """A group table fed by hand: targets a, b and c, each in a data centre of its own."""
+
+    def __init__(self, data_centre="astana-b"):
+        self.clock = ManualClock()
+        self.groups = GroupTable(self.clock)
+        self.infos = [
+            TargetInfo(name, GROUP, dc, Address("127.0.0.1", n + 1))
+            for n, (name, dc) in enumerate(zip("abc", DATA_CENTRES, strict=True))
+        ]
+        self.groups.set_targets([(info, False) for info in self.infos])
+        self.router = ReadRouter(self.groups, data_centre, random.Random(1), self.clock)
+
+    def hear(self, name, index, term=1, role=Role.REPLICA, starts=((1, 1),), load=0):
+        info = next(info for info in self.infos if info.target == name)
+        applied = position(min(term, starts[-1][0]), index)
+        state = State(
+            role=role,
+            term=term,
+            received=applied,
+            applied=applied,
+            term_starts=[TermStart(term=t, first_index=i) for t, i in starts],
+            active_statements=load,
+        )
+        self.groups.observe(info, state, self.clock.monotonic())
+
+    def choose(self, covers=(0, 0), max_age_ms=0, excluded=frozenset()):
+        return self.router.choose(GROUP, ReadPolicy(max_age_ms, position(*covers)), excluded)
+
+    def chosen(self, *args, **kwargs):
+        return self.choose(*args, **kwargs).ok_value.info.target
+
+
+@pytest.mark.parametrize("case", HISTORIES)
+def test_session_reads_its_own_writes(case):
+    assert "own write not read" in History(NaiveRunner).run(HISTORIES[case])
+    history = History()
+    assert history.run(HISTORIES[case]) == set()
+    assert "01 KZ" in history.told.seen
+
+
+def test_own_data_centre_first_then_the_less_loaded():
+    table = Table()
+    table.hear("a", 9, role=Role.PRIMARY)
+    table.hear("b", 9, load=5)
+    table.hear("c", 9)
+    assert table.chosen((1, 9)) == "b"
+    assert table.chosen((1, 9), excluded=frozenset("b")) == "c"
+    assert table.chosen() == "a"
+
+
+def test_age_counts_from_the_question_and_grows_without_contact():
+    table = Table()
+    table.hear("a", 9, role=Role.PRIMARY)
+    table.hear("b", 9)
+    table.clock.advance(0.3)
+    table.hear("b", 9)
+    assert table.groups.age_ms(GROUP, table.groups.members(GROUP)[1].state) == pytest.approx(300)
+    assert table.chosen(max_age_ms=400) == "b"
+    assert isinstance(table.choose(max_age_ms=200).err_value, NoReplica)
+
+
+def test_age_is_not_vouched_for_by_a_primary_that_a_majority_may_have_left():
+    table = Table("astana-a")
+    for name in "abc":
+        table.hear(name, 9, role=Role.PRIMARY if name == "a" else Role.REPLICA)
+    for _ in range(10):
+        table.clock.advance(0.1)
+        table.hear("a", 9, role=Role.PRIMARY)
+    assert isinstance(table.choose(max_age_ms=500).err_value, NoReplica)
+    assert table.chosen(max_age_ms=1500) in "abc"
+
+
+def test_replica_that_follows_a_replaced_primary_serves_no_read():
+    table = Table("karaganda")
+    table.hear("a", 20, role=Role.PRIMARY)
+    table.hear("c", 20)
+    table.hear("b", 15, term=2, role=Role.PRIMARY, starts=((1, 1), (2, 15)))
+    table.hear("a", 15, term=2, starts=((1, 1), (2, 15)))
+    assert table.chosen(max_age_ms=1000) in "ab"
+    assert isinstance(table.choose((1, 20)).err_value, PositionLost)
+    assert isinstance(table.choose((1, 20), max_age_ms=1000).err_value, PositionLost)
+
+
+def test_token_of_a_term_not_known_yet_is_never_served_stale():
+    table = Table()
+    for name in "abc":
+        table.hear(name, 50, role=Role.PRIMARY if name == "a" else Role.REPLICA)
+    refused = table.choose((2, 7)).err_value
+    assert isinstance(refused, NoPrimary)
+    assert refused.ending is Ending.NOT_RUN
+    assert refused.retry_after_ms
+    assert isinstance(table.choose((2, 7), max_age_ms=1000).err_value, NoReplica)
+
+
+@pytest.mark.parametrize(
+    ("starts", "lost", "expected"),
+    [
+        ([(1, 1), (2, 10)], (1, 9), False),
+        ([(1, 1), (2, 10)], (1, 10), True),
+        ([(1, 1), (2, 10)], (2, 90), False),
+        ([(5, 40), (6, 50)], (1, 9), True),
+        ([], (1, 9), False),
+        ([(1, 1), (2, 10)], (0, 0), False),
+    ],
+)
+def test_dropped_positions(starts, lost, expected):
+    found = [TermStart(term=term, first_index=index) for term, index in starts]
+    assert log_dropped(found, position(*lost)) is expected
+
+
+def test_replica_that_has_probably_caught_up_is_asked_before_the_primary():
+    table = Table()
+    table.hear("a", 9, role=Role.PRIMARY)
+    table.hear("b", 9)
+    table.clock.advance(0.1)
+    table.hear("a", 10, role=Role.PRIMARY)
+    assert table.chosen((1, 10)) == "a"
+    table.clock.advance(0.02)
+    assert table.chosen((1, 10)) == "b"
+    assert table.chosen((1, 10), excluded=frozenset("b")) == "a"
+
+
+def test_replica_that_had_not_caught_up_is_found_out_and_the_primary_read():
+    history = History()
+    steps = [Write("01 KZ", 1), Event("probe"), Event("lag"), Write("02 KZ", 1)]
+    for step in steps:
+        history.step(step)
+        history.group.clock.advance(0.05)
+    assert history.instances[1].groups.primary(GROUP).info.target == "valuation-a"
+    assert history.run([Read(1)]) == set()
+    assert history.told.seen == {"01 KZ", "02 KZ"}
+
+
+def test_token_stays_bounded_and_forgotten_groups_are_read_at_a_proven_primary():
+    marks = Marks()
+    for number in range(200):
+        marks = marks.advance(f"group-{number:03d}-of-a-long-name", position(1, number + 1))
+    token = encode_token(CALLER.workspace, marks)
+    kept = decode_token(CALLER.workspace, token).ok_value
+    assert len(token) <= MAX_TOKEN_BYTES
+    assert not kept.forgot("group-199-of-a-long-name")
+    assert kept.forgot("group-000-of-a-long-name")
+    history = History()
+    history.step(Write("01 KZ"))
+    history.told.token = token
+    read = Statement(route=ROUTE, sql=SELECT, access=Access.READ)
+    assert history.send(0, read, "r").ok_value.target == "valuation-a"
+    history.step(Event("isolate"))
+    history.told.token = token
+    refused = history.send(0, read, "r").err_value
+    assert refused.ending is Ending.NOT_RUN
+    history.group.loop.close()
+
+
+@pytest.mark.parametrize("token", [b"%%", b"AAAA", b"x" * (MAX_TOKEN_BYTES + 1)])
+def test_damaged_tokens_are_refused(token):
+    assert isinstance(decode_token(CALLER.workspace, token).err_value, InvalidToken)
+
+
+def test_lagging_replicas_behind_real_instances(fleet):
+    key = grant_key(fleet, WORKSPACE)
+    instances = ("astana-a-1", "astana-b-1", "karaganda-1")
+    for target in ("valuation-core-1-b", "valuation-core-1-c"):
+        fleet.set_faults(target, apply_lag_ms=150)
+    with fleet.session(*instances, workspace=WORKSPACE, key=key) as session:
+        session.write("steppe/offers", "CREATE TABLE seen (number INTEGER)")
+        for number in range(12):
+            session.write("steppe/offers", "INSERT INTO seen VALUES (?)", number)
+            session.roam()
+            rows = session.read("steppe/offers", "SELECT max(number) FROM seen").rows
+            assert rows == [(number,)]
+    for target in ("valuation-core-1-b", "valuation-core-1-c"):
+        fleet.set_faults(target, apply_lag_ms=0)
