--- a/src/quetzalrudder/routing.py
+++ b/src/quetzalrudder/routing.py
@@ -25,7 +25,7 @@
 
     # Oldest acceptable data in milliseconds; 0 means current data.
     max_age_ms: int
-    # What the session has seen.
+    # What the session has seen; with an age, what it has written.
     covers: Position
 
 
@@ -112,14 +112,16 @@
         covers: tuple[int, int],
     ) -> list[TargetView]:
         """Give the replicas that have probably applied what the session has seen by now."""
-        if policy.max_age_ms or covers[1] == 0 or covers[0] != known.term:
+        if covers[1] == 0 or covers[0] != known.term:
             return []
         now = self._clock.monotonic()
+        max_age_s = (policy.max_age_ms or float("inf")) / MS_PER_S
         return [
             view
             for view in usable
             if view.seen.role is Role.REPLICA
             and known.expected_at(view, covers) + EXPECTED_MARGIN_S <= now
+            and (not policy.max_age_ms or known.age_s(view.seen, now) <= max_age_s)
         ]
 
     def check_primary(
--- a/src/quetzalrudder/schema/common/__init__.py
+++ b/src/quetzalrudder/schema/common/__init__.py
@@ -235,12 +235,20 @@
 @dataclass(eq=False, repr=False)
 class Mark(betterproto2.Message):
     """
-    The highest position that a session saw or wrote in one group.
+    The highest positions of a session in one group.
     """
 
     group: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
 
     position: "Position | None" = betterproto2.field(2, betterproto2.TYPE_MESSAGE, optional=True)
+    """
+    Seen or written.
+    """
+
+    written: "Position | None" = betterproto2.field(3, betterproto2.TYPE_MESSAGE, optional=True)
+    """
+    Written.
+    """
 
 
 default_message_pool.register_message("common", "Mark", Mark)
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -147,10 +147,9 @@
 
     def _read(self, plan: Plan, stmt: Statement) -> Result[Answer, QuetzalrudderError]:
         strict = plan.marks.forgot(plan.group)
-        policy = ReadPolicy(
-            max_age_ms=0 if strict else stmt.max_age_ms or plan.settings.max_age_ms,
-            covers=plan.marks.of(plan.group),
-        )
+        max_age_ms = 0 if strict else stmt.max_age_ms or plan.settings.max_age_ms
+        marks, group = plan.marks, plan.group
+        policy = ReadPolicy(max_age_ms, marks.written(group) if max_age_ms else marks.of(group))
         req = Execute(workspace=plan.caller.workspace, sql=stmt.sql, params=stmt.params)
         self._retries.add_request()
         failed: frozenset[str] = frozenset()
@@ -231,7 +230,7 @@
         confirmed = self._confirm(plan, answer, answer.position)
         if isinstance(confirmed, Err):
             return confirmed
-        return Ok(self._answer(plan, view, answer, answer.position))
+        return Ok(self._answer(plan, view, answer, answer.position, written=True))
 
     def _confirm(
         self, plan: Plan, answer: TargetAnswer, position: Position
@@ -281,7 +280,7 @@
         confirmed = self._confirm(plan, found, outcome.position)
         if isinstance(confirmed, Err):
             return confirmed
-        told = self._answer(plan, view, found, outcome.position)
+        told = self._answer(plan, view, found, outcome.position, written=True)
         told.ending = Ending.NOT_RUN if outcome.failure is not None else Ending.DONE
         told.repeated_request = outcome.failure is None
         return Ok(told)
@@ -314,9 +313,15 @@
         return answer
 
     def _answer(
-        self, plan: Plan, view: TargetView, found: TargetAnswer, position: Position | None
+        self,
+        plan: Plan,
+        view: TargetView,
+        found: TargetAnswer,
+        position: Position | None,
+        *,
+        written: bool = False,
     ) -> Answer:
-        marks = plan.marks.advance(plan.group, position)
+        marks = plan.marks.advance(plan.group, position, written=written)
         return Answer(
             rows=found.rows,
             token=encode_token(plan.caller.workspace, marks),
--- a/src/quetzalrudder/tokens.py
+++ b/src/quetzalrudder/tokens.py
@@ -22,34 +22,59 @@
     return (position.term, position.index) if position is not None else (0, 0)
 
 
+@dataclass(frozen=True)
+class GroupMarks:
+    """The highest positions of a session in one group."""
+
+    # Seen or written.
+    seen: Position = field(default_factory=Position)
+    written: Position = field(default_factory=Position)
+
+    def merge(self, other: "GroupMarks") -> "GroupMarks":
+        """Give marks that cover both."""
+        seen = max(self.seen, other.seen, key=position_key)
+        return GroupMarks(seen, max(self.written, other.written, key=position_key))
+
+
 @dataclass(frozen=True)
 class Marks:
-    """The highest position that a session saw or wrote in each group, the latest last."""
+    """The marks of a session, those of the group used last at the end."""
 
-    by_group: Mapping[GroupId, Position] = field(default_factory=dict)
+    by_group: Mapping[GroupId, GroupMarks] = field(default_factory=dict)
     # True if marks of other groups were left out to bound the token.
     incomplete: bool = False
 
     def of(self, group: GroupId) -> Position:
-        """Give the mark in one group; (0, 0) if the session saw nothing there."""
-        return self.by_group.get(group, Position())
+        """Give what was seen or written in one group; (0, 0) if nothing was."""
+        return self.by_group.get(group, GroupMarks()).seen
+
+    def written(self, group: GroupId) -> Position:
+        """Give what was written in one group; (0, 0) if nothing was."""
+        return self.by_group.get(group, GroupMarks()).written
 
     def forgot(self, group: GroupId) -> bool:
         """Tell whether the session may have seen more of a group than the marks say."""
         return self.incomplete and group not in self.by_group
 
-    def advance(self, group: GroupId, position: Position | None) -> "Marks":
+    def advance(
+        self, group: GroupId, position: Position | None, *, written: bool = False
+    ) -> "Marks":
         """Give marks that cover the position too; a mark never goes back."""
-        if position is None or position_key(position) <= position_key(self.of(group)):
+        if position is None or not position.index:
             return self
+        added = GroupMarks(position, position if written else Position())
+        return self._with(group, added)
+
+    def _with(self, group: GroupId, added: GroupMarks) -> "Marks":
         others = {name: held for name, held in self.by_group.items() if name != group}
-        return Marks({**others, group: position}, self.incomplete)
+        merged = self.by_group.get(group, GroupMarks()).merge(added)
+        return Marks({**others, group: merged}, self.incomplete)
 
     def merge(self, other: "Marks") -> "Marks":
         """Give marks that cover both."""
         merged = replace(self, incomplete=self.incomplete or other.incomplete)
-        for group, position in other.by_group.items():
-            merged = merged.advance(group, position)
+        for group, added in other.by_group.items():
+            merged = merged._with(group, added)
         return merged
 
 
@@ -57,7 +82,9 @@
     """Write marks as an opaque token of bounded size; the oldest marks are left out first."""
     pairs = list(marks.by_group.items())[-MAX_MARKS:]
     while True:
-        entries = [Mark(group=group, position=position) for group, position in pairs]
+        entries = [
+            Mark(group=group, position=held.seen, written=held.written) for group, held in pairs
+        ]
         incomplete = marks.incomplete or len(pairs) < len(marks.by_group)
         token = SessionToken(workspace=workspace, marks=entries, incomplete=incomplete)
         encoded = base64.urlsafe_b64encode(bytes(token))
@@ -91,5 +118,8 @@
         return Err(InvalidToken(f"not a session token: {type(exc).__name__}"))
     if parsed.workspace != workspace:
         return Err(AccessDenied("the session token belongs to another workspace"))
-    by_group = {mark.group: mark.position or Position() for mark in parsed.marks}
+    by_group = {
+        GroupId(mark.group): GroupMarks(mark.position or Position(), mark.written or Position())
+        for mark in parsed.marks
+    }
     return Ok(Marks(by_group, parsed.incomplete))
--- a/tests/test_read_your_writes.py
+++ b/tests/test_read_your_writes.py
@@ -187,6 +187,15 @@
     history.group.loop.close()
 
 
+def test_reads_of_a_stated_age_cover_writes_and_other_reads_cover_what_was_seen_too():
+    marks = Marks().advance(GROUP, position(1, 5), written=True).advance(GROUP, position(1, 9))
+    decoded = decode_token(CALLER.workspace, encode_token(CALLER.workspace, marks)).ok_value
+    assert (decoded.of(GROUP).index, decoded.written(GROUP).index) == (9, 5)
+    merged = Marks().advance(GROUP, position(2, 1)).merge(decoded)
+    assert merged.of(GROUP) == position(2, 1)
+    assert merged.written(GROUP) == position(1, 5)
+
+
 @pytest.mark.parametrize("token", [b"%%", b"AAAA", b"x" * (MAX_TOKEN_BYTES + 1)])
 def test_damaged_tokens_are_refused(token):
     assert isinstance(decode_token(CALLER.workspace, token).err_value, InvalidToken)
