--- a/src/quetzalrudder/ctl.py
+++ b/src/quetzalrudder/ctl.py
@@ -2,6 +2,7 @@
 
 import inspect
 import json
+import os
 import sys
 from contextlib import ExitStack
 from typing import Any
@@ -12,6 +13,7 @@
 from quetzalrudder.ctl_context import Context, Report
 from quetzalrudder.ctl_settings import SettingsCommands
 from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.keys import digest_key, make_key
 from quetzalrudder.schema.operators import Event
 from quetzalrudder.schema.settings import Branch, BranchKind
 from quetzalrudder.sessions import QueryResult, Session
@@ -25,6 +27,7 @@
 EXIT_USAGE = 2
 HELP_FLAGS = ("-h", "--help")
 DEFAULT_CONTROL = "127.0.0.1:7002"
+CALLER_KEY_VARIABLE = "QUETZALRUDDER_KEY"
 DEFAULT_INSTANCE = "127.0.0.1:7001"
 
 
@@ -67,11 +70,18 @@
 
 
 class KeyCommands:
-    """Grant and withdraw keys."""
+    """Make, grant and withdraw keys."""
 
     def __init__(self, context: Context) -> None:
         self._context = context
 
+    def make(self) -> None:
+        """Make an operator key and its digest for ``operator_key_digests``; asks no instance."""
+        key = make_key()
+        digest = digest_key(key)
+        lines = [f"key     {key}", f"digest  {digest}"]
+        self._context.show(Report(lines, {"key": key, "digest": digest}))
+
     def grant(self, workspace: str) -> None:
         """Grant a workspace a new key and print it; it cannot be shown again.
 
@@ -108,10 +118,14 @@
         Control address of an instance.
     json : bool
         Print JSON for scripts.
+    operator_key_file : str
+        File with the operator key; else QUETZALRUDDER_OPERATOR_KEY is taken.
     """
 
-    def __init__(self, control: str = DEFAULT_CONTROL, json: bool = False) -> None:
-        self._context = Context(control, json)
+    def __init__(
+        self, control: str = DEFAULT_CONTROL, json: bool = False, operator_key_file: str = ""
+    ) -> None:
+        self._context = Context(control, json, operator_key_file)
         self.settings = SettingsCommands(self._context)
         self.workspace = WorkspaceCommands(self._context)
         self.key = KeyCommands(self._context)
@@ -172,13 +186,14 @@
         instance : str
             Address of an instance for callers.
         workspace, key : str
-            Who calls.
+            Who calls; without a key, QUETZALRUDDER_KEY is taken.
         write : bool
             The statement changes data.
         max_age_ms : int
             Oldest acceptable data, in milliseconds.
         """
-        with Session(instance, workspace, str(key)) as session:
+        key = str(key) or os.environ.get(CALLER_KEY_VARIABLE, "")
+        with Session(instance, workspace, key) as session:
             if write:
                 result = session.write(route, sql, *params)
             else:
--- a/src/quetzalrudder/ctl_context.py
+++ b/src/quetzalrudder/ctl_context.py
@@ -10,6 +10,7 @@
 
 from quetzalrudder.bridge import Loop
 from quetzalrudder.exceptions import InvalidSettings
+from quetzalrudder.operator_keys import read_operator_key
 from quetzalrudder.operators import OperatorClient
 from quetzalrudder.utils import parse_address
 
@@ -27,14 +28,17 @@
 class Context:
     """What every command shares."""
 
-    def __init__(self, control: str, json_output: bool) -> None:
+    def __init__(self, control: str, json_output: bool, operator_key_file: str = "") -> None:
         self.control = control
         self.json_output = json_output
+        self._operator_key_file = operator_key_file
 
     def client(self, stack: ExitStack, address: str | None = None) -> OperatorClient:
         """Open a client on an exit stack."""
         loop = stack.enter_context(Loop())
-        return OperatorClient(loop, parse_address(address or self.control), getpass.getuser())
+        key = read_operator_key(self._operator_key_file)
+        where = parse_address(address or self.control)
+        return OperatorClient(loop, where, getpass.getuser(), key=key)
 
     def show(self, report: Report) -> None:
         """Print a report as text, or as JSON."""
