Tell a withdrawn key at once, without repeats

Change: refusals of the key are never repeated; a failure that is itself the lost attempt is told as it is. tests/test_keys.py: the rig passes the new argument of CallerConnections; no check is changed.

--- a/src/quetzalrudder/retries.py
+++ b/src/quetzalrudder/retries.py
@@ -16,6 +16,7 @@
     StaleTerm,
     TargetUnavailable,
     TransactionNotFound,
+    Unauthenticated,
 )
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.utils import MS_PER_S, Deadline
@@ -114,6 +115,8 @@
     def _wanted_pause_s(self, exc: QuetzalrudderError, attempts: int) -> float | None:
         if isinstance(exc, ELSEWHERE_AT_ONCE):
             return REPEAT_PAUSE_S * (attempts - 1)
+        if isinstance(exc, Unauthenticated):
+            return None
         if exc.ending is Ending.UNKNOWN or isinstance(exc, ELSEWHERE_LATER):
             return exc.retry_after_ms / MS_PER_S * (1 + JITTER * self.rng.random())
         return None
@@ -138,7 +141,7 @@
     A refusal of the last attempt says nothing of an earlier one whose answer was
     lost; the whole is then unknown, unless the refusal settles the request id.
     """
-    if lost is None or isinstance(exc, DEFINITE):
+    if lost is None or lost is exc or isinstance(exc, DEFINITE):
         return exc
     reason = f"{lost.message}; then {exc.message}"
     return OutcomeUnknown(reason, place=request_id, retry_after_ms=exc.retry_after_ms)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,6 +6,7 @@
 
 from quetzalrudder.exceptions import (
     Draining,
+    KeyWithdrawn,
     LinkLost,
     NoPrimary,
     OutcomeUnknown,
@@ -127,6 +128,7 @@
 
 def test_refusal_of_a_repeat_does_not_hide_a_lost_attempt():
     lost, refusal = LinkLost("gone"), Overloaded("busy", retry_after_ms=5)
+    assert final_error(lost, lost, "r") is lost
     assert final_error(refusal, None, "r").ending is Ending.NOT_RUN
     assert final_error(refusal, lost, "r").ending is Ending.UNKNOWN
     assert final_error(RequestCancelled("told"), lost, "r").ending is Ending.NOT_RUN
@@ -152,6 +154,8 @@
     deadline = Deadline.after_ms(ManualClock(), 1000)
     assert policy.pause_s(Draining("stopping"), 1, deadline) == 0
     assert 0.2 <= policy.pause_s(NoPrimary("none", retry_after_ms=200), 1, deadline) <= 0.3
+    withdrawn = KeyWithdrawn("withdrawn", ending=Ending.UNKNOWN)
+    assert policy.pause_s(withdrawn, 1, deadline) is None
     assert policy.pause_s(Overloaded("busy", retry_after_ms=10), 1, deadline) is None
     assert policy.pause_s(OutcomeUnknown("lost", retry_after_ms=2000), 1, deadline) is None
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,5 +1,6 @@
 import base64
 import queue
+import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -37,6 +38,7 @@
 from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings, Tree
 from quetzalrudder.settings import SettingsTree
 from quetzalrudder.timeline import Timeline
+from quetzalrudder.transactions import TransactionRunner
 from quetzalrudder.utils import parse_address
 from standins.fleet import OPERATOR_KEY
 from tests.clocks import ManualClock
@@ -130,6 +132,9 @@
             data_centre="astana-a",
             store=self.view,
             runner=self.runner,
+            transactions=TransactionRunner(
+                self.runner, None, lambda target: 4, clock, random.Random(1)
+            ),
             executor=executor,
             max_connections=4,
             clock=clock,
