--- a/src/quetzalrudder/session_transactions.py
+++ b/src/quetzalrudder/session_transactions.py
@@ -14,7 +14,8 @@
 from quetzalrudder.utils import MS_PER_S, SqlValue, to_value
 
 if TYPE_CHECKING:
-    from quetzalrudder.sessions import QueryResult, Session
+    from quetzalrudder.query_results import QueryResult
+    from quetzalrudder.sessions import Session
 
 __all__ = ["Transaction"]
 
--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -18,6 +18,7 @@
     QuetzalrudderError,
     RequestCancelled,
 )
+from quetzalrudder.query_results import QueryResult, to_result
 from quetzalrudder.retries import (
     ELSEWHERE,
     RepeatPolicy,
@@ -34,7 +35,7 @@
     Commit,
     Statement,
 )
-from quetzalrudder.schema.common import Ending, Rows
+from quetzalrudder.schema.common import Ending
 from quetzalrudder.session_transactions import Transaction
 from quetzalrudder.utils import (
     MS_PER_S,
@@ -42,7 +43,6 @@
     Deadline,
     SqlValue,
     SystemClock,
-    from_value,
     parse_address,
     to_value,
 )
@@ -54,22 +54,6 @@
 MAX_REMEMBERED = 1024
 
 
-@dataclass(frozen=True)
-class QueryResult:
-    """The whole answer to one request."""
-
-    columns: list[str]
-    rows: list[tuple[SqlValue, ...]]
-    # Rows that a write changed.
-    changed: int
-    # The target that ran the request, and the instance that passed it on.
-    target: str
-    instance: str
-    # True if an earlier run of the same request id gave this outcome.
-    repeated: bool
-    ending: Ending = Ending.DONE
-
-
 @dataclass(frozen=True)
 class Sent:
     """An answer, and the connection that it came by."""
@@ -331,7 +315,7 @@
             request.sent_ago_ms = int((self._clock.monotonic() - sent_at) * MS_PER_S)
         answer = adapter.exchange(frame, time_ms / MS_PER_S + ANSWER_GRACE_S).answer
         self.token = answer.token or self.token
-        result = _to_result(answer, adapter.welcome.instance)
+        result = to_result(answer, adapter.welcome.instance)
         if isinstance(request, AskOutcome):
             return Sent(adapter, answer, result)
         self._sent_at.pop(frame.request_id, None)
@@ -360,7 +344,7 @@
         """
         answer = adapter.exchange(frame, self.timeout_s + ANSWER_GRACE_S).answer
         self.token = answer.token or self.token
-        return _to_result(answer, adapter.welcome.instance)
+        return to_result(answer, adapter.welcome.instance)
 
     def _connected(self, deadline: Deadline) -> GrpcCallerAdapter:
         if self._adapter is None or self._adapter.broken:
@@ -393,16 +377,3 @@
 def _lost(frame: CallerFrame, exc: QuetzalrudderError) -> QuetzalrudderError | None:
     """Give the failure if a change may have taken effect in spite of it."""
     return exc if exc.ending is Ending.UNKNOWN and _changes_data(frame) else None
-
-
-def _to_result(answer: Answer, instance: str) -> QueryResult:
-    rows = answer.rows or Rows()
-    return QueryResult(
-        columns=rows.columns,
-        rows=[tuple(from_value(value) for value in row.values) for row in rows.rows],
-        changed=rows.changed,
-        target=answer.target,
-        instance=instance,
-        repeated=answer.repeated_request,
-        ending=answer.ending or Ending.DONE,
-    )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -124,6 +124,7 @@
     data_centre: str
     groups: GroupTable
     runner: object
+    pool: ConnectionPool
 
 
 @dataclass
@@ -252,7 +253,7 @@
         confirmer = FakeConfirmer(self, data_centre)
         make = make_runner or StatementRunner
         runner = make(groups, router, pool, confirmer, self.clock)
-        found = FakeInstance(data_centre, groups, runner)
+        found = FakeInstance(data_centre, groups, runner, pool)
         self.probe(found)
         return found
 
--- a/tests/naive/proxy.py
+++ b/tests/naive/proxy.py
@@ -7,7 +7,7 @@
 from quetzalrudder.exceptions import NoPrimary, TargetUnavailable
 from quetzalrudder.schema.caller import Access, Answer
 from quetzalrudder.schema.common import Ending
-from quetzalrudder.schema.target import Execute, Role
+from quetzalrudder.schema.target import Begin, Commit, Execute, Role
 from quetzalrudder.statements import StatementRunner
 
 ATTEMPTS = 3
@@ -66,3 +66,39 @@
             return borrowed
         with borrowed.ok_value as pooled:
             return pooled.conn.request(req, plan.deadline.remaining_s)
+
+
+class NaiveTransactions:
+    """Stands in for :class:`~quetzalrudder.transactions.TransactionRunner`; pins nothing.
+
+    Each request takes whichever connection is free and gives it back afterwards, also
+    when the caller died.
+    """
+
+    def __init__(self, runner, pool, connection_limit, clock, rng):
+        self.runner = runner
+        self._pool = pool
+
+    def begin(self, plan):
+        """Begin on any connection."""
+        view = self.runner._groups.primary(plan.group)
+        sent = self._send(plan, view, Begin(workspace=plan.caller.workspace, term=1))
+        return sent.map(lambda _: (plan, view))
+
+    def run(self, tx, stmt):
+        """Run on any connection."""
+        plan, view = tx
+        req = Execute(sql=stmt.sql, params=stmt.params, write=True, in_transaction=True)
+        return self._send(plan, view, req)
+
+    def commit(self, tx, request_id, commit):
+        """Commit on any connection."""
+        plan, view = tx
+        return self._send(plan, view, Commit())
+
+    def abandon(self, tx):
+        """Forget a transaction whose caller died."""
+
+    def _send(self, plan, view, req):
+        with self._pool.checkout(view.info, plan.deadline).ok_value as pooled:
+            return pooled.conn.request(req, plan.deadline.remaining_s)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Ok
 
 from quetzalrudder.exceptions import (
     Draining,
@@ -14,11 +15,12 @@
     RequestCancelled,
 )
 from quetzalrudder.retries import RepeatPolicy, RetryBudget, final_error
+from quetzalrudder.schema.caller import Access, Statement
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.utils import Deadline
 from standins.database import Database
 from tests.clocks import ManualClock
-from tests.fakes import Fault
+from tests.fakes import SETTINGS, Fault, make_tree
 from tests.helpers import grant_key
 from tests.histories import Ask, Event, History, Read, Write
 from tests.naive.proxy import NaiveRunner
@@ -79,6 +81,17 @@
     assert history.run([*steps, Read(2), Read(1)]) == set()
 
 
+def test_repeat_is_confirmed_even_on_a_route_that_confirms_no_first_run():
+    history = History()
+    history.tree = make_tree(SETTINGS.replace("[root]", "[root]\nconfirm_majority = false"))
+    history.step(Event("isolate"))
+    req = Statement(route=ROUTE, sql="INSERT INTO offers VALUES ('x')", access=Access.WRITE)
+    first, repeat = (history.send(0, req, "once") for _ in range(2))
+    assert isinstance(first, Ok)
+    assert repeat.err_value.ending is Ending.UNKNOWN
+    history.group.loop.close()
+
+
 def test_question_without_a_primary_stays_unknown():
     history = History()
     steps = [Write("01 KZ", 0, Fault.DROP), Event("kill"), Event("probe"), Ask("01 KZ", 1)]
--- a/tests/test_transactions.py
+++ b/tests/test_transactions.py
@@ -1,8 +1,10 @@
+import random
 import signal
 import threading
 import time
 
 import pytest
+from result import Ok
 
 from quetzalrudder.exceptions import (
     KeyWithdrawn,
@@ -12,12 +14,18 @@
     TransactionAborted,
     TransactionNotFound,
 )
-from quetzalrudder.schema.caller import CallerFrame, Commit
+from quetzalrudder.schema.caller import Access, Begin, CallerFrame, Commit, Statement
 from quetzalrudder.schema.common import Ending
+from quetzalrudder.transactions import TransactionRunner
+from quetzalrudder.utils import to_value
 from standins.demo import STEPPE_SETTINGS
 from standins.fleet import Fleet
 from tests.conftest import SMALL
+from tests.fakes import CALLER, Fault
+from tests.fakes import ROUTE as OFFERS
 from tests.helpers import grant_key, wait_for, wait_for_revision
+from tests.histories import History
+from tests.naive.proxy import NaiveTransactions
 
 WORKSPACE = "steppe/branch-1"
 ROUTE = "steppe/bookings"
@@ -70,6 +78,16 @@
     assert tx.result.ending is Ending.DONE
 
 
+def test_commit_whose_answer_is_lost_is_told_from_its_record(sessions, tx_fleet):
+    first, second = sessions
+    tx = first.transaction(ROUTE).__enter__()
+    tx.write(INSERT, "tx-lost", 1)
+    tx_fleet.set_faults(PRIMARY, lose_answers=1)
+    done = tx.commit()
+    assert (done.ending, done.repeated) == (Ending.DONE, True)
+    assert prices(second, "tx-lost") == [1]
+
+
 def test_exception_in_the_block_rolls_back(sessions):
     first, _ = sessions
     with pytest.raises(ZeroDivisionError), first.transaction(ROUTE) as tx:
@@ -206,3 +224,68 @@
             successor.write(INSERT, "tx-10", 5)
         assert ended.value.ending is Ending.NOT_RUN
         assert prices(killed, "tx-10") == [1, 2, 5]
+
+
+def successor_after_a_death(make_transactions):
+    """Let a caller die in the middle of a transaction; give what its successor committed."""
+    history = History()
+    instance, clock = history.instances[0], history.group.clock
+    runner = make_transactions(
+        instance.runner, instance.pool, lambda target: 4, clock, random.Random(1)
+    )
+    begin = Begin(route=OFFERS)
+    insert = "INSERT INTO offers VALUES (?)"
+
+    def write(tx, plate):
+        params = [to_value(plate)]
+        return runner.run(tx, Statement(sql=insert, params=params, access=Access.WRITE))
+
+    history.group.at = instance.data_centre
+    with history.group:
+        died = instance.runner.plan(history.tree, CALLER, "1", begin).and_then(runner.begin)
+        write(died.ok_value, "of the dead caller")
+        runner.abandon(died.ok_value)
+        begun = instance.runner.plan(history.tree, CALLER, "2", begin).and_then(runner.begin)
+        successor = begun.ok_value if isinstance(begun, Ok) else died.ok_value
+        write(successor, "of the successor")
+        runner.commit(successor, "commit", Commit())
+        return {
+            plate: history.group.count(plate)
+            for plate in ("of the dead caller", "of the successor")
+        }
+
+
+def test_successor_on_the_same_pool_commits_nothing_of_a_dead_caller():
+    assert successor_after_a_death(NaiveTransactions)["of the dead caller"] == 1
+    assert successor_after_a_death(TransactionRunner) == {
+        "of the dead caller": 0,
+        "of the successor": 1,
+    }
+
+
+def test_connection_goes_back_to_the_pool_only_after_a_confirmed_end():
+    history = History()
+    instance, clock = history.instances[0], history.group.clock
+    runner = TransactionRunner(
+        instance.runner, instance.pool, lambda target: 4, clock, random.Random(1)
+    )
+    history.group.at = instance.data_centre
+
+    def connection_after(end, fault):
+        plan = instance.runner.plan(history.tree, CALLER, "1", Begin(route=OFFERS))
+        tx = plan.and_then(runner.begin).ok_value
+        conn = tx.pooled.conn
+        history.group.faults = [fault]
+        end(tx)
+        with instance.pool.checkout(tx.view.info, tx.ends).ok_value as pooled:
+            return pooled.conn is conn
+
+    def commit(tx):
+        return runner.commit(tx, str(clock.now), Commit())
+
+    with history.group:
+        assert connection_after(commit, Fault.NONE)
+        assert connection_after(runner.rollback, Fault.NONE)
+        assert not connection_after(commit, Fault.LOSE_ANSWER)
+        assert not connection_after(runner.rollback, Fault.LOSE_ANSWER)
+        assert not connection_after(runner.abandon, Fault.NONE)
