Tell a forgotten outcome as such, without asking again

Cause: asking about an id without a record took 1.4 s, because the session repeated the question, which could not end otherwise.

Change: OutcomeForgotten, a kind of OutcomeUnknown that is not repeated. A test that a session leaves a paused instance with its write, and that the resumed instance does not run it again.

--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -23,6 +23,7 @@
     "MessageTooLarge",
     "NoPrimary",
     "NoReplica",
+    "OutcomeForgotten",
     "OutcomeUnknown",
     "Overloaded",
     "PlatformUnavailable",
@@ -198,6 +199,12 @@
     default_ending = Ending.UNKNOWN
 
 
+class OutcomeForgotten(OutcomeUnknown):
+    """No outcome is recorded, and one may have been forgotten; asking again will not help."""
+
+    code = ErrorCode.OUTCOME_FORGOTTEN
+
+
 class StatementFailed(QuetzalrudderError):
     """The target refused the statement, for example for bad SQL; nothing was changed."""
 
--- a/src/quetzalrudder/retries.py
+++ b/src/quetzalrudder/retries.py
@@ -9,6 +9,7 @@
     LinkLost,
     NoPrimary,
     NoReplica,
+    OutcomeForgotten,
     OutcomeUnknown,
     QuetzalrudderError,
     RequestCancelled,
@@ -115,7 +116,7 @@
     def _wanted_pause_s(self, exc: QuetzalrudderError, attempts: int) -> float | None:
         if isinstance(exc, ELSEWHERE_AT_ONCE):
             return REPEAT_PAUSE_S * (attempts - 1)
-        if isinstance(exc, Unauthenticated):
+        if isinstance(exc, Unauthenticated | OutcomeForgotten):
             return None
         if exc.ending is Ending.UNKNOWN or isinstance(exc, ELSEWHERE_LATER):
             return exc.retry_after_ms / MS_PER_S * (1 + JITTER * self.rng.random())
--- a/src/quetzalrudder/schema/common/__init__.py
+++ b/src/quetzalrudder/schema/common/__init__.py
@@ -129,6 +129,8 @@
 
     TRANSACTION_ABORTED = 41
 
+    OUTCOME_FORGOTTEN = 42
+
     @classmethod
     def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
         return {
@@ -165,6 +167,7 @@
             30: "ERROR_CODE_SETTINGS_TOO_OLD",
             40: "ERROR_CODE_REQUEST_CANCELLED",
             41: "ERROR_CODE_TRANSACTION_ABORTED",
+            42: "ERROR_CODE_OUTCOME_FORGOTTEN",
         }
 
     @classmethod
@@ -203,6 +206,7 @@
             "ERROR_CODE_SETTINGS_TOO_OLD": 30,
             "ERROR_CODE_REQUEST_CANCELLED": 40,
             "ERROR_CODE_TRANSACTION_ABORTED": 41,
+            "ERROR_CODE_OUTCOME_FORGOTTEN": 42,
         }
 
 
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -11,6 +11,7 @@
     DeadlineExceeded,
     MalformedMessage,
     NoReplica,
+    OutcomeForgotten,
     OutcomeUnknown,
     PositionLost,
     QuetzalrudderError,
@@ -374,6 +375,8 @@
 
 def still_unknown(exc: QuetzalrudderError) -> QuetzalrudderError:
     """Tell that a question about an outcome got no answer."""
+    if isinstance(exc, OutcomeForgotten):
+        return exc
     return OutcomeUnknown(
         exc.message, place=exc.place, retry_after_ms=exc.retry_after_ms or RETRY_AFTER_MS
     )
--- a/standins/statements.py
+++ b/standins/statements.py
@@ -8,7 +8,7 @@
 
 from quetzalrudder.exceptions import (
     MalformedMessage,
-    OutcomeUnknown,
+    OutcomeForgotten,
     Overloaded,
     QuetzalrudderError,
     StatementFailed,
@@ -168,7 +168,7 @@
             return await self._in_slot(lambda: Ok(TargetAnswer(outcome=outcome)))
         if req.sent_ago_ms is None or not target.database.remembers(req.sent_ago_ms):
             reason = "no outcome is recorded, and one may have been forgotten"
-            return Err(OutcomeUnknown(reason, place=target.cfg.target))
+            return Err(OutcomeForgotten(reason, place=target.cfg.target))
         return await self._locked(req.wait_ms, lambda: self._settle(req, key))
 
     def _settle(self, req: AskOutcome, key: str) -> Result[TargetAnswer, QuetzalrudderError]:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,4 +1,5 @@
 import random
+import signal
 
 import pytest
 from hypothesis import given, settings
@@ -10,6 +11,7 @@
     KeyWithdrawn,
     LinkLost,
     NoPrimary,
+    OutcomeForgotten,
     OutcomeUnknown,
     Overloaded,
     RequestCancelled,
@@ -129,9 +131,9 @@
     with fleet.session("astana-b-1", workspace=WORKSPACE, key=key) as session:
         session.write(ROUTE, "INSERT INTO lodged VALUES ('asked')", request_id="asked-1")
         assert session.ask_outcome(ROUTE, "asked-1").ending is Ending.DONE
-        with pytest.raises(OutcomeUnknown):
+        with pytest.raises(OutcomeForgotten):
             session.ask_outcome(ROUTE, "asked-2")
-        with pytest.raises(OutcomeUnknown):
+        with pytest.raises(OutcomeForgotten):
             session.ask_outcome(ROUTE, "asked-2", sent_ago_s=7200)
         assert session.ask_outcome(ROUTE, "asked-2", sent_ago_s=1).ending is Ending.NOT_RUN
         with pytest.raises(RequestCancelled) as refused:
@@ -169,6 +171,7 @@
     assert 0.2 <= policy.pause_s(NoPrimary("none", retry_after_ms=200), 1, deadline) <= 0.3
     withdrawn = KeyWithdrawn("withdrawn", ending=Ending.UNKNOWN)
     assert policy.pause_s(withdrawn, 1, deadline) is None
+    assert policy.pause_s(OutcomeForgotten("none"), 1, deadline) is None
     assert policy.pause_s(Overloaded("busy", retry_after_ms=10), 1, deadline) is None
     assert policy.pause_s(OutcomeUnknown("lost", retry_after_ms=2000), 1, deadline) is None
 
@@ -184,3 +187,21 @@
     assert database.outcome("id 19") is not None
     assert database.outcome("id 1") is None
     assert not database.remembers(100_000)
+
+
+def test_session_leaves_an_instance_that_is_paused_with_its_write(fleet, key):
+    insert = "INSERT INTO lodged VALUES (?)"
+    with fleet.session("karaganda-1", "astana-b-1", workspace=WORKSPACE, key=key) as session:
+        session.timeout_s = 2.0
+        first = session.write(ROUTE, insert, "before the pause")
+        fleet.signal("karaganda-1", signal.SIGSTOP)
+        try:
+            written = session.write(ROUTE, insert, "in the pause")
+        finally:
+            fleet.signal("karaganda-1", signal.SIGCONT)
+        assert (first.instance, written.instance) == ("karaganda-1", "astana-b-1")
+        with fleet.session("karaganda-1", workspace=WORKSPACE, key=key) as resumed:
+            resumed.token = session.token
+            sql = "SELECT count(*) FROM lodged WHERE plate = 'in the pause'"
+            assert resumed.read(ROUTE, sql).rows == [(1,)]
+        assert session.read(ROUTE, sql).rows == [(1,)]
