--- a/src/quetzalrudder/retries.py
+++ b/src/quetzalrudder/retries.py
@@ -114,6 +114,8 @@
         return pause_s if self.budget.take() else None
 
     def _wanted_pause_s(self, exc: QuetzalrudderError, attempts: int) -> float | None:
+        if isinstance(exc, Unauthenticated):
+            return None
         if isinstance(exc, ELSEWHERE_AT_ONCE):
             return REPEAT_PAUSE_S * (attempts - 1)
         if isinstance(exc, Unauthenticated | OutcomeForgotten):
