--- a/src/quetzalrudder/schema/common/__init__.py
+++ b/src/quetzalrudder/schema/common/__init__.py
@@ -129,6 +129,8 @@
 
     TRANSACTION_ABORTED = 41
 
+    OUTCOME_FORGOTTEN = 42
+
     @classmethod
     def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
         return {
@@ -165,6 +167,7 @@
             30: "ERROR_CODE_SETTINGS_TOO_OLD",
             40: "ERROR_CODE_REQUEST_CANCELLED",
             41: "ERROR_CODE_TRANSACTION_ABORTED",
+            42: "ERROR_CODE_OUTCOME_FORGOTTEN",
         }
 
     @classmethod
@@ -203,6 +206,7 @@
             "ERROR_CODE_SETTINGS_TOO_OLD": 30,
             "ERROR_CODE_REQUEST_CANCELLED": 40,
             "ERROR_CODE_TRANSACTION_ABORTED": 41,
+            "ERROR_CODE_OUTCOME_FORGOTTEN": 42,
         }
 
 
@@ -235,12 +239,20 @@
 @dataclass(eq=False, repr=False)
 class Mark(betterproto2.Message):
     """
-    The highest position that a session saw or wrote in one group.
+    The highest positions of a session in one group.
     """
 
     group: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
 
     position: "Position | None" = betterproto2.field(2, betterproto2.TYPE_MESSAGE, optional=True)
+    """
+    Seen or written.
+    """
+
+    written: "Position | None" = betterproto2.field(3, betterproto2.TYPE_MESSAGE, optional=True)
+    """
+    Written.
+    """
 
 
 default_message_pool.register_message("common", "Mark", Mark)
