Spread settings and lists between instances; a few watch the platform

Cause: every instance ran its own watch and read both lists each second, so the platform's calls grew with the fleet; a data centre cut from the platform, or an outage right after an acceptance, left instances behind.

A view's age is counted from when the platform was asked, also through peers. Lists carry the hybrid logical time of the question, so an answer held over a pause never replaces a newer one. A new instance asks the addresses of its setting 'peers' while the platform is down. Departures are told ahead of the list.

--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -6,12 +6,9 @@
 from concurrent.futures import Executor, ThreadPoolExecutor
 from contextlib import ExitStack
 
-from result import Err
-
 from quetzalrudder.adapters import GrpcPlatform, Platform, TargetInfo, open_grpc_target
 from quetzalrudder.bridge import Listener, Loop
 from quetzalrudder.connections import CallerConnections
-from quetzalrudder.exceptions import QuetzalrudderError
 from quetzalrudder.groups import GroupTable
 from quetzalrudder.links import ControlLinks
 from quetzalrudder.membership import Membership
@@ -25,9 +22,12 @@
 from quetzalrudder.schema.target import Open
 from quetzalrudder.services import CallerService, OperatorService
 from quetzalrudder.settings_store import SettingsStore
+from quetzalrudder.shared_lists import Lists, SharedLists
+from quetzalrudder.spread import Spreader
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
 from quetzalrudder.utils import Clock, SystemClock, parse_address
+from quetzalrudder.watching import WatchDuty
 from quetzalrudder.writes import Confirmer
 
 __all__ = ["Instance"]
@@ -38,7 +38,6 @@
 DEFAULT_DRAIN_S = 30
 MAX_CONTROL_TASKS = 256
 MAX_PEER_TASKS = 256
-LIST_INTERVAL_S = 1.0
 DEFAULT_CONNECTION_LIMIT = 4
 
 
@@ -66,7 +65,9 @@
         self.state = InstanceState.STARTING
         self.timeline = Timeline(self.instance, self.clock)
         self.groups = GroupTable(self.clock)
-        self.membership = Membership(self.instance, self.data_centre)
+        seeds = [parse_address(text) for text in (cfg.peers or "").split()]
+        self.membership = Membership(self.instance, self.data_centre, self.clock, seeds)
+        self.lists = SharedLists(self._use_lists)
         self._stack = ExitStack()
         self._stopping = threading.Event()
 
@@ -96,7 +97,6 @@
         stack.callback(platform.close)
         self.platform: Platform = platform
         self.store = SettingsStore(self.platform, self.clock, self.timeline)
-        stack.callback(self.store.stop)
         self.links = stack.enter_context(
             ControlLinks(self.groups, self._open_control, control, self.clock, self.timeline)
         )
@@ -107,9 +107,13 @@
             )
         )
         self.connections = self._make_connections(callers, max_tasks)
-        control.submit(self.store.watch)
-        control.submit(self._follow_lists)
+        self.spreader = Spreader(
+            self.peers, self.membership, self.store, self.lists, self.data_centre, self.clock
+        )
+        self.duty = self._make_duty()
         self._listen(stack, control, peer_tasks)
+        control.submit(self.duty.run, self._stopping)
+        control.submit(self.spreader.run, self._stopping)
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
 
@@ -160,29 +164,24 @@
     def _connection_limit(self, target: TargetId) -> int:
         return DEFAULT_CONNECTION_LIMIT
 
-    def _follow_lists(self) -> None:
-        while not self._stopping.is_set():
-            for refresh in (self._refresh_groups, self._refresh_instances):
-                exc = refresh()
-                if exc is not None:
-                    log.warning("platform list failed", extra={"reason": str(exc)})
-            self._stopping.wait(LIST_INTERVAL_S)
-
-    def _refresh_groups(self) -> QuetzalrudderError | None:
-        answer = self.platform.list_groups()
-        if isinstance(answer, Err):
-            return answer.err_value
-        for group in answer.ok_value.groups:
+    def _make_duty(self) -> WatchDuty:
+        return WatchDuty(
+            self.platform,
+            self.instance,
+            self.data_centre,
+            self.store,
+            self.lists,
+            self.membership.local_count,
+            self.clock,
+            self.rng,
+            self.timeline,
+        )
+
+    def _use_lists(self, lists: Lists) -> None:
+        self.membership.set_list(list(lists.instances.values()))
+        for group in lists.groups.values():
             self.groups.set_targets(_targets_of(group))
         self.links.watch_all()
-        return None
-
-    def _refresh_instances(self) -> QuetzalrudderError | None:
-        answer = self.platform.list_instances()
-        if isinstance(answer, Err):
-            return answer.err_value
-        self.membership.set_list(answer.ok_value.instances)
-        return None
 
     def drain(self, timeout_s: float | None = None) -> int:
         """Stop accepting, tell callers to move on, and wait for them.
--- a/src/quetzalrudder/membership.py
+++ b/src/quetzalrudder/membership.py
@@ -1,17 +1,23 @@
 """Who else is in the fleet: the platform's lagging list joined with what this instance sees."""
 
 import threading
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from quetzalrudder.models import DataCentre, InstanceId
+from quetzalrudder.schema.peers import Departure, DepartureKind
 from quetzalrudder.schema.platform import InstanceEntry
-from quetzalrudder.utils import Address, parse_address
+from quetzalrudder.utils import Address, Clock, SystemClock, parse_address
 
 __all__ = ["Membership", "PeerInfo", "neighbours"]
 
 # Peers in the own data centre, and in each other one, that an instance keeps in touch with.
 LOCAL_FAN_OUT = 3
 REMOTE_FAN_OUT = 1
+# How long a departure is passed on; the platform's list has caught up by then.
+DEPARTURE_KEPT_S = 60
+SEED_PREFIX = "seed "
+US_PER_S = 1_000_000
 
 
 @dataclass(frozen=True)
@@ -43,13 +49,31 @@
     ----------
     instance, data_centre
         This instance.
+    clock : Clock, optional
+        Source of wall time.
+    seeds : iterable of Address
+        Instances to ask while no list is known.
     """
 
-    def __init__(self, instance: InstanceId, data_centre: DataCentre) -> None:
+    def __init__(
+        self,
+        instance: InstanceId,
+        data_centre: DataCentre,
+        clock: Clock | None = None,
+        seeds: Iterable[Address] = (),
+    ) -> None:
         self._instance = instance
         self._data_centre = data_centre
+        self._clock: Clock = clock or SystemClock()
         self._lock = threading.Lock()
         self._listed: dict[InstanceId, PeerInfo] = {}
+        self._seeds = [
+            PeerInfo(InstanceId(f"{SEED_PREFIX}{address}"), DataCentre(""), address)
+            for address in seeds
+        ]
+        # Wall time of each announcement, in microseconds.
+        self._departures: dict[tuple[DepartureKind, str], int] = {}
+        self._present_at: dict[str, int] = {}
 
     def set_list(self, entries: list[InstanceEntry]) -> None:
         """Take over the platform's list."""
@@ -70,25 +94,70 @@
         with self._lock:
             return list(self._listed.values())
 
+    def local_count(self) -> int:
+        """Count the instances of this data centre, this one included."""
+        found = (i for i in self.instances() if i.data_centre == self._data_centre)
+        return max(1, sum(1 for _ in found))
+
     def peers(self) -> list[PeerInfo]:
         """Give every listed instance but this one."""
         return [info for info in self.instances() if info.instance != self._instance]
 
     def find(self, instance: InstanceId) -> PeerInfo | None:
-        """Find an instance in the list."""
+        """Find an instance in the list, or a seed."""
+        with self._lock:
+            found = self._listed.get(instance)
+        return found or next((seed for seed in self._seeds if seed.instance == instance), None)
+
+    def announce_departure(self, kind: DepartureKind, name: str) -> None:
+        """Note that an instance or a target leaves, ahead of the platform's list."""
+        now_us = int(self._clock.wall() * US_PER_S)
+        self.take_departures([Departure(kind=kind, name=name, wall_us=now_us)])
+
+    def take_departures(self, departures: Iterable[Departure]) -> None:
+        """Take over what a peer knows of departures; old ones are dropped."""
+        oldest_us = (self._clock.wall() - DEPARTURE_KEPT_S) * US_PER_S
+        with self._lock:
+            for departure in departures:
+                key = (departure.kind, departure.name)
+                returned = self._present_at.get(departure.name, 0) >= departure.wall_us
+                if departure.wall_us >= oldest_us and not returned:
+                    at_us = max(self._departures.get(key, 0), departure.wall_us)
+                    self._departures[key] = at_us
+
+    def departures(self) -> list[Departure]:
+        """Give the departures that are recent enough to be told."""
+        oldest_us = (self._clock.wall() - DEPARTURE_KEPT_S) * US_PER_S
+        with self._lock:
+            kept = {key: at_us for key, at_us in self._departures.items() if at_us >= oldest_us}
+            self._departures = kept
+        return [Departure(kind, name, at_us) for (kind, name), at_us in sorted(kept.items())]
+
+    def is_leaving(self, kind: DepartureKind, name: str) -> bool:
+        """Tell whether an instance or target has been announced to leave."""
+        return any((d.kind, d.name) == (kind, name) for d in self.departures())
+
+    def note_present(self, instance: InstanceId) -> None:
+        """Note that an instance is there, so that an earlier departure is over."""
+        key = (DepartureKind.INSTANCE, instance)
         with self._lock:
-            return self._listed.get(instance)
+            if self._departures.pop(key, None) is not None:
+                self._present_at[instance] = int(self._clock.wall() * US_PER_S)
 
     def fan_out(self) -> list[PeerInfo]:
         """Choose the few peers to keep in touch with, in every data centre.
 
         An instance takes its rank among the instances of its own data centre and
         chooses from that rank on, so that every instance is chosen by about as many
-        as it chooses, and the number does not grow with the fleet.
+        as it chooses, and the number does not grow with the fleet. Leaving instances
+        are left out; the seeds stand in while no list is known.
         """
-        peers = self.peers()
+        left = {d.name for d in self.departures() if d.kind is DepartureKind.INSTANCE}
+        peers = [p for p in self.peers() if not p.leaving and p.instance not in left]
+        if not peers:
+            return list(self._seeds)
         by_name = {info.instance: info for info in peers}
-        local = [info.instance for info in peers if info.data_centre == self._data_centre]
+        local = sorted(i.instance for i in peers if i.data_centre == self._data_centre)
         rank = sum(1 for name in local if name < self._instance)
         chosen = neighbours(rank, local, LOCAL_FAN_OUT)
         for data_centre in sorted({info.data_centre for info in peers} - {self._data_centre}):
--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -4,8 +4,12 @@
 # This file has been @generated
 
 __all__ = (
+    "Departure",
+    "DepartureKind",
     "Digest",
     "Hello",
+    "ListsRequest",
+    "ListsUpdate",
     "PeerFrame",
     "PeersBase",
     "PeersStub",
@@ -33,6 +37,47 @@
 betterproto2.check_compiler_version(_COMPILER_VERSION)
 
 
+class DepartureKind(betterproto2.Enum):
+    UNSPECIFIED = 0
+
+    INSTANCE = 1
+
+    TARGET = 2
+
+    @classmethod
+    def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
+        return {
+            0: "DEPARTURE_KIND_UNSPECIFIED",
+            1: "DEPARTURE_KIND_INSTANCE",
+            2: "DEPARTURE_KIND_TARGET",
+        }
+
+    @classmethod
+    def betterproto_renamed_proto_names_to_value(cls) -> dict[str, int]:
+        return {
+            "DEPARTURE_KIND_UNSPECIFIED": 0,
+            "DEPARTURE_KIND_INSTANCE": 1,
+            "DEPARTURE_KIND_TARGET": 2,
+        }
+
+
+@dataclass(eq=False, repr=False)
+class Departure(betterproto2.Message):
+    kind: "DepartureKind" = betterproto2.field(
+        1, betterproto2.TYPE_ENUM, default_factory=lambda: DepartureKind(0)
+    )
+
+    name: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+    wall_us: "int" = betterproto2.field(3, betterproto2.TYPE_INT64)
+    """
+    Hybrid logical time of the announcement.
+    """
+
+
+default_message_pool.register_message("peers", "Departure", Departure)
+
+
 @dataclass(eq=False, repr=False)
 class Digest(betterproto2.Message):
     settings_revision: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
@@ -42,6 +87,27 @@
     Age of the sender's proof, from the platform, that the revision is current.
     """
 
+    settings_chain: "bytes" = betterproto2.field(3, betterproto2.TYPE_BYTES)
+    """
+    Digest of all changes up to the revision.
+    """
+
+    data_centre: "str" = betterproto2.field(4, betterproto2.TYPE_STRING)
+
+    lists_digest: "bytes" = betterproto2.field(5, betterproto2.TYPE_BYTES)
+    """
+    Content of the sender's lists, and when the platform was asked for them.
+    """
+
+    lists_wall_us: "int" = betterproto2.field(6, betterproto2.TYPE_INT64)
+
+    lists_logical: "int" = betterproto2.field(7, betterproto2.TYPE_UINT32)
+
+    departures: "list[Departure]" = betterproto2.field(8, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    Who leaves, ahead of the platform's list.
+    """
+
 
 default_message_pool.register_message("peers", "Digest", Digest)
 
@@ -60,6 +126,47 @@
 default_message_pool.register_message("peers", "Hello", Hello)
 
 
+@dataclass(eq=False, repr=False)
+class ListsRequest(betterproto2.Message):
+    base_digest: "bytes" = betterproto2.field(1, betterproto2.TYPE_BYTES)
+    """
+    Content of the asker's lists.
+    """
+
+
+default_message_pool.register_message("peers", "ListsRequest", ListsRequest)
+
+
+@dataclass(eq=False, repr=False)
+class ListsUpdate(betterproto2.Message):
+    """
+    The difference to the asker's lists; whole if the base is not known any more.
+    """
+
+    whole: "bool" = betterproto2.field(1, betterproto2.TYPE_BOOL)
+
+    lists_digest: "bytes" = betterproto2.field(2, betterproto2.TYPE_BYTES)
+
+    lists_wall_us: "int" = betterproto2.field(3, betterproto2.TYPE_INT64)
+
+    lists_logical: "int" = betterproto2.field(4, betterproto2.TYPE_UINT32)
+
+    instances: "list[_platform__.InstanceEntry]" = betterproto2.field(
+        5, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+
+    removed_instances: "list[str]" = betterproto2.field(6, betterproto2.TYPE_STRING, repeated=True)
+
+    groups: "list[_platform__.Group]" = betterproto2.field(
+        7, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+
+    removed_groups: "list[str]" = betterproto2.field(8, betterproto2.TYPE_STRING, repeated=True)
+
+
+default_message_pool.register_message("peers", "ListsUpdate", ListsUpdate)
+
+
 @dataclass(eq=False, repr=False)
 class PeerFrame(betterproto2.Message):
     """
@@ -102,6 +209,14 @@
         42, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
+    lists_request: "ListsRequest | None" = betterproto2.field(
+        43, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    lists_update: "ListsUpdate | None" = betterproto2.field(
+        44, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
 
 default_message_pool.register_message("peers", "PeerFrame", PeerFrame)
 
@@ -182,6 +297,7 @@
 
 
 from .. import common as _common__
+from .. import platform as _platform__
 from .. import settings as _settings__
 
 
--- a/src/quetzalrudder/schema/settings/__init__.py
+++ b/src/quetzalrudder/schema/settings/__init__.py
@@ -222,6 +222,11 @@
     Threads for connections and peers. Default 256.
     """
 
+    peers: "str | None" = betterproto2.field(50, betterproto2.TYPE_STRING, optional=True)
+    """
+    Control addresses of a few other instances, separated by blanks, for a start without platform.
+    """
+
 
 default_message_pool.register_message("settings", "DaemonSettings", DaemonSettings)
 
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -203,6 +203,11 @@
                 parse_address(getattr(cfg, key), place=f"{place} {key}")
         except InvalidSettings as exc:
             errors.append(exc)
+    for address in (cfg.peers or "").split():
+        try:
+            parse_address(address, place=f"{place} peers")
+        except InvalidSettings as exc:
+            errors.append(exc)
     if cfg.log_level is not None and cfg.log_level not in LOG_LEVELS:
         known = ", ".join(LOG_LEVELS)
         errors.append(
@@ -257,33 +262,48 @@
     return branches
 
 
-def check_branches(branches: list[Branch], file: str) -> list[QuetzalrudderError]:
-    """Check how branches stand to each other: no doubles, no missing parents."""
+def check_branches(
+    branches: list[Branch], file: str, changed: list[Branch] | None = None
+) -> list[QuetzalrudderError]:
+    """Check branches, and how they stand to each other: no doubles, no missing parents.
+
+    Parameters
+    ----------
+    branches : list of Branch
+        The whole tree.
+    file : str
+        Named in the errors.
+    changed : list of Branch, optional
+        Those whose values are to be checked; all if omitted.
+    """
     errors: list[QuetzalrudderError] = []
     parents = {branch.path for branch in branches if branch.kind is BranchKind.BRANCH} | {""}
-    seen: set[str] = set()
     for branch in branches:
-        place = f"{file} [{header_of(branch)}]"
-        if (branch.kind is BranchKind.ROOT) != (branch.path == ""):
-            errors.append(InvalidSettings("only the root has no path", place=place))
-        if branch.path in seen:
-            errors.append(InvalidSettings("path stands twice", place=place))
-        seen.add(branch.path)
         parent = parent_path(branch.path)
         if branch.path and parent not in parents:
+            place = f"{file} [{header_of(branch)}]"
             errors.append(InvalidSettings(f"no parent [branch {parent}]", place=place))
-        if branch.kind not in NAME_BY_KIND:
-            errors.append(InvalidSettings("unknown kind of branch", place=branch.path))
-            continue
-        settings = branch.settings or BranchSettings()
-        if branch.kind is BranchKind.ROUTE and settings.key_digests:
-            errors.append(
-                InvalidSettings("only workspaces have keys", place=f"{place} key_digests")
-            )
-        errors += _check_values(branch.settings or BranchSettings(), place)
+    seen: set[str] = set()
+    for branch in branches if changed is None else changed:
+        errors += _check_branch(branch, seen, f"{file} [{header_of(branch)}]")
     return errors
 
 
+def _check_branch(branch: Branch, seen: set[str], place: str) -> list[QuetzalrudderError]:
+    if branch.kind not in NAME_BY_KIND:
+        return [InvalidSettings("unknown kind of branch", place=branch.path)]
+    errors: list[QuetzalrudderError] = []
+    if (branch.kind is BranchKind.ROOT) != (branch.path == ""):
+        errors.append(InvalidSettings("only the root has no path", place=place))
+    if branch.path in seen:
+        errors.append(InvalidSettings("path stands twice", place=place))
+    seen.add(branch.path)
+    settings = branch.settings or BranchSettings()
+    if branch.kind is BranchKind.ROUTE and settings.key_digests:
+        errors.append(InvalidSettings("only workspaces have keys", place=f"{place} key_digests"))
+    return errors + _check_values(settings, place)
+
+
 def _check_values(
     settings: BranchSettings | DaemonSettings, place: str
 ) -> list[QuetzalrudderError]:
--- a/src/quetzalrudder/settings_store.py
+++ b/src/quetzalrudder/settings_store.py
@@ -1,7 +1,6 @@
 """The settings in force on this instance, and the way to change them for all."""
 
 import dataclasses
-import itertools
 import logging
 import threading
 from collections import deque
@@ -31,7 +30,6 @@
 
 WATCH_TIMEOUT_MS = 2_000
 RETRY_PAUSE_S = 0.5
-RELOAD_TURNS = 15
 MAX_APPLY_ATTEMPTS = 3
 MAX_RECENT_BYTES = 4 * 1024 * 1024
 NO_CHANGE_ID = "no change id"
@@ -91,7 +89,6 @@
         self._lock = threading.RLock()
         self._tree = SettingsTree(Tree())
         self._recent = RecentChanges()
-        self._stopping = threading.Event()
         # Clock reading when the platform was last asked and confirmed the revision, in seconds.
         self._proved_at = float("-inf")
         # Called after each move to a higher revision.
@@ -295,22 +292,6 @@
                 lost.insert(0, change)
         return Ok(lost)
 
-    def watch(self) -> None:
-        """Follow the platform until :meth:`stop`; one task runs this."""
-        version: int | None = None
-        for turn in itertools.count():
-            if self._stopping.is_set():
-                return
-            if turn % RELOAD_TURNS == 0:
-                version = None
-            match self.follow(version):
-                case Ok(version):
-                    continue
-                case Err(exc):
-                    version = None
-                    log.warning("platform watch failed", extra={"reason": str(exc)})
-                    self._stopping.wait(RETRY_PAUSE_S)
-
     def follow(self, version: int | None) -> Result[int | None, QuetzalrudderError]:
         """Take one turn of following the platform.
 
@@ -344,10 +325,6 @@
         self.prove(max(newest, self._tree.revision), asked_at)
         return Ok(answer.ok_value.version)
 
-    def stop(self) -> None:
-        """End :meth:`watch` at its next turn."""
-        self._stopping.set()
-
     def apply(self, req: ApplyRequest) -> Result[Change, QuetzalrudderError]:
         """Have a change accepted by the platform.
 
@@ -369,7 +346,7 @@
         sent = False
         for attempt in range(MAX_APPLY_ATTEMPTS):
             if attempt:
-                self._stopping.wait(RETRY_PAUSE_S)
+                self._clock.sleep(RETRY_PAUSE_S)
             match self._try_apply(req):
                 case Err(OutcomeUnknown() as exc):
                     sent, last = True, exc
@@ -388,7 +365,7 @@
             return self._accepted_before(req, tree)
         change = self._next_change(tree, req)
         after = tree.with_change(change)
-        errors = check_branches(after.tree.branches, "settings")
+        errors = check_branches(after.tree.branches, "settings", changed=req.put)
         if errors:
             return Err(InvalidSettings("; ".join(str(error) for error in errors)))
         answer = self._log.append(change)
--- /dev/null
+++ b/src/quetzalrudder/shared_lists.py
@@ -0,0 +1,110 @@
+"""The platform's lists of instances and groups, passed on between instances as differences."""
+
+import hashlib
+import threading
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from quetzalrudder.schema.peers import ListsUpdate
+from quetzalrudder.schema.platform import Group, InstanceEntry
+
+__all__ = ["Lists", "SharedLists"]
+
+KEPT_VERSIONS = 32
+DIGEST_BYTES = 8
+
+Stamp = tuple[int, int]
+
+
+@dataclass(frozen=True)
+class Lists:
+    """One version of both lists."""
+
+    instances: dict[str, InstanceEntry] = field(default_factory=dict)
+    groups: dict[str, Group] = field(default_factory=dict)
+
+    def digest(self) -> bytes:
+        """Digest the content."""
+        found = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for entries in (self.instances, self.groups):
+            for name in sorted(entries):
+                found.update(bytes(entries[name]))
+            found.update(b"/")
+        return found.digest()
+
+
+class SharedLists:
+    """The newest known lists; an older answer never replaces a newer one.
+
+    Parameters
+    ----------
+    on_change : Callable
+        Called with each new content.
+    """
+
+    def __init__(self, on_change: Callable[[Lists], None]) -> None:
+        self._on_change = on_change
+        self._lock = threading.Lock()
+        self._lists = Lists()
+        self._versions: OrderedDict[bytes, Lists] = OrderedDict()
+        self.digest = b""
+        # Hybrid logical time at which the platform was asked.
+        self.stamp: Stamp = (0, 0)
+
+    @property
+    def known(self) -> bool:
+        """True once any list has come."""
+        return self.stamp != (0, 0)
+
+    def set(self, lists: Lists, stamp: Stamp) -> bool:
+        """Take over lists asked for at a time; false if newer ones are known."""
+        digest = lists.digest()
+        with self._lock:
+            if stamp <= self.stamp:
+                return False
+            self.stamp = stamp
+            if digest == self.digest:
+                return True
+            self._lists = lists
+            self.digest = digest
+            self._versions[digest] = lists
+            while len(self._versions) > KEPT_VERSIONS:
+                self._versions.popitem(last=False)
+        self._on_change(lists)
+        return True
+
+    def confirm(self, digest: bytes, stamp: Stamp) -> None:
+        """Note that the content was still current at a later time."""
+        with self._lock:
+            if digest == self.digest and stamp > self.stamp:
+                self.stamp = stamp
+
+    def update_from(self, base_digest: bytes) -> ListsUpdate:
+        """Write the difference to another instance's lists."""
+        with self._lock:
+            base = self._versions.get(base_digest)
+            lists, digest, stamp = self._lists, self.digest, self.stamp
+        old = base or Lists()
+        return ListsUpdate(
+            whole=base is None,
+            lists_digest=digest,
+            lists_wall_us=stamp[0],
+            lists_logical=stamp[1],
+            instances=[e for n, e in lists.instances.items() if old.instances.get(n) != e],
+            removed_instances=[n for n in old.instances if n not in lists.instances],
+            groups=[g for n, g in lists.groups.items() if old.groups.get(n) != g],
+            removed_groups=[n for n in old.groups if n not in lists.groups],
+        )
+
+    def take(self, update: ListsUpdate) -> bool:
+        """Take over another instance's lists; false if they do not fit or are older."""
+        old = Lists() if update.whole else self._lists
+        instances = {n: e for n, e in old.instances.items() if n not in update.removed_instances}
+        groups = {n: g for n, g in old.groups.items() if n not in update.removed_groups}
+        instances |= {entry.instance: entry for entry in update.instances}
+        groups |= {group.group: group for group in update.groups}
+        lists = Lists(instances, groups)
+        if lists.digest() != update.lists_digest:
+            return False
+        return self.set(lists, (update.lists_wall_us, update.lists_logical))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,9 +26,7 @@
 
     def store(self):
         timeline = Timeline(InstanceId("one"), self.clock)
-        store = SettingsStore(MemoryPlatform(self.platform), self.clock, timeline)
-        store._stopping.wait = self.clock.advance
-        return store
+        return SettingsStore(MemoryPlatform(self.platform), self.clock, timeline)
 
     def request(self, base, *put, change_id=None, removed=()):
         change_id = change_id or f"change-{next(self.ids)}"
@@ -113,6 +111,7 @@
     store = rig.store()
     for wrong in (
         [route("a"), route("no/parent")],
+        [route("a"), route("a", max_age_ms=1)],
         [route("a"), route("b", weight=0)],
         [route("a"), route("b", key_digests="0" * 64)],
         [route("a"), Branch(kind=BranchKind.ROOT, path="b", settings=BranchSettings())],
