--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -111,6 +111,7 @@
             self.peers, self.membership, self.store, self.lists, self.data_centre, self.clock
         )
         self.duty = self._make_duty()
+        control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         control.submit(self.duty.run, self._stopping)
         control.submit(self.spreader.run, self._stopping)
