Name what failed when the platform does not answer

Cause: a daemon that starts without its platform never tried the lists, and tests/test_daemon_alone.py asks for the log line of the failed list. Settings and lists are now read independently of each other.

--- a/src/quetzalrudder/watching.py
+++ b/src/quetzalrudder/watching.py
@@ -94,7 +94,7 @@
 
     def run(self, stopping: threading.Event) -> None:
         """Do the duty until told to stop; one task runs this."""
-        self._log_failure(self.read_once())
+        self.read_once()
         while not stopping.is_set():
             try:
                 stopping.wait(self.step())
@@ -102,12 +102,10 @@
                 log.exception("watching ended a step by a defect")
                 stopping.wait(RETRY_PAUSE_S)
 
-    def read_once(self) -> Result[None, QuetzalrudderError]:
+    def read_once(self) -> None:
         """Read settings and lists from the platform, as every instance does when it starts."""
-        loaded = self._store.load()
-        if isinstance(loaded, Err):
-            return loaded
-        return self.read_lists()
+        self._log_failure("settings", self._store.load())
+        self._log_failure("list", self.read_lists())
 
     def step(self) -> float:
         """Take one turn, waiting for a change if a place is held; gives a pause in seconds."""
@@ -122,9 +120,9 @@
             self._reload_at = now + RELOAD_INTERVAL_S
         followed = self._store.follow(self._version)
         self._version = followed.ok_value if isinstance(followed, Ok) else None
-        self._log_failure(followed)
+        self._log_failure("watch", followed)
         if self._slot.held and self._clock.monotonic() >= self._lists_due_at:
-            self._log_failure(self.read_lists())
+            self._log_failure("list", self.read_lists())
         return 0.0 if isinstance(followed, Ok) else RETRY_PAUSE_S
 
     def _try_for_place(self) -> float:
@@ -134,7 +132,7 @@
         mean_s = self._local_count() / TRIES_PER_S
         self._next_try_at = now + self._rng.uniform(0.5 * mean_s, 1.5 * mean_s)
         acquired = self._slot.acquire()
-        self._log_failure(acquired)
+        self._log_failure("lease", acquired)
         if isinstance(acquired, Ok) and acquired.ok_value:
             self._watching = True
             self._version = None
@@ -175,6 +173,6 @@
         self._lists.set(lists, stamp)
         return len(bytes(groups)) + len(bytes(instances))
 
-    def _log_failure(self, result: Result[object, QuetzalrudderError]) -> None:
+    def _log_failure(self, what: str, result: Result[object, QuetzalrudderError]) -> None:
         if isinstance(result, Err):
-            log.warning("platform did not answer", extra={"reason": str(result.err_value)})
+            log.warning("platform %s failed", what, extra={"reason": str(result.err_value)})
