Drain: move callers on at once, hand over, and tell what was cut

Cause: a caller that never paused was not told to move on, so a drain under load lasted until its deadline (seen: 2 of 4 connections still open after 5 s); a caller that was told while its request ran gave that request up; a restarted instance refused keys before it had any settings; what a drain cut was told nowhere.

Change: every connection is told at once, and is served until it falls idle; the client finishes its request and goes elsewhere with the next. An instance without settings answers Starting. Callbacks (Instance.on_drain) hand over; the last events go to a peer's time line; a second signal or the deadline names the requests cut. The ring of events is bounded in bytes.

--- a/src/quetzalrudder/callers.py
+++ b/src/quetzalrudder/callers.py
@@ -1,12 +1,12 @@
 """The caller's side of a connection: the adapter that a session sends through."""
 
 import queue
+import threading
 from contextlib import suppress
 from typing import Protocol
 
 from quetzalrudder.bridge import ClientStream, Loop
 from quetzalrudder.exceptions import (
-    Draining,
     LinkLost,
     OutcomeUnknown,
     QuetzalrudderError,
@@ -53,11 +53,12 @@
     ) -> None:
         self._answers: queue.Queue[AnswerFrame | QuetzalrudderError] = queue.Queue()
         self._address = address
+        self._moving_on = threading.Event()
         self._stream: ClientStream[CallerFrame, AnswerFrame] = ClientStream(
             loop,
             address,
             lambda channel, frames: CallerStub(channel).connect(frames),
-            self._answers.put,
+            self._take,
             self._answers.put,
         )
         hello = CallerFrame(request_id="hello", hello=Hello(workspace=workspace, key=key))
@@ -67,6 +68,17 @@
             self.close()
             raise
 
+    def _take(self, answer: AnswerFrame) -> None:
+        if answer.move_on is not None:
+            self._moving_on.set()
+        else:
+            self._answers.put(answer)
+
+    @property
+    def moving_on(self) -> bool:
+        """True once the instance drains: open work is finished, new work goes elsewhere."""
+        return self._moving_on.is_set()
+
     @property
     def broken(self) -> bool:
         """True once no further request can be sent."""
@@ -93,8 +105,6 @@
         self._stream.send(frame)
         while True:
             answer = self._next_answer(timeout_s)
-            if answer.move_on is not None:
-                raise Draining("the instance is shutting down", place=str(self._address))
             if answer.request_id not in (frame.request_id, ""):
                 continue
             if answer.failure is not None:
--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -25,6 +25,7 @@
     MalformedMessage,
     Overloaded,
     QuetzalrudderError,
+    Starting,
     to_failure,
 )
 from quetzalrudder.logs import request_logger
@@ -120,6 +121,17 @@
             self._pipe.send(AnswerFrame(failure=to_failure(exc)), 0)
         self._pipe.close()
 
+    def move_on(self) -> None:
+        """Tell the caller to send new work elsewhere; any thread."""
+        with suppress(QuetzalrudderError):
+            self._pipe.send(AnswerFrame(move_on=MoveOn()), 0)
+
+    @property
+    def running_request(self) -> str:
+        """Id of the request that is being served; empty while idle."""
+        running = self._running
+        return running.request_id if running is not None else ""
+
     def _greet(self) -> CallerIdentity:
         try:
             frame = self._pipe.recv(HELLO_TIMEOUT_S)
@@ -127,6 +139,8 @@
             raise MalformedMessage("no greeting came", place="hello") from None
         if not isinstance(frame.hello, Hello):
             raise MalformedMessage("the first frame must be a greeting", place="hello")
+        if frame.hello.key and not self._owner.store.known:
+            raise _starting()
         guard = KeyGuard(self._owner.store, WorkspaceId(frame.hello.workspace), frame.hello.key)
         checked = authenticate(self._owner.store, guard.caller)
         if isinstance(checked, Err):
@@ -164,6 +178,8 @@
     def _run(
         self, caller: CallerIdentity, frame: CallerFrame
     ) -> Result[Answer, QuetzalrudderError]:
+        if not self._owner.store.known:
+            return Err(_starting())
         tree = self._owner.store.tree
         checked = caller.recheck().and_then(lambda _: check_frame(tree, caller, frame))
         if isinstance(checked, Err):
@@ -180,6 +196,10 @@
                 return Err(MalformedMessage("a frame of no known kind", place="frame"))
 
 
+def _starting() -> Starting:
+    return Starting("the instance has no settings yet", retry_after_ms=RETRY_AFTER_MS)
+
+
 class CallerConnections:
     """All caller connections of an instance, and what they share.
 
@@ -258,6 +278,8 @@
         conn = CallerConnection(pipe, self)
         with self._changed:
             self._live.add(conn)
+        if self.draining.is_set():
+            conn.move_on()
         try:
             conn.serve()
         finally:
@@ -280,10 +302,31 @@
             for conn in live:
                 conn.end_if_withdrawn()
 
-    def wait_until_empty(self, timeout_s: float) -> int:
-        """Wait for all connections to end; gives how many are left."""
+    def drain(self) -> None:
+        """Refuse new connections, and tell every caller to send new work elsewhere."""
+        self.draining.set()
+        with self._changed:
+            live = list(self._live)
+        for conn in live:
+            conn.move_on()
+
+    def running_requests(self) -> list[str]:
+        """Give the ids of the requests that are being served."""
+        with self._changed:
+            live = list(self._live)
+        return sorted(filter(None, (conn.running_request for conn in live)))
+
+    def wake(self) -> None:
+        """Have waiters look again."""
+        with self._changed:
+            self._changed.notify_all()
+
+    def wait_until_empty(self, timeout_s: float, give_up: threading.Event | None = None) -> int:
+        """Wait for all connections to end, or to be told; gives how many are left."""
         with self._changed:
-            self._changed.wait_for(lambda: self._count == 0, timeout_s)
+            self._changed.wait_for(
+                lambda: self._count == 0 or (give_up is not None and give_up.is_set()), timeout_s
+            )
             return self._count
 
     def report(
--- a/src/quetzalrudder/daemon.py
+++ b/src/quetzalrudder/daemon.py
@@ -4,8 +4,10 @@
 import signal
 import sys
 import threading
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from quetzalrudder.drain import DrainResult
 from quetzalrudder.exceptions import BindFailed, InvalidSettings
 from quetzalrudder.instance import Instance
 from quetzalrudder.logs import configure_logging
@@ -14,6 +16,7 @@
 __all__ = ["main"]
 
 EXIT_DONE = 0
+SIGNAL_TURN_S = 0.05
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 USAGE = "usage: quetzalrudderd SETTINGS.ini"
@@ -30,16 +33,26 @@
         log.info("serving")
         signals.acquire()
         log.info("draining")
-        left: list[int] = []
-        drain = threading.Thread(target=lambda: left.append(instance.drain()), daemon=True)
-        drain.start()
-        while drain.is_alive() and not signals.acquire(timeout=0.05):
-            pass
-        cut = left[0] if left else instance.connections.count
-    log.info("stopped", extra={"connections_cut": cut})
+        drained = _drain(instance, signals)
+    log.info(
+        "stopped",
+        extra={
+            "connections_cut": drained.connections_cut,
+            "requests_cut": drained.requests_cut,
+        },
+    )
     return EXIT_DONE
 
 
+def _drain(instance: Instance, signals: threading.Semaphore) -> DrainResult:
+    with ThreadPoolExecutor(1, "drain") as executor:
+        fut = executor.submit(instance.drain)
+        while not fut.done():
+            if signals.acquire(timeout=SIGNAL_TURN_S):
+                instance.cut_drain_short()
+        return fut.result()
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon.
 
--- /dev/null
+++ b/src/quetzalrudder/drain.py
@@ -0,0 +1,119 @@
+"""A planned stop: finish what is open, hand over what is held, and say what was cut."""
+
+import logging
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Ok
+
+from quetzalrudder.connections import CallerConnections
+from quetzalrudder.membership import Membership
+from quetzalrudder.models import InstanceId
+from quetzalrudder.peers import PeerLinks
+from quetzalrudder.schema.peers import DepartureKind, Farewell
+from quetzalrudder.spread import Spreader
+from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.utils import Clock, Deadline
+from quetzalrudder.watching import WatchDuty
+
+__all__ = ["Drain", "DrainResult"]
+
+log = logging.getLogger(__name__)
+
+FAREWELL_TIMEOUT_S = 0.5
+FAREWELL_EVENTS = 100
+
+
+@dataclass(frozen=True)
+class DrainResult:
+    """How a planned stop ended."""
+
+    # Connections that were still open, and the requests that were running on them.
+    connections_cut: int
+    requests_cut: list[str]
+
+
+class Drain:
+    """Takes an instance out of service.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This instance.
+    connections : CallerConnections
+        The callers.
+    membership, spreader, links
+        Ways to tell the peers.
+    duty : WatchDuty
+        Held by lease; left to another instance.
+    timeline : Timeline
+        Takes events, which a peer keeps afterwards.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        connections: CallerConnections,
+        membership: Membership,
+        spreader: Spreader,
+        links: PeerLinks,
+        duty: WatchDuty,
+        timeline: Timeline,
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._connections = connections
+        self._membership = membership
+        self._spreader = spreader
+        self._links = links
+        self._duty = duty
+        self._timeline = timeline
+        self._clock = clock
+        self._cut_short = threading.Event()
+        # Called once no caller has open work, to hand over what the parts hold.
+        self.callbacks: list[Callable[[], None]] = []
+
+    def cut_short(self) -> None:
+        """End the wait for open work; any thread."""
+        self._cut_short.set()
+        self._connections.wake()
+
+    def run(self, timeout_s: float) -> DrainResult:
+        """Stop accepting, move callers on, wait for open work, hand over, say farewell."""
+        deadline = Deadline(self._clock, self._clock.monotonic() + timeout_s)
+        self._timeline.record(EventKind.DRAINING)
+        self._connections.drain()
+        self._membership.announce_departure(DepartureKind.INSTANCE, self._instance)
+        self._spreader.announce()
+        left = self._connections.wait_until_empty(deadline.remaining_s, self._cut_short)
+        result = DrainResult(left, self._connections.running_requests())
+        self._record_cut(result)
+        self._hand_over()
+        self._timeline.record(EventKind.STOPPED)
+        self._say_farewell()
+        return result
+
+    def _record_cut(self, result: DrainResult) -> None:
+        if result.connections_cut:
+            detail = f"{result.connections_cut} connections"
+            self._timeline.record(EventKind.DRAIN_CUT, detail=detail)
+        for request_id in result.requests_cut:
+            self._timeline.record(EventKind.DRAIN_CUT, request_id=request_id)
+
+    def _hand_over(self) -> None:
+        for callback in [self._duty.give_up, *self.callbacks]:
+            try:
+                callback()
+            except Exception:
+                log.exception("handing over ended by a defect")
+
+    def _say_farewell(self) -> None:
+        farewell = Farewell(events=self._timeline.events()[-FAREWELL_EVENTS:])
+        for info in self._membership.fan_out():
+            answer = self._links.ask(info.instance, farewell, FAREWELL_TIMEOUT_S)
+            if isinstance(answer, Ok):
+                return
--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -33,6 +33,7 @@
     "RouteNotFound",
     "SettingsTooOld",
     "StaleTerm",
+    "Starting",
     "StatementFailed",
     "TargetUnavailable",
     "TransactionNotFound",
@@ -214,6 +215,12 @@
     code = ErrorCode.DRAINING
 
 
+class Starting(Draining):
+    """The instance has no settings yet; another one serves the request."""
+
+    code = ErrorCode.STARTING
+
+
 class PlatformUnavailable(QuetzalrudderError):
     """The platform did not answer."""
 
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -3,12 +3,14 @@
 import logging
 import random
 import threading
+from collections.abc import Callable
 from concurrent.futures import Executor, ThreadPoolExecutor
 from contextlib import ExitStack
 
 from quetzalrudder.adapters import GrpcPlatform, Platform, TargetInfo, open_grpc_target
 from quetzalrudder.bridge import Listener, Loop
 from quetzalrudder.connections import CallerConnections
+from quetzalrudder.drain import Drain, DrainResult
 from quetzalrudder.groups import GroupTable
 from quetzalrudder.links import ControlLinks
 from quetzalrudder.membership import Membership
@@ -108,9 +110,16 @@
         )
         self.connections = self._make_connections(callers, max_tasks)
         self.spreader = Spreader(
-            self.peers, self.membership, self.store, self.lists, self.data_centre, self.clock
+            self.peers,
+            self.membership,
+            self.store,
+            self.lists,
+            self.data_centre,
+            self.clock,
+            self.timeline,
         )
         self.duty = self._make_duty()
+        self._drain = self._make_drain()
         control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         control.submit(self.duty.run, self._stopping)
@@ -184,19 +193,38 @@
             self.groups.set_targets(_targets_of(group))
         self.links.watch_all()
 
-    def drain(self, timeout_s: float | None = None) -> int:
-        """Stop accepting, tell callers to move on, and wait for them.
+    @property
+    def on_drain(self) -> list[Callable[[], None]]:
+        """Calls of a planned stop, made once no caller has open work."""
+        return self._drain.callbacks
+
+    def _make_drain(self) -> Drain:
+        return Drain(
+            instance=self.instance,
+            connections=self.connections,
+            membership=self.membership,
+            spreader=self.spreader,
+            links=self.peers,
+            duty=self.duty,
+            timeline=self.timeline,
+            clock=self.clock,
+        )
+
+    def drain(self, timeout_s: float | None = None) -> DrainResult:
+        """Stop accepting, tell callers to move on, wait for them, and hand over.
 
         Returns
         -------
-        int
-            Connections that were still open at the end of the wait.
+        DrainResult
+            What was still open at the end of the wait.
         """
         self.state = InstanceState.DRAINING
-        self.timeline.record(EventKind.DRAINING)
-        self.connections.draining.set()
         wait_s = timeout_s if timeout_s is not None else self.cfg.drain_s or DEFAULT_DRAIN_S
-        return self.connections.wait_until_empty(wait_s)
+        return self._drain.run(wait_s)
+
+    def cut_drain_short(self) -> None:
+        """End the wait for open work."""
+        self._drain.cut_short()
 
 
 def _targets_of(group: Group) -> list[tuple[TargetInfo, bool]]:
--- a/src/quetzalrudder/schema/common/__init__.py
+++ b/src/quetzalrudder/schema/common/__init__.py
@@ -125,6 +125,8 @@
 
     SETTINGS_TOO_OLD = 30
 
+    STARTING = 70
+
     @classmethod
     def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
         return {
@@ -159,6 +161,7 @@
             28: "ERROR_CODE_REQUEST_CHANGED",
             29: "ERROR_CODE_BIND_FAILED",
             30: "ERROR_CODE_SETTINGS_TOO_OLD",
+            70: "ERROR_CODE_STARTING",
         }
 
     @classmethod
@@ -195,6 +198,7 @@
             "ERROR_CODE_REQUEST_CHANGED": 28,
             "ERROR_CODE_BIND_FAILED": 29,
             "ERROR_CODE_SETTINGS_TOO_OLD": 30,
+            "ERROR_CODE_STARTING": 70,
         }
 
 
--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -7,6 +7,7 @@
     "Departure",
     "DepartureKind",
     "Digest",
+    "Farewell",
     "Hello",
     "ListsRequest",
     "ListsUpdate",
@@ -112,6 +113,20 @@
 default_message_pool.register_message("peers", "Digest", Digest)
 
 
+@dataclass(eq=False, repr=False)
+class Farewell(betterproto2.Message):
+    """
+    The last events of an instance that stops; the receiver keeps them with its own.
+    """
+
+    events: "list[_operators__.Event]" = betterproto2.field(
+        1, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+
+
+default_message_pool.register_message("peers", "Farewell", Farewell)
+
+
 @dataclass(eq=False, repr=False)
 class Hello(betterproto2.Message):
     """
@@ -217,6 +232,10 @@
         44, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
+    farewell: "Farewell | None" = betterproto2.field(
+        45, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
 
 default_message_pool.register_message("peers", "PeerFrame", PeerFrame)
 
@@ -297,6 +316,7 @@
 
 
 from .. import common as _common__
+from .. import operators as _operators__
 from .. import platform as _platform__
 from .. import settings as _settings__
 
--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -187,7 +187,7 @@
         raise last
 
     def _connected(self) -> GrpcCallerAdapter:
-        if self._adapter is None or self._adapter.broken:
+        if self._adapter is None or self._adapter.broken or self._adapter.moving_on:
             refusal = self._adapter.last_refusal() if self._adapter is not None else None
             self.roam()
             if isinstance(refusal, KeyWithdrawn):
--- a/src/quetzalrudder/settings_store.py
+++ b/src/quetzalrudder/settings_store.py
@@ -99,6 +99,11 @@
         """The revision in force."""
         return self._tree
 
+    @property
+    def known(self) -> bool:
+        """True once a revision is in force, or the platform has said that there is none."""
+        return self._tree.revision > 0 or self._proved_at > float("-inf")
+
     @property
     def age_ms(self) -> float:
         """Milliseconds since the revision was proved to be the newest."""
--- a/src/quetzalrudder/spread.py
+++ b/src/quetzalrudder/spread.py
@@ -15,6 +15,7 @@
 from quetzalrudder.peers import PeerLinks
 from quetzalrudder.schema.peers import (
     Digest,
+    Farewell,
     ListsRequest,
     ListsUpdate,
     SettingsRequest,
@@ -23,6 +24,7 @@
 from quetzalrudder.schema.settings import Branch, Tree
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.shared_lists import SharedLists
+from quetzalrudder.timeline import Timeline
 from quetzalrudder.utils import MS_PER_S, Clock
 
 __all__ = ["Spreader"]
@@ -78,6 +80,8 @@
         This instance's; lists are taken from the same one, where addresses are alike.
     clock : Clock
         Source of time.
+    timeline : Timeline
+        Keeps the last events of peers that stop.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         lists: SharedLists,
         data_centre: DataCentre,
         clock: Clock,
+        timeline: Timeline,
     ) -> None:
         self._links = links
         self._membership = membership
@@ -95,6 +100,7 @@
         self._lists = lists
         self._data_centre = data_centre
         self._clock = clock
+        self._timeline = timeline
         self._inbox: queue.SimpleQueue[Any] = queue.SimpleQueue()
         self._turn = 0
         # Per peer and kind of request: clock reading when an unanswered one was sent.
@@ -106,6 +112,7 @@
         links.on(Digest, self.on_digest)
         links.on(SettingsRequest, self.on_settings_request)
         links.on(ListsRequest, self.on_lists_request)
+        links.on(Farewell, self.on_farewell)
         store.on_change.append(self.announce)
 
     def digest(self) -> Digest:
@@ -152,6 +159,11 @@
         """Give the difference to a peer's lists."""
         return self._lists.update_from(req.base_digest)
 
+    def on_farewell(self, peer: InstanceId, farewell: Farewell) -> Digest:
+        """Keep the last events of a peer that stops."""
+        self._timeline.adopt(farewell.events)
+        return self.digest()
+
     def run(self, stopping: threading.Event) -> None:
         """Spread until told to stop; one task runs this."""
         next_at = self._clock.monotonic()
--- a/src/quetzalrudder/timeline.py
+++ b/src/quetzalrudder/timeline.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import deque
+from collections.abc import Iterable
 from enum import Enum
 
 from quetzalrudder.models import InstanceId
@@ -10,7 +11,8 @@
 
 __all__ = ["EventKind", "HybridClock", "Timeline", "merge_events"]
 
-RING_SIZE = 10_000
+RING_BYTES = 4 * 1024 * 1024
+EVENT_BYTES = 400
 US_PER_S = 1_000_000
 
 
@@ -71,14 +73,17 @@
         The process.
     clock : Clock
         Source of wall time.
-    size : int
-        Most events kept.
+    max_bytes : int
+        Most bytes of events kept, by :func:`event_size`.
     """
 
-    def __init__(self, instance: InstanceId, clock: Clock, size: int = RING_SIZE) -> None:
+    def __init__(self, instance: InstanceId, clock: Clock, max_bytes: int = RING_BYTES) -> None:
         self._instance = instance
         self.clock = HybridClock(clock)
-        self._events: deque[Event] = deque(maxlen=size)
+        self._max_bytes = max_bytes
+        self._lock = threading.Lock()
+        self._events: deque[tuple[Event, int]] = deque()
+        self._bytes = 0
 
     def record(self, kind: EventKind, **fields: str | int) -> None:
         """Add an event.
@@ -91,19 +96,32 @@
             Fields of :class:`~quetzalrudder.schema.operators.Event`.
         """
         wall_us, logical = self.clock.now()
-        self._events.append(
-            Event(
-                wall_us=wall_us,
-                logical=logical,
-                instance=self._instance,
-                kind=kind.value,
-                **fields,
-            )
+        event = Event(
+            wall_us=wall_us, logical=logical, instance=self._instance, kind=kind.value, **fields
         )
+        self.adopt([event])
+
+    def adopt(self, events: Iterable[Event]) -> None:
+        """Keep events, also those of another process."""
+        sized = [(event, event_size(event)) for event in events]
+        with self._lock:
+            for event, size in sized:
+                self._events.append((event, size))
+                self._bytes += size
+            while self._bytes > self._max_bytes:
+                self._bytes -= self._events.popleft()[1]
 
     def events(self) -> list[Event]:
         """Give all kept events, oldest first."""
-        return list(self._events)
+        with self._lock:
+            return [event for event, _ in self._events]
+
+
+def event_size(event: Event) -> int:
+    """Bound the memory of an event by the length of its texts, in bytes."""
+    texts = (event.instance, event.kind, event.request_id, event.workspace)
+    places = (event.target, event.group, event.detail)
+    return EVENT_BYTES + sum(map(len, texts + places))
 
 
 def merge_events(rings: list[list[Event]]) -> list[Event]:
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -102,7 +102,9 @@
         self.membership = Membership(InstanceId(name), dc, clock, seeds)
         self.lists = SharedLists(self._use_lists)
         self.links = MemoryLinks(fleet, self)
-        self.spreader = Spreader(self.links, self.membership, self.store, self.lists, dc, clock)
+        self.spreader = Spreader(
+            self.links, self.membership, self.store, self.lists, dc, clock, self.timeline
+        )
         self.duty = WatchDuty(
             platform,
             InstanceId(name),
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,140 @@
+import signal
+import threading
+
+import pytest
+
+from quetzalrudder.exceptions import Draining, QuetzalrudderError
+from standins.demo import STEPPE_SETTINGS
+from standins.fleet import Fleet
+from tests.conftest import SMALL
+from tests.helpers import grant_key, wait_for
+
+WORKSPACE = "steppe/branch-1"
+INSERT = "INSERT INTO offers VALUES (?, ?)"
+
+
+@pytest.fixture(scope="module")
+def own_fleet():
+    with Fleet(SMALL, STEPPE_SETTINGS) as running:
+        key = grant_key(running, WORKSPACE)
+        with running.session("astana-a-1", workspace=WORKSPACE, key=key) as session:
+            session.write("steppe/offers", "CREATE TABLE offers (plate TEXT, price INTEGER)")
+        yield running, key
+
+
+class Callers:
+    """Callers that write and read all the time, and note every failure."""
+
+    def __init__(self, fleet, key, count):
+        self._fleet = fleet
+        self._key = key
+        self._stopping = threading.Event()
+        self._threads = [threading.Thread(target=self._work, args=(n,)) for n in range(count)]
+        self.failures = []
+        self.written = []
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _work(self, n):
+        names = list(self._fleet.instance_addresses)
+        order = names[n % len(names) :] + names[: n % len(names)]
+        with self._fleet.session(*order, workspace=WORKSPACE, key=self._key) as session:
+            for turn in range(1_000_000):
+                if self._stopping.is_set():
+                    return
+                plate = f"{n}-{turn}"
+                try:
+                    session.write("steppe/offers", INSERT, plate, turn)
+                    self.written.append(plate)
+                    session.read("steppe/comparables", "SELECT count(*) FROM offers")
+                except QuetzalrudderError as exc:
+                    self.failures.append((plate, type(exc).__name__, str(exc)))
+
+
+def is_serving(fleet, name):
+    try:
+        status = fleet.operator(name).status()
+    except QuetzalrudderError:
+        return False
+    reached = [target for target in status.targets if target.reachable]
+    return status.settings_revision > 0 and len(reached) == len(fleet.target_addresses)
+
+
+def restart(fleet, name, data_centre):
+    assert fleet.stop(name) == 0
+    fleet.start_instance(name, data_centre)
+    wait_for(lambda: is_serving(fleet, name), f"{name} serves again")
+
+
+def test_rolling_restart_under_load_cuts_off_no_request(own_fleet):
+    fleet, key = own_fleet
+    with Callers(fleet, key, 4) as callers:
+        for name, data_centre in SMALL.instances():
+            before = len(callers.written)
+            wait_for(lambda b=before: len(callers.written) > b + 5, "load")
+            restart(fleet, name, data_centre)
+    assert callers.failures == []
+    with fleet.session("astana-b-1", workspace=WORKSPACE, key=key) as session:
+        rows = session.read("steppe/offers", "SELECT plate FROM offers").rows
+    plates = [plate for (plate,) in rows]
+    assert sorted(plates) == sorted(callers.written)
+
+
+def test_idle_callers_are_moved_on_and_new_ones_refused_with_a_type(own_fleet):
+    fleet, key = own_fleet
+    with fleet.session("astana-a-1", "astana-b-1", workspace=WORKSPACE, key=key) as idle:
+        assert idle.read("steppe/comparables", "SELECT 1").instance == "astana-a-1"
+        fleet.signal("astana-a-1", signal.SIGTERM)
+        wait_for(lambda: idle._adapter.moving_on, "told to move on")
+        assert idle.read("steppe/comparables", "SELECT 1").instance == "astana-b-1"
+    assert fleet._processes["astana-a-1"].wait(10) == 0
+    fleet.start_instance("astana-a-1", "astana-a")
+    wait_for(lambda: is_serving(fleet, "astana-a-1"), "serves again")
+
+
+def test_a_second_signal_ends_the_drain_and_tells_what_was_cut(own_fleet):
+    fleet, key = own_fleet
+    name = "karaganda-1"
+    errors = []
+
+    def slow_write():
+        with fleet.session(name, workspace=WORKSPACE, key=key) as session:
+            try:
+                session.write("steppe/offers", INSERT, "cut", 1, request_id="the-cut-one")
+            except QuetzalrudderError as exc:
+                errors.append(exc)
+
+    for target in ("valuation-core-1-b", "valuation-core-1-c"):
+        fleet.set_faults(target, receive_lag_ms=60_000)
+    try:
+        caller = threading.Thread(target=slow_write)
+        before = fleet.statistics("valuation-core-1-a").statements
+        caller.start()
+        wait_for(lambda: fleet.statistics("valuation-core-1-a").statements > before, "running")
+        fleet.signal(name, signal.SIGTERM)
+        wait_for(lambda: '"draining"' in fleet.log_of(name), "draining")
+        with fleet.session(name, workspace=WORKSPACE, key=key) as late, pytest.raises(Draining):
+            late.read("steppe/comparables", "SELECT 1")
+        fleet.signal(name, signal.SIGTERM)
+        assert fleet._processes[name].wait(10) == 0
+        caller.join()
+    finally:
+        for target in ("valuation-core-1-b", "valuation-core-1-c"):
+            fleet.set_faults(target, receive_lag_ms=0)
+    assert "the-cut-one" in fleet.log_of(name)
+    kinds = [
+        (e.kind, e.request_id)
+        for o in ("astana-a-1", "astana-b-1")
+        for e in fleet.operator(o).events()
+        if e.instance == name
+    ]
+    assert ("drain-cut", "the-cut-one") in kinds
+    assert errors
