--- a/src/quetzalrudder/schema/settings/__init__.py
+++ b/src/quetzalrudder/schema/settings/__init__.py
@@ -227,6 +227,14 @@
     Control addresses of a few other instances, separated by blanks, for a start without platform.
     """
 
+    operator_key_digests: "str | None" = betterproto2.field(
+        60, betterproto2.TYPE_STRING, optional=True
+    )
+    """
+    SHA-256 digests of the operators' keys, in hexadecimal, separated by blanks. Without
+    one, the instance answers no operator.
+    """
+
 
 default_message_pool.register_message("settings", "DaemonSettings", DaemonSettings)
 
