Drop leaving targets and instances ahead of the list; measure spreading

Cause: a target that leaves was used until the list said so; a digest from a leaving instance itself cancelled the note of its departure (found by test_peers_drop_a_leaving_instance_before_the_list_does).

Change: a target's own word, or a peer's note of it, takes it out of routing at once; notes carry the time of the announcement, are passed on with digests for a minute and end when the instance is seen again. The choice of peers is kept until the list or the departures change. bench/spread.py measures time, bytes and platform calls against naive polling.

--- /dev/null
+++ b/bench/spread.py
@@ -0,0 +1,120 @@
+"""How fast a change is in force everywhere, what it costs each instance and the platform.
+
+In memory, under a virtual clock, with the product's own decisions and the encoded
+size of every message.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from bench.measures import Measure
+from standins.memory_fleet import MemoryFleet, MemoryInstance
+from tests.naive.fleet import NaiveInstance
+
+__all__ = ["run"]
+
+DATA_CENTRES = ("a", "b", "c")
+SIZES = (3, 9, 27, 81)
+FLEET_OF_TWO_YEARS = 3500
+CHANGES_PER_DAY = 21_000
+DAY_S = 86_400
+WARM_UP_S = 25.0
+MEASURED_CHANGES = 12
+LIMIT_S = 60.0
+
+Points = dict[int, float]
+
+
+def run() -> list[Measure]:
+    """Measure the product and the naive version at each size."""
+    measures: list[Measure] = []
+    for variant, make in (("product", MemoryInstance), ("naive", NaiveInstance)):
+        measures += _measure(variant, make)
+    return measures
+
+
+def _measure(variant: str, make: Callable[..., Any]) -> list[Measure]:
+    in_force: Points = {}
+    watchers: Points = {}
+    after_outage: Points = {}
+    control: Points = {}
+    calls: Points = {}
+    for size in SIZES:
+        in_force[size], others, watching, calls[size] = _steady(size, make)
+        control |= {size: others} if others else {}
+        watchers |= {size: watching} if watching else {}
+        after_outage[size] = _time_after_outage(size, make)
+    return [
+        *_with_slope("spread.in_force", variant, in_force, "s"),
+        *_with_slope("spread.in_force_outage", variant, after_outage, "s"),
+        *_with_slope("spread.control", variant, control, "B/s"),
+        *_with_slope("spread.watcher", variant, watchers, "B/s"),
+        *_with_slope("spread.platform_calls", variant, calls, "1/s"),
+    ]
+
+
+def _warm_fleet(size: int, make: Callable[..., Any]) -> MemoryFleet:
+    fleet = MemoryFleet(DATA_CENTRES, size // len(DATA_CENTRES), make=make)
+    fleet.accept()
+    fleet.run_for(WARM_UP_S)
+    return fleet
+
+
+def _steady(size: int, make: Callable[..., Any]) -> tuple[float, float, float, float]:
+    """Give the slowest change, the most bytes without and with watching, platform calls."""
+    fleet = _warm_fleet(size, make)
+    started = fleet.clock.now
+    before = fleet.control_bytes()
+    calls_before = fleet.platform.calls.total()
+    slowest = 0.0
+    for n in range(MEASURED_CHANGES):
+        slowest = max(slowest, _time_to_spread(fleet))
+        fleet.run_for(started + (n + 1) * DAY_S / CHANGES_PER_DAY - fleet.clock.now)
+    elapsed = fleet.clock.now - started
+    spent: dict[bool, float] = {False: 0.0, True: 0.0}
+    for name, after in fleet.control_bytes().items():
+        watches = make is MemoryInstance and fleet.nodes[name].duty.watching
+        spent[watches] = max(spent[watches], (after - before[name]) / elapsed)
+    calls = fleet.platform.calls.total() - calls_before
+    return slowest, spent[False], spent[True], calls / elapsed
+
+
+def _time_to_spread(fleet: MemoryFleet) -> float:
+    started = fleet.clock.now
+    names = sorted(fleet.nodes)
+    fleet.accept(at=names[int(started) % len(names)])
+    revision = max(node.store.tree.revision for node in fleet.nodes.values())
+    fleet.run_until(lambda: fleet.lowest_revision() >= revision, LIMIT_S)
+    return fleet.clock.now - started
+
+
+def _time_after_outage(size: int, make: Callable[..., Any]) -> float:
+    """Give the time to spread if the platform dies right after the acceptance; LIMIT_S: never."""
+    fleet = _warm_fleet(size, make)
+    started = fleet.clock.now
+    fleet.accept()
+    fleet.platform.down = True
+    revision = next(iter(fleet.nodes.values())).store.tree.revision
+    fleet.run_until(lambda: fleet.lowest_revision() >= revision, LIMIT_S)
+    return fleet.clock.now - started
+
+
+def _with_slope(name: str, variant: str, points: Points, unit: str) -> list[Measure]:
+    if not points:
+        return []
+    slope, base = _fit(points)
+    far = base + slope * FLEET_OF_TWO_YEARS
+    return [
+        *(Measure(name, f"{size} peers", variant, value, unit) for size, value in points.items()),
+        Measure(f"{name}_slope", "for each peer", variant, slope, unit),
+        Measure(name, f"{FLEET_OF_TWO_YEARS} peers, extrapolated", variant, far, unit),
+    ]
+
+
+def _fit(points: Points) -> tuple[float, float]:
+    """Fit a line by least squares; gives slope and value at zero."""
+    mean_x = sum(points) / len(points)
+    mean_y = sum(points.values()) / len(points)
+    spread_x = sum((x - mean_x) ** 2 for x in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points.items()) / spread_x
+    return slope, mean_y - slope * mean_x
--- a/src/quetzalrudder/groups.py
+++ b/src/quetzalrudder/groups.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from quetzalrudder.adapters import TargetInfo
@@ -42,7 +42,9 @@
     """One target as last seen from here."""
 
     info: TargetInfo
+    # What the platform's list says, and what the target or a peer said ahead of it.
     leaving: bool = False
+    announced_leaving: bool = False
     state: State | None = None
     # Clock reading when the last answered question was asked, in seconds.
     asked_at: float = float("-inf")
@@ -74,6 +76,8 @@
         self._clock = clock
         self._lock = threading.RLock()
         self._groups: dict[GroupId, GroupView] = {}
+        # Called with each target that announces that it leaves.
+        self.on_leaving: Callable[[TargetId], None] = lambda target: None
 
     def set_targets(self, infos: Iterable[tuple[TargetInfo, bool]]) -> None:
         """Take over the platform's list of targets, each with whether it is leaving."""
@@ -115,9 +119,18 @@
                 return
             view.state = state
             view.asked_at = asked_at
+            if state.leaving and not view.announced_leaving:
+                self.on_leaving(info.target)
+            view.announced_leaving = state.leaving
             if state.role is Role.PRIMARY and state.term == self._term_of(group):
                 group.primary_samples.append((asked_at, state.applied or Position()))
 
+    def mark_leaving(self, target: TargetId) -> None:
+        """Note that a target leaves, until it says otherwise itself."""
+        for view in self.targets():
+            if view.info.target == target:
+                view.announced_leaving = True
+
     def mark_unreachable(self, target: TargetId, group: GroupId) -> None:
         """Note that a target did not answer."""
         with self._lock:
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -20,6 +20,7 @@
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
 from quetzalrudder.routing import ReadRouter
+from quetzalrudder.schema.peers import DepartureKind
 from quetzalrudder.schema.platform import Group
 from quetzalrudder.schema.settings import DaemonSettings
 from quetzalrudder.schema.target import Open
@@ -119,6 +120,8 @@
             self.clock,
             self.timeline,
         )
+        self.membership.on_target_leaving = self._use_departure
+        self.groups.on_leaving = self._tell_leaving
         self.duty = self._make_duty()
         self._drain = self._make_drain()
         control.submit(self.connections.watch_keys, self._stopping)
@@ -190,6 +193,14 @@
             self.timeline,
         )
 
+    def _tell_leaving(self, target: TargetId) -> None:
+        self.membership.announce_departure(DepartureKind.TARGET, target)
+        self.spreader.announce()
+
+    def _use_departure(self, target: TargetId) -> None:
+        self.groups.mark_leaving(target)
+        self.timeline.record(EventKind.TARGET_LEAVING, target=target)
+
     def _use_lists(self, lists: Lists) -> None:
         self.membership.set_list(list(lists.instances.values()))
         for group in lists.groups.values():
--- a/src/quetzalrudder/membership.py
+++ b/src/quetzalrudder/membership.py
@@ -1,10 +1,10 @@
 """Who else is in the fleet: the platform's lagging list joined with what this instance sees."""
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from quetzalrudder.models import DataCentre, InstanceId
+from quetzalrudder.models import DataCentre, InstanceId, TargetId
 from quetzalrudder.schema.peers import Departure, DepartureKind
 from quetzalrudder.schema.platform import InstanceEntry
 from quetzalrudder.utils import Address, Clock, SystemClock, parse_address
@@ -74,6 +74,11 @@
         # Wall time of each announcement, in microseconds.
         self._departures: dict[tuple[DepartureKind, str], int] = {}
         self._present_at: dict[str, int] = {}
+        self._list_number = 0
+        self._chosen: list[PeerInfo] = []
+        self._chosen_for: tuple[int, frozenset[str]] | None = None
+        # Called with each target that is newly known to leave.
+        self.on_target_leaving: Callable[[TargetId], None] = lambda target: None
 
     def set_list(self, entries: list[InstanceEntry]) -> None:
         """Take over the platform's list."""
@@ -88,6 +93,7 @@
         }
         with self._lock:
             self._listed = listed
+            self._list_number += 1
 
     def instances(self) -> list[PeerInfo]:
         """Give every listed instance, this one included."""
@@ -112,18 +118,27 @@
     def announce_departure(self, kind: DepartureKind, name: str) -> None:
         """Note that an instance or a target leaves, ahead of the platform's list."""
         now_us = int(self._clock.wall() * US_PER_S)
-        self.take_departures([Departure(kind=kind, name=name, wall_us=now_us)])
+        self._add_departures([Departure(kind=kind, name=name, wall_us=now_us)])
 
     def take_departures(self, departures: Iterable[Departure]) -> None:
-        """Take over what a peer knows of departures; old ones are dropped."""
+        """Take over what a peer knows of departures; old ones and the own one are dropped."""
+        own = (DepartureKind.INSTANCE, self._instance)
+        self._add_departures(d for d in departures if (d.kind, d.name) != own)
+
+    def _add_departures(self, departures: Iterable[Departure]) -> None:
         oldest_us = (self._clock.wall() - DEPARTURE_KEPT_S) * US_PER_S
+        new_targets: list[TargetId] = []
         with self._lock:
             for departure in departures:
                 key = (departure.kind, departure.name)
                 returned = self._present_at.get(departure.name, 0) >= departure.wall_us
                 if departure.wall_us >= oldest_us and not returned:
+                    if key not in self._departures and key[0] is DepartureKind.TARGET:
+                        new_targets.append(TargetId(departure.name))
                     at_us = max(self._departures.get(key, 0), departure.wall_us)
                     self._departures[key] = at_us
+        for target in new_targets:
+            self.on_target_leaving(target)
 
     def departures(self) -> list[Departure]:
         """Give the departures that are recent enough to be told."""
@@ -153,7 +168,16 @@
         are left out; the seeds stand in while no list is known.
         """
         left = {d.name for d in self.departures() if d.kind is DepartureKind.INSTANCE}
-        peers = [p for p in self.peers() if not p.leaving and p.instance not in left]
+        with self._lock:
+            basis = (self._list_number, frozenset(left))
+            if basis != self._chosen_for:
+                self._chosen = self._choose(left)
+                self._chosen_for = basis
+            return self._chosen
+
+    def _choose(self, left: set[str]) -> list[PeerInfo]:
+        listed = [info for info in self._listed.values() if info.instance != self._instance]
+        peers = [p for p in listed if not p.leaving and p.instance not in left]
         if not peers:
             return list(self._seeds)
         by_name = {info.instance: info for info in peers}
--- a/src/quetzalrudder/routing.py
+++ b/src/quetzalrudder/routing.py
@@ -83,7 +83,7 @@
 
     def _qualifies(self, group: GroupId, view: TargetView, policy: ReadPolicy) -> bool:
         state = view.state
-        if view.leaving or not view.reachable or state is None:
+        if view.leaving or view.announced_leaving or not view.reachable or state is None:
             return False
         primary = self._groups.primary(group)
         if primary is not None and view.info.target == primary.info.target:
--- a/src/quetzalrudder/schema/standin/__init__.py
+++ b/src/quetzalrudder/schema/standin/__init__.py
@@ -120,6 +120,11 @@
     No watch answers while set.
     """
 
+    leaving: "bool | None" = betterproto2.field(70, betterproto2.TYPE_BOOL, optional=True)
+    """
+    The target announces that it leaves, and refuses new statement connections.
+    """
+
 
 default_message_pool.register_message("standin", "Faults", Faults)
 
--- a/src/quetzalrudder/schema/target/__init__.py
+++ b/src/quetzalrudder/schema/target/__init__.py
@@ -286,6 +286,11 @@
 
     connection_limit: "int" = betterproto2.field(9, betterproto2.TYPE_UINT32)
 
+    leaving: "bool" = betterproto2.field(70, betterproto2.TYPE_BOOL)
+    """
+    The target takes no new work; it is about to stop.
+    """
+
 
 default_message_pool.register_message("target", "State", State)
 
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -18,12 +18,12 @@
 import bisect
 import configparser
 import dataclasses
-import re
 from collections.abc import Iterable
 from pathlib import Path
 from typing import TypeVar
 
 from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
+from quetzalrudder.keys import DIGEST_PATTERN
 from quetzalrudder.models import RouteName, WorkspaceId
 from quetzalrudder.operator_keys import check_digests
 from quetzalrudder.schema.settings import (
@@ -80,7 +80,6 @@
     "max_tasks": (1, 100_000),
     "drain_s": (0, 3600),
 }
-DIGEST = re.compile("[0-9a-f]{64}")
 BOOLEANS = {"true": True, "yes": True, "on": True, "false": False, "no": False, "off": False}
 
 
@@ -140,7 +139,7 @@
 
 
 def _check_text(key: str, value: str, place: str) -> None:
-    if key == "key_digests" and not all(DIGEST.fullmatch(part) for part in value.split()):
+    if key == "key_digests" and not all(DIGEST_PATTERN.fullmatch(part) for part in value.split()):
         raise InvalidSettings("not SHA-256 digests in hexadecimal", place=place)
     if key == "group" and (not value or value != value.strip()):
         raise InvalidSettings("empty, or blanks around it", place=place)
--- a/src/quetzalrudder/spread.py
+++ b/src/quetzalrudder/spread.py
@@ -14,6 +14,7 @@
 from quetzalrudder.models import DataCentre, InstanceId
 from quetzalrudder.peers import PeerLinks
 from quetzalrudder.schema.peers import (
+    DepartureKind,
     Digest,
     Farewell,
     ListsRequest,
@@ -137,7 +138,9 @@
     def on_digest(self, peer: InstanceId, digest: Digest) -> Digest:
         """Answer a peer's digest with the own one."""
         self._membership.take_departures(digest.departures)
-        self._membership.note_present(peer)
+        own = (DepartureKind.INSTANCE, peer)
+        if all((left.kind, left.name) != own for left in digest.departures):
+            self._membership.note_present(peer)
         self._inbox.put(_Ahead(peer, digest))
         return self.digest()
 
--- a/src/quetzalrudder/timeline.py
+++ b/src/quetzalrudder/timeline.py
@@ -34,6 +34,7 @@
     WATCH_LOST = "watch-lost"
     TARGET_REACHED = "target-reached"
     TARGET_LOST = "target-lost"
+    TARGET_LEAVING = "target-leaving"
     PRIMARY_CHANGED = "primary-changed"
 
 
--- a/standins/memory_fleet.py
+++ b/standins/memory_fleet.py
@@ -97,6 +97,7 @@
         clock = fleet.clock
         self.timeline = Timeline(InstanceId(name), clock)
         platform = MemoryPlatform(fleet.platform, data_centre)
+        self.platform = platform
         self.store = SettingsStore(platform, clock, self.timeline)
         dc = DataCentre(data_centre)
         self.membership = Membership(InstanceId(name), dc, clock, seeds)
@@ -176,7 +177,8 @@
         self.rng = random.Random(seed)
         self.platform = MemoryStore(self.clock)
         self.nodes: dict[str, Any] = {}
-        self.bytes_sent: Counter[str] = Counter()
+        # Bytes that each instance has exchanged with its peers, sent and received.
+        self.peer_bytes: Counter[str] = Counter()
         self.reverted: list[tuple[str, int, int]] = []
         self._make = make
         self.loss = loss
@@ -248,8 +250,8 @@
 
     def send(self, node: Any, address: Address, message: Any, fut: "Future[Any]") -> None:
         """Carry a request to its peer and the answer back."""
-        self.bytes_sent[node.name] += len(bytes(pack(message))) + OVERHEAD_BYTES
         name = self._name_at[address]
+        self._count(message, node.name, name)
         if not self._passes(node.data_centre, self._centre_of[name]):
             return
         latency_s = self._latency(node.data_centre, self._centre_of[name])
@@ -260,12 +262,17 @@
 
         def deliver() -> None:
             answer = peer.links.handlers[type(message)](node.name, message)
-            self.bytes_sent[name] += len(bytes(pack(answer))) + OVERHEAD_BYTES
+            self._count(answer, node.name, name)
             if self._passes(node.data_centre, peer.data_centre):
                 self.after(latency_s, node, lambda: fut.set_result(answer))
 
         self.after(latency_s, peer, deliver)
 
+    def _count(self, message: Any, *names: str) -> None:
+        size = len(bytes(pack(message))) + OVERHEAD_BYTES
+        for name in names:
+            self.peer_bytes[name] += size
+
     def _passes(self, one: str, other: str) -> bool:
         return frozenset((one, other)) not in self._cut and self.rng.random() >= self.loss
 
@@ -332,6 +339,13 @@
         """Give the lowest revision in force."""
         return min(node.store.tree.revision for node in self.nodes.values())
 
+    def control_bytes(self) -> dict[str, int]:
+        """Give the bytes that each instance has exchanged with peers and platform."""
+        return {
+            name: self.peer_bytes[name] + node.platform.answer_bytes
+            for name, node in self.nodes.items()
+        }
+
     def calls_per_s(self, seconds: float) -> float:
         """Run for a while and give the platform's calls per second."""
         before = self.platform.calls.total()
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -4,6 +4,7 @@
 import itertools
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -22,6 +23,9 @@
 
 __all__ = ["MemoryPlatform", "MemoryStore"]
 
+# A unary call on a connection of its own: headers both ways, TCP/IP.
+CALL_OVERHEAD_BYTES = 600
+
 
 @dataclass
 class MemoryStore:
@@ -79,6 +83,12 @@
     def __init__(self, store: MemoryStore, data_centre: str = "") -> None:
         self.store = store
         self.data_centre = data_centre
+        # Bytes of all answers to this caller.
+        self.answer_bytes = 0
+
+    def _counted(self, answer: Any) -> Ok[Any]:
+        self.answer_bytes += len(bytes(answer)) + CALL_OVERHEAD_BYTES
+        return Ok(answer)
 
     def _refusal(self, method: str) -> Err[QuetzalrudderError] | None:
         self.store.calls[method] += 1
@@ -89,11 +99,11 @@
 
     def get(self, key: str) -> Result[Entry, QuetzalrudderError]:
         """Read one key; version 0 means absent."""
-        return self._refusal("get") or Ok(self.store.entries.get(key, Entry(key=key)))
+        return self._refusal("get") or self._counted(self.store.entries.get(key, Entry(key=key)))
 
     def list_entries(self, prefix: str) -> Result[Entries, QuetzalrudderError]:
         """Read all keys under a prefix."""
-        return self._refusal("list") or Ok(self._present(prefix, 0))
+        return self._refusal("list") or self._counted(self._present(prefix, 0))
 
     def _present(self, prefix: str, after: int) -> Entries:
         found = [
@@ -129,7 +139,7 @@
         refusal = self._refusal("watch")
         if refusal is None and self.store.watches_broken:
             return Err(PlatformUnavailable("no answer to the watch"))
-        return refusal or Ok(self._present(req.prefix, req.after_version))
+        return refusal or self._counted(self._present(req.prefix, req.after_version))
 
     def grant_lease(self, ttl_ms: int) -> Result[Lease, QuetzalrudderError]:
         """Take a lease."""
@@ -162,8 +172,8 @@
 
     def list_groups(self) -> Result[Groups, QuetzalrudderError]:
         """Read the database groups."""
-        return self._refusal("list_groups") or Ok(self.store.groups)
+        return self._refusal("list_groups") or self._counted(self.store.groups)
 
     def list_instances(self) -> Result[Instances, QuetzalrudderError]:
         """Read the list of live and leaving instances."""
-        return self._refusal("list_instances") or Ok(self.store.instances)
+        return self._refusal("list_instances") or self._counted(self.store.instances)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -57,6 +57,7 @@
             apply_lag_ms=0,
             receive_lag_ms=0,
             watches_broken=False,
+            leaving=False,
         )
 
     def update(self, faults: Faults) -> None:
@@ -69,6 +70,7 @@
             "apply_lag_ms",
             "receive_lag_ms",
             "watches_broken",
+            "leaving",
         ):
             value = getattr(faults, name)
             if value is not None:
--- a/standins/target.py
+++ b/standins/target.py
@@ -12,6 +12,7 @@
 
 from quetzalrudder.exceptions import (
     ConnectionLimitReached,
+    Draining,
     MalformedMessage,
     QuetzalrudderError,
     StaleTerm,
@@ -90,6 +91,7 @@
             slots=self.cfg.slots,
             connections=self.connections,
             connection_limit=self.cfg.connection_limit,
+            leaving=self.faults.now.leaving,
         )
 
     async def notify(self) -> None:
@@ -336,6 +338,10 @@
         self, opening: TargetFrame, messages: AsyncIterator[TargetFrame]
     ) -> AsyncIterator[TargetAnswer]:
         target = self._target
+        if target.faults.now.leaving:
+            exc = Draining("the target is leaving", place=target.cfg.target, retry_after_ms=1)
+            yield self._answer(opening, Err(exc))
+            return
         if target.connections >= target.cfg.connection_limit:
             exc = ConnectionLimitReached("no connection is left", place=target.cfg.target)
             yield self._answer(opening, Err(exc))
