--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -29,6 +29,7 @@
     "PositionLost",
     "QuetzalrudderError",
     "RateExceeded",
+    "RequestCancelled",
     "RequestChanged",
     "RouteNotFound",
     "SettingsTooOld",
@@ -36,6 +37,7 @@
     "Starting",
     "StatementFailed",
     "TargetUnavailable",
+    "TransactionAborted",
     "TransactionNotFound",
     "TruncatedAnswer",
     "Unauthenticated",
@@ -271,6 +273,18 @@
     code = ErrorCode.REQUEST_CHANGED
 
 
+class RequestCancelled(QuetzalrudderError):
+    """The request id was told as not run, and is never run from then on."""
+
+    code = ErrorCode.REQUEST_CANCELLED
+
+
+class TransactionAborted(QuetzalrudderError):
+    """The transaction was rolled back; nothing of it happened."""
+
+    code = ErrorCode.TRANSACTION_ABORTED
+
+
 class BindFailed(QuetzalrudderError):
     """The address could not be listened on."""
 
@@ -312,5 +326,5 @@
         failure.message,
         place=failure.place,
         retry_after_ms=failure.retry_after_ms,
-        ending=failure.ending,
+        ending=failure.ending or Ending.UNKNOWN,
     )
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -30,6 +30,7 @@
 from quetzalrudder.spread import Spreader
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.transactions import TransactionRunner
 from quetzalrudder.utils import Clock, SystemClock, parse_address
 from quetzalrudder.watching import WatchDuty
 from quetzalrudder.writes import Confirmer
@@ -144,6 +145,9 @@
             data_centre=self.data_centre,
             store=self.store,
             runner=runner,
+            transactions=TransactionRunner(
+                runner, self.pool, self._connection_limit, self.clock, self.rng
+            ),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
