--- a/src/quetzalrudder/ctl.py
+++ b/src/quetzalrudder/ctl.py
@@ -12,13 +12,13 @@
 
 from quetzalrudder.ctl_context import Context, Report
 from quetzalrudder.ctl_settings import SettingsCommands
+from quetzalrudder.ctl_timeline import read_time, timeline_report
 from quetzalrudder.exceptions import QuetzalrudderError
 from quetzalrudder.keys import digest_key, make_key
-from quetzalrudder.schema.operators import Event
+from quetzalrudder.schema.operators import TimelineRequest
 from quetzalrudder.schema.settings import Branch, BranchKind
 from quetzalrudder.sessions import QueryResult, Session
 from quetzalrudder.settings import header_of, parse_branches
-from quetzalrudder.timeline import merge_events
 
 __all__ = ["main"]
 
@@ -148,19 +148,38 @@
             )
         self._context.show(Report(lines, status))
 
-    def timeline(self, controls: str = "") -> None:
-        """Show the events of one or more instances, in one order.
+    def timeline(
+        self,
+        controls: str = "",
+        request: str = "",
+        workspace: str = "",
+        target: str = "",
+        group: str = "",
+        kind: str = "",
+        since: str = "",
+        until: str = "",
+    ) -> None:
+        """Show the events of all instances, in one order.
 
         Parameters
         ----------
         controls : str
-            Control addresses, separated by commas.
+            Control addresses, separated by commas; all that one instance knows if omitted.
+        request, workspace, target, group, kind : str
+            Show only the events with this request id, workspace, target, group or kind.
+        since, until : str
+            Show only the events from and up to a time: seconds ago, or ISO 8601.
         """
-        addresses = controls.split(",") if controls else [self._context.control]
-        with ExitStack() as stack:
-            rings = [self._context.client(stack, address).events() for address in addresses]
-        events = merge_events(rings)
-        self._context.show(Report([_event_line(event) for event in events], events))
+        req = TimelineRequest(
+            request_id=str(request),
+            workspace=str(workspace),
+            target=str(target),
+            group=str(group),
+            kind=str(kind),
+            since_us=read_time(since),
+            until_us=read_time(until),
+        )
+        self._context.show(timeline_report(self._context, controls, req))
 
     def query(
         self,
@@ -216,13 +235,6 @@
     return [f"[branch {'/'.join(parts[: n + 1])}]" for n in range(len(parts))]
 
 
-def _event_line(event: Event) -> str:
-    fields = [event.instance, event.kind, event.request_id, event.workspace]
-    fields += [event.target, event.detail]
-    shown = "  ".join(field for field in fields if field)
-    return f"{event.wall_us}.{event.logical}  {shown}"
-
-
 def _result_lines(result: QueryResult) -> list[str]:
     lines = ["\t".join(result.columns)] if result.columns else []
     lines += ["\t".join(str(value) for value in row) for row in result.rows]
--- /dev/null
+++ b/src/quetzalrudder/ctl_timeline.py
@@ -0,0 +1,94 @@
+"""``quetzalrudderctl timeline``: the events of all instances in one order."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from datetime import UTC, datetime
+
+from result import Err, Ok, Result
+
+from quetzalrudder.ctl_context import Context, Report
+from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
+from quetzalrudder.schema.operators import Event, TimelineAnswer, TimelineRequest
+from quetzalrudder.timeline import US_PER_S, merge_events
+
+__all__ = ["read_time", "timeline_report"]
+
+MAX_CALLS_AT_ONCE = 16
+
+Answers = dict[str, Result[TimelineAnswer, QuetzalrudderError]]
+
+
+def read_time(text: str | float) -> int:
+    """Read a time as microseconds since the Unix epoch; empty text gives 0.
+
+    Raises
+    ------
+    InvalidSettings
+        The text is neither a number of seconds ago nor ISO 8601.
+
+    Examples
+    --------
+    >>> read_time("1970-01-01T00:00:07+00:00")
+    7000000
+    """
+    text = str(text)
+    if not text:
+        return 0
+    try:
+        return int((time.time() - float(text)) * US_PER_S)
+    except ValueError:
+        pass
+    try:
+        at = datetime.fromisoformat(text)
+    except ValueError:
+        raise InvalidSettings(f"not a time: {text!r}", place="time") from None
+    if at.tzinfo is None:
+        at = at.replace(tzinfo=UTC)
+    return int(at.timestamp() * US_PER_S)
+
+
+def timeline_report(context: Context, controls: str, req: TimelineRequest) -> Report:
+    """Ask all instances and merge their events; those not reached are named."""
+    named = [text.strip() for text in controls.split(",") if text.strip()]
+    first = named or [context.control]
+    answers = _ask_all(context, first, req)
+    if all(isinstance(answer, Err) for answer in answers.values()):
+        raise next(iter(answers.values())).err_value
+    if not named:
+        known = answers[context.control].ok_value.control_addresses
+        others = [address for address in known if address != context.control]
+        answers |= _ask_all(context, others, req)
+    return _report(answers)
+
+
+def _ask_all(context: Context, addresses: list[str], req: TimelineRequest) -> Answers:
+    def ask(address: str) -> Result[TimelineAnswer, QuetzalrudderError]:
+        with ExitStack() as stack:
+            try:
+                return Ok(context.client(stack, address).timeline(req))
+            except QuetzalrudderError as exc:
+                return Err(exc)
+
+    with ThreadPoolExecutor(MAX_CALLS_AT_ONCE) as executor:
+        return dict(zip(addresses, executor.map(ask, addresses), strict=True))
+
+
+def _report(answers: Answers) -> Report:
+    found = {a: r.ok_value for a, r in answers.items() if isinstance(r, Ok)}
+    missing = {a: str(r.err_value) for a, r in answers.items() if isinstance(r, Err)}
+    shortened = [address for address, answer in found.items() if answer.shortened]
+    events = merge_events([answer.events for answer in found.values()])
+    lines = [_event_line(event) for event in events]
+    lines += [f"# not reached: {reason}" for reason in missing.values()]
+    lines += [f"# older events left out by {address}" for address in shortened]
+    data = {"events": events, "not_reached": missing, "shortened": shortened}
+    return Report(lines, data)
+
+
+def _event_line(event: Event) -> str:
+    at = datetime.fromtimestamp(event.wall_us / US_PER_S, UTC).isoformat(timespec="microseconds")
+    fields = [event.instance, event.kind, event.request_id, event.workspace]
+    fields += [event.group, event.target, f"term {event.term}" if event.term else "", event.detail]
+    shown = "  ".join(field for field in fields if field)
+    return f"{at}.{event.logical}  {shown}"
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -162,6 +162,7 @@
             store=self.store,
             groups=self.groups,
             timeline=self.timeline,
+            membership=self.membership,
             state=lambda: self.state,
         )
         peers = PeerService(self.loop, self.peers, peer_tasks)
--- a/src/quetzalrudder/operators.py
+++ b/src/quetzalrudder/operators.py
@@ -28,6 +28,7 @@
     ShowRequest,
     Status,
     StatusRequest,
+    TimelineAnswer,
     TimelineRequest,
 )
 from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings, Change, Tree
@@ -119,7 +120,11 @@
 
     def events(self) -> list[Event]:
         """Ask for the instance's events."""
-        return self._call("read_timeline", TimelineRequest()).events
+        return self.timeline(TimelineRequest()).events
+
+    def timeline(self, req: TimelineRequest) -> TimelineAnswer:
+        """Ask for the instance's events that fit, and where the other instances are."""
+        return self._call("read_timeline", req)
 
     def apply(
         self,
--- a/src/quetzalrudder/schema/operators/__init__.py
+++ b/src/quetzalrudder/schema/operators/__init__.py
@@ -185,13 +185,39 @@
 class TimelineAnswer(betterproto2.Message):
     events: "list[Event]" = betterproto2.field(1, betterproto2.TYPE_MESSAGE, repeated=True)
 
+    shortened: "bool" = betterproto2.field(70, betterproto2.TYPE_BOOL)
+    """
+    Older events that fit were left out.
+    """
+
+    control_addresses: "list[str]" = betterproto2.field(71, betterproto2.TYPE_STRING, repeated=True)
+    """
+    Control addresses of all instances that the answering one knows.
+    """
+
 
 default_message_pool.register_message("operators", "TimelineAnswer", TimelineAnswer)
 
 
 @dataclass(eq=False, repr=False)
 class TimelineRequest(betterproto2.Message):
-    pass
+    """
+    Asks for the events that fit; an empty field fits all.
+    """
+
+    request_id: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    workspace: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+    target: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+
+    group: "str" = betterproto2.field(4, betterproto2.TYPE_STRING)
+
+    kind: "str" = betterproto2.field(5, betterproto2.TYPE_STRING)
+
+    since_us: "int" = betterproto2.field(6, betterproto2.TYPE_INT64)
+
+    until_us: "int" = betterproto2.field(7, betterproto2.TYPE_INT64)
 
 
 default_message_pool.register_message("operators", "TimelineRequest", TimelineRequest)
@@ -257,16 +283,13 @@
 
     async def read_timeline(
         self,
-        message: "TimelineRequest | None" = None,
+        message: "TimelineRequest",
         *,
         timeout: "float | None" = None,
         deadline: "Deadline | None" = None,
         metadata: "MetadataLike | None" = None,
     ) -> "TimelineAnswer":
 
-        if message is None:
-            message = TimelineRequest()
-
         return await self._unary_unary(
             "/operators.Operators/ReadTimeline",
             message,
--- a/src/quetzalrudder/services.py
+++ b/src/quetzalrudder/services.py
@@ -11,6 +11,7 @@
 from quetzalrudder.connections import CallerConnections
 from quetzalrudder.exceptions import to_failure
 from quetzalrudder.groups import GroupTable, TargetView
+from quetzalrudder.membership import Membership
 from quetzalrudder.models import InstanceState
 from quetzalrudder.schema.caller import AnswerFrame, CallerBase, CallerFrame
 from quetzalrudder.schema.operators import (
@@ -27,12 +28,13 @@
 )
 from quetzalrudder.schema.settings import Tree
 from quetzalrudder.settings_store import SettingsStore
-from quetzalrudder.timeline import Timeline
+from quetzalrudder.timeline import Timeline, matches
 
 __all__ = ["CallerService", "OperatorService"]
 
 T = TypeVar("T")
 
+MAX_EVENTS = 5000
 PAGE_BYTES = 1024 * 1024
 
 
@@ -60,6 +62,7 @@
         store: SettingsStore,
         groups: GroupTable,
         timeline: Timeline,
+        membership: Membership,
         state: Callable[[], InstanceState],
     ) -> None:
         self._executor = executor
@@ -67,6 +70,7 @@
         self._store = store
         self._groups = groups
         self._timeline = timeline
+        self._membership = membership
         self._state = state
 
     async def _in_thread(self, call: Callable[[], T]) -> T:
@@ -106,7 +110,12 @@
 
     async def read_timeline(self, message: TimelineRequest) -> TimelineAnswer:
         """Give this process's events."""
-        return TimelineAnswer(events=self._timeline.events())
+        found = [event for event in self._timeline.events() if matches(event, message)]
+        return TimelineAnswer(
+            events=found[-MAX_EVENTS:],
+            shortened=len(found) > MAX_EVENTS,
+            control_addresses=[str(i.control_address) for i in self._membership.instances()],
+        )
 
 
 def _target_status(view: TargetView) -> TargetStatus:
--- a/src/quetzalrudder/timeline.py
+++ b/src/quetzalrudder/timeline.py
@@ -6,10 +6,10 @@
 from enum import Enum
 
 from quetzalrudder.models import InstanceId
-from quetzalrudder.schema.operators import Event
+from quetzalrudder.schema.operators import Event, TimelineRequest
 from quetzalrudder.utils import Clock
 
-__all__ = ["EventKind", "HybridClock", "Timeline", "merge_events"]
+__all__ = ["EventKind", "HybridClock", "Timeline", "matches", "merge_events"]
 
 RING_BYTES = 4 * 1024 * 1024
 EVENT_BYTES = 400
@@ -125,7 +125,32 @@
     return EVENT_BYTES + sum(map(len, texts + places))
 
 
+def matches(event: Event, req: TimelineRequest) -> bool:
+    """Tell whether an event fits a request.
+
+    Examples
+    --------
+    >>> matches(Event(kind="started", wall_us=7), TimelineRequest(kind="started", since_us=8))
+    False
+    """
+    wanted = (
+        (req.request_id, event.request_id),
+        (req.workspace, event.workspace),
+        (req.target, event.target),
+        (req.group, event.group),
+        (req.kind, event.kind),
+    )
+    if any(want and want != found for want, found in wanted):
+        return False
+    return req.since_us <= event.wall_us and (not req.until_us or event.wall_us <= req.until_us)
+
+
 def merge_events(rings: list[list[Event]]) -> list[Event]:
-    """Merge the events of several processes by hybrid logical time."""
-    events = [event for ring in rings for event in ring]
-    return sorted(events, key=lambda event: (event.wall_us, event.logical, event.instance))
+    """Merge the events of several processes by hybrid logical time.
+
+    An event that two processes hold counts once.
+    """
+    by_stamp = {
+        (event.wall_us, event.logical, event.instance): event for ring in rings for event in ring
+    }
+    return [by_stamp[stamp] for stamp in sorted(by_stamp)]
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,83 @@
+import json
+
+import pytest
+
+from quetzalrudder.ctl import main as ctl
+from quetzalrudder.ctl_timeline import read_time
+from quetzalrudder.exceptions import InvalidSettings
+from quetzalrudder.models import InstanceId
+from quetzalrudder.schema.operators import TimelineRequest
+from quetzalrudder.timeline import EventKind, Timeline, event_size, matches, merge_events
+from tests.clocks import ManualClock
+from tests.helpers import grant_key
+
+
+def timeline(name, clock, **options):
+    return Timeline(InstanceId(name), clock, **options)
+
+
+def test_what_is_caused_comes_later_whatever_the_clocks_say():
+    slow, fast = ManualClock(now=100.0), ManualClock(now=900.0)
+    one, two = timeline("one", fast), timeline("two", slow)
+    one.record(EventKind.SETTINGS_APPLIED, detail="cause")
+    two.clock.observe(one.clock.now())
+    two.record(EventKind.SETTINGS_APPLIED, detail="effect")
+    merged = merge_events([two.events(), one.events()])
+    assert [event.detail for event in merged] == ["cause", "effect"]
+
+
+def test_the_ring_is_bounded_in_bytes_and_drops_the_oldest():
+    ring = timeline("one", ManualClock(), max_bytes=20_000)
+    for n in range(1000):
+        ring.record(EventKind.REQUEST_FAILED, detail=f"{n} " + "x" * (n % 300))
+    kept = ring.events()
+    assert sum(event_size(event) for event in kept) <= 20_000
+    assert kept[-1].detail.startswith("999 ")
+
+
+def test_an_event_that_a_peer_also_keeps_counts_once():
+    clock = ManualClock()
+    one, two = timeline("one", clock), timeline("two", clock)
+    one.record(EventKind.DRAINING)
+    two.adopt(one.events())
+    assert len(merge_events([one.events(), two.events()])) == 1
+
+
+@pytest.mark.parametrize("field", ["request_id", "workspace", "target", "group"])
+def test_filters(field):
+    ring = timeline("one", ManualClock())
+    ring.record(EventKind.REQUEST_DONE, **{field: "x"})
+    (event,) = ring.events()
+    assert matches(event, TimelineRequest(**{field: "x"}))
+    assert not matches(event, TimelineRequest(**{field: "y"}))
+    assert matches(event, TimelineRequest(kind="request-done", since_us=event.wall_us))
+    assert not matches(event, TimelineRequest(until_us=event.wall_us - 1))
+
+
+def test_times_are_seconds_ago_or_iso():
+    assert read_time("") == 0
+    assert read_time("2027-01-01T00:00:00") == read_time("2027-01-01T00:00:00Z")
+    assert read_time("5") < read_time("1")
+    with pytest.raises(InvalidSettings):
+        read_time("yesterday")
+
+
+def shown(capsys, *args):
+    assert ctl(["timeline", *args, "--json"]) == 0
+    return json.loads(capsys.readouterr().out)
+
+
+def test_one_instance_leads_to_the_events_of_all(fleet, capsys):
+    key = grant_key(fleet, "steppe/branch-1")
+    with fleet.session("karaganda-1", workspace="steppe/branch-1", key=key) as session:
+        session.write("steppe/offers", "CREATE TABLE t (n INTEGER)", request_id="the-request")
+    control = f"--control={fleet.control_addresses['astana-a-1']}"
+    everything = shown(capsys, control)["events"]
+    assert {event["instance"] for event in everything} == set(fleet.control_addresses)
+    mine = shown(capsys, control, "--request=the-request")["events"]
+    assert [(e["instance"], e["kind"]) for e in mine] == [("karaganda-1", "request-done")]
+    only = shown(capsys, control, "--kind=settings-applied", "--since=600")["events"]
+    assert {event["kind"] for event in only} == {"settings-applied"}
+    assert shown(capsys, control, "--until=600")["events"] == []
+    alone = shown(capsys, f"--controls={fleet.control_addresses['astana-b-1']}")["events"]
+    assert {event["instance"] for event in alone} == {"astana-b-1"}
