--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -11,6 +11,7 @@
 from quetzalrudder.bridge import Listener, Loop
 from quetzalrudder.connections import CallerConnections
 from quetzalrudder.drain import Drain, DrainResult
+from quetzalrudder.failover import Failover, FailoverHandlers, FleetLinks
 from quetzalrudder.groups import GroupTable
 from quetzalrudder.links import ControlLinks
 from quetzalrudder.membership import Membership
@@ -19,8 +20,9 @@
 from quetzalrudder.operator_keys import GuardedService
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
+from quetzalrudder.promotion import Promoter, group_watchers
 from quetzalrudder.routing import ReadRouter
-from quetzalrudder.schema.peers import DepartureKind
+from quetzalrudder.schema.peers import DepartureKind, PrimaryChanged, PrimaryQuestion
 from quetzalrudder.schema.platform import Group
 from quetzalrudder.schema.settings import DaemonSettings
 from quetzalrudder.schema.target import Open
@@ -43,6 +45,8 @@
 DEFAULT_DRAIN_S = 30
 MAX_CONTROL_TASKS = 256
 MAX_PEER_TASKS = 256
+MAX_FAILOVER_TASKS = 16
+LIST_INTERVAL_S = 1.0
 DEFAULT_CONNECTION_LIMIT = 4
 
 
@@ -111,6 +115,8 @@
                 self.loop, self.instance, self.data_centre, self.membership, self.timeline.clock
             )
         )
+        self.failover = self._make_failover(stack)
+        control.submit(self.failover.run)
         self.connections = self._make_connections(callers, max_tasks)
         self.spreader = Spreader(
             self.peers,
@@ -128,6 +134,7 @@
         control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         control.submit(self.duty.run, self._stopping)
+        control.submit(self._follow_groups)
         control.submit(self.spreader.run, self._stopping)
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
@@ -155,6 +162,35 @@
             metrics=self.metrics,
         )
 
+    def _make_failover(self, stack: ExitStack) -> Failover:
+        tasks = stack.enter_context(ThreadPoolExecutor(MAX_FAILOVER_TASKS, "failover"))
+        links = FleetLinks(self.links, self.peers, self.clock)
+        handlers = FailoverHandlers(self.groups, links, self.clock)
+        self.peers.on(PrimaryQuestion, handlers.on_question)
+        self.peers.on(PrimaryChanged, handlers.on_changed)
+        promoter = Promoter(
+            self.instance,
+            self.data_centre,
+            self.groups,
+            self.membership,
+            links,
+            self.rng,
+            self.timeline,
+        )
+        failover = Failover(
+            self.instance,
+            self.groups,
+            self.membership,
+            links,
+            promoter,
+            self.platform,
+            self.clock,
+            self.rng,
+            tasks.submit,
+        )
+        stack.callback(failover.stop)
+        return failover
+
     def _listen(self, stack: ExitStack, control: Executor, peer_tasks: Executor) -> None:
         operators = OperatorService(
             executor=control,
@@ -198,6 +234,10 @@
             self.timeline,
         )
 
+    def _follow_groups(self) -> None:
+        while not self._stopping.wait(LIST_INTERVAL_S):
+            self._watch_groups()
+
     def _tell_leaving(self, target: TargetId) -> None:
         self.membership.announce_departure(DepartureKind.TARGET, target)
         self.spreader.announce()
@@ -210,7 +250,16 @@
         self.membership.set_list(list(lists.instances.values()))
         for group in lists.groups.values():
             self.groups.set_targets(_targets_of(group))
-        self.links.watch_all()
+        self._watch_groups()
+
+    def _watch_groups(self) -> None:
+        groups = {view.info.group for view in self.groups.targets()}
+        watched = []
+        for group in groups:
+            watchers = group_watchers(self.groups, self.membership, group)
+            if self.instance in {info.instance for info in watchers}:
+                watched.append(group)
+        self.links.watch(watched)
 
     @property
     def on_drain(self) -> list[Callable[[], None]]:
--- a/src/quetzalrudder/timeline.py
+++ b/src/quetzalrudder/timeline.py
@@ -35,6 +35,8 @@
     TARGET_REACHED = "target-reached"
     TARGET_LOST = "target-lost"
     TARGET_LEAVING = "target-leaving"
+    PRIMARY_SUSPECTED = "primary-suspected"
+    GROUP_FENCED = "group-fenced"
     PRIMARY_CHANGED = "primary-changed"
 
 
