--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -35,6 +35,7 @@
     "RouteNotFound",
     "SettingsTooOld",
     "StaleTerm",
+    "Starting",
     "StatementFailed",
     "TargetUnavailable",
     "TransactionAborted",
@@ -223,6 +224,12 @@
     code = ErrorCode.DRAINING
 
 
+class Starting(Draining):
+    """The instance has no settings yet; another one serves the request."""
+
+    code = ErrorCode.STARTING
+
+
 class PlatformUnavailable(QuetzalrudderError):
     """The platform did not answer."""
 
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -3,15 +3,14 @@
 import logging
 import random
 import threading
+from collections.abc import Callable
 from concurrent.futures import Executor, ThreadPoolExecutor
 from contextlib import ExitStack
 
-from result import Err
-
 from quetzalrudder.adapters import GrpcPlatform, Platform, TargetInfo, open_grpc_target
 from quetzalrudder.bridge import Listener, Loop
 from quetzalrudder.connections import CallerConnections
-from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.drain import Drain, DrainResult
 from quetzalrudder.failover import Failover, FailoverHandlers, FleetLinks
 from quetzalrudder.groups import GroupTable
 from quetzalrudder.links import ControlLinks
@@ -24,18 +23,21 @@
 from quetzalrudder.promotion import Promoter, group_watchers
 from quetzalrudder.rates import FleetLimits, RateGate
 from quetzalrudder.routing import ReadRouter
-from quetzalrudder.schema.peers import PrimaryChanged, PrimaryQuestion
+from quetzalrudder.schema.peers import DepartureKind, PrimaryChanged, PrimaryQuestion
 from quetzalrudder.schema.platform import Group
 from quetzalrudder.schema.settings import DaemonSettings
 from quetzalrudder.schema.target import Open
 from quetzalrudder.services import CallerService, OperatorService
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.share_exchange import ShareExchange
+from quetzalrudder.shared_lists import Lists, SharedLists
 from quetzalrudder.shares import ShareLedger
+from quetzalrudder.spread import Spreader
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
 from quetzalrudder.transactions import TransactionRunner
 from quetzalrudder.utils import Clock, SystemClock, parse_address
+from quetzalrudder.watching import WatchDuty
 from quetzalrudder.writes import Confirmer
 
 __all__ = ["Instance"]
@@ -76,7 +78,9 @@
         self.state = InstanceState.STARTING
         self.timeline = Timeline(self.instance, self.clock)
         self.groups = GroupTable(self.clock)
-        self.membership = Membership(self.instance, self.data_centre)
+        seeds = [parse_address(text) for text in (cfg.peers or "").split()]
+        self.membership = Membership(self.instance, self.data_centre, self.clock, seeds)
+        self.lists = SharedLists(self._use_lists)
         self._stack = ExitStack()
         self._stopping = threading.Event()
 
@@ -106,7 +110,6 @@
         stack.callback(platform.close)
         self.platform: Platform = platform
         self.store = SettingsStore(self.platform, self.clock, self.timeline)
-        stack.callback(self.store.stop)
         self.links = stack.enter_context(
             ControlLinks(self.groups, self._open_control, control, self.clock, self.timeline)
         )
@@ -123,10 +126,25 @@
         self.connections = self._make_connections(callers, max_tasks)
         control.submit(self.exchange.run)
         control.submit(self.exchange.run_census)
-        control.submit(self.store.watch)
-        control.submit(self._follow_lists)
+        self.spreader = Spreader(
+            self.peers,
+            self.membership,
+            self.store,
+            self.lists,
+            self.data_centre,
+            self.clock,
+            self.timeline,
+        )
+        self.membership.on_target_leaving = self._use_departure
+        self.groups.on_leaving = self._tell_leaving
+        self.duty = self._make_duty()
+        self._drain = self._make_drain()
+        self._drain.callbacks.append(self.exchange.hand_over)
         control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
+        control.submit(self.duty.run, self._stopping)
+        control.submit(self._follow_groups)
+        control.submit(self.spreader.run, self._stopping)
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
 
@@ -205,6 +223,7 @@
             store=self.store,
             groups=self.groups,
             timeline=self.timeline,
+            membership=self.membership,
             state=lambda: self.state,
         )
         peers = PeerService(self.loop, self.peers, peer_tasks)
@@ -227,22 +246,36 @@
     def _connection_limit(self, target: TargetId) -> int:
         return DEFAULT_CONNECTION_LIMIT
 
-    def _follow_lists(self) -> None:
-        while not self._stopping.is_set():
-            for refresh in (self._refresh_instances, self._refresh_groups):
-                exc = refresh()
-                if exc is not None:
-                    log.warning("platform list failed", extra={"reason": str(exc)})
-            self._stopping.wait(LIST_INTERVAL_S)
-
-    def _refresh_groups(self) -> QuetzalrudderError | None:
-        answer = self.platform.list_groups()
-        if isinstance(answer, Err):
-            return answer.err_value
-        for group in answer.ok_value.groups:
+    def _make_duty(self) -> WatchDuty:
+        return WatchDuty(
+            self.platform,
+            self.instance,
+            self.data_centre,
+            self.store,
+            self.lists,
+            self.membership.local_count,
+            self.clock,
+            self.rng,
+            self.timeline,
+        )
+
+    def _follow_groups(self) -> None:
+        while not self._stopping.wait(LIST_INTERVAL_S):
+            self._watch_groups()
+
+    def _tell_leaving(self, target: TargetId) -> None:
+        self.membership.announce_departure(DepartureKind.TARGET, target)
+        self.spreader.announce()
+
+    def _use_departure(self, target: TargetId) -> None:
+        self.groups.mark_leaving(target)
+        self.timeline.record(EventKind.TARGET_LEAVING, target=target)
+
+    def _use_lists(self, lists: Lists) -> None:
+        self.membership.set_list(list(lists.instances.values()))
+        for group in lists.groups.values():
             self.groups.set_targets(_targets_of(group))
         self._watch_groups()
-        return None
 
     def _watch_groups(self) -> None:
         groups = {view.info.group for view in self.groups.targets()}
@@ -253,28 +286,38 @@
                 watched.append(group)
         self.links.watch(watched)
 
-    def _refresh_instances(self) -> QuetzalrudderError | None:
-        answer = self.platform.list_instances()
-        if isinstance(answer, Err):
-            return answer.err_value
-        self.membership.set_list(answer.ok_value.instances)
-        return None
+    @property
+    def on_drain(self) -> list[Callable[[], None]]:
+        """Calls of a planned stop, made once no caller has open work."""
+        return self._drain.callbacks
+
+    def _make_drain(self) -> Drain:
+        return Drain(
+            instance=self.instance,
+            connections=self.connections,
+            membership=self.membership,
+            spreader=self.spreader,
+            links=self.peers,
+            duty=self.duty,
+            timeline=self.timeline,
+            clock=self.clock,
+        )
 
-    def drain(self, timeout_s: float | None = None) -> int:
-        """Stop accepting, tell callers to move on, and wait for them.
+    def drain(self, timeout_s: float | None = None) -> DrainResult:
+        """Stop accepting, tell callers to move on, wait for them, and hand over.
 
         Returns
         -------
-        int
-            Connections that were still open at the end of the wait.
+        DrainResult
+            What was still open at the end of the wait.
         """
         self.state = InstanceState.DRAINING
-        self.timeline.record(EventKind.DRAINING)
-        self.connections.draining.set()
         wait_s = timeout_s if timeout_s is not None else self.cfg.drain_s or DEFAULT_DRAIN_S
-        left = self.connections.wait_until_empty(wait_s)
-        self.exchange.hand_over()
-        return left
+        return self._drain.run(wait_s)
+
+    def cut_drain_short(self) -> None:
+        """End the wait for open work."""
+        self._drain.cut_short()
 
 
 def _targets_of(group: Group) -> list[tuple[TargetInfo, bool]]:
--- a/src/quetzalrudder/routing.py
+++ b/src/quetzalrudder/routing.py
@@ -163,7 +163,7 @@
 
 
 def _usable(view: TargetView, excluded: frozenset[str]) -> bool:
-    if view.leaving or not view.reachable or view.seen is None:
+    if view.leaving or view.announced_leaving or not view.reachable or view.seen is None:
         return False
     return view.info.target not in excluded
 
--- a/src/quetzalrudder/schema/common/__init__.py
+++ b/src/quetzalrudder/schema/common/__init__.py
@@ -125,6 +125,8 @@
 
     SETTINGS_TOO_OLD = 30
 
+    STARTING = 70
+
     REQUEST_CANCELLED = 40
 
     TRANSACTION_ABORTED = 41
@@ -165,6 +167,7 @@
             28: "ERROR_CODE_REQUEST_CHANGED",
             29: "ERROR_CODE_BIND_FAILED",
             30: "ERROR_CODE_SETTINGS_TOO_OLD",
+            70: "ERROR_CODE_STARTING",
             40: "ERROR_CODE_REQUEST_CANCELLED",
             41: "ERROR_CODE_TRANSACTION_ABORTED",
             42: "ERROR_CODE_OUTCOME_FORGOTTEN",
@@ -204,6 +207,7 @@
             "ERROR_CODE_REQUEST_CHANGED": 28,
             "ERROR_CODE_BIND_FAILED": 29,
             "ERROR_CODE_SETTINGS_TOO_OLD": 30,
+            "ERROR_CODE_STARTING": 70,
             "ERROR_CODE_REQUEST_CANCELLED": 40,
             "ERROR_CODE_TRANSACTION_ABORTED": 41,
             "ERROR_CODE_OUTCOME_FORGOTTEN": 42,
--- a/src/quetzalrudder/schema/settings/__init__.py
+++ b/src/quetzalrudder/schema/settings/__init__.py
@@ -236,6 +236,11 @@
     Threads for connections and peers. Default 256.
     """
 
+    peers: "str | None" = betterproto2.field(50, betterproto2.TYPE_STRING, optional=True)
+    """
+    Control addresses of a few other instances, separated by blanks, for a start without platform.
+    """
+
     operator_key_digests: "str | None" = betterproto2.field(
         60, betterproto2.TYPE_STRING, optional=True
     )
--- a/src/quetzalrudder/schema/target/__init__.py
+++ b/src/quetzalrudder/schema/target/__init__.py
@@ -325,6 +325,11 @@
 
     connection_limit: "int" = betterproto2.field(9, betterproto2.TYPE_UINT32)
 
+    leaving: "bool" = betterproto2.field(70, betterproto2.TYPE_BOOL)
+    """
+    The target takes no new work; it is about to stop.
+    """
+
     rejoining: "bool" = betterproto2.field(20, betterproto2.TYPE_BOOL)
     """
     Started without its log, and has not yet taken it from a primary: it confirms
--- a/src/quetzalrudder/sessions.py
+++ b/src/quetzalrudder/sessions.py
@@ -349,6 +349,9 @@
         return to_result(answer, adapter.welcome.instance)
 
     def _connected(self, deadline: Deadline) -> GrpcCallerAdapter:
+        if self._adapter is not None and self._adapter.moving_on:
+            # The instance closes the connection itself, once no transaction is open on it.
+            self._adapter = None
         if self._adapter is None or self._adapter.broken:
             refusal = self._adapter.last_refusal() if self._adapter is not None else None
             self.roam()
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -18,12 +18,12 @@
 import bisect
 import configparser
 import dataclasses
-import re
 from collections.abc import Iterable
 from pathlib import Path
 from typing import TypeVar
 
 from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
+from quetzalrudder.keys import DIGEST_PATTERN
 from quetzalrudder.models import RouteName, WorkspaceId
 from quetzalrudder.operator_keys import check_digests
 from quetzalrudder.schema.settings import (
@@ -82,7 +82,6 @@
     "max_tasks": (1, 100_000),
     "drain_s": (0, 3600),
 }
-DIGEST = re.compile("[0-9a-f]{64}")
 BOOLEANS = {"true": True, "yes": True, "on": True, "false": False, "no": False, "off": False}
 
 
@@ -142,7 +141,7 @@
 
 
 def _check_text(key: str, value: str, place: str) -> None:
-    if key == "key_digests" and not all(DIGEST.fullmatch(part) for part in value.split()):
+    if key == "key_digests" and not all(DIGEST_PATTERN.fullmatch(part) for part in value.split()):
         raise InvalidSettings("not SHA-256 digests in hexadecimal", place=place)
     if key == "group" and (not value or value != value.strip()):
         raise InvalidSettings("empty, or blanks around it", place=place)
@@ -206,6 +205,11 @@
                 parse_address(getattr(cfg, key), place=f"{place} {key}")
         except InvalidSettings as exc:
             errors.append(exc)
+    for address in (cfg.peers or "").split():
+        try:
+            parse_address(address, place=f"{place} peers")
+        except InvalidSettings as exc:
+            errors.append(exc)
     errors += check_digests(cfg.operator_key_digests or "", f"{place} operator_key_digests")
     if cfg.log_level is not None and cfg.log_level not in LOG_LEVELS:
         known = ", ".join(LOG_LEVELS)
@@ -261,33 +265,48 @@
     return branches
 
 
-def check_branches(branches: list[Branch], file: str) -> list[QuetzalrudderError]:
-    """Check how branches stand to each other: no doubles, no missing parents."""
+def check_branches(
+    branches: list[Branch], file: str, changed: list[Branch] | None = None
+) -> list[QuetzalrudderError]:
+    """Check branches, and how they stand to each other: no doubles, no missing parents.
+
+    Parameters
+    ----------
+    branches : list of Branch
+        The whole tree.
+    file : str
+        Named in the errors.
+    changed : list of Branch, optional
+        Those whose values are to be checked; all if omitted.
+    """
     errors: list[QuetzalrudderError] = []
     parents = {branch.path for branch in branches if branch.kind is BranchKind.BRANCH} | {""}
-    seen: set[str] = set()
     for branch in branches:
-        place = f"{file} [{header_of(branch)}]"
-        if (branch.kind is BranchKind.ROOT) != (branch.path == ""):
-            errors.append(InvalidSettings("only the root has no path", place=place))
-        if branch.path in seen:
-            errors.append(InvalidSettings("path stands twice", place=place))
-        seen.add(branch.path)
         parent = parent_path(branch.path)
         if branch.path and parent not in parents:
+            place = f"{file} [{header_of(branch)}]"
             errors.append(InvalidSettings(f"no parent [branch {parent}]", place=place))
-        if branch.kind not in NAME_BY_KIND:
-            errors.append(InvalidSettings("unknown kind of branch", place=branch.path))
-            continue
-        settings = branch.settings or BranchSettings()
-        if branch.kind is BranchKind.ROUTE and settings.key_digests:
-            errors.append(
-                InvalidSettings("only workspaces have keys", place=f"{place} key_digests")
-            )
-        errors += _check_values(branch.settings or BranchSettings(), place)
+    seen: set[str] = set()
+    for branch in branches if changed is None else changed:
+        errors += _check_branch(branch, seen, f"{file} [{header_of(branch)}]")
     return errors
 
 
+def _check_branch(branch: Branch, seen: set[str], place: str) -> list[QuetzalrudderError]:
+    if branch.kind not in NAME_BY_KIND:
+        return [InvalidSettings("unknown kind of branch", place=branch.path)]
+    errors: list[QuetzalrudderError] = []
+    if (branch.kind is BranchKind.ROOT) != (branch.path == ""):
+        errors.append(InvalidSettings("only the root has no path", place=place))
+    if branch.path in seen:
+        errors.append(InvalidSettings("path stands twice", place=place))
+    seen.add(branch.path)
+    settings = branch.settings or BranchSettings()
+    if branch.kind is BranchKind.ROUTE and settings.key_digests:
+        errors.append(InvalidSettings("only workspaces have keys", place=f"{place} key_digests"))
+    return errors + _check_values(settings, place)
+
+
 def _check_values(
     settings: BranchSettings | DaemonSettings, place: str
 ) -> list[QuetzalrudderError]:
--- a/src/quetzalrudder/timeline.py
+++ b/src/quetzalrudder/timeline.py
@@ -2,15 +2,17 @@
 
 import threading
 from collections import deque
+from collections.abc import Iterable
 from enum import Enum
 
 from quetzalrudder.models import InstanceId
-from quetzalrudder.schema.operators import Event
+from quetzalrudder.schema.operators import Event, TimelineRequest
 from quetzalrudder.utils import Clock
 
-__all__ = ["EventKind", "HybridClock", "Timeline", "merge_events"]
+__all__ = ["EventKind", "HybridClock", "Timeline", "matches", "merge_events"]
 
-RING_SIZE = 10_000
+RING_BYTES = 4 * 1024 * 1024
+EVENT_BYTES = 400
 US_PER_S = 1_000_000
 
 
@@ -32,6 +34,7 @@
     WATCH_LOST = "watch-lost"
     TARGET_REACHED = "target-reached"
     TARGET_LOST = "target-lost"
+    TARGET_LEAVING = "target-leaving"
     PRIMARY_SUSPECTED = "primary-suspected"
     GROUP_FENCED = "group-fenced"
     PRIMARY_CHANGED = "primary-changed"
@@ -73,14 +76,17 @@
         The process.
     clock : Clock
         Source of wall time.
-    size : int
-        Most events kept.
+    max_bytes : int
+        Most bytes of events kept, by :func:`event_size`.
     """
 
-    def __init__(self, instance: InstanceId, clock: Clock, size: int = RING_SIZE) -> None:
+    def __init__(self, instance: InstanceId, clock: Clock, max_bytes: int = RING_BYTES) -> None:
         self._instance = instance
         self.clock = HybridClock(clock)
-        self._events: deque[Event] = deque(maxlen=size)
+        self._max_bytes = max_bytes
+        self._lock = threading.Lock()
+        self._events: deque[tuple[Event, int]] = deque()
+        self._bytes = 0
 
     def record(self, kind: EventKind, **fields: str | int) -> None:
         """Add an event.
@@ -93,22 +99,60 @@
             Fields of :class:`~quetzalrudder.schema.operators.Event`.
         """
         wall_us, logical = self.clock.now()
-        self._events.append(
-            Event(
-                wall_us=wall_us,
-                logical=logical,
-                instance=self._instance,
-                kind=kind.value,
-                **fields,
-            )
+        event = Event(
+            wall_us=wall_us, logical=logical, instance=self._instance, kind=kind.value, **fields
         )
+        self.adopt([event])
+
+    def adopt(self, events: Iterable[Event]) -> None:
+        """Keep events, also those of another process."""
+        sized = [(event, event_size(event)) for event in events]
+        with self._lock:
+            for event, size in sized:
+                self._events.append((event, size))
+                self._bytes += size
+            while self._bytes > self._max_bytes:
+                self._bytes -= self._events.popleft()[1]
 
     def events(self) -> list[Event]:
         """Give all kept events, oldest first."""
-        return list(self._events)
+        with self._lock:
+            return [event for event, _ in self._events]
+
+
+def event_size(event: Event) -> int:
+    """Bound the memory of an event by the length of its texts, in bytes."""
+    texts = (event.instance, event.kind, event.request_id, event.workspace)
+    places = (event.target, event.group, event.detail)
+    return EVENT_BYTES + sum(map(len, texts + places))
+
+
+def matches(event: Event, req: TimelineRequest) -> bool:
+    """Tell whether an event fits a request.
+
+    Examples
+    --------
+    >>> matches(Event(kind="started", wall_us=7), TimelineRequest(kind="started", since_us=8))
+    False
+    """
+    wanted = (
+        (req.request_id, event.request_id),
+        (req.workspace, event.workspace),
+        (req.target, event.target),
+        (req.group, event.group),
+        (req.kind, event.kind),
+    )
+    if any(want and want != found for want, found in wanted):
+        return False
+    return req.since_us <= event.wall_us and (not req.until_us or event.wall_us <= req.until_us)
 
 
 def merge_events(rings: list[list[Event]]) -> list[Event]:
-    """Merge the events of several processes by hybrid logical time."""
-    events = [event for ring in rings for event in ring]
-    return sorted(events, key=lambda event: (event.wall_us, event.logical, event.instance))
+    """Merge the events of several processes by hybrid logical time.
+
+    An event that two processes hold counts once.
+    """
+    by_stamp = {
+        (event.wall_us, event.logical, event.instance): event for ring in rings for event in ring
+    }
+    return [by_stamp[stamp] for stamp in sorted(by_stamp)]
