--- a/src/quetzalrudder/operators.py
+++ b/src/quetzalrudder/operators.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from grpclib import GRPCError
+from grpclib.const import Status as GrpcStatus
 from grpclib.exceptions import StreamTerminatedError
 
 from quetzalrudder.bridge import Loop, call_once
@@ -15,9 +16,11 @@
     InvalidSettings,
     OutcomeUnknown,
     TargetUnavailable,
+    Unauthenticated,
     from_failure,
 )
 from quetzalrudder.keys import digest_key, make_key
+from quetzalrudder.operator_keys import KEY_HEADER
 from quetzalrudder.schema.operators import (
     ApplyRequest,
     Event,
@@ -53,6 +56,8 @@
         The instance's control address.
     operator_name : str
         Written into the history with each change.
+    key : str
+        The operator key.
     clock, rng
         Sources of time and of random pauses.
     """
@@ -62,9 +67,12 @@
         loop: Loop,
         address: Address,
         operator_name: str,
+        *,
+        key: str = "",
         clock: Clock | None = None,
         rng: random.Random | None = None,
     ) -> None:
+        self._metadata = {KEY_HEADER: key} if key else {}
         self._loop = loop
         self._address = address
         self._operator_name = operator_name
@@ -73,14 +81,18 @@
 
     def _call(self, method: str, req: Any) -> Any:
         async def call(channel: Any) -> Any:
-            return await getattr(OperatorsStub(channel), method)(req)
+            return await getattr(OperatorsStub(channel), method)(req, metadata=self._metadata)
 
         try:
             answer = self._loop.run(
                 call_once(self._address, call, timeout_s=CALL_TIMEOUT_S),
                 timeout_s=CALL_TIMEOUT_S + 1,
             )
-        except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as exc:
+        except GRPCError as exc:
+            if exc.status is GrpcStatus.UNAUTHENTICATED:
+                raise Unauthenticated(exc.message or "", place=str(self._address)) from None
+            raise TargetUnavailable(str(exc), place=str(self._address)) from exc
+        except (OSError, StreamTerminatedError, TimeoutError) as exc:
             reason = str(exc) or type(exc).__name__
             raise TargetUnavailable(reason, place=str(self._address)) from exc
         failure = getattr(answer, "failure", None)
