Hold the fleet to each target's connection limit by permits of the ledger

Cause: each instance opened up to 4 connections to a target, whatever the others held, and gave a connection up without waiting for the target to see it closed. Now a connection needs a permit, which is put back once the target has ended the stream, or after 2 s if it did not confirm. Idle connections go back when a peer lacks a permit, or after 10 s. A request waits for a connection about to come free when that is sooner than opening one. Statements wait in a weighted fair queue, at most as many in flight from an instance as the target has slots.

--- a/src/quetzalrudder/adapters.py
+++ b/src/quetzalrudder/adapters.py
@@ -116,6 +116,9 @@
     def close(self) -> None:
         """Close the connection; what was open in it is rolled back by the target."""
 
+    def finish(self, timeout_s: float) -> bool:
+        """Close the connection and tell whether the target confirmed it in time."""
+
 
 class Platform(Protocol):
     """The platform's key-value service and lists; each call may fail or lose its answer."""
@@ -229,6 +232,10 @@
         """Close the connection; what was open in it is rolled back by the target."""
         self._stream.close()
 
+    def finish(self, timeout_s: float) -> bool:
+        """Close the connection and tell whether the target confirmed it in time."""
+        return self._stream.finish(timeout_s)
+
 
 def open_grpc_target(
     loop: Loop, info: TargetInfo, opening: Open, generation: int, timeout_s: float
--- a/src/quetzalrudder/bridge.py
+++ b/src/quetzalrudder/bridge.py
@@ -257,6 +257,7 @@
         self._on_end = on_end
         self._outbox: asyncio.Queue[S | _Closed] = asyncio.Queue()
         self._ended = threading.Event()
+        self._finished = threading.Event()
         self._task = loop.start(self._serve())
 
     @property
@@ -277,6 +278,7 @@
         try:
             async for message in self._call(channel, self._outgoing()):
                 self._on_message(message)
+            self._finished.set()
         except QuetzalrudderError as exc:
             end = exc
         except (OSError, GRPCError, StreamTerminatedError) as exc:
@@ -303,6 +305,15 @@
         self._ended.set()
         self._loop.post(self._task.cancel)
 
+    def finish(self, timeout_s: float) -> bool:
+        """End the stream and wait for the other side to end it too; false if it did not."""
+        self._ended.set()
+        self._loop.post(self._outbox.put_nowait, CLOSED)
+        finished = self._finished.wait(timeout_s)
+        if not finished:
+            self.close()
+        return finished
+
 
 class RequestStream(Generic[S, M]):
     """Requests and answers on one outgoing stream, matched by their sequence.
@@ -381,6 +392,10 @@
         """End the stream and its connection."""
         self._stream.close()
 
+    def finish(self, timeout_s: float) -> bool:
+        """End the stream and wait for the other side to end it too; false if it did not."""
+        return self._stream.finish(timeout_s)
+
 
 async def call_once(
     address: Address, call: Callable[[Channel], Awaitable[M]], *, timeout_s: float
--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -30,7 +30,6 @@
 from quetzalrudder.logs import request_logger
 from quetzalrudder.metrics import Metrics
 from quetzalrudder.models import DataCentre, InstanceId, WorkspaceId
-from quetzalrudder.rates import RateGate
 from quetzalrudder.schema.caller import (
     Answer,
     AnswerFrame,
@@ -43,7 +42,7 @@
 )
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.settings_store import SettingsStore
-from quetzalrudder.statements import Plan, StatementRunner
+from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
 from quetzalrudder.utils import MS_PER_S, Clock
 
@@ -173,21 +172,13 @@
         match frame:
             case CallerFrame(statement=Statement() as stmt):
                 planned = runner.plan(tree, caller, frame.request_id, stmt)
-                return planned.and_then(self._admit).and_then(lambda plan: runner.run(plan, stmt))
+                return planned.and_then(lambda plan: runner.run(plan, stmt))
             case CallerFrame(ask_outcome=AskOutcome() as ask):
                 planned = runner.plan(tree, caller, frame.request_id, ask)
-                admitted = planned.and_then(self._admit)
-                return admitted.and_then(lambda plan: runner.ask_outcome(plan, ask))
+                return planned.and_then(lambda plan: runner.ask_outcome(plan, ask))
             case _:
                 return Err(MalformedMessage("a frame of no known kind", place="frame"))
 
-    def _admit(self, plan: Plan) -> Result[Plan, QuetzalrudderError]:
-        """Take the request's cost from its workspace's rate."""
-        caller = plan.caller
-        workspace = caller.workspace if caller.key else WorkspaceId("")
-        admitted = self._owner.rates.admit(workspace, plan.settings.cost)
-        return admitted.map(lambda _: plan)
-
 
 class CallerConnections:
     """All caller connections of an instance, and what they share.
@@ -200,8 +191,6 @@
         Keys and routes.
     runner : StatementRunner
         Runs the requests.
-    rates : RateGate
-        Holds workspaces to their rates.
     executor : Executor
         One task for each connection.
     max_connections : int
@@ -221,7 +210,6 @@
         data_centre: DataCentre,
         store: SettingsStore,
         runner: StatementRunner,
-        rates: RateGate,
         executor: Executor,
         max_connections: int,
         clock: Clock,
@@ -232,7 +220,6 @@
         self.data_centre = data_centre
         self.store = store
         self.runner = runner
-        self.rates = rates
         self.clock = clock
         self.draining = threading.Event()
         self._executor = executor
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -43,7 +43,7 @@
 MAX_CONTROL_TASKS = 256
 MAX_PEER_TASKS = 256
 LIST_INTERVAL_S = 1.0
-DEFAULT_CONNECTION_LIMIT = 4
+POOL_INTERVAL_S = 0.1
 INCARNATION_BITS = 64
 
 
@@ -105,7 +105,6 @@
         self.links = stack.enter_context(
             ControlLinks(self.groups, self._open_control, control, self.clock, self.timeline)
         )
-        self.pool = stack.enter_context(ConnectionPool(self._open_conn, self._connection_limit))
         self.peers = stack.enter_context(
             PeerLinks(
                 self.loop, self.instance, self.data_centre, self.membership, self.timeline.clock
@@ -113,9 +112,13 @@
         )
         self.exchange = self._make_exchange()
         stack.callback(self.exchange.stop)
+        self.pool = stack.enter_context(
+            ConnectionPool(self._open_conn, self.exchange, self._slots_of, self.clock)
+        )
         self.connections = self._make_connections(callers, max_tasks)
         control.submit(self.exchange.run)
         control.submit(self.exchange.run_census)
+        control.submit(self._maintain_pool)
         control.submit(self.store.watch)
         control.submit(self._follow_lists)
         control.submit(self.connections.watch_keys, self._stopping)
@@ -144,6 +147,7 @@
             ReadRouter(self.groups, self.data_centre, self.rng),
             self.pool,
             Confirmer(self.groups, self.links),
+            RateGate(self.exchange.ledger, self.exchange.seek),
             self.clock,
         )
         return CallerConnections(
@@ -151,7 +155,6 @@
             data_centre=self.data_centre,
             store=self.store,
             runner=runner,
-            rates=RateGate(self.exchange.ledger, self.exchange.seek),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
@@ -185,8 +188,13 @@
         opening = Open(instance=self.instance, data_centre=self.data_centre, control=True)
         return open_grpc_target(self.loop, info, opening, generation, timeout_s)
 
-    def _connection_limit(self, target: TargetId) -> int:
-        return DEFAULT_CONNECTION_LIMIT
+    def _slots_of(self, target: TargetId) -> int:
+        view = self.groups.find(target)
+        return view.state.slots if view and view.state else 0
+
+    def _maintain_pool(self) -> None:
+        while not self._stopping.wait(POOL_INTERVAL_S):
+            self.pool.maintain()
 
     def _follow_lists(self) -> None:
         while not self._stopping.is_set():
@@ -225,6 +233,7 @@
         self.connections.draining.set()
         wait_s = timeout_s if timeout_s is not None else self.cfg.drain_s or DEFAULT_DRAIN_S
         left = self.connections.wait_until_empty(wait_s)
+        self.pool.close()
         self.exchange.hand_over()
         return left
 
--- a/src/quetzalrudder/pool.py
+++ b/src/quetzalrudder/pool.py
@@ -1,21 +1,59 @@
-"""Pools of target connections: scarce, reused, closed when in doubt."""
+"""Pools of target connections: scarce, reused, opened only with a permit of the fleet."""
 
 import itertools
+import logging
 import threading
 from collections.abc import Callable
-from contextlib import suppress
+from dataclasses import dataclass
+from typing import Protocol
 
 from result import Err, Ok, Result
 
 from quetzalrudder.adapters import TargetConn, TargetInfo
+from quetzalrudder.admission import Claim, FairQueue, Ticket
 from quetzalrudder.exceptions import ConnectionLimitReached, QuetzalrudderError
-from quetzalrudder.models import TargetId
-from quetzalrudder.utils import Deadline
+from quetzalrudder.models import TargetId, WorkspaceId
+from quetzalrudder.utils import Clock, Deadline
 
-__all__ = ["ConnectionPool", "PooledConn"]
+__all__ = ["ConnectionPool", "Permits", "PooledConn"]
+
+log = logging.getLogger(__name__)
 
 OpenConn = Callable[[TargetInfo, int, float], Result[TargetConn, QuetzalrudderError]]
 RETRY_AFTER_MS = 50
+# Time to open a connection, until it has been measured.
+FIRST_OPENING_S = 0.012
+OPENING_SMOOTHING = 0.2
+TURN_S = 0.02
+CLOSE_TIMEOUT_S = 1.0
+# How long a permit is kept when the target did not confirm that a connection is closed.
+QUARANTINE_S = 2.0
+IDLE_S = 10.0
+DEFAULT_SLOTS = 3
+
+
+class Permits(Protocol):
+    """Permits to hold connections, which the whole fleet shares."""
+
+    def reserve(self, target: TargetId) -> bool:
+        """Take a permit that this instance holds; false if none is free."""
+
+    def seek_permit(self, target: TargetId) -> bool:
+        """Ask peers for a permit and take it; false if none came within a small bound."""
+
+    def release(self, target: TargetId) -> None:
+        """Put a permit back, once the target no longer counts the connection."""
+
+    def excess(self, target: TargetId) -> int:
+        """Give how many permits are in use beyond those held, or wanted by peers."""
+
+
+@dataclass
+class IdleConn:
+    """A connection that waits to be reused."""
+
+    conn: TargetConn
+    since: float
 
 
 class PooledConn:
@@ -25,9 +63,10 @@
     or was marked with :meth:`discard` is closed, never reused.
     """
 
-    def __init__(self, pool: "TargetPool", conn: TargetConn) -> None:
+    def __init__(self, pool: "TargetPool", conn: TargetConn, ticket: Ticket) -> None:
         self._pool = pool
         self._conn = conn
+        self._ticket = ticket
         self._reusable = True
 
     @property
@@ -50,11 +89,11 @@
     def __exit__(self, *exc_info: object) -> None:
         if exc_info[0] is not None or self._conn.broken:
             self._reusable = False
-        self._pool.give_back(self._conn, reusable=self._reusable)
+        self._pool.give_back(self._conn, self._ticket, reusable=self._reusable)
 
 
 class TargetPool:
-    """Connections to one target.
+    """Connections to one target, and the requests that wait for them.
 
     Parameters
     ----------
@@ -64,73 +103,210 @@
         Opens one more connection.
     generations : Iterator of int
         Source of connection generations.
+    permits : Permits
+        Permits to open connections.
+    clock : Clock
+        Source of time.
     """
 
     def __init__(
-        self, info: TargetInfo, open_conn: OpenConn, generations: "itertools.count[int]"
+        self,
+        info: TargetInfo,
+        open_conn: OpenConn,
+        generations: "itertools.count[int]",
+        permits: Permits,
+        clock: Clock,
     ) -> None:
         self.info = info
         self._open_conn = open_conn
         self._generations = generations
+        self._permits = permits
+        self._clock = clock
         self._changed = threading.Condition()
-        self._idle: list[TargetConn] = []
+        self._queue = FairQueue(clock)
+        self._idle: list[IdleConn] = []
+        self._quarantined: list[float] = []
         self._count = 0
-        self.limit = 1
+        self._opening_s = FIRST_OPENING_S
+        self._running = 0
+        self._pinned: set[int] = set()
+        self.slots = DEFAULT_SLOTS
 
     @property
     def count(self) -> int:
         """Connections open or being opened."""
         return self._count
 
-    def checkout(self, deadline: Deadline) -> Result[PooledConn, QuetzalrudderError]:
-        """Borrow a connection, opening one within the limit, or wait for one."""
+    def checkout(
+        self, deadline: Deadline, claim: Claim | None = None
+    ) -> Result[PooledConn, QuetzalrudderError]:
+        """Borrow a connection: an idle one, one about to come free, or a new one.
+
+        Parameters
+        ----------
+        deadline : Deadline
+            When to give up.
+        claim : Claim, optional
+            Whose request it is. Without it the connection is for a transaction, which
+            takes none of the slots that statements are queued for.
+        """
         with self._changed:
-            while not self._idle and self._count >= self.limit:
-                if deadline.passed or not self._changed.wait(deadline.remaining_s):
-                    return Err(self._limit_reached())
-            while self._idle:
-                conn = self._idle.pop()
-                if not conn.broken:
-                    return Ok(PooledConn(self, conn))
-                self._close(conn)
-            self._count += 1
-        return self._open(deadline)
-
-    def _limit_reached(self) -> ConnectionLimitReached:
+            entered = self._queue.enter(
+                claim or Claim(WorkspaceId("")), deadline.at, max(1, self.slots)
+            )
+            if isinstance(entered, Err):
+                return entered
+            ticket = entered.ok_value
+            if claim is None:
+                self._pinned.add(ticket.number)
+            try:
+                conn = self._wait_for_turn(ticket, deadline)
+            finally:
+                self._queue.leave(ticket)
+                self._changed.notify_all()
+            if isinstance(conn, Err):
+                self._pinned.discard(ticket.number)
+                return conn
+        if conn.ok_value is not None:
+            return Ok(PooledConn(self, conn.ok_value, ticket))
+        return self._open(ticket, deadline)
+
+    def _wait_for_turn(
+        self, ticket: Ticket, deadline: Deadline
+    ) -> Result[TargetConn | None, QuetzalrudderError]:
+        """Wait for an idle connection, or for a permit to open one: then None."""
+        while True:
+            if ticket.evicted or deadline.passed:
+                return Err(self._refusal(ticket))
+            if self._queue.first() is ticket and self._has_slot(ticket):
+                conn = self._take_idle()
+                if conn is not None or self._may_open():
+                    self._start(ticket)
+                    return Ok(conn)
+            self._changed.wait(min(TURN_S, deadline.remaining_s))
+
+    def _refusal(self, ticket: Ticket) -> QuetzalrudderError:
+        if self._count:
+            return self._queue.refusal(ticket, self.slots)
         return ConnectionLimitReached(
-            f"all {self.limit} connections are in use",
+            "no permit for a connection is left",
             place=self.info.target,
             retry_after_ms=RETRY_AFTER_MS,
         )
 
-    def _open(self, deadline: Deadline) -> Result[PooledConn, QuetzalrudderError]:
+    def _has_slot(self, ticket: Ticket) -> bool:
+        return ticket.number in self._pinned or self._running < max(1, self.slots)
+
+    def _start(self, ticket: Ticket) -> None:
+        self._queue.take(ticket)
+        if ticket.number not in self._pinned:
+            self._running += 1
+
+    def _take_idle(self) -> TargetConn | None:
+        while self._idle:
+            conn = self._idle.pop().conn
+            if not conn.broken:
+                return conn
+            self._close_later(conn)
+        return None
+
+    def _may_open(self) -> bool:
+        """Tell whether to open a connection, having taken the permit for it."""
+        soon_s = self._queue.expected_wait_s(self._count)
+        if self._count and 0 < soon_s < self._opening_s:
+            return False
+        if self._permits.reserve(self.info.target) or self._seek():
+            self._count += 1
+            return True
+        return False
+
+    def _seek(self) -> bool:
+        # Peers are asked without the lock, so that connections can come back meanwhile.
+        self._changed.release()
+        try:
+            return self._permits.seek_permit(self.info.target)
+        finally:
+            self._changed.acquire()
+
+    def _open(self, ticket: Ticket, deadline: Deadline) -> Result[PooledConn, QuetzalrudderError]:
+        started = self._clock.monotonic()
         opened = self._open_conn(self.info, next(self._generations), deadline.remaining_s)
-        if isinstance(opened, Err):
-            with self._changed:
-                self._count -= 1
-                self._changed.notify()
-            return opened
-        return Ok(PooledConn(self, opened.ok_value))
+        took_s = self._clock.monotonic() - started
+        if isinstance(opened, Ok):
+            self._opening_s += OPENING_SMOOTHING * (took_s - self._opening_s)
+            return Ok(PooledConn(self, opened.ok_value, ticket))
+        with self._changed:
+            self._count -= 1
+            self._finish(ticket)
+            if isinstance(opened.err_value, ConnectionLimitReached):
+                self._permits.release(self.info.target)
+            else:
+                self._quarantine()
+        return opened
 
-    def give_back(self, conn: TargetConn, *, reusable: bool) -> None:
+    def _finish(self, ticket: Ticket) -> None:
+        self._queue.done(ticket)
+        if ticket.number not in self._pinned:
+            self._running -= 1
+        self._pinned.discard(ticket.number)
+        self._changed.notify_all()
+
+    def _quarantine(self) -> None:
+        self._quarantined.append(self._clock.monotonic() + QUARANTINE_S)
+
+    def give_back(self, conn: TargetConn, ticket: Ticket, *, reusable: bool) -> None:
         """Take a connection back."""
         with self._changed:
-            if reusable and self._count <= self.limit:
-                self._idle.append(conn)
+            if reusable and not conn.broken:
+                self._idle.append(IdleConn(conn, self._clock.monotonic()))
             else:
-                self._close(conn)
-            self._changed.notify()
+                self._close_later(conn)
+            self._finish(ticket)
 
-    def _close(self, conn: TargetConn) -> None:
+    def _close_later(self, conn: TargetConn) -> None:
+        """Close a connection without waiting; its permit is kept until that is certain."""
         self._count -= 1
-        with suppress(QuetzalrudderError):
-            conn.close()
+        conn.close()
+        self._quarantine()
+
+    def maintain(self) -> None:
+        """Put back permits of closed connections, and close idle ones that are not needed."""
+        now = self._clock.monotonic()
+        with self._changed:
+            due = [at for at in self._quarantined if at <= now]
+            self._quarantined = [at for at in self._quarantined if at > now]
+            for _ in due:
+                self._permits.release(self.info.target)
+            surplus = self._take_surplus(now)
+        self._close_all(surplus)
+
+    def _take_surplus(self, now: float) -> list[TargetConn]:
+        excess = self._permits.excess(self.info.target)
+        if len(self._queue):
+            excess = min(excess, self._count - 1)
+        taken = [idle for idle in self._idle if now - idle.since > IDLE_S]
+        fresh = [idle for idle in self._idle if now - idle.since <= IDLE_S]
+        while fresh and len(taken) < excess:
+            taken.append(fresh.pop(0))
+        self._idle = fresh
+        return [idle.conn for idle in taken]
+
+    def _close_all(self, conns: list[TargetConn]) -> None:
+        for conn in conns:
+            confirmed = conn.finish(CLOSE_TIMEOUT_S)
+            with self._changed:
+                self._count -= 1
+                if confirmed:
+                    self._permits.release(self.info.target)
+                else:
+                    self._quarantine()
 
     def close(self) -> None:
-        """Close what is idle."""
+        """Close what is idle, and wait until the target has seen it."""
         with self._changed:
-            while self._idle:
-                self._close(self._idle.pop())
+            conns = [idle.conn for idle in self._idle]
+            self._idle = []
+        self._close_all(conns)
 
 
 class ConnectionPool:
@@ -140,34 +316,68 @@
     ----------
     open_conn : Callable
         Opens a connection to a target, given its generation and a timeout in seconds.
-    limit : Callable
-        Gives the connections that this instance may hold to a target.
+    permits : Permits
+        Permits to open connections.
+    slots : Callable
+        Gives the statements that a target runs at once; 0 if not known.
+    clock : Clock
+        Source of time.
     """
 
-    def __init__(self, open_conn: OpenConn, limit: Callable[[TargetId], int]) -> None:
+    def __init__(
+        self,
+        open_conn: OpenConn,
+        permits: Permits,
+        slots: Callable[[TargetId], int],
+        clock: Clock,
+    ) -> None:
         self._open_conn = open_conn
-        self._limit = limit
+        self._permits = permits
+        self._slots = slots
+        self._clock = clock
         self._generations = itertools.count(1)
         self._lock = threading.Lock()
         self._pools: dict[TargetId, TargetPool] = {}
+        self._old_pools: list[TargetPool] = []
 
     def checkout(
-        self, info: TargetInfo, deadline: Deadline
+        self, info: TargetInfo, deadline: Deadline, claim: Claim | None = None
     ) -> Result[PooledConn, QuetzalrudderError]:
-        """Borrow a connection to a target."""
+        """Borrow a connection to a target; see :meth:`TargetPool.checkout`."""
+        pool = self._pool_of(info)
+        pool.slots = self._slots(info.target) or DEFAULT_SLOTS
+        return pool.checkout(deadline, claim)
+
+    def _pool_of(self, info: TargetInfo) -> TargetPool:
         with self._lock:
             pool = self._pools.get(info.target)
             if pool is None or pool.info != info:
-                pool = TargetPool(info, self._open_conn, self._generations)
+                if pool is not None:
+                    self._old_pools.append(pool)
+                pool = TargetPool(
+                    info, self._open_conn, self._generations, self._permits, self._clock
+                )
                 self._pools[info.target] = pool
-        pool.limit = max(1, self._limit(info.target))
-        return pool.checkout(deadline)
+            return pool
+
+    def maintain(self) -> None:
+        """Return permits that are not needed; called several times a second."""
+        for pool in self._all_pools():
+            pool.maintain()
+        for pool in self._old_pools:
+            pool.close()
+
+    def _all_pools(self) -> list[TargetPool]:
+        with self._lock:
+            return [*self._pools.values(), *self._old_pools]
+
+    def close(self) -> None:
+        """Close every idle connection, and wait until the targets have seen it."""
+        for pool in self._all_pools():
+            pool.close()
 
     def __enter__(self) -> "ConnectionPool":
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        with self._lock:
-            pools = list(self._pools.values())
-        for pool in pools:
-            pool.close()
+        self.close()
--- a/src/quetzalrudder/rates.py
+++ b/src/quetzalrudder/rates.py
@@ -8,14 +8,20 @@
 from quetzalrudder.exceptions import RateExceeded
 from quetzalrudder.models import TargetId, WorkspaceId
 from quetzalrudder.settings import SettingsTree
-from quetzalrudder.shares import Limit, PermitLimit, RateLimit, ShareKey, ShareLedger, rate_key
+from quetzalrudder.shares import (
+    PERMIT_PREFIX,
+    RATE_PREFIX,
+    Limit,
+    PermitLimit,
+    RateLimit,
+    ShareKey,
+    ShareLedger,
+    rate_key,
+)
 from quetzalrudder.utils import MS_PER_S
 
 __all__ = ["FleetLimits", "RateGate"]
 
-RATE_PREFIX = "rate/"
-PERMIT_PREFIX = "connections/"
-
 
 class FleetLimits:
     """Gives the limit behind each key of the ledger.
--- a/src/quetzalrudder/schema/standin/__init__.py
+++ b/src/quetzalrudder/schema/standin/__init__.py
@@ -224,6 +224,13 @@
 
     statements: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
 
+    refused_connections: "int" = betterproto2.field(4, betterproto2.TYPE_UINT64)
+    """
+    Connections refused because the limit was reached, and the most that were open at once.
+    """
+
+    most_connections: "int" = betterproto2.field(5, betterproto2.TYPE_UINT64)
+
 
 default_message_pool.register_message("standin", "Statistics", Statistics)
 
--- a/src/quetzalrudder/share_exchange.py
+++ b/src/quetzalrudder/share_exchange.py
@@ -3,7 +3,7 @@
 import logging
 import random
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Future
 
 from result import Err, Ok, Result
@@ -16,7 +16,7 @@
     QuetzalrudderError,
 )
 from quetzalrudder.membership import Membership
-from quetzalrudder.models import InstanceId
+from quetzalrudder.models import InstanceId, TargetId
 from quetzalrudder.peers import PeerLinks
 from quetzalrudder.schema.peers import (
     CensusAnswer,
@@ -32,7 +32,14 @@
     ShareRequest,
 )
 from quetzalrudder.schema.platform import PutRequest
-from quetzalrudder.shares import ShareKey, ShareLedger, lost_units
+from quetzalrudder.shares import (
+    PERMIT_PREFIX,
+    RATE_PREFIX,
+    ShareKey,
+    ShareLedger,
+    lost_units,
+    permit_key,
+)
 from quetzalrudder.utils import Clock
 
 __all__ = ["AskBudget", "ShareExchange", "choose_giver"]
@@ -133,7 +140,8 @@
         self._clock = clock
         self._rng = rng
         self._budget = AskBudget(clock)
-        self._seeking = threading.Lock()
+        # One search at a time for tokens, and one for permits.
+        self._seeking = {RATE_PREFIX: threading.Lock(), PERMIT_PREFIX: threading.Lock()}
         self._stopping = threading.Event()
         self._left: dict[ShareKey, dict[InstanceId, float]] = {}
         self._avoided: dict[InstanceId, float] = {}
@@ -145,7 +153,9 @@
         self._listed = False
         # The platform's record has been read, and the own data centre's part claimed if free.
         self._joined = False
-        links.on(ShareRequest, ledger.grant)
+        # Permits that peers asked for and did not get.
+        self._wanted: dict[ShareKey, int] = {}
+        links.on(ShareRequest, self._grant)
         links.on(ShareOffer, lambda _, offer: ledger.accept_offer(offer))
         links.on(CensusRequest, lambda _, req: ledger.turn(req.epoch))
         links.on(EpochRequest, lambda _, req: ledger.state())
@@ -165,6 +175,36 @@
             except Exception:
                 log.exception("exchange of shares ended by a defect")
 
+    def _grant(self, taker: InstanceId, req: ShareRequest) -> ShareGrant:
+        grant = self.ledger.grant(taker, req)
+        given = {item.key for item in grant.items}
+        for item in req.items:
+            permit = item.key.startswith(PERMIT_PREFIX)
+            if permit and item.lack and item.key not in given and not grant.refused:
+                self._wanted[ShareKey(item.key)] = 1
+        return grant
+
+    # Permits for connections
+
+    def reserve(self, target: TargetId) -> bool:
+        """Take a permit that this instance holds; false if none is free."""
+        return self.ledger.reserve(permit_key(target))
+
+    def seek_permit(self, target: TargetId) -> bool:
+        """Ask peers for a permit and take it; false if none came within a small bound."""
+        key = permit_key(target)
+        until = self._clock.monotonic() + SEEK_BOUND_S
+        return self._seek_within(key, lambda: self.ledger.reserve(key), until)
+
+    def release(self, target: TargetId) -> None:
+        """Put a permit back, once the target no longer counts the connection."""
+        self.ledger.release(permit_key(target))
+
+    def excess(self, target: TargetId) -> int:
+        """Give how many permits are in use beyond those held, or wanted by peers."""
+        key = permit_key(target)
+        return self.ledger.overdrawn(key) + self._wanted.pop(key, 0)
+
     # Entering the fleet
 
     def _settle_in(self) -> None:
@@ -288,32 +328,37 @@
     def seek(self, key: ShareKey, cost: float) -> bool:
         """Ask a few peers for the tokens of one request, within a small bound."""
         started = self._clock.monotonic()
-        if self._seek_within(key, cost, started + SEEK_BOUND_S):
+
+        def take() -> bool:
+            return self.ledger.retry_spend(key, cost)
+
+        if self._seek_within(key, take, started + SEEK_BOUND_S):
             return True
         while self._is_empty(key) and self._clock.monotonic() - started < EMPTY_SEEK_BOUND_S:
             self._stopping.wait(EMPTY_SEEK_TURN_S)
-            if self._seek_within(key, cost, self._clock.monotonic() + ASK_TIMEOUT_S):
+            if self._seek_within(key, take, self._clock.monotonic() + ASK_TIMEOUT_S):
                 return True
         return False
 
     def _is_empty(self, key: ShareKey) -> bool:
         return not self.ledger.epoch or self.ledger.units(key) == 0
 
-    def _seek_within(self, key: ShareKey, cost: float, until: float) -> bool:
-        if not self._seeking.acquire(timeout=max(0.0, until - self._clock.monotonic())):
+    def _seek_within(self, key: ShareKey, take: Callable[[], bool], until: float) -> bool:
+        seeking = self._seeking[PERMIT_PREFIX if key.startswith(PERMIT_PREFIX) else RATE_PREFIX]
+        if not seeking.acquire(timeout=max(0.0, until - self._clock.monotonic())):
             return False
         try:
             tried: set[InstanceId] = set()
             for _ in range(SEEK_ATTEMPTS):
-                if self.ledger.retry_spend(key, cost):
+                if take():
                     return True
                 left_s = until - self._clock.monotonic()
                 if left_s <= 0 or not self.ledger.epoch:
                     return False
                 self._ask([key], left_s, tried)
-            return self.ledger.retry_spend(key, cost)
+            return take()
         finally:
-            self._seeking.release()
+            seeking.release()
 
     def _warm_up(self) -> None:
         """Open a link to one more peer, so that the first request need not wait for it."""
--- a/src/quetzalrudder/shares.py
+++ b/src/quetzalrudder/shares.py
@@ -43,6 +43,8 @@
 ]
 
 RATE_UNITS = 1 << 20
+RATE_PREFIX = "rate/"
+PERMIT_PREFIX = "connections/"
 PAUSE_LIMIT_S = 2.0
 DEMAND_WINDOW_S = 0.5
 # Demand that an idle instance is counted with, so that a division by demand is defined.
@@ -72,12 +74,12 @@
 
 def rate_key(workspace: WorkspaceId) -> ShareKey:
     """Name the share of a workspace's rate."""
-    return ShareKey(f"rate/{workspace}")
+    return ShareKey(RATE_PREFIX + workspace)
 
 
 def permit_key(target: TargetId) -> ShareKey:
     """Name the share of a target's connections."""
-    return ShareKey(f"connections/{target}")
+    return ShareKey(PERMIT_PREFIX + target)
 
 
 def whole(limit: Limit) -> int:
@@ -231,6 +233,12 @@
         with self._lock:
             self._holdings[key].in_use -= 1
 
+    def overdrawn(self, key: ShareKey) -> int:
+        """Give how many permits are in use beyond the units held, after a pause."""
+        with self._lock:
+            held = self._held(key)
+            return max(0, -held.free) if held else 0
+
     def units(self, key: ShareKey) -> int:
         """Give the units held, permits in use included."""
         with self._lock:
@@ -446,7 +454,7 @@
         return ShareItem(
             key=key,
             units=held.units,
-            tokens=held.tokens,
+            tokens=held.tokens if key.startswith(RATE_PREFIX) else max(0, held.free),
             demand_per_s=self._demand(held),
             lack=held.lack,
         )
@@ -544,6 +552,8 @@
             if held is not None:
                 held.units += item.units
                 held.tokens += item.tokens
+                if item.key.startswith(PERMIT_PREFIX):
+                    held.lack = max(0.0, held.lack - item.units)
 
     # Transfers that the giver offers
 
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -5,15 +5,18 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.access import CallerIdentity, check_route
+from quetzalrudder.admission import Claim
 from quetzalrudder.exceptions import (
     DeadlineExceeded,
     MalformedMessage,
     QuetzalrudderError,
+    RateExceeded,
     RouteNotFound,
 )
 from quetzalrudder.groups import GroupTable, TargetView
-from quetzalrudder.models import GroupId, RequestId, RouteName
+from quetzalrudder.models import GroupId, RequestId, RouteName, WorkspaceId
 from quetzalrudder.pool import ConnectionPool
+from quetzalrudder.rates import RateGate
 from quetzalrudder.routing import ReadPolicy, ReadRouter
 from quetzalrudder.schema.caller import Access, Answer, AskOutcome, Statement
 from quetzalrudder.schema.common import Ending, Position
@@ -41,6 +44,8 @@
     settings: BranchSettings
     marks: Marks
     deadline: Deadline
+    # Share of scarce slots relative to other workspaces.
+    weight: float = 1.0
 
 
 class StatementRunner:
@@ -56,6 +61,8 @@
         Connections to targets.
     confirmer : Confirmer
         Confirms writes.
+    rates : RateGate
+        Holds workspaces to their rates.
     clock : Clock
         Source of time.
     """
@@ -66,12 +73,14 @@
         router: ReadRouter,
         pool: ConnectionPool,
         confirmer: Confirmer,
+        rates: RateGate,
         clock: Clock,
     ) -> None:
         self._groups = groups
         self._router = router
         self._pool = pool
         self._confirmer = confirmer
+        self._rates = rates
         self._clock = clock
 
     def plan(
@@ -105,11 +114,19 @@
                 settings,
                 marks.ok_value,
                 Deadline.after_ms(self._clock, deadline_ms),
+                tree.effective(caller.workspace).weight if caller.key else 1.0,
             )
         )
 
+    def admit(self, plan: Plan) -> Result[None, RateExceeded]:
+        """Take a request's cost from its workspace's rate; callers without a key share one."""
+        return self._rates.admit(_payer(plan.caller), plan.settings.cost)
+
     def run(self, plan: Plan, stmt: Statement) -> Result[Answer, QuetzalrudderError]:
         """Run one statement outside a transaction."""
+        admitted = self.admit(plan)
+        if isinstance(admitted, Err):
+            return admitted
         match stmt.access:
             case Access.READ:
                 return self._read(plan, stmt)
@@ -173,6 +190,9 @@
 
     def ask_outcome(self, plan: Plan, ask: AskOutcome) -> Result[Answer, QuetzalrudderError]:
         """Tell what became of an earlier write of the same workspace."""
+        admitted = self.admit(plan)
+        if isinstance(admitted, Err):
+            return admitted
         primary = current_primary(self._groups, plan.group)
         if isinstance(primary, Err):
             return primary
@@ -190,7 +210,8 @@
     def _send(
         self, plan: Plan, view: TargetView, req: Execute | TargetAskOutcome
     ) -> Result[TargetAnswer, QuetzalrudderError]:
-        borrowed = self._pool.checkout(view.info, plan.deadline)
+        claim = Claim(_payer(plan.caller), plan.weight, plan.settings.cost)
+        borrowed = self._pool.checkout(view.info, plan.deadline, claim)
         if isinstance(borrowed, Err):
             return borrowed
         with borrowed.ok_value as pooled:
@@ -215,6 +236,10 @@
         )
 
 
+def _payer(caller: CallerIdentity) -> WorkspaceId:
+    return caller.workspace if caller.key else WorkspaceId("")
+
+
 def not_run(exc: QuetzalrudderError) -> QuetzalrudderError:
     """Tell the failure of a read, which had no effect, as not run."""
     exc.ending = Ending.NOT_RUN
--- a/standins/target.py
+++ b/standins/target.py
@@ -20,7 +20,7 @@
     to_failure,
 )
 from quetzalrudder.schema.common import Position, Rows
-from quetzalrudder.schema.standin import Change
+from quetzalrudder.schema.standin import Change, Statistics, StatisticsRequest
 from quetzalrudder.schema.target import (
     AskOutcome,
     Begin,
@@ -75,6 +75,8 @@
         self.slots = asyncio.Semaphore(cfg.slots)
         self.load = 0
         self.connections = 0
+        self.most_connections = 0
+        self.refused_connections = 0
         self.statements = 0
         self.follower: Follower | None = None
 
@@ -337,10 +339,12 @@
     ) -> AsyncIterator[TargetAnswer]:
         target = self._target
         if target.connections >= target.cfg.connection_limit:
+            target.refused_connections += 1
             exc = ConnectionLimitReached("no connection is left", place=target.cfg.target)
             yield self._answer(opening, Err(exc))
             return
         target.connections += 1
+        target.most_connections = max(target.most_connections, target.connections)
         conn = StatementConn(target)
         try:
             await asyncio.sleep(OPEN_S)
@@ -430,6 +434,21 @@
     return request
 
 
+class TargetControl(StandInControl):
+    """Faults of a target, and what it has counted."""
+
+    def __init__(self, faults: FaultState, target: TargetState) -> None:
+        super().__init__(faults, RecordingCodec(), lambda: target.statements)
+        self._target = target
+
+    async def read_statistics(self, message: StatisticsRequest) -> Statistics:
+        """Give the counts, those of connections included."""
+        statistics = await super().read_statistics(message)
+        statistics.refused_connections = self._target.refused_connections
+        statistics.most_connections = self._target.most_connections
+        return statistics
+
+
 async def run_target(cfg: TargetConfig, primary: str, primary_address: str) -> None:
     """Serve a target until SIGTERM."""
     faults = FaultState()
@@ -440,7 +459,7 @@
         target.role = Role.PRIMARY
     else:
         await target.follow(Follow(term=1, primary=primary, address=primary_address))
-    control = StandInControl(faults, RecordingCodec(), lambda: target.statements)
+    control = TargetControl(faults, target)
     services = [TargetService(target), ReplicationService(target)]
     await serve(cfg.listen, services, control)
 
--- a/tests/naive/limits.py
+++ b/tests/naive/limits.py
@@ -28,3 +28,25 @@
             return False
         self.tokens -= cost
         return True
+
+
+class FixedPermits:
+    """Permits by a fixed number for each instance, whatever the others hold."""
+
+    def __init__(self, count):
+        self.left = count
+
+    def reserve(self, target):
+        if not self.left:
+            return False
+        self.left -= 1
+        return True
+
+    def release(self, target):
+        self.left += 1
+
+    def seek_permit(self, target):
+        return False
+
+    def excess(self, target):
+        return 0
