--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -28,9 +28,10 @@
 from quetzalrudder.services import CallerService, OperatorService
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.share_exchange import ShareExchange
-from quetzalrudder.shares import ShareLedger
+from quetzalrudder.shares import ShareLedger, permit_key
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
+from quetzalrudder.transactions import TransactionRunner
 from quetzalrudder.utils import Clock, SystemClock, parse_address
 from quetzalrudder.writes import Confirmer
 
@@ -147,14 +148,17 @@
             ReadRouter(self.groups, self.data_centre, self.rng),
             self.pool,
             Confirmer(self.groups, self.links),
-            RateGate(self.exchange.ledger, self.exchange.seek),
             self.clock,
+            RateGate(self.exchange.ledger, self.exchange.seek),
         )
         return CallerConnections(
             instance=self.instance,
             data_centre=self.data_centre,
             store=self.store,
             runner=runner,
+            transactions=TransactionRunner(
+                runner, self.pool, self._connection_limit, self.clock, self.rng
+            ),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
@@ -188,6 +192,11 @@
         opening = Open(instance=self.instance, data_centre=self.data_centre, control=True)
         return open_grpc_target(self.loop, info, opening, generation, timeout_s)
 
+    def _connection_limit(self, target: TargetId) -> int:
+        """Give the connections that this instance holds or may count on."""
+        equal = self._fleet_connection_limit(target) // max(1, len(self.membership.instances()))
+        return max(equal, self.exchange.ledger.units(permit_key(target)))
+
     def _slots_of(self, target: TargetId) -> int:
         view = self.groups.find(target)
         return view.state.slots if view and view.state else 0
--- a/src/quetzalrudder/share_exchange.py
+++ b/src/quetzalrudder/share_exchange.py
@@ -143,6 +143,8 @@
         # One search at a time for tokens, and one for permits.
         self._seeking = {RATE_PREFIX: threading.Lock(), PERMIT_PREFIX: threading.Lock()}
         self._stopping = threading.Event()
+        self._balancing = threading.Lock()
+        self._leaving = False
         self._left: dict[ShareKey, dict[InstanceId, float]] = {}
         self._avoided: dict[InstanceId, float] = {}
         self._incarnations: dict[InstanceId, str] = {}
@@ -171,7 +173,8 @@
                 self.ledger.tick()
                 self._settle_in()
                 self._warm_up()
-                self._balance()
+                with self._balancing:
+                    self._balance()
             except Exception:
                 log.exception("exchange of shares ended by a defect")
 
@@ -286,6 +289,8 @@
         if giver is None or not self._budget.take():
             return
         tried.add(giver)
+        if self._leaving:
+            return
         try:
             fut = self._links.start(giver, self.ledger.request(giver, keys))
         except QuetzalrudderError:
@@ -320,7 +325,7 @@
 
     def _balance(self) -> None:
         keys = self.ledger.active_keys()
-        if keys and self.ledger.epoch:
+        if keys and self.ledger.epoch and not self._leaving:
             # A balance goes to any peer, so that shares spread to where the demand is.
             self._left.pop(keys[0], None)
             self._ask(keys, ASK_TIMEOUT_S, set())
@@ -372,7 +377,12 @@
                     self._avoid(peer)
 
     def hand_over(self) -> None:
-        """Give all shares to a peer, before this instance stops."""
+        """Give all shares to a peer, before this instance stops; it asks for none after that."""
+        self._leaving = True
+        with self._balancing:
+            self._offer_all()
+
+    def _offer_all(self) -> None:
         for peer in self._rng.sample(self._candidates(), len(self._candidates())):
             for _ in range(HAND_OVER_ATTEMPTS):
                 answer = self._links.ask(peer, self.ledger.offer(peer), ASK_TIMEOUT_S)
--- a/src/quetzalrudder/shares.py
+++ b/src/quetzalrudder/shares.py
@@ -47,8 +47,9 @@
 PERMIT_PREFIX = "connections/"
 PAUSE_LIMIT_S = 2.0
 DEMAND_WINDOW_S = 0.5
-# Demand that an idle instance is counted with, so that a division by demand is defined.
-LEAST_DEMAND_PER_S = 1e-6
+# Part of the rate that an idle instance is counted with, so that it keeps some when cut off.
+IDLE_DEMAND_SHARE = 0.002
+LEAST_ACTIVE_COST = 1e-6
 
 ShareKey = NewType("ShareKey", str)
 
@@ -510,8 +511,9 @@
         return ShareItem(key=wanted.key, units=units)
 
     def _give_rate(self, held: Holding, limit: RateLimit, wanted: ShareItem) -> ShareItem | None:
-        own = max(self._demand(held), LEAST_DEMAND_PER_S)
-        part = own / (own + max(wanted.demand_per_s, LEAST_DEMAND_PER_S))
+        idle = max(limit.rate_per_s * IDLE_DEMAND_SHARE, LEAST_ACTIVE_COST)
+        own = max(self._demand(held), idle)
+        part = own / (own + max(wanted.demand_per_s, idle))
         units = held.units - math.ceil((held.units + wanted.units) * part)
         tokens = held.tokens - (held.tokens + wanted.tokens) * part
         tokens = max(tokens, min(wanted.lack - wanted.tokens, held.tokens))
@@ -603,7 +605,7 @@
             return [
                 key
                 for key, held in self._holdings.items()
-                if held.lack or self._demand(held) * DEMAND_WINDOW_S > LEAST_DEMAND_PER_S
+                if held.lack or self._demand(held) * DEMAND_WINDOW_S > LEAST_ACTIVE_COST
             ]
 
 
