--- a/src/quetzalrudder/timeline.py
+++ b/src/quetzalrudder/timeline.py
@@ -32,6 +32,8 @@
     WATCH_LOST = "watch-lost"
     TARGET_REACHED = "target-reached"
     TARGET_LOST = "target-lost"
+    PRIMARY_SUSPECTED = "primary-suspected"
+    GROUP_FENCED = "group-fenced"
     PRIMARY_CHANGED = "primary-changed"
 
 
