--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -151,11 +151,10 @@
     def _make_connections(self, callers: Executor, max_tasks: int) -> CallerConnections:
         runner = StatementRunner(
             self.groups,
-            ReadRouter(self.groups, self.data_centre, self.rng),
+            ReadRouter(self.groups, self.data_centre, self.rng, self.clock),
             self.pool,
             Confirmer(self.groups, self.links),
             self.clock,
-            RateGate(self.exchange.ledger, self.exchange.seek),
         )
         return CallerConnections(
             instance=self.instance,
@@ -165,6 +164,7 @@
             transactions=TransactionRunner(
                 runner, self.pool, self._connection_limit, self.clock, self.rng
             ),
+            rates=RateGate(self.exchange.ledger, self.exchange.seek),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -152,6 +152,18 @@
         11, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
+    primary_question: "PrimaryQuestion | None" = betterproto2.field(
+        20, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    primary_report: "PrimaryReport | None" = betterproto2.field(
+        21, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
+    primary_changed: "PrimaryChanged | None" = betterproto2.field(
+        22, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
+    )
+
     share_request: "ShareRequest | None" = betterproto2.field(
         30, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
@@ -184,18 +196,6 @@
         37, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
 
-    primary_question: "PrimaryQuestion | None" = betterproto2.field(
-        20, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
-    )
-
-    primary_report: "PrimaryReport | None" = betterproto2.field(
-        21, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
-    )
-
-    primary_changed: "PrimaryChanged | None" = betterproto2.field(
-        22, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
-    )
-
     digest: "Digest | None" = betterproto2.field(
         40, betterproto2.TYPE_MESSAGE, optional=True, group="kind"
     )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -134,6 +134,7 @@
     data_centre: str
     groups: GroupTable
     runner: object
+    pool: ConnectionPool
 
 
 @dataclass
@@ -259,11 +260,11 @@
             return Ok(FakeConn(self, target, generation))
 
         pool = ConnectionPool(open_conn, FixedPermits(MANY_PERMITS), lambda target: 4, self.clock)
-        router = ReadRouter(groups, data_centre, rng)
+        router = ReadRouter(groups, data_centre, rng, self.clock)
         confirmer = FakeConfirmer(self, data_centre)
         make = make_runner or StatementRunner
         runner = make(groups, router, pool, confirmer, self.clock)
-        found = FakeInstance(data_centre, groups, runner)
+        found = FakeInstance(data_centre, groups, runner, pool)
         self.probe(found)
         return found
 
