--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -31,7 +31,7 @@
 from quetzalrudder.settings_store import SettingsStore
 from quetzalrudder.share_exchange import ShareExchange
 from quetzalrudder.shared_lists import Lists, SharedLists
-from quetzalrudder.shares import ShareLedger
+from quetzalrudder.shares import ShareLedger, permit_key
 from quetzalrudder.spread import Spreader
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
@@ -50,7 +50,7 @@
 MAX_PEER_TASKS = 256
 MAX_FAILOVER_TASKS = 16
 LIST_INTERVAL_S = 1.0
-DEFAULT_CONNECTION_LIMIT = 4
+POOL_INTERVAL_S = 0.1
 INCARNATION_BITS = 64
 
 
@@ -113,19 +113,22 @@
         self.links = stack.enter_context(
             ControlLinks(self.groups, self._open_control, control, self.clock, self.timeline)
         )
-        self.pool = stack.enter_context(ConnectionPool(self._open_conn, self._connection_limit))
         self.peers = stack.enter_context(
             PeerLinks(
                 self.loop, self.instance, self.data_centre, self.membership, self.timeline.clock
             )
         )
-        self.failover = self._make_failover(stack)
-        control.submit(self.failover.run)
         self.exchange = self._make_exchange()
         stack.callback(self.exchange.stop)
+        self.pool = stack.enter_context(
+            ConnectionPool(self._open_conn, self.exchange, self._slots_of, self.clock)
+        )
+        self.failover = self._make_failover(stack)
+        control.submit(self.failover.run)
         self.connections = self._make_connections(callers, max_tasks)
         control.submit(self.exchange.run)
         control.submit(self.exchange.run_census)
+        control.submit(self._maintain_pool)
         self.spreader = Spreader(
             self.peers,
             self.membership,
@@ -139,7 +142,7 @@
         self.groups.on_leaving = self._tell_leaving
         self.duty = self._make_duty()
         self._drain = self._make_drain()
-        self._drain.callbacks.append(self.exchange.hand_over)
+        self._drain.callbacks += [self.pool.close, self.exchange.hand_over]
         control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         control.submit(self.duty.run, self._stopping)
@@ -244,7 +247,17 @@
         return open_grpc_target(self.loop, info, opening, generation, timeout_s)
 
     def _connection_limit(self, target: TargetId) -> int:
-        return DEFAULT_CONNECTION_LIMIT
+        """Give the connections that this instance holds or may count on."""
+        equal = self._fleet_connection_limit(target) // max(1, len(self.membership.instances()))
+        return max(equal, self.exchange.ledger.units(permit_key(target)))
+
+    def _slots_of(self, target: TargetId) -> int:
+        view = self.groups.find(target)
+        return view.state.slots if view and view.state else 0
+
+    def _maintain_pool(self) -> None:
+        while not self._stopping.wait(POOL_INTERVAL_S):
+            self.pool.maintain()
 
     def _make_duty(self) -> WatchDuty:
         return WatchDuty(
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -7,6 +7,7 @@
 
 from quetzalrudder.access import CallerIdentity, check_route
 from quetzalrudder.adapters import TargetRequest
+from quetzalrudder.admission import Claim
 from quetzalrudder.exceptions import (
     DeadlineExceeded,
     MalformedMessage,
@@ -19,7 +20,7 @@
     StatementFailed,
 )
 from quetzalrudder.groups import GroupTable, TargetView, log_covers, log_dropped
-from quetzalrudder.models import GroupId, RequestId, RouteName
+from quetzalrudder.models import GroupId, RequestId, RouteName, WorkspaceId
 from quetzalrudder.pool import ConnectionPool, PooledConn
 from quetzalrudder.retries import RetryBudget
 from quetzalrudder.routing import ReadPolicy, ReadRouter
@@ -60,6 +61,8 @@
     settings: BranchSettings
     marks: Marks
     deadline: Deadline
+    # Share of scarce slots relative to other workspaces.
+    weight: float = 1.0
 
     @property
     def lock_wait_ms(self) -> int:
@@ -132,6 +135,7 @@
                 settings,
                 marks.ok_value,
                 Deadline.after_ms(self._clock, deadline_ms),
+                tree.effective(caller.workspace).weight if caller.key else 1.0,
             )
         )
 
@@ -290,7 +294,8 @@
     def _send(
         self, plan: Plan, view: TargetView, req: Execute | TargetAskOutcome
     ) -> Result[TargetAnswer, QuetzalrudderError]:
-        borrowed = self._pool.checkout(view.info, plan.deadline)
+        claim = Claim(_payer(plan.caller), plan.weight, plan.settings.cost)
+        borrowed = self._pool.checkout(view.info, plan.deadline, claim)
         if isinstance(borrowed, Err):
             return borrowed
         with borrowed.ok_value as pooled:
@@ -332,6 +337,10 @@
         )
 
 
+def _payer(caller: CallerIdentity) -> WorkspaceId:
+    return caller.workspace if caller.key else WorkspaceId("")
+
+
 def check_request_id(request_id: str) -> Result[None, MalformedMessage]:
     """Check that a request id is there and short enough to be recorded."""
     if request_id and len(request_id.encode()) <= MAX_REQUEST_ID_BYTES:
