--- a/src/quetzalrudder/transactions.py
+++ b/src/quetzalrudder/transactions.py
@@ -45,6 +45,8 @@
 RETRY_AFTER_MS = 100
 ROLLBACK_TIMEOUT_MS = 1000
 
+Admit = Callable[[Plan], Result[Plan, QuetzalrudderError]]
+
 
 @dataclass
 class OpenTransaction:
@@ -258,10 +260,14 @@
     ----------
     shared : TransactionRunner
         Runs them.
+    admit : Callable
+        Takes the cost of one request of a plan from its workspace's rate. Ending a
+        transaction costs nothing.
     """
 
-    def __init__(self, shared: TransactionRunner) -> None:
+    def __init__(self, shared: TransactionRunner, admit: Admit) -> None:
         self._shared = shared
+        self._admit = admit
         self._open: dict[str, OpenTransaction] = {}
 
     def __enter__(self) -> "CallerTransactions":
@@ -295,7 +301,7 @@
             reason = f"{MAX_OPEN_PER_CALLER} transactions are open on this connection"
             return Err(Overloaded(reason, retry_after_ms=RETRY_AFTER_MS))
         planned = self._shared.runner.plan(tree, caller, request_id, begin)
-        return planned.and_then(self._shared.begin).map(self._keep)
+        return planned.and_then(self._admit).and_then(self._shared.begin).map(self._keep)
 
     def _keep(self, tx: OpenTransaction) -> Answer:
         self._open[tx.transaction_id] = tx
@@ -310,6 +316,9 @@
         refused = _check(stmt) or self._merge_token(tx, caller, stmt.token)
         if refused is not None:
             return Err(refused)
+        admitted = self._admit(tx.plan)
+        if isinstance(admitted, Err):
+            return admitted
         answer = self._shared.run(tx, stmt)
         if isinstance(answer, Err) and not isinstance(answer.err_value, StatementFailed):
             self._open.pop(tx.transaction_id)
@@ -339,9 +348,11 @@
             request_id=request_id,
             deadline_ms=commit.deadline_ms,
             sent_ago_ms=commit.sent_ago_ms,
+            token=commit.token,
         )
         planned = self._shared.runner.plan(tree, caller, request_id, ask)
-        answer = planned.and_then(lambda plan: self._shared.runner.ask_outcome(plan, ask))
+        admitted = planned.and_then(self._admit)
+        answer = admitted.and_then(lambda plan: self._shared.runner.ask_outcome(plan, ask))
         match answer:
             case Ok(Answer(ending=Ending.NOT_RUN)):
                 return Err(_not_open(commit.transaction_id))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -129,6 +129,7 @@
     data_centre: str
     groups: GroupTable
     runner: object
+    pool: ConnectionPool
 
 
 @dataclass
@@ -254,11 +255,11 @@
             return Ok(FakeConn(self, target, generation))
 
         pool = ConnectionPool(open_conn, lambda target: 4)
-        router = ReadRouter(groups, data_centre, rng)
+        router = ReadRouter(groups, data_centre, rng, self.clock)
         confirmer = FakeConfirmer(self, data_centre)
         make = make_runner or StatementRunner
         runner = make(groups, router, pool, confirmer, self.clock)
-        found = FakeInstance(data_centre, groups, runner)
+        found = FakeInstance(data_centre, groups, runner, pool)
         self.probe(found)
         return found
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
@@ -117,7 +118,7 @@
         self.ran = 0
 
     def plan(self, tree, caller, request_id, req):
-        return Ok(req)
+        return Ok(SimpleNamespace(caller=caller, settings=SimpleNamespace(cost=1.0)))
 
     def run(self, plan, stmt):
         self.started.release()
@@ -140,6 +141,7 @@
             data_centre="astana-a",
             store=self.view,
             runner=self.runner,
+            rates=SimpleNamespace(admit=lambda workspace, cost: Ok(None)),
             transactions=TransactionRunner(self.runner, None, lambda _: 1, clock, random.Random(1)),
             executor=executor,
             max_connections=4,
