Read and repeat across a real failover

Change: a test with real processes in which the primary is killed between a write and the reads that follow through each instance, and the write is then repeated at the new primary.

--- a/tests/test_read_your_writes.py
+++ b/tests/test_read_your_writes.py
@@ -1,9 +1,16 @@
 import random
+from functools import partial
 
 import pytest
 
 from quetzalrudder.adapters import TargetInfo
-from quetzalrudder.exceptions import InvalidToken, NoPrimary, NoReplica, PositionLost
+from quetzalrudder.exceptions import (
+    InvalidToken,
+    NoPrimary,
+    NoReplica,
+    PositionLost,
+    QuetzalrudderError,
+)
 from quetzalrudder.groups import GroupTable, log_dropped
 from quetzalrudder.routing import ReadPolicy, ReadRouter
 from quetzalrudder.schema.caller import Access, Statement
@@ -11,9 +18,12 @@
 from quetzalrudder.schema.target import Role, State
 from quetzalrudder.tokens import MAX_TOKEN_BYTES, Marks, decode_token, encode_token
 from quetzalrudder.utils import Address
+from standins.demo import STEPPE_SETTINGS
+from standins.fleet import Fleet
 from tests.clocks import ManualClock
+from tests.conftest import SMALL
 from tests.fakes import CALLER, DATA_CENTRES, GROUP, ROUTE
-from tests.helpers import grant_key
+from tests.helpers import grant_key, wait_for
 from tests.histories import SELECT, Event, History, Read, Write
 from tests.naive.proxy import NaiveRunner
 
@@ -215,3 +225,33 @@
             assert rows == [(number,)]
     for target in ("valuation-core-1-b", "valuation-core-1-c"):
         fleet.set_faults(target, apply_lag_ms=0)
+
+
+def test_primary_killed_between_write_and_read_and_the_write_repeated():
+    instances = ("astana-a-1", "astana-b-1", "karaganda-1")
+    insert = "INSERT INTO offers VALUES ('01 KZ')"
+    with Fleet(SMALL, STEPPE_SETTINGS) as fleet:
+        key = grant_key(fleet, WORKSPACE)
+        with fleet.session(*instances, workspace=WORKSPACE, key=key) as session:
+            session.write("steppe/offers", "CREATE TABLE offers (plate TEXT)")
+            session.write("steppe/offers", insert, request_id="lodged")
+            fleet.kill("valuation-core-1-a")
+            results = []
+
+            def succeeds(call):
+                try:
+                    results.append(call())
+                except QuetzalrudderError as exc:
+                    assert not isinstance(exc, PositionLost)
+                    return False
+                return True
+
+            read = partial(session.read, "steppe/offers", SELECT)
+            for _ in instances:
+                session.roam()
+                wait_for(lambda: succeeds(read), "a read")
+                assert results.pop().rows == [("01 KZ",)]
+            again = partial(session.write, "steppe/offers", insert, request_id="lodged")
+            wait_for(lambda: succeeds(again), "a write at the new primary")
+            assert results.pop().repeated
+            assert session.read("steppe/offers", SELECT).rows == [("01 KZ",)]
