--- a/bench/failover.py
+++ b/bench/failover.py
@@ -18,7 +18,7 @@
 from standins.demo import VENUE_SETTINGS
 from standins.deployments import HOCHZEITSRAUM, STEPPE, Deployment
 from standins.fleet import Fleet
-from standins.memory import Conditions, MemoryFleet, MemoryInstance
+from standins.memory_fleet import Conditions, MemoryFleet, MemoryInstance
 
 SEEDS = 50
 SETTLE_S = 0.4
--- /dev/null
+++ b/standins/memory_fleet.py
@@ -0,0 +1,399 @@
+"""A fleet in memory: the target stand-ins and the failover decisions on virtual time."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from quetzalrudder.adapters import TargetInfo
+from quetzalrudder.failover import TICK_S, Failover, FailoverHandlers
+from quetzalrudder.groups import GroupTable
+from quetzalrudder.links import PROBE_INTERVAL_S, SILENCE_S
+from quetzalrudder.membership import Membership
+from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
+from quetzalrudder.promotion import Promoter
+from quetzalrudder.schema.common import Position
+from quetzalrudder.schema.peers import PrimaryChanged, PrimaryQuestion, PrimaryReport
+from quetzalrudder.schema.platform import InstanceEntry
+from quetzalrudder.schema.target import (
+    Confirm,
+    Probe,
+    Role,
+    TargetAnswer,
+)
+from quetzalrudder.timeline import Timeline
+from quetzalrudder.utils import Address
+from standins.memory import MemoryGroup, MemoryTarget, drop_held
+from standins.memory_platform import MemoryPlatform, MemoryStore
+from standins.replication import first_batch, replicate_request, take_batch
+from standins.target import TargetState
+from standins.virtual import VirtualTime
+
+__all__ = ["Conditions", "MemoryFleet", "MemoryInstance"]
+
+LOCAL_DELAY_S = 0.0001
+CONFIRM_TIMEOUT_S = 0.01
+
+
+@dataclass(frozen=True)
+class Conditions:
+    """What the links between processes are like."""
+
+    one_way_s: float = 0.0005
+    loss: float = 0.0
+    replication_lag_s: float = 0.0
+    # Time between two looks of a follower at its primary's log.
+    poll_s: float = 0.002
+    # Added to each message at random, up to this, so that messages overtake each other.
+    max_extra_s: float = 0.0
+
+
+class MemoryFleet:
+    """Instances and one group on virtual time, with faults.
+
+    Parameters
+    ----------
+    instances : dict of str to str
+        The data centre of each instance.
+    targets : dict of str to str
+        The data centre of each target; the first one is the primary.
+    conditions : Conditions
+        What the links are like.
+    seed : int
+        Of every random choice.
+    """
+
+    def __init__(
+        self,
+        instances: dict[str, str],
+        targets: dict[str, str],
+        conditions: Conditions,
+        seed: int,
+    ) -> None:
+        # The order of proposers depends on the name.
+        self.group_id = GroupId(f"group-{seed}")
+        self.time = VirtualTime()
+        self.rng = random.Random(seed)
+        self.conditions = conditions
+        self.group = MemoryGroup(targets)
+        self.platform = MemoryStore(self.time)
+        self.dead: set[str] = set()
+        self._cut: set[frozenset[str]] = set()
+        self._held: list[Callable[[], None]] = []
+        self.instances = {name: MemoryInstance(self, name, dc) for name, dc in instances.items()}
+        entries = [
+            InstanceEntry(instance=name, data_centre=dc, control_address="127.0.0.1:1")
+            for name, dc in instances.items()
+        ]
+        for instance in self.instances.values():
+            instance.membership.set_list(entries)
+            instance.start()
+        self._replicate_all()
+
+    def __enter__(self) -> "MemoryFleet":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.time.close()
+
+    def kill(self, name: str) -> None:
+        """End a target or an instance for good."""
+        self.dead.add(name)
+        self.time.pause(name)
+
+    def restart(self, name: str) -> None:
+        """Start a target again, without its log and its term."""
+        self.group.targets[name].restart()
+        self.dead.discard(name)
+        self.time.resume(name)
+
+    def isolate(self, data_centre: str) -> None:
+        """Cut a data centre off from all others."""
+        places = {target.cfg.data_centre for target in self.group.targets.values()}
+        places |= {instance.data_centre for instance in self.instances.values()}
+        self._cut |= {frozenset((data_centre, other)) for other in places - {data_centre}}
+
+    def heal(self) -> None:
+        """Let everything pass again, also what was held back."""
+        self._cut.clear()
+        held, self._held = self._held, []
+        for send in held:
+            send()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether nothing passes between two data centres."""
+        return frozenset((one, other)) in self._cut
+
+    def send(self, way: tuple[str, str], owner: str, deliver: Callable[[], None]) -> None:
+        """Carry a message from one data centre to a process in another."""
+        if self.rng.random() < self.conditions.loss:
+            return
+        delay_s = LOCAL_DELAY_S if way[0] == way[1] else self.conditions.one_way_s
+        extra_s = self.rng.uniform(0, self.conditions.max_extra_s)
+        at = self.time.now + delay_s * self.rng.uniform(1, 1.2) + extra_s
+
+        def arrive() -> None:
+            if self.is_cut(*way):
+                self._held.append(lambda: self.time.call_at(self.time.now, owner, deliver))
+            else:
+                deliver()
+
+        self.time.call_at(at, owner, arrive)
+
+    def _replicate_all(self) -> None:
+        for name in self.group.targets:
+            self._replicate(name)
+        self.time.call_at(self.time.now + self.conditions.poll_s, "network", self._replicate_all)
+
+    def _is_connected(self, one: TargetState, other: TargetState) -> bool:
+        stopped = [s for s in (one, other) if self.time.is_paused(s.cfg.target)]
+        return not stopped and not self.is_cut(one.cfg.data_centre, other.cfg.data_centre)
+
+    def _replicate(self, name: str) -> None:
+        follower = self.group.targets[name].state
+        if follower.follower is None:
+            return
+        primary = self.group.targets[follower.follower.primary].state
+        term = follower.follower.term
+        if not self._is_connected(follower, primary) or not primary.accepts_writes(term):
+            return
+        if follower.database.received == primary.database.received and not follower.rejoining:
+            return
+        batch = first_batch(primary, replicate_request(follower, term))
+        delay_s = self.conditions.one_way_s + self.conditions.replication_lag_s
+
+        def take() -> None:
+            # The lag is spent at the primary: what it has not sent is lost with it.
+            if not self._is_connected(follower, primary):
+                return
+            drop_held(follower, batch)
+            if take_batch(follower, term, batch):
+                follower.database.apply_all()
+
+        self.time.call_at(self.time.now + delay_s, name, take)
+
+    def primaries(self) -> dict[str, int]:
+        """Give the term of each target that takes itself for a primary."""
+        found = {name: target.state for name, target in self.group.targets.items()}
+        return {n: state.term for n, state in found.items() if state.role is Role.PRIMARY}
+
+
+class MemoryInstance:
+    """The failover decisions of one instance."""
+
+    def __init__(self, fleet: MemoryFleet, name: str, data_centre: str) -> None:
+        self.name = InstanceId(name)
+        self.data_centre = DataCentre(data_centre)
+        self._fleet = fleet
+        time = fleet.time
+        rng = random.Random(fleet.rng.getrandbits(64))
+        self._phase_s = rng.uniform(0, PROBE_INTERVAL_S)
+        self.groups = GroupTable(time)
+        self.membership = Membership(self.name, self.data_centre)
+        self.timeline = Timeline(self.name, time)
+        self.group = fleet.group_id
+        self.infos = {
+            target: TargetInfo(
+                TargetId(target),
+                fleet.group_id,
+                DataCentre(found.cfg.data_centre),
+                Address("127.0.0.1", 1),
+            )
+            for target, found in fleet.group.targets.items()
+        }
+        self.groups.set_targets([(info, False) for info in self.infos.values()])
+        self.links = MemoryLinks(fleet, self)
+        self.promoter = Promoter(
+            self.name,
+            self.data_centre,
+            self.groups,
+            self.membership,
+            self.links,
+            rng,
+            self.timeline,
+        )
+        self.failover = Failover(
+            self.name,
+            self.groups,
+            self.membership,
+            self.links,
+            self.promoter,
+            MemoryPlatform(fleet.platform, data_centre),
+            time,
+            rng,
+            lambda task: time.spawn(self.name, task),
+        )
+        handlers = FailoverHandlers(self.groups, self.links, time)
+        self.handlers: dict[type, Callable[[InstanceId, Any], PrimaryReport]] = {
+            PrimaryQuestion: handlers.on_question,
+            PrimaryChanged: handlers.on_changed,
+        }
+
+    def start(self) -> None:
+        """Start probing and watching."""
+        time = self._fleet.time
+        time.call_at(time.now + self._phase_s, self.name, self._probe)
+        time.call_at(time.now + self._phase_s, self.name, self._watch)
+
+    def _probe(self) -> None:
+        self.links.probe_all()
+        time = self._fleet.time
+        time.call_at(time.now + PROBE_INTERVAL_S, self.name, self._probe)
+
+    def _watch(self) -> None:
+        self.failover.tick()
+        time = self._fleet.time
+        time.call_at(time.now + TICK_S, self.name, self._watch)
+
+    def write(self, request_id: str, timeout_s: float, *, confirm: bool = True) -> Position | None:
+        """Run a write and confirm it; gives its position once acknowledged."""
+        primary = self.groups.primary(self._fleet.group_id)
+        if primary is None or not primary.reachable:
+            return None
+        deadline = self._fleet.time.now + timeout_s
+        answer = self.links.write(primary.info, primary.state.term, request_id, timeout_s)
+        if answer is None or answer.position is None:
+            return None
+        if not confirm:
+            return answer.position
+        confirmed = {primary.info.target}
+        others = [info for target, info in self.infos.items() if target not in confirmed]
+        req = Confirm(position=answer.position)
+        while self._fleet.time.now < deadline:
+            found = self.links.ask_targets(
+                others,
+                req,
+                CONFIRM_TIMEOUT_S,
+                lambda answers: any(map(_confirms, answers.values())),
+            )
+            confirmed |= {target for target, answer in found.items() if _confirms(answer)}
+            if len(confirmed) > len(self.infos) // 2:
+                return answer.position
+            self._fleet.time.sleep(self._fleet.conditions.poll_s)
+        return None
+
+
+def _confirms(answer: TargetAnswer) -> bool:
+    return answer.failure is None and answer.confirmed
+
+
+@dataclass
+class MemoryLinks:
+    """An instance's ways to targets and peers."""
+
+    fleet: MemoryFleet
+    instance: MemoryInstance
+    # Clock reading of each target's last answer, in seconds.
+    answered_at: dict[str, float] = field(default_factory=dict)
+
+    def ask_targets(
+        self,
+        targets: list[TargetInfo],
+        req: Any,
+        timeout_s: float,
+        is_enough: Callable[[dict[TargetId, TargetAnswer]], bool],
+    ) -> dict[TargetId, TargetAnswer]:
+        """Ask targets at once; give the answers that came in time."""
+        answers: dict[TargetId, TargetAnswer] = {}
+        event = self.fleet.time.event()
+
+        def note(info: TargetInfo, answer: TargetAnswer) -> None:
+            answers[info.target] = answer
+            if len(answers) == len(targets) or is_enough(answers):
+                event.set()
+
+        for info in targets:
+            self._ask(info, lambda t: t.control(req), lambda a, info=info: note(info, a))
+        self.fleet.time.wait_for(event, timeout_s)
+        return dict(answers)
+
+    def _ask(
+        self,
+        info: TargetInfo,
+        run: Callable[[MemoryTarget], TargetAnswer],
+        note: Callable[[TargetAnswer], None],
+    ) -> None:
+        asked_at = self.fleet.time.now
+        here, there = self.instance.data_centre, info.data_centre
+
+        def receive(answer: TargetAnswer) -> None:
+            self.answered_at[info.target] = self.fleet.time.now
+            if answer.state is not None:
+                self.instance.groups.observe(info, answer.state, asked_at)
+            note(answer)
+
+        def deliver() -> None:
+            answer = run(self.fleet.group.targets[info.target])
+            self.fleet.send((there, here), self.instance.name, lambda: receive(answer))
+
+        self.fleet.send((here, there), info.target, deliver)
+
+    def write(
+        self, info: TargetInfo, term: int, request_id: str, timeout_s: float
+    ) -> TargetAnswer | None:
+        """Run a write at a target; None if it refused or no answer came."""
+        event = self.fleet.time.event()
+        found: list[TargetAnswer] = []
+
+        def run(target: MemoryTarget) -> TargetAnswer:
+            return target.write(term, request_id).unwrap_or(TargetAnswer())
+
+        def note(answer: TargetAnswer) -> None:
+            found.append(answer)
+            event.set()
+
+        self._ask(info, run, note)
+        self.fleet.time.wait_for(event, timeout_s)
+        return found[0] if found else None
+
+    def ask_peers(
+        self,
+        peers: list[InstanceId],
+        message: Any,
+        timeout_s: float,
+        is_enough: Callable[[dict[InstanceId, Any]], bool],
+    ) -> dict[InstanceId, Any]:
+        """Ask peers at once; give the answers that came in time."""
+        answers: dict[InstanceId, Any] = {}
+        event = self.fleet.time.event()
+
+        def note(peer: InstanceId, answer: Any) -> None:
+            answers[peer] = answer
+            if len(answers) == len(peers) or is_enough(answers):
+                event.set()
+
+        for peer in peers:
+            self._ask_peer(self.fleet.instances[peer], message, note)
+        self.fleet.time.wait_for(event, timeout_s)
+        return dict(answers)
+
+    def _ask_peer(
+        self, peer: MemoryInstance, message: Any, note: Callable[[InstanceId, Any], None]
+    ) -> None:
+        here, there = self.instance.data_centre, peer.data_centre
+
+        def handle() -> None:
+            answer = peer.handlers[type(message)](self.instance.name, message)
+            self.fleet.send((there, here), self.instance.name, lambda: note(peer.name, answer))
+
+        def deliver() -> None:
+            self.fleet.time.spawn(peer.name, handle)
+
+        self.fleet.send((here, there), peer.name, deliver)
+
+    def refresh(self, group: GroupId) -> None:
+        """Ask the targets for their states now."""
+        self.probe_all()
+
+    def follows(self, group: GroupId) -> bool:
+        """Tell whether this instance watches the group."""
+        return True
+
+    def probe_all(self) -> None:
+        """Probe every target, and note those that are silent."""
+        now = self.fleet.time.now
+        for target, info in self.instance.infos.items():
+            silent_s = now - self.answered_at.setdefault(target, now)
+            if target in self.fleet.dead or silent_s > SILENCE_S:
+                self.instance.groups.mark_unreachable(info.target, info.group)
+            self._ask(info, lambda t: t.control(Probe()), lambda answer: None)
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -13,7 +13,8 @@
 from quetzalrudder.suspicion import Report, Verdict, judge, watchers_of
 from quetzalrudder.utils import Address
 from quetzalrudder.writes import position_in_term
-from standins.memory import Conditions, MemoryFleet, MemoryGroup
+from standins.memory import MemoryGroup
+from standins.memory_fleet import Conditions, MemoryFleet
 from standins.statements import StatementConn
 from tests.naive.failover import naive_promote, naive_write
 
