--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -30,6 +30,7 @@
 from quetzalrudder.logs import request_logger
 from quetzalrudder.metrics import Metrics
 from quetzalrudder.models import DataCentre, InstanceId, WorkspaceId
+from quetzalrudder.rates import RateGate
 from quetzalrudder.schema.caller import (
     Answer,
     AnswerFrame,
@@ -45,7 +46,7 @@
 )
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.settings_store import SettingsStore
-from quetzalrudder.statements import StatementRunner
+from quetzalrudder.statements import Plan, StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
 from quetzalrudder.transactions import CallerTransactions, TransactionRunner
 from quetzalrudder.utils import MS_PER_S, Clock
@@ -75,7 +76,7 @@
     def __init__(self, pipe: CallerPipe, owner: "CallerConnections") -> None:
         self._pipe = pipe
         self._owner = owner
-        self._transactions = CallerTransactions(owner.transactions)
+        self._transactions = CallerTransactions(owner.transactions, self._admit)
         self._guard: KeyGuard | None = None
         # The request being run, for the ending told if the connection is ended from outside.
         self._running: CallerFrame | None = None
@@ -111,6 +112,11 @@
                 if self._guard.withdrawn:
                     return
 
+    def wake(self) -> None:
+        """Have an idle connection look whether the instance drains; any thread."""
+        if self._guard is not None:
+            self._pipe.wake()
+
     def end_if_withdrawn(self) -> None:
         """Tell the caller and close the connection once its key is withdrawn; any thread."""
         guard = self._guard
@@ -144,7 +150,8 @@
     def _next_frame(self, caller: CallerIdentity) -> CallerFrame | None:
         while True:
             try:
-                return self._pipe.recv(IDLE_TURN_S)
+                # A connection without a transaction sleeps until a frame or a wake-up comes.
+                return self._pipe.recv(IDLE_TURN_S if self._transactions.count else None)
             except TimeoutError:
                 self._end_transactions(caller)
                 if self._owner.draining.is_set() and not self._transactions.count:
@@ -188,10 +195,11 @@
                 return self._transactions.run(caller, stmt)
             case CallerFrame(statement=Statement() as stmt):
                 planned = runner.plan(tree, caller, frame.request_id, stmt)
-                return planned.and_then(lambda plan: runner.run(plan, stmt))
+                return planned.and_then(self._admit).and_then(lambda plan: runner.run(plan, stmt))
             case CallerFrame(ask_outcome=AskOutcome() as ask):
                 planned = runner.plan(tree, caller, frame.request_id, ask)
-                return planned.and_then(lambda plan: runner.ask_outcome(plan, ask))
+                admitted = planned.and_then(self._admit)
+                return admitted.and_then(lambda plan: runner.ask_outcome(plan, ask))
             case CallerFrame(begin=Begin()) if self._owner.draining.is_set():
                 return Err(Draining("the instance is shutting down", retry_after_ms=1))
             case CallerFrame(request_id=request_id, begin=Begin() as begin):
@@ -203,6 +211,13 @@
             case _:
                 return Err(MalformedMessage("a frame of no known kind", place="frame"))
 
+    def _admit(self, plan: Plan) -> Result[Plan, QuetzalrudderError]:
+        """Take the request's cost from its workspace's rate."""
+        caller = plan.caller
+        workspace = caller.workspace if caller.key else WorkspaceId("")
+        admitted = self._owner.rates.admit(workspace, plan.settings.cost)
+        return admitted.map(lambda _: plan)
+
 
 class CallerConnections:
     """All caller connections of an instance, and what they share.
@@ -217,6 +232,8 @@
         Runs the requests.
     transactions : TransactionRunner
         Runs the transactions.
+    rates : RateGate
+        Holds workspaces to their rates.
     executor : Executor
         One task for each connection.
     max_connections : int
@@ -237,6 +254,7 @@
         store: SettingsStore,
         runner: StatementRunner,
         transactions: TransactionRunner,
+        rates: RateGate,
         executor: Executor,
         max_connections: int,
         clock: Clock,
@@ -248,6 +266,7 @@
         self.store = store
         self.runner = runner
         self.transactions = transactions
+        self.rates = rates
         self.clock = clock
         self.draining = threading.Event()
         self._executor = executor
@@ -296,17 +315,20 @@
                 self._changed.notify_all()
 
     def watch_keys(self, stopping: threading.Event) -> None:
-        """End connections whose key is withdrawn, until told to stop; one task runs this."""
+        """End connections of withdrawn keys and wake idle ones to drain; one task runs this."""
         seen = None
         while not stopping.wait(KEY_SWEEP_INTERVAL_S):
             tree = self.store.tree
-            if tree is seen:
+            if tree is seen and not self.draining.is_set():
                 continue
-            seen = tree
             with self._changed:
                 live = list(self._live)
             for conn in live:
-                conn.end_if_withdrawn()
+                if tree is not seen:
+                    conn.end_if_withdrawn()
+                if self.draining.is_set():
+                    conn.wake()
+            seen = tree
 
     def wait_until_empty(self, timeout_s: float) -> int:
         """Wait for all connections to end; gives how many are left."""
--- a/src/quetzalrudder/groups.py
+++ b/src/quetzalrudder/groups.py
@@ -33,7 +33,7 @@
     """Tell whether reads at a target see everything up to the position."""
     if log_dropped(state.term_starts, position):
         return False
-    applied = state.applied or Position()
+    applied = state.applied if state.applied is not None else Position()
     return applied.term >= position.term and applied.index >= position.index
 
 
@@ -89,6 +89,12 @@
         with self._lock:
             return [view for group in self._groups.values() for view in group.targets.values()]
 
+    def find(self, target: TargetId) -> TargetView | None:
+        """Find a target by name."""
+        with self._lock:
+            groups = self._groups.values()
+            return next((g.targets[target] for g in groups if target in g.targets), None)
+
     def members(self, group: GroupId) -> list[TargetView]:
         """Give the targets of one group."""
         with self._lock:
@@ -116,7 +122,8 @@
             view.state = state
             view.asked_at = asked_at
             if state.role is Role.PRIMARY and state.term == self._term_of(group):
-                group.primary_samples.append((asked_at, state.applied or Position()))
+                applied = state.applied if state.applied is not None else Position()
+                group.primary_samples.append((asked_at, applied))
 
     def mark_unreachable(self, target: TargetId, group: GroupId) -> None:
         """Note that a target did not answer."""
@@ -126,7 +133,7 @@
                 found.targets[target].reachable = False
 
     def _term_of(self, group: GroupView) -> int:
-        terms = [view.state.term for view in group.targets.values() if view.state]
+        terms = [view.state.term for view in group.targets.values() if view.state is not None]
         return max(terms, default=0)
 
     def term(self, group: GroupId) -> int:
@@ -144,7 +151,7 @@
             term = self._term_of(found)
             for view in found.targets.values():
                 state = view.state
-                if state and state.role is Role.PRIMARY and state.term == term:
+                if state is not None and state.role is Role.PRIMARY and state.term == term:
                     return view
             return None
 
@@ -157,7 +164,7 @@
         with self._lock:
             found = self._groups.get(group)
             samples = list(found.primary_samples) if found else []
-        applied = state.applied or Position()
+        applied = state.applied if state.applied is not None else Position()
         covered = [
             asked_at
             for asked_at, position in samples
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -22,6 +22,7 @@
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
 from quetzalrudder.promotion import Promoter, group_watchers
+from quetzalrudder.rates import FleetLimits, RateGate
 from quetzalrudder.routing import ReadRouter
 from quetzalrudder.schema.peers import PrimaryChanged, PrimaryQuestion
 from quetzalrudder.schema.platform import Group
@@ -29,6 +30,8 @@
 from quetzalrudder.schema.target import Open
 from quetzalrudder.services import CallerService, OperatorService
 from quetzalrudder.settings_store import SettingsStore
+from quetzalrudder.share_exchange import ShareExchange
+from quetzalrudder.shares import ShareLedger
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
 from quetzalrudder.transactions import TransactionRunner
@@ -46,6 +49,7 @@
 MAX_FAILOVER_TASKS = 16
 LIST_INTERVAL_S = 1.0
 DEFAULT_CONNECTION_LIMIT = 4
+INCARNATION_BITS = 64
 
 
 class Instance:
@@ -114,7 +118,11 @@
         )
         self.failover = self._make_failover(stack)
         control.submit(self.failover.run)
+        self.exchange = self._make_exchange()
+        stack.callback(self.exchange.stop)
         self.connections = self._make_connections(callers, max_tasks)
+        control.submit(self.exchange.run)
+        control.submit(self.exchange.run_census)
         control.submit(self.store.watch)
         control.submit(self._follow_lists)
         control.submit(self.connections.watch_keys, self._stopping)
@@ -122,6 +130,21 @@
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
 
+    def _make_exchange(self) -> ShareExchange:
+        ledger = ShareLedger(
+            incarnation=f"{self.instance}/{self.rng.getrandbits(INCARNATION_BITS):x}",
+            data_centre=self.data_centre,
+            limits=FleetLimits(lambda: self.store.tree, self._fleet_connection_limit),
+            clock=self.clock,
+        )
+        return ShareExchange(
+            ledger, self.peers, self.membership, self.platform, self.clock, self.rng
+        )
+
+    def _fleet_connection_limit(self, target: TargetId) -> int:
+        view = self.groups.find(target)
+        return view.state.connection_limit if view and view.state else 0
+
     def _make_connections(self, callers: Executor, max_tasks: int) -> CallerConnections:
         runner = StatementRunner(
             self.groups,
@@ -138,6 +161,7 @@
             transactions=TransactionRunner(
                 runner, self.pool, self._connection_limit, self.clock, self.rng
             ),
+            rates=RateGate(self.exchange.ledger, self.exchange.seek),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
@@ -248,7 +272,9 @@
         self.timeline.record(EventKind.DRAINING)
         self.connections.draining.set()
         wait_s = timeout_s if timeout_s is not None else self.cfg.drain_s or DEFAULT_DRAIN_S
-        return self.connections.wait_until_empty(wait_s)
+        left = self.connections.wait_until_empty(wait_s)
+        self.exchange.hand_over()
+        return left
 
 
 def _targets_of(group: Group) -> list[tuple[TargetInfo, bool]]:
--- a/src/quetzalrudder/writes.py
+++ b/src/quetzalrudder/writes.py
@@ -120,6 +120,7 @@
 
     Examples
     --------
+    >>> from quetzalrudder.schema.common import TermStart
     >>> state = State(term=3, term_starts=[TermStart(term=3, first_index=9)])
     >>> position_in_term(Position(term=1, index=4), state)
     Position(term=3, index=9)
