--- a/src/quetzalrudder/transactions.py
+++ b/src/quetzalrudder/transactions.py
@@ -348,6 +348,7 @@
             request_id=request_id,
             deadline_ms=commit.deadline_ms,
             sent_ago_ms=commit.sent_ago_ms,
+            token=commit.token,
         )
         planned = self._shared.runner.plan(tree, caller, request_id, ask)
         admitted = planned.and_then(self._admit)
