--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -21,6 +21,7 @@
 from quetzalrudder.peers import PeerLinks, PeerService
 from quetzalrudder.pool import ConnectionPool
 from quetzalrudder.promotion import Promoter, group_watchers
+from quetzalrudder.rates import FleetLimits, RateGate
 from quetzalrudder.routing import ReadRouter
 from quetzalrudder.schema.peers import DepartureKind, PrimaryChanged, PrimaryQuestion
 from quetzalrudder.schema.platform import Group
@@ -28,7 +29,9 @@
 from quetzalrudder.schema.target import Open
 from quetzalrudder.services import CallerService, OperatorService
 from quetzalrudder.settings_store import SettingsStore
+from quetzalrudder.share_exchange import ShareExchange
 from quetzalrudder.shared_lists import Lists, SharedLists
+from quetzalrudder.shares import ShareLedger
 from quetzalrudder.spread import Spreader
 from quetzalrudder.statements import StatementRunner
 from quetzalrudder.timeline import EventKind, Timeline
@@ -48,6 +51,7 @@
 MAX_FAILOVER_TASKS = 16
 LIST_INTERVAL_S = 1.0
 DEFAULT_CONNECTION_LIMIT = 4
+INCARNATION_BITS = 64
 
 
 class Instance:
@@ -117,6 +121,8 @@
         )
         self.failover = self._make_failover(stack)
         control.submit(self.failover.run)
+        self.exchange = self._make_exchange()
+        stack.callback(self.exchange.stop)
         self.connections = self._make_connections(callers, max_tasks)
         self.spreader = Spreader(
             self.peers,
@@ -131,6 +137,9 @@
         self.groups.on_leaving = self._tell_leaving
         self.duty = self._make_duty()
         self._drain = self._make_drain()
+        self.on_drain.append(self.exchange.hand_over)
+        control.submit(self.exchange.run)
+        control.submit(self.exchange.run_census)
         control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         control.submit(self.duty.run, self._stopping)
@@ -139,10 +148,25 @@
         self.state = InstanceState.SERVING
         self.timeline.record(EventKind.STARTED)
 
+    def _make_exchange(self) -> ShareExchange:
+        ledger = ShareLedger(
+            incarnation=f"{self.instance}/{self.rng.getrandbits(INCARNATION_BITS):x}",
+            data_centre=self.data_centre,
+            limits=FleetLimits(lambda: self.store.tree, self._fleet_connection_limit),
+            clock=self.clock,
+        )
+        return ShareExchange(
+            ledger, self.peers, self.membership, self.platform, self.clock, self.rng
+        )
+
+    def _fleet_connection_limit(self, target: TargetId) -> int:
+        view = self.groups.find(target)
+        return view.state.connection_limit if view and view.state else 0
+
     def _make_connections(self, callers: Executor, max_tasks: int) -> CallerConnections:
         runner = StatementRunner(
             self.groups,
-            ReadRouter(self.groups, self.data_centre, self.rng),
+            ReadRouter(self.groups, self.data_centre, self.rng, self.clock),
             self.pool,
             Confirmer(self.groups, self.links),
             self.clock,
@@ -155,6 +179,7 @@
             transactions=TransactionRunner(
                 runner, self.pool, self._connection_limit, self.clock, self.rng
             ),
+            rates=RateGate(self.exchange.ledger, self.exchange.seek),
             executor=callers,
             max_connections=max_tasks,
             clock=self.clock,
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,23 +1,28 @@
 import random
+import signal
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Ok
 
 from quetzalrudder.exceptions import (
     Draining,
+    KeyWithdrawn,
     LinkLost,
     NoPrimary,
+    OutcomeForgotten,
     OutcomeUnknown,
     Overloaded,
     RequestCancelled,
 )
 from quetzalrudder.retries import RepeatPolicy, RetryBudget, final_error
+from quetzalrudder.schema.caller import Access, Statement
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.utils import Deadline
 from standins.database import Database
 from tests.clocks import ManualClock
-from tests.fakes import Fault
+from tests.fakes import SETTINGS, Fault, make_tree
 from tests.helpers import grant_key
 from tests.histories import Ask, Event, History, Read, Write
 from tests.naive.proxy import NaiveRunner
@@ -72,6 +77,23 @@
     assert not history.told.done
 
 
+def test_asking_about_an_old_write_keeps_what_the_session_has_seen():
+    history = History()
+    steps = [Write("01 KZ"), Event("probe"), Event("lag"), Write("02 KZ"), Ask("01 KZ", 2)]
+    assert history.run([*steps, Read(2), Read(1)]) == set()
+
+
+def test_repeat_is_confirmed_even_on_a_route_that_confirms_no_first_run():
+    history = History()
+    history.tree = make_tree(SETTINGS.replace("[root]", "[root]\nconfirm_majority = false"))
+    history.step(Event("isolate"))
+    req = Statement(route=ROUTE, sql="INSERT INTO offers VALUES ('x')", access=Access.WRITE)
+    first, repeat = (history.send(0, req, "once") for _ in range(2))
+    assert isinstance(first, Ok)
+    assert repeat.err_value.ending is Ending.UNKNOWN
+    history.group.loop.close()
+
+
 def test_question_without_a_primary_stays_unknown():
     history = History()
     steps = [Write("01 KZ", 0, Fault.DROP), Event("kill"), Event("probe"), Ask("01 KZ", 1)]
@@ -109,9 +131,9 @@
     with fleet.session("astana-b-1", workspace=WORKSPACE, key=key) as session:
         session.write(ROUTE, "INSERT INTO lodged VALUES ('asked')", request_id="asked-1")
         assert session.ask_outcome(ROUTE, "asked-1").ending is Ending.DONE
-        with pytest.raises(OutcomeUnknown):
+        with pytest.raises(OutcomeForgotten):
             session.ask_outcome(ROUTE, "asked-2")
-        with pytest.raises(OutcomeUnknown):
+        with pytest.raises(OutcomeForgotten):
             session.ask_outcome(ROUTE, "asked-2", sent_ago_s=7200)
         assert session.ask_outcome(ROUTE, "asked-2", sent_ago_s=1).ending is Ending.NOT_RUN
         with pytest.raises(RequestCancelled) as refused:
@@ -121,6 +143,7 @@
 
 def test_refusal_of_a_repeat_does_not_hide_a_lost_attempt():
     lost, refusal = LinkLost("gone"), Overloaded("busy", retry_after_ms=5)
+    assert final_error(lost, lost, "r") is lost
     assert final_error(refusal, None, "r").ending is Ending.NOT_RUN
     assert final_error(refusal, lost, "r").ending is Ending.UNKNOWN
     assert final_error(RequestCancelled("told"), lost, "r").ending is Ending.NOT_RUN
@@ -146,6 +169,9 @@
     deadline = Deadline.after_ms(ManualClock(), 1000)
     assert policy.pause_s(Draining("stopping"), 1, deadline) == 0
     assert 0.2 <= policy.pause_s(NoPrimary("none", retry_after_ms=200), 1, deadline) <= 0.3
+    withdrawn = KeyWithdrawn("withdrawn", ending=Ending.UNKNOWN)
+    assert policy.pause_s(withdrawn, 1, deadline) is None
+    assert policy.pause_s(OutcomeForgotten("none"), 1, deadline) is None
     assert policy.pause_s(Overloaded("busy", retry_after_ms=10), 1, deadline) is None
     assert policy.pause_s(OutcomeUnknown("lost", retry_after_ms=2000), 1, deadline) is None
 
@@ -161,3 +187,21 @@
     assert database.outcome("id 19") is not None
     assert database.outcome("id 1") is None
     assert not database.remembers(100_000)
+
+
+def test_session_leaves_an_instance_that_is_paused_with_its_write(fleet, key):
+    insert = "INSERT INTO lodged VALUES (?)"
+    with fleet.session("karaganda-1", "astana-b-1", workspace=WORKSPACE, key=key) as session:
+        session.timeout_s = 2.0
+        first = session.write(ROUTE, insert, "before the pause")
+        fleet.signal("karaganda-1", signal.SIGSTOP)
+        try:
+            written = session.write(ROUTE, insert, "in the pause")
+        finally:
+            fleet.signal("karaganda-1", signal.SIGCONT)
+        assert (first.instance, written.instance) == ("karaganda-1", "astana-b-1")
+        with fleet.session("karaganda-1", workspace=WORKSPACE, key=key) as resumed:
+            resumed.token = session.token
+            sql = "SELECT count(*) FROM lodged WHERE plate = 'in the pause'"
+            assert resumed.read(ROUTE, sql).rows == [(1,)]
+        assert session.read(ROUTE, sql).rows == [(1,)]
