--- a/src/quetzalrudder/groups.py
+++ b/src/quetzalrudder/groups.py
@@ -274,10 +274,10 @@
                 return
             view.state = state
             view.asked_at = asked_at
+            group.observe(view, _seen_of(state, asked_at))
             if state.leaving and not view.announced_leaving:
                 self.on_leaving(info.target)
             view.announced_leaving = state.leaving
-            group.observe(view, _seen_of(state, asked_at))
 
     def mark_leaving(self, target: TargetId) -> None:
         """Note that a target leaves, until it says otherwise itself."""
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -124,6 +124,8 @@
         self.exchange = self._make_exchange()
         stack.callback(self.exchange.stop)
         self.connections = self._make_connections(callers, max_tasks)
+        control.submit(self.exchange.run)
+        control.submit(self.exchange.run_census)
         self.spreader = Spreader(
             self.peers,
             self.membership,
@@ -137,9 +139,7 @@
         self.groups.on_leaving = self._tell_leaving
         self.duty = self._make_duty()
         self._drain = self._make_drain()
-        self.on_drain.append(self.exchange.hand_over)
-        control.submit(self.exchange.run)
-        control.submit(self.exchange.run_census)
+        self._drain.callbacks.append(self.exchange.hand_over)
         control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         control.submit(self.duty.run, self._stopping)
