Tell that an instance drains only once it does

Cause: the daemon logged 'draining' before it refused new callers; a caller that came between was served (test of the second signal, 2 of 5 runs of the file). Ruled out: the cut itself. Change: the line is logged by the drain, after callers are refused.

--- a/src/quetzalrudder/daemon.py
+++ b/src/quetzalrudder/daemon.py
@@ -32,7 +32,6 @@
     with instance:
         log.info("serving")
         signals.acquire()
-        log.info("draining")
         drained = _drain(instance, signals)
     log.info(
         "stopped",
--- a/src/quetzalrudder/drain.py
+++ b/src/quetzalrudder/drain.py
@@ -87,6 +87,7 @@
         deadline = Deadline(self._clock, self._clock.monotonic() + timeout_s)
         self._timeline.record(EventKind.DRAINING)
         self._connections.drain()
+        log.info("draining")
         self._membership.announce_departure(DepartureKind.INSTANCE, self._instance)
         self._spreader.announce()
         left = self._connections.wait_until_empty(deadline.remaining_s, self._cut_short)
