Split the outgoing streams from the bridge; repeat a refused connection elsewhere

Permits are each instance's own, but a session did not repeat that refusal at another. Ruled out: the drain (the request was never cut).

--- a/src/quetzalrudder/adapters.py
+++ b/src/quetzalrudder/adapters.py
@@ -14,7 +14,7 @@
 from grpclib.exceptions import StreamTerminatedError
 from result import Err, Ok, Result
 
-from quetzalrudder.bridge import Loop, RequestStream, call_once
+from quetzalrudder.bridge import Loop
 from quetzalrudder.exceptions import (
     LinkLost,
     OutcomeUnknown,
@@ -58,6 +58,7 @@
     TargetFrame,
     TargetStub,
 )
+from quetzalrudder.streams import RequestStream, call_once
 from quetzalrudder.utils import MS_PER_S, Address, field_by_type
 
 __all__ = [
--- a/src/quetzalrudder/callers.py
+++ b/src/quetzalrudder/callers.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from typing import Protocol
 
-from quetzalrudder.bridge import ClientStream, Loop
+from quetzalrudder.bridge import Loop
 from quetzalrudder.exceptions import (
     LinkLost,
     OutcomeUnknown,
@@ -13,6 +13,7 @@
     from_failure,
 )
 from quetzalrudder.schema.caller import AnswerFrame, CallerFrame, CallerStub, Hello, Welcome
+from quetzalrudder.streams import ClientStream
 from quetzalrudder.utils import Address
 
 __all__ = ["CallerAdapter", "GrpcCallerAdapter"]
--- a/src/quetzalrudder/operators.py
+++ b/src/quetzalrudder/operators.py
@@ -10,7 +10,7 @@
 from grpclib.const import Status as GrpcStatus
 from grpclib.exceptions import StreamTerminatedError
 
-from quetzalrudder.bridge import Loop, call_once
+from quetzalrudder.bridge import Loop
 from quetzalrudder.exceptions import (
     Conflict,
     InvalidSettings,
@@ -33,6 +33,7 @@
 )
 from quetzalrudder.schema.settings import Branch, BranchKind, BranchSettings, Change, Tree
 from quetzalrudder.settings import SettingsTree
+from quetzalrudder.streams import call_once
 from quetzalrudder.utils import Address, Clock, SystemClock
 
 __all__ = ["OperatorClient"]
--- a/src/quetzalrudder/peers.py
+++ b/src/quetzalrudder/peers.py
@@ -10,7 +10,7 @@
 import betterproto2
 from result import Err, Ok, Result
 
-from quetzalrudder.bridge import Loop, Pipe, RequestStream, serve_pipe
+from quetzalrudder.bridge import Loop, Pipe, serve_pipe
 from quetzalrudder.exceptions import (
     InternalError,
     LinkLost,
@@ -25,6 +25,7 @@
 from quetzalrudder.models import DataCentre, InstanceId
 from quetzalrudder.schema.common import Failure
 from quetzalrudder.schema.peers import Hello, PeerFrame, PeersBase, PeersStub, Welcome
+from quetzalrudder.streams import RequestStream
 from quetzalrudder.timeline import HybridClock
 from quetzalrudder.utils import field_by_type
 
--- a/src/quetzalrudder/retries.py
+++ b/src/quetzalrudder/retries.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from quetzalrudder.exceptions import (
+    ConnectionLimitReached,
     Draining,
     LinkLost,
     NoPrimary,
@@ -34,7 +35,7 @@
 REPEAT_PAUSE_S = 0.05
 
 ELSEWHERE_AT_ONCE = (LinkLost, Draining)
-ELSEWHERE_LATER = (NoPrimary, NoReplica, StaleTerm, TargetUnavailable)
+ELSEWHERE_LATER = (ConnectionLimitReached, NoPrimary, NoReplica, StaleTerm, TargetUnavailable)
 ELSEWHERE = ELSEWHERE_AT_ONCE + ELSEWHERE_LATER
 DEFINITE = (RequestCancelled, RequestChanged, TransactionNotFound)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from quetzalrudder.bridge import Loop, call_once
+from quetzalrudder.bridge import Loop
 from quetzalrudder.keys import digest_key, make_key
 from quetzalrudder.operators import OperatorClient
 from quetzalrudder.schema.platform import Group, InstanceEntry, TargetEntry
@@ -28,6 +28,7 @@
 )
 from quetzalrudder.sessions import Session
 from quetzalrudder.settings import parse_branches
+from quetzalrudder.streams import call_once
 from quetzalrudder.utils import Address, parse_address
 from standins.deployments import Deployment
 from standins.network import Network, Relay
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from quetzalrudder.exceptions import (
+    ConnectionLimitReached,
     Draining,
     KeyWithdrawn,
     LinkLost,
@@ -14,7 +15,9 @@
     OutcomeForgotten,
     OutcomeUnknown,
     Overloaded,
+    RateExceeded,
     RequestCancelled,
+    TargetUnavailable,
 )
 from quetzalrudder.retries import RepeatPolicy, RetryBudget, final_error
 from quetzalrudder.schema.caller import Access, Statement
@@ -205,3 +208,18 @@
             sql = "SELECT count(*) FROM lodged WHERE plate = 'in the pause'"
             assert resumed.read(ROUTE, sql).rows == [(1,)]
         assert session.read(ROUTE, sql).rows == [(1,)]
+
+
+@pytest.mark.parametrize("exc_type", [ConnectionLimitReached, NoPrimary, TargetUnavailable])
+def test_refusal_of_one_instance_is_repeated_at_another_while_time_is_left(exc_type):
+    clock = ManualClock()
+    policy = RepeatPolicy(RetryBudget(), random.Random(1))
+    exc = exc_type("refused", retry_after_ms=50)
+    assert policy.pause_s(exc, 1, Deadline.after_ms(clock, 1000)) >= 0.05
+    assert policy.pause_s(exc, 1, Deadline.after_ms(clock, 10)) is None
+    assert (
+        policy.pause_s(
+            RateExceeded("used up", retry_after_ms=50), 1, Deadline.after_ms(clock, 1000)
+        )
+        is None
+    )
