--- a/src/quetzalrudder/daemon.py
+++ b/src/quetzalrudder/daemon.py
@@ -7,11 +7,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from quetzalrudder.daemon_settings import read_daemon_settings
 from quetzalrudder.drain import DrainResult
 from quetzalrudder.exceptions import BindFailed, InvalidSettings
 from quetzalrudder.instance import Instance
 from quetzalrudder.logs import configure_logging
-from quetzalrudder.settings import read_daemon_settings
 
 __all__ = ["main"]
 
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -16,34 +16,27 @@
 """
 
 import bisect
-import configparser
 import dataclasses
 from collections.abc import Iterable
-from pathlib import Path
 from typing import TypeVar
 
 from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
-from quetzalrudder.keys import DIGEST_PATTERN
+from quetzalrudder.ini import SettingsErrors, check_values, fill_message, read_ini
 from quetzalrudder.models import RouteName, WorkspaceId
-from quetzalrudder.operator_keys import check_digests
 from quetzalrudder.schema.settings import (
     Branch,
     BranchKind,
     BranchSettings,
     Change,
-    DaemonSettings,
     Tree,
     TreeChange,
 )
-from quetzalrudder.utils import field_types, parse_address
 
 __all__ = [
     "ROOT_DEFAULTS",
     "SettingsTree",
-    "SettingsErrors",
     "branches_to_ini",
     "parse_branches",
-    "read_daemon_settings",
 ]
 
 M = TypeVar("M")
@@ -64,8 +57,6 @@
 )
 
 MAX_HISTORY = 1000
-LOG_LEVELS = ("debug", "info", "warning", "error")
-REQUIRED_DAEMON_KEYS = ("instance", "data_centre", "listen", "control_listen", "platform")
 KIND_BY_NAME = {
     "root": BranchKind.ROOT,
     "branch": BranchKind.BRANCH,
@@ -73,150 +64,6 @@
     "route": BranchKind.ROUTE,
 }
 NAME_BY_KIND = {kind: name for name, kind in KIND_BY_NAME.items()}
-MAX_NUMBER = 2**32 - 1
-# Least and most value of a setting; for those not named, 0 and MAX_NUMBER.
-RANGES: dict[str, tuple[float, float]] = {
-    "deadline_ms": (1, 3_600_000),
-    "weight": (0.001, 1000),
-    "replica_wait_ms": (0, 60_000),
-    "max_tasks": (1, 100_000),
-    "drain_s": (0, 3600),
-}
-BOOLEANS = {"true": True, "yes": True, "on": True, "false": False, "no": False, "off": False}
-
-
-class SettingsErrors(InvalidSettings):
-    """Every error of a settings file, each with its file, section and key."""
-
-    def __init__(self, errors: Iterable[QuetzalrudderError]) -> None:
-        self.errors = list(errors)
-        super().__init__("; ".join(str(error) for error in self.errors))
-
-
-def _parser() -> configparser.ConfigParser:
-    return configparser.ConfigParser(
-        interpolation=None, default_section="", strict=True, empty_lines_in_values=False
-    )
-
-
-def _read_ini(text: str, file: str) -> configparser.ConfigParser:
-    parser = _parser()
-    try:
-        parser.read_string(text, source=file)
-    except configparser.Error as exc:
-        raise InvalidSettings(str(exc).replace("\n", " "), place=file) from exc
-    return parser
-
-
-def _convert(text: str, kind: type, place: str) -> object:
-    text = text.strip()
-    if kind is bool:
-        if text.lower() not in BOOLEANS:
-            raise InvalidSettings(f"not true or false: {text!r}", place=place)
-        return BOOLEANS[text.lower()]
-    if kind is str:
-        return text
-    try:
-        number = kind(text)
-    except ValueError:
-        word = "a whole number" if kind is int else "a number"
-        raise InvalidSettings(f"not {word}: {text!r}", place=place) from None
-    return number
-
-
-def check_value(key: str, value: object, place: str) -> None:
-    """Check one value against the range of its key.
-
-    Raises
-    ------
-    InvalidSettings
-        The value is out of range.
-    """
-    if isinstance(value, str):
-        _check_text(key, value, place)
-    elif not isinstance(value, bool) and value is not None:
-        least, most = RANGES.get(key, (0, MAX_NUMBER))
-        if not least <= value <= most:
-            raise InvalidSettings(f"out of range {least} to {most}: {value}", place=place)
-
-
-def _check_text(key: str, value: str, place: str) -> None:
-    if key == "key_digests" and not all(DIGEST_PATTERN.fullmatch(part) for part in value.split()):
-        raise InvalidSettings("not SHA-256 digests in hexadecimal", place=place)
-    if key == "group" and (not value or value != value.strip()):
-        raise InvalidSettings("empty, or blanks around it", place=place)
-
-
-def _fill(
-    message: M, section: configparser.SectionProxy, file: str
-) -> tuple[M, list[QuetzalrudderError]]:
-    types = field_types(type(message))
-    errors: list[QuetzalrudderError] = []
-    for key, text in section.items():
-        place = f"{file} [{section.name}] {key}"
-        if key not in types:
-            errors.append(InvalidSettings("unknown setting", place=place))
-            continue
-        try:
-            setattr(message, key, _convert(text, types[key], place))
-        except InvalidSettings as exc:
-            errors.append(exc)
-    return message, errors
-
-
-def read_daemon_settings(path: Path) -> DaemonSettings:
-    """Read and check a daemon's own settings.
-
-    Raises
-    ------
-    InvalidSettings
-        The file cannot be read or something in it is wrong; every error is named.
-    """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise InvalidSettings(f"cannot be read: {exc}", place=str(path)) from exc
-    parser = _read_ini(text, str(path))
-    errors = [
-        InvalidSettings("unknown section", place=f"{path} [{name}]")
-        for name in parser.sections()
-        if name != "daemon"
-    ]
-    if "daemon" not in parser:
-        errors.append(InvalidSettings("section missing", place=f"{path} [daemon]"))
-        raise SettingsErrors(errors)
-    cfg, wrong = _fill(DaemonSettings(), parser["daemon"], str(path))
-    errors += wrong + _check_daemon_settings(cfg, f"{path} [daemon]")
-    if errors:
-        raise SettingsErrors(errors)
-    return cfg
-
-
-def _check_daemon_settings(cfg: DaemonSettings, place: str) -> list[QuetzalrudderError]:
-    errors: list[QuetzalrudderError] = [
-        InvalidSettings("missing", place=f"{place} {key}")
-        for key in REQUIRED_DAEMON_KEYS
-        if not getattr(cfg, key)
-    ]
-    errors += _check_values(cfg, place)
-    for key in ("listen", "control_listen", "platform", "statsd"):
-        try:
-            if getattr(cfg, key):
-                parse_address(getattr(cfg, key), place=f"{place} {key}")
-        except InvalidSettings as exc:
-            errors.append(exc)
-    for address in (cfg.peers or "").split():
-        try:
-            parse_address(address, place=f"{place} peers")
-        except InvalidSettings as exc:
-            errors.append(exc)
-    errors += check_digests(cfg.operator_key_digests or "", f"{place} operator_key_digests")
-    if cfg.log_level is not None and cfg.log_level not in LOG_LEVELS:
-        known = ", ".join(LOG_LEVELS)
-        errors.append(
-            InvalidSettings(f"not one of {known}: {cfg.log_level!r}", place=f"{place} log_level")
-        )
-    return errors
 
 
 def _parse_header(header: str, place: str) -> tuple[BranchKind, str]:
@@ -246,7 +93,7 @@
     >>> [branch.path for branch in parse_branches("[root]\n[workspace almaty]\n")]
     ['', 'almaty']
     """
-    parser = _read_ini(text, file)
+    parser = read_ini(text, file)
     branches: list[Branch] = []
     errors: list[QuetzalrudderError] = []
     for header in parser.sections():
@@ -256,7 +103,7 @@
         except InvalidSettings as exc:
             errors.append(exc)
             continue
-        settings, wrong = _fill(BranchSettings(), parser[header], file)
+        settings, wrong = fill_message(BranchSettings(), parser[header], file)
         errors += wrong
         branches.append(Branch(kind=kind, path=path, settings=settings))
     errors += check_branches(branches, file)
@@ -304,19 +151,7 @@
     settings = branch.settings or BranchSettings()
     if branch.kind is BranchKind.ROUTE and settings.key_digests:
         errors.append(InvalidSettings("only workspaces have keys", place=f"{place} key_digests"))
-    return errors + _check_values(settings, place)
-
-
-def _check_values(
-    settings: BranchSettings | DaemonSettings, place: str
-) -> list[QuetzalrudderError]:
-    errors: list[QuetzalrudderError] = []
-    for field in dataclasses.fields(settings):
-        try:
-            check_value(field.name, getattr(settings, field.name), f"{place} {field.name}")
-        except InvalidSettings as exc:
-            errors.append(exc)
-    return errors
+    return errors + check_values(settings, place)
 
 
 def header_of(branch: Branch) -> str:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -15,6 +15,7 @@
 from quetzalrudder.adapters import GrpcTargetConn, TargetInfo
 from quetzalrudder.bridge import Loop
 from quetzalrudder.codec import CheckedCodec
+from quetzalrudder.daemon_settings import read_daemon_settings
 from quetzalrudder.exceptions import QuetzalrudderError, from_failure, to_failure
 from quetzalrudder.schema.caller import (
     Access,
@@ -34,7 +35,6 @@
     SettingsTree,
     branches_to_ini,
     parse_branches,
-    read_daemon_settings,
 )
 from quetzalrudder.tokens import Marks, decode_token, encode_token
 from quetzalrudder.utils import parse_address
