Take the payer of a request from its identity, and drop what nothing uses

Cause: a caller without a key is already made anonymous by CallerIdentity, yet two places decided it again (the rate gate and the claim on a slot). Two names were dead (Membership.is_leaving, a type variable left by the split of settings), and the parts registered their calls of a planned stop past Instance.on_drain, which exists for it. Ruled out: merging the fields and doc comments that look alike in failover and promotion (same shape, other logic). Change: the identity's workspace is used, the dead names are gone, on_drain is used.

--- a/src/quetzalrudder/connections.py
+++ b/src/quetzalrudder/connections.py
@@ -229,9 +229,7 @@
 
     def _admit(self, plan: Plan) -> Result[Plan, QuetzalrudderError]:
         """Take the request's cost from its workspace's rate."""
-        caller = plan.caller
-        workspace = caller.workspace if caller.key else WorkspaceId("")
-        admitted = self._owner.rates.admit(workspace, plan.settings.cost)
+        admitted = self._owner.rates.admit(plan.caller.workspace, plan.settings.cost)
         return admitted.map(lambda _: plan)
 
 
--- a/src/quetzalrudder/instance.py
+++ b/src/quetzalrudder/instance.py
@@ -142,7 +142,7 @@
         self.groups.on_leaving = self._tell_leaving
         self.duty = self._make_duty()
         self._drain = self._make_drain()
-        self._drain.callbacks += [self.pool.close, self.exchange.hand_over]
+        self.on_drain.extend([self.pool.close, self.exchange.hand_over])
         control.submit(self.connections.watch_keys, self._stopping)
         self._listen(stack, control, peer_tasks)
         control.submit(self.duty.run, self._stopping)
--- a/src/quetzalrudder/membership.py
+++ b/src/quetzalrudder/membership.py
@@ -148,10 +148,6 @@
             self._departures = kept
         return [Departure(kind, name, at_us) for (kind, name), at_us in sorted(kept.items())]
 
-    def is_leaving(self, kind: DepartureKind, name: str) -> bool:
-        """Tell whether an instance or target has been announced to leave."""
-        return any((d.kind, d.name) == (kind, name) for d in self.departures())
-
     def note_present(self, instance: InstanceId) -> None:
         """Note that an instance is there, so that an earlier departure is over."""
         key = (DepartureKind.INSTANCE, instance)
--- a/src/quetzalrudder/settings.py
+++ b/src/quetzalrudder/settings.py
@@ -18,7 +18,6 @@
 import bisect
 import dataclasses
 from collections.abc import Iterable
-from typing import TypeVar
 
 from quetzalrudder.exceptions import InvalidSettings, QuetzalrudderError
 from quetzalrudder.ini import SettingsErrors, check_values, fill_message, read_ini
@@ -39,8 +38,6 @@
     "parse_branches",
 ]
 
-M = TypeVar("M")
-
 ROOT_DEFAULTS = BranchSettings(
     open=False,
     max_age_ms=0,
--- a/src/quetzalrudder/statements.py
+++ b/src/quetzalrudder/statements.py
@@ -20,7 +20,7 @@
     StatementFailed,
 )
 from quetzalrudder.groups import GroupTable, TargetView, log_covers, log_dropped
-from quetzalrudder.models import GroupId, RequestId, RouteName, WorkspaceId
+from quetzalrudder.models import GroupId, RequestId, RouteName
 from quetzalrudder.pool import ConnectionPool, PooledConn
 from quetzalrudder.retries import RetryBudget
 from quetzalrudder.routing import ReadPolicy, ReadRouter
@@ -294,7 +294,7 @@
     def _send(
         self, plan: Plan, view: TargetView, req: Execute | TargetAskOutcome
     ) -> Result[TargetAnswer, QuetzalrudderError]:
-        claim = Claim(_payer(plan.caller), plan.weight, plan.settings.cost)
+        claim = Claim(plan.caller.workspace, plan.weight, plan.settings.cost)
         borrowed = self._pool.checkout(view.info, plan.deadline, claim)
         if isinstance(borrowed, Err):
             return borrowed
@@ -337,10 +337,6 @@
         )
 
 
-def _payer(caller: CallerIdentity) -> WorkspaceId:
-    return caller.workspace if caller.key else WorkspaceId("")
-
-
 def check_request_id(request_id: str) -> Result[None, MalformedMessage]:
     """Check that a request id is there and short enough to be recorded."""
     if request_id and len(request_id.encode()) <= MAX_REQUEST_ID_BYTES:
