--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -37,6 +37,7 @@
     "StaleTerm",
     "Starting",
     "StatementFailed",
+    "StatementNotPrepared",
     "TargetUnavailable",
     "TransactionAborted",
     "TransactionNotFound",
@@ -212,6 +213,12 @@
     code = ErrorCode.STATEMENT_FAILED
 
 
+class StatementNotPrepared(QuetzalrudderError):
+    """No statement of that name is prepared in this session."""
+
+    code = ErrorCode.STATEMENT_NOT_PREPARED
+
+
 class TransactionNotFound(QuetzalrudderError):
     """No such transaction is open on this connection."""
 
--- /dev/null
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -0,0 +1,313 @@
+"""One attempt of a statement at a database: which one, under which proof, and for how long."""
+
+import random
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from quetzalrudder.exceptions import (
+    ConnectionLimitReached,
+    DeadlineExceeded,
+    LinkLost,
+    NoPrimary,
+    NoReplica,
+    OutcomeUnknown,
+    Overloaded,
+    QuetzalrudderError,
+    StaleTerm,
+    StatementFailed,
+    StatementNotPrepared,
+    TargetUnavailable,
+    TransactionAborted,
+    TruncatedAnswer,
+)
+from quetzalrudder.gateway.catalog import Consistency, Route
+from quetzalrudder.gateway.connections import GatewayPool, Loan, Urgency
+from quetzalrudder.gateway.freshness import PositionWindow
+from quetzalrudder.gateway.leadership import Lead, LeaderTable
+from quetzalrudder.gateway.placement import Placement
+from quetzalrudder.gateway.statements import Commit, Statement, TargetFault, TargetReply
+from quetzalrudder.gateway.suspicion import PrimaryMonitor
+from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry
+from quetzalrudder.models import GroupId, RequestId, TargetId, WorkspaceId
+from quetzalrudder.schema.common import Ending
+from quetzalrudder.utils import Clock
+
+__all__ = [
+    "Attempt",
+    "AttemptPlanner",
+    "Request",
+    "fault_error",
+    "lost_answer",
+    "retry_pause_s",
+    "stale_answer",
+]
+
+# Pauses between attempts. A slot is in use for 8 to 40 ms on average.
+FIRST_PAUSE_S = 0.003
+LONGEST_PAUSE_S = 0.04
+# A read is tried elsewhere if a database takes longer, as its connection may be silent.
+READ_ATTEMPT_S = 0.4
+# How long a request waits for a primary that is being replaced.
+LEAD_WAIT_S = 0.25
+# When a caller may come back while a primary is replaced: the platform states 300 to
+# 1,000 ms for a promotion.
+LEAD_RETRY_MS = 500
+
+
+@dataclass
+class Request:
+    """A statement on its way, with what has been tried."""
+
+    request_id: RequestId
+    statement: Statement
+    route: Route
+    workspace: WorkspaceId
+    # Clock readings, in seconds.
+    deadline_at: float
+    wanted_at: float
+    # The session's own commits.
+    covers: LogPosition | None
+    attempts: int = 0
+    excluded: set[TargetId] = field(default_factory=set)
+
+    @property
+    def urgency(self) -> Urgency:
+        """Its place among others."""
+        rank = 0 if isinstance(self.statement, Commit) else 1
+        return Urgency(rank, self.route.priority, self.wanted_at)
+
+    def exclude(self, target: TargetId, fault: TargetFault | None) -> None:
+        """Leave a database out of the next choice."""
+        if fault is not TargetFault.NOT_PREPARED:
+            self.excluded.add(target)
+
+    def may_repeat(self, exc: QuetzalrudderError) -> bool:
+        """Tell whether an attempt after this failure can end otherwise."""
+        return isinstance(exc, REPEATABLE)
+
+
+REPEATABLE = (
+    ConnectionLimitReached,
+    LinkLost,
+    NoPrimary,
+    NoReplica,
+    Overloaded,
+    StaleTerm,
+    StatementNotPrepared,
+    TargetUnavailable,
+    TruncatedAnswer,
+)
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """A connection on which to try a statement."""
+
+    loan: Loan
+    # Set if the answer counts only while this primary leads.
+    lead: Lead | None
+    # Log position that the database must hold.
+    at_least: LogPosition | None
+    until: float
+
+    def timeout_s(self, now: float) -> float:
+        """Seconds left for it."""
+        return max(0.01, self.until - now)
+
+
+class AttemptPlanner:
+    """Chooses databases and proofs, and learns from the answers.
+
+    Parameters
+    ----------
+    registry, leaders, placement, pool
+        What is known of the databases, and connections to them.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: TargetRegistry,
+        leaders: LeaderTable,
+        placement: Placement,
+        pool: GatewayPool,
+        clock: Clock,
+    ) -> None:
+        self._registry = registry
+        self._leaders = leaders
+        self._placement = placement
+        self._pool = pool
+        self._clock = clock
+        self._windows: dict[GroupId, PositionWindow] = {}
+        self._monitors: dict[GroupId, PrimaryMonitor] = {}
+
+    def window(self, group: GroupId) -> PositionWindow:
+        """Positions of a group's primary."""
+        return self._windows.setdefault(group, PositionWindow(self._clock))
+
+    def monitor(self, group: GroupId) -> PrimaryMonitor:
+        """Contact with a group's primary."""
+        return self._monitors.setdefault(group, PrimaryMonitor(self._clock))
+
+    def plan(self, req: Request, *, needs_primary: bool) -> Result[Attempt, QuetzalrudderError]:
+        """Choose a database for the next attempt and borrow a connection to it."""
+        if not needs_primary and req.route.consistency is not Consistency.PRIMARY:
+            needed = self._needed(req)
+            if needed is not None:
+                found = self._plan_replica(req, needed)
+                if found is not None:
+                    return found
+        return self._plan_primary(req)
+
+    def _needed(self, req: Request) -> LogPosition | None:
+        needed = self.window(req.route.group).needed(req.route.max_age_ms)
+        if needed is None or req.covers is None:
+            return needed
+        return max(needed, req.covers)
+
+    def _plan_replica(
+        self, req: Request, needed: LogPosition
+    ) -> Result[Attempt, QuetzalrudderError] | None:
+        """Plan a read at a replica; None if the primary is all that is left."""
+        group = req.route.group
+        record = self._leaders.record(group)
+        primary = record.primary if record is not None else None
+        found = self._placement.order(group, req.workspace, req.excluded)
+        replicas = [target for target in found if target.target != primary]
+        if not replicas:
+            # The next round tries all of them again.
+            req.excluded.clear()
+            return None
+        until = min(req.deadline_at, self._clock.monotonic() + READ_ATTEMPT_S)
+        return self._borrow(req, replicas[0], None, needed, until)
+
+    def _plan_primary(self, req: Request) -> Result[Attempt, QuetzalrudderError]:
+        group = req.route.group
+        now = self._clock.monotonic()
+        lead = self._leaders.lead(group)
+        if lead is None:
+            wait_s = min(LEAD_WAIT_S, req.deadline_at - now)
+            lead = self._leaders.wait_for_lead(group, max(0.0, wait_s))
+        target = self._registry.get(lead.target) if lead is not None else None
+        if target is None:
+            return Err(
+                NoPrimary("no primary may be used", place=group, retry_after_ms=LEAD_RETRY_MS)
+            )
+        return self._borrow(req, target, lead, None, req.deadline_at)
+
+    def _borrow(
+        self,
+        req: Request,
+        target: Target,
+        lead: Lead | None,
+        at_least: LogPosition | None,
+        until: float,
+    ) -> Result[Attempt, QuetzalrudderError]:
+        loan = self._pool.checkout(target, req.workspace, req.urgency, until)
+        if isinstance(loan, Err):
+            self._note_unreachable(target, lead, loan.err_value)
+            req.excluded.add(target.target)
+            return loan
+        return Ok(Attempt(loan.ok_value, lead, at_least, until))
+
+    def _note_unreachable(self, target: Target, lead: Lead | None, exc: QuetzalrudderError) -> None:
+        if isinstance(exc, Overloaded | ConnectionLimitReached):
+            return
+        self._placement.note_failure(target.target)
+        if lead is not None:
+            self.monitor(lead.group).failed(target.target)
+
+    def _answered(self, target: TargetId, lead: Lead | None) -> None:
+        self._placement.note_answer(target)
+        if lead is not None:
+            self.monitor(lead.group).answered(target)
+
+    def confirm(self, attempt: Attempt, reply: TargetReply, asked_at: float) -> bool:
+        """Check that an answer counts, and learn from it.
+
+        A primary's answer counts only if nothing can have replaced it until now.
+        """
+        self._answered(attempt.loan.target.target, attempt.lead)
+        if attempt.lead is None:
+            return True
+        if not self._leaders.holds(attempt.lead):
+            return False
+        if reply.position is not None:
+            self.window(attempt.lead.group).add(asked_at, reply.position)
+        return True
+
+    def still_leads(self, attempt: Attempt) -> bool:
+        """Tell whether the attempt's primary may still be used."""
+        return attempt.lead is not None and self._leaders.holds(attempt.lead)
+
+    def note_fault(self, attempt: Attempt, fault: TargetFault | None) -> None:
+        """Learn from a failure; without a fault the connection was lost."""
+        target = attempt.loan.target.target
+        match fault:
+            case None:
+                self._placement.note_failure(target)
+            case TargetFault.BUSY:
+                self._placement.note_busy(target)
+                self._answered(target, attempt.lead)
+            case TargetFault.LAGGING:
+                self._placement.note_lagging(target)
+            case TargetFault.READ_ONLY if attempt.lead is not None:
+                self.monitor(attempt.lead.group).refused_as_replica(target)
+            case _:
+                self._answered(target, attempt.lead)
+
+    def begin_use(self, attempt: Attempt) -> None:
+        """Count a transaction that a planned replacement waits for."""
+        if attempt.lead is not None:
+            self._leaders.begin_use(attempt.lead.group)
+
+    def end_use(self, attempt: Attempt) -> None:
+        """Uncount it."""
+        if attempt.lead is not None:
+            self._leaders.end_use(attempt.lead.group)
+
+
+def stale_answer(place: str) -> NoPrimary:
+    """Give the failure of an answer that came when the primary could have been replaced."""
+    reason = "the primary may have been replaced before it answered"
+    return NoPrimary(reason, place=place, retry_after_ms=LEAD_RETRY_MS)
+
+
+def lost_answer(exc: QuetzalrudderError, *, writes: bool) -> QuetzalrudderError:
+    """Give the ending of a request whose connection failed."""
+    if not writes or isinstance(exc, TargetUnavailable):
+        return exc
+    return OutcomeUnknown(f"no answer: {exc}", place=exc.place)
+
+
+def retry_pause_s(req: Request, rng: random.Random) -> float:
+    """Give the pause before the next attempt: it grows, and differs between callers."""
+    longest_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(req.attempts, 6))
+    return longest_s * (0.5 + rng.random() / 2)
+
+
+def fault_error(reply: TargetReply, place: str) -> QuetzalrudderError:
+    """Give the failure that stands for a database's fault."""
+    reason = f"{reply.fault.value}: {reply.detail}" if reply.fault else reply.detail
+    match reply.fault:
+        case TargetFault.BUSY:
+            return Overloaded(reason, place=place, retry_after_ms=20)
+        case TargetFault.NOT_PREPARED:
+            return StatementNotPrepared(reason, place=place)
+        case TargetFault.LAGGING:
+            return NoReplica(reason, place=place, retry_after_ms=20)
+        case TargetFault.READ_ONLY:
+            return NoPrimary(reason, place=place, retry_after_ms=LEAD_RETRY_MS)
+        case TargetFault.MOVED:
+            return TargetUnavailable(reason, place=place)
+        case TargetFault.CONNECTION_LIMIT:
+            return ConnectionLimitReached(reason, place=place, retry_after_ms=50)
+        case TargetFault.ABORTED:
+            return TransactionAborted(reason, place=place)
+        case TargetFault.TIMED_OUT:
+            return DeadlineExceeded(reason, place=place, ending=Ending.UNKNOWN)
+        case _:
+            return StatementFailed(reason, place=place)
--- /dev/null
+++ b/src/quetzalrudder/gateway/failover.py
@@ -0,0 +1,368 @@
+"""The duty to replace primaries: held by one instance at a time, by a lease in the store."""
+
+import logging
+import random
+import threading
+from dataclasses import replace
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
+from quetzalrudder.gateway.leadership import (
+    PERMISSION_S,
+    LeaderRecord,
+    LeaderTable,
+    MemberTable,
+    is_suspected,
+    may_promote,
+)
+from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.records import (
+    DUTY_KEY,
+    LEADER_PREFIX,
+    MEMBER_PREFIX,
+    DutyRecord,
+    decode_leader,
+    decode_member,
+    encode_duty,
+    encode_leader,
+)
+from quetzalrudder.gateway.statements import TargetStatus
+from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict
+from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry, TargetRole
+from quetzalrudder.models import GroupId, InstanceId, TargetId
+from quetzalrudder.utils import Clock
+
+__all__ = ["FailoverDuty", "Promoter", "Prober"]
+
+log = logging.getLogger(__name__)
+
+# A holder that dies is replaced after this long; the platform's shortest lease is 1 s.
+DUTY_S = 2.0
+DUTY_RENEW_S = 0.5
+# The duty is not used when its lease may end before a call has arrived.
+DUTY_MARGIN_S = 0.5
+TURN_S = 0.05
+# How long a successor may take to answer or to be promoted before another is chosen.
+SUCCESSOR_S = 3.0
+# How long a planned replacement waits for the successor to receive the whole log.
+CATCH_UP_S = 1.0
+PROBE_TIMEOUT_S = 0.3
+
+
+class Promoter(Protocol):
+    """The platform's call that makes a database the primary."""
+
+    def promote(
+        self, group: GroupId, target: TargetId, *, holder: InstanceId, token: int
+    ) -> Result[None, QuetzalrudderError]:
+        """Promote a database; ``TargetUnavailable`` if it does not run."""
+
+
+class Prober(Protocol):
+    """Asks databases about themselves."""
+
+    def status(self, target: Target) -> Result[TargetStatus, QuetzalrudderError]:
+        """Ask for role and position."""
+
+    def step_down(self, target: Target, term: int) -> Result[None, QuetzalrudderError]:
+        """Tell an old primary to become a replica."""
+
+
+class FailoverDuty:
+    """Replaces lost and leaving primaries while this instance holds the duty.
+
+    Parameters
+    ----------
+    store, promoter, prober
+        The store, the platform's call, and questions to databases.
+    instance, incarnation
+        This process.
+    registry, leaders, members, contact
+        What this instance has seen.
+    rng : random.Random
+        Spreads attempts to take the duty.
+    clock : Clock
+        Source of time; it must count suspensions.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        promoter: Promoter,
+        prober: Prober,
+        instance: InstanceId,
+        incarnation: str,
+        registry: TargetRegistry,
+        leaders: LeaderTable,
+        members: MemberTable,
+        contact: StoreContact,
+        rng: random.Random,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._promoter = promoter
+        self._prober = prober
+        self._instance = instance
+        self._incarnation = incarnation
+        self._registry = registry
+        self._leaders = leaders
+        self._members = members
+        self._contact = contact
+        self._rng = rng
+        self._clock = clock
+        self._seen: DutyRecord | None = None
+        self._lease: LeaseId | None = None
+        self._token = 0
+        self._valid_until = -1.0
+        self._next_renewal = 0.0
+        self._next_try = 0.0
+        self._moving_since: dict[GroupId, float] = {}
+        self._unreachable: dict[TargetId, float] = {}
+
+    def observe(self, record: DutyRecord | None) -> None:
+        """Take what the store says of the duty; None if nobody holds it."""
+        if record is None:
+            # Instances do not all try at once.
+            self._next_try = self._clock.monotonic() + self._rng.random() * 0.1
+        self._seen = record
+
+    @property
+    def holds_duty(self) -> bool:
+        """True while this instance may replace primaries."""
+        return self._clock.monotonic() < self._valid_until
+
+    def run(self, stopping: threading.Event) -> None:
+        """Look for work until told to stop; then leave the duty to another."""
+        while not stopping.wait(TURN_S):
+            self.step()
+        self._valid_until = -1.0
+        if self._lease is not None:
+            self._store.end_lease(self._lease)
+
+    def step(self) -> None:
+        """Keep or take the duty, and move each group's replacement on."""
+        if self._lease is None:
+            self._take()
+        elif self._clock.monotonic() >= self._next_renewal:
+            self._renew()
+        if not self.holds_duty:
+            return
+        for group in self._groups():
+            self._look_after(group)
+
+    def _groups(self) -> list[GroupId]:
+        return sorted({target.group for target in self._registry.all_targets()})
+
+    # The duty.
+
+    def _take(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._next_try:
+            return
+        # A predecessor of this process cannot run any more.
+        if self._seen is not None and (
+            self._seen.instance != self._instance or self._seen.incarnation == self._incarnation
+        ):
+            return
+        self._next_try = now + DUTY_RENEW_S
+        lease = self._store.open_lease(DUTY_S)
+        if isinstance(lease, Err):
+            self._contact.failed(lease.err_value)
+            return
+        expected = self._seen.revision if self._seen is not None else 0
+        value = encode_duty(DutyRecord(self._instance, self._incarnation))
+        written = self._store.write(DUTY_KEY, value, expected, lease.ok_value)
+        if isinstance(written, Err):
+            log.info("duty not taken", extra={"reason": str(written.err_value)})
+            self._store.end_lease(lease.ok_value)
+            return
+        self._lease = lease.ok_value
+        self._token = written.ok_value
+        self._valid_until = now + DUTY_S - DUTY_MARGIN_S
+        self._next_renewal = now + DUTY_RENEW_S
+        log.info("duty taken", extra={"token": self._token})
+
+    def _renew(self) -> None:
+        sent_at = self._clock.monotonic()
+        self._next_renewal = sent_at + DUTY_RENEW_S
+        result = self._store.keep_lease(self._lease)
+        if isinstance(result, Ok):
+            self._valid_until = sent_at + DUTY_S - DUTY_MARGIN_S
+        elif isinstance(result.err_value, LeaseEnded):
+            log.warning("duty lost", extra={"token": self._token})
+            self._lease = None
+            self._valid_until = -1.0
+        else:
+            self._contact.failed(result.err_value)
+
+    # Replacing a primary.
+
+    def _look_after(self, group: GroupId) -> None:
+        record = self._leaders.record(group)
+        if record is None:
+            self._adopt(group)
+        elif record.primary is not None:
+            self._check(record)
+        else:
+            self._move_on(record)
+
+    def _adopt(self, group: GroupId) -> None:
+        """Record the primary of a group that has no record yet."""
+        found = [
+            target for target in self._registry.of_group(group) if target.role is TargetRole.PRIMARY
+        ]
+        if len(found) == 1:
+            self._write(LeaderRecord(group, 1, found[0].target))
+
+    def _check(self, record: LeaderRecord) -> None:
+        info = self._registry.get(record.primary)
+        leaving = info is not None and info.draining
+        suspected = is_suspected(record.primary, record.group, self._members.members())
+        if not leaving and not suspected:
+            return
+        successor = self._choose_successor(record.group, record.primary)
+        if successor is None:
+            return
+        self._write(
+            replace(
+                record,
+                epoch=record.epoch + 1,
+                primary=None,
+                successor=successor,
+                previous=record.primary,
+                planned=leaving and not suspected,
+            )
+        )
+
+    def _choose_successor(self, group: GroupId, excluded: TargetId | None) -> TargetId | None:
+        """Choose the replica that has received most of the log."""
+        best: tuple[LogPosition, TargetId] | None = None
+        now = self._clock.monotonic()
+        for target in self._registry.of_group(group):
+            tried_at = self._unreachable.get(target.target, -1e9)
+            if target.target == excluded or target.draining or now - tried_at < SUCCESSOR_S:
+                continue
+            status = self._prober.status(target)
+            if isinstance(status, Err):
+                log.info(
+                    "no status of a replica",
+                    extra={"target": target.target, "reason": str(status.err_value)},
+                )
+                continue
+            found = (status.ok_value.received, target.target)
+            best = found if best is None else max(best, found)
+        if best is None:
+            log.warning("no replica can take over", extra={"group": group})
+            return None
+        log.info(
+            "successor chosen",
+            extra={"group": group, "target": best[1], "received": str(best[0])},
+        )
+        return best[1]
+
+    def _move_on(self, record: LeaderRecord) -> None:
+        since = self._moving_since.setdefault(record.group, self._clock.monotonic())
+        if not self._is_clear(record):
+            return
+        if record.planned and self._clock.monotonic() - since < CATCH_UP_S + SUCCESSOR_S:
+            self._hand_log_over(record)
+        if not self.holds_duty:
+            return
+        result = self._promoter.promote(
+            record.group, record.successor, holder=self._instance, token=self._token
+        )
+        if isinstance(result, Ok):
+            log.info(
+                "promoted",
+                extra={
+                    "group": record.group,
+                    "target": record.successor,
+                    "epoch": record.epoch,
+                    "token": self._token,
+                    "took_s": round(self._clock.monotonic() - since, 3),
+                },
+            )
+            self._write(replace(record, primary=record.successor, successor=None, planned=False))
+            return
+        log.warning(
+            "not promoted",
+            extra={
+                "group": record.group,
+                "target": record.successor,
+                "reason": str(result.err_value),
+            },
+        )
+        late = self._clock.monotonic() - since > SUCCESSOR_S
+        if isinstance(result.err_value, TargetUnavailable) or late:
+            self._choose_another(record)
+
+    def _choose_another(self, record: LeaderRecord) -> None:
+        self._unreachable[record.successor] = self._clock.monotonic()
+        successor = self._choose_successor(record.group, None)
+        if successor is not None:
+            self._write(replace(record, epoch=record.epoch + 1, successor=successor))
+
+    def _is_clear(self, record: LeaderRecord) -> bool:
+        """Read the members and tell whether nobody can use the old primary any more."""
+        if any(
+            member.acknowledged.get(record.group, 0) < record.epoch
+            for member in self._members.members()
+        ):
+            return False
+        result = self._store.read_prefix(MEMBER_PREFIX)
+        if isinstance(result, Err):
+            self._contact.failed(result.err_value)
+            return False
+        members = [decode_member(item) for item in result.ok_value.items]
+        return may_promote(
+            record.group,
+            record.epoch,
+            members,
+            lost=self._members.lost_within(PERMISSION_S),
+            contact_s=self._contact.contact_s,
+            history_s=self._contact.history_s,
+        )
+
+    def _hand_log_over(self, record: LeaderRecord) -> None:
+        """Stop the old primary's writes and wait until the successor has received them."""
+        old = self._registry.get(record.previous) if record.previous else None
+        new = self._registry.get(record.successor)
+        if old is None or new is None:
+            return
+        before = self._prober.status(old)
+        if isinstance(before, Err):
+            return
+        stepped = self._prober.step_down(old, before.ok_value.term + 1)
+        if isinstance(stepped, Err):
+            log.info("old primary did not step down", extra={"reason": str(stepped.err_value)})
+            return
+        final = self._prober.status(old)
+        until = self._clock.monotonic() + CATCH_UP_S
+        while isinstance(final, Ok) and self._clock.monotonic() < until:
+            status = self._prober.status(new)
+            if isinstance(status, Ok) and status.ok_value.received >= final.ok_value.received:
+                log.info("log handed over", extra={"group": record.group})
+                return
+            self._clock.sleep(TURN_S / 2)
+        log.warning("log not handed over in time", extra={"group": record.group})
+
+    def _write(self, record: LeaderRecord) -> None:
+        """Write a record if nobody has changed it since it was read."""
+        if not self.holds_duty:
+            return
+        key = LEADER_PREFIX + record.group
+        result = self._store.write(key, encode_leader(record), record.revision)
+        if isinstance(result, Ok):
+            self._moving_since.pop(record.group, None)
+            self._leaders.observe(replace(record, revision=result.ok_value))
+            return
+        match result.err_value:
+            case WriteConflict(current=current):
+                for item in current:
+                    if item.key == key and item.value is not None:
+                        self._leaders.observe(decode_leader(item))
+            case exc:
+                self._contact.failed(exc)
--- /dev/null
+++ b/src/quetzalrudder/gateway/leadership.py
@@ -0,0 +1,313 @@
+"""Who leads each group, and whether this instance may still use that primary.
+
+An old primary goes on serving after it was replaced. So an instance uses a primary only
+with a *permission*: its own lease in the store was renewed recently enough, counted from
+the moment the renewal was sent. Whoever changes a primary waits until every instance has
+acknowledged the change or its permission has run out.
+"""
+
+import logging
+import threading
+from dataclasses import dataclass
+
+from quetzalrudder.models import GroupId, InstanceId, TargetId
+from quetzalrudder.utils import Clock
+
+__all__ = [
+    "PERMISSION_S",
+    "Lead",
+    "LeaderRecord",
+    "LeaderTable",
+    "MemberRecord",
+    "MemberTable",
+    "Permission",
+    "is_suspected",
+    "may_promote",
+]
+
+log = logging.getLogger(__name__)
+
+# How long a renewal allows the use of primaries. Longer outages of the store stop writes;
+# an instance that is cut off delays a failover by as much. The brief asks for failovers
+# within 7 s.
+PERMISSION_S = 6.0
+# Clocks of instances may differ in rate; the platform states no figure.
+PERMISSION_MARGIN_S = 0.2
+# How long open work at a primary may delay its planned replacement.
+PLANNED_WAIT_S = 1.5
+
+
+class Permission:
+    """The right to use primaries, which runs out by itself.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time; it must count suspensions.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until = -1.0
+
+    def renewed(self, sent_at: float) -> None:
+        """Note that the store has renewed the lease by a call sent at that time."""
+        self._until = max(self._until, sent_at + PERMISSION_S - PERMISSION_MARGIN_S)
+
+    def drop(self) -> None:
+        """Give the permission up."""
+        self._until = -1.0
+
+    @property
+    def valid(self) -> bool:
+        """True while primaries may be used."""
+        return self._clock.monotonic() < self._until
+
+    @property
+    def left_s(self) -> float:
+        """Seconds until it runs out."""
+        return max(0.0, self._until - self._clock.monotonic())
+
+
+@dataclass(frozen=True)
+class LeaderRecord:
+    """What the store says of a group's primary."""
+
+    group: GroupId
+    epoch: int
+    # None while the primary changes.
+    primary: TargetId | None
+    # The target that is to lead, while the primary changes.
+    successor: TargetId | None = None
+    previous: TargetId | None = None
+    # True if the previous primary is healthy and its work is finished first.
+    planned: bool = False
+    revision: int = 0
+
+
+@dataclass(frozen=True)
+class Lead:
+    """A primary as an instance used it."""
+
+    group: GroupId
+    target: TargetId
+    epoch: int
+
+
+class LeaderTable:
+    """The records of all groups, as this instance has seen them.
+
+    Parameters
+    ----------
+    permission : Permission
+        This instance's right to use primaries.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, permission: Permission, clock: Clock) -> None:
+        self._permission = permission
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._records: dict[GroupId, LeaderRecord] = {}
+        self._in_use: dict[GroupId, int] = {}
+        self._seen_at: dict[GroupId, float] = {}
+
+    def observe(self, record: LeaderRecord) -> bool:
+        """Take a record unless it is older than the one known; true if it is new."""
+        with self._changed:
+            known = self._records.get(record.group)
+            if known is not None and record.revision <= known.revision:
+                return False
+            self._records[record.group] = record
+            self._seen_at[record.group] = self._clock.monotonic()
+            self._changed.notify_all()
+        log.info(
+            "primary recorded",
+            extra={
+                "group": record.group,
+                "epoch": record.epoch,
+                "primary": record.primary or "",
+                "successor": record.successor or "",
+                "revision": record.revision,
+            },
+        )
+        return True
+
+    def record(self, group: GroupId) -> LeaderRecord | None:
+        """Give the newest record of a group."""
+        return self._records.get(group)
+
+    def records(self) -> list[LeaderRecord]:
+        """Give the newest record of every group."""
+        with self._changed:
+            return list(self._records.values())
+
+    def lead(self, group: GroupId) -> Lead | None:
+        """Give the primary that may be used now; None if there is none."""
+        record = self._records.get(group)
+        if record is None or record.primary is None or not self._permission.valid:
+            return None
+        return Lead(group, record.primary, record.epoch)
+
+    def holds(self, lead: Lead) -> bool:
+        """Tell whether nothing can have replaced a primary until now."""
+        return self.lead(lead.group) == lead
+
+    def wait_for_lead(self, group: GroupId, timeout_s: float) -> Lead | None:
+        """Wait until the group has a primary that may be used."""
+        with self._changed:
+            self._changed.wait_for(lambda: self.lead(group) is not None, timeout_s)
+        return self.lead(group)
+
+    def begin_use(self, group: GroupId) -> None:
+        """Count work at the primary that a planned replacement waits for."""
+        with self._changed:
+            self._in_use[group] = self._in_use.get(group, 0) + 1
+
+    def end_use(self, group: GroupId) -> None:
+        """Uncount it."""
+        with self._changed:
+            self._in_use[group] -= 1
+
+    def acknowledged(self) -> dict[GroupId, int]:
+        """Give the epochs up to which this instance uses no earlier primary."""
+        now = self._clock.monotonic()
+        with self._changed:
+            acknowledged = {}
+            for group, record in self._records.items():
+                waiting = (
+                    record.planned
+                    and record.primary is None
+                    and self._in_use.get(group, 0) > 0
+                    and now < self._seen_at[group] + PLANNED_WAIT_S
+                )
+                if not waiting:
+                    acknowledged[group] = record.epoch
+            return acknowledged
+
+
+@dataclass(frozen=True)
+class MemberRecord:
+    """What an instance says of itself in the store."""
+
+    instance: InstanceId
+    incarnation: str
+    acknowledged: dict[GroupId, int]
+    suspects: dict[GroupId, TargetId]
+
+
+class MemberTable:
+    """The instances that may use primaries, as this instance sees them in the store.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    # Instances are counted for some time after they were last seen, as one that is cut
+    # off from the store goes on admitting requests.
+    COUNT_S = 20.0
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._members: dict[InstanceId, MemberRecord] = {}
+        self._seen: dict[InstanceId, float] = {}
+        self._lost: dict[InstanceId, float] = {}
+
+    def put(self, record: MemberRecord) -> None:
+        """Take a member's record."""
+        with self._lock:
+            known = self._members.get(record.instance)
+            self._members[record.instance] = record
+            self._seen[record.instance] = self._clock.monotonic()
+            self._lost.pop(record.instance, None)
+        if known is None or known.incarnation != record.incarnation:
+            log.info(
+                "instance joined",
+                extra={"member": record.instance, "incarnation": record.incarnation},
+            )
+
+    def remove(self, instance: InstanceId) -> None:
+        """Note that a member's record is gone."""
+        with self._lock:
+            if self._members.pop(instance, None) is None:
+                return
+            now = self._clock.monotonic()
+            self._seen[instance] = now
+            self._lost[instance] = now
+        log.info("instance left", extra={"member": instance})
+
+    def replace_all(self, records: list[MemberRecord]) -> None:
+        """Take a full list."""
+        listed = {record.instance for record in records}
+        with self._lock:
+            gone = [name for name in self._members if name not in listed]
+        for record in records:
+            self.put(record)
+        for name in gone:
+            self.remove(name)
+
+    def members(self) -> list[MemberRecord]:
+        """List the members that are in the store."""
+        with self._lock:
+            return list(self._members.values())
+
+    def count(self) -> int:
+        """Count the instances that may admit requests, also lately lost ones."""
+        oldest = self._clock.monotonic() - self.COUNT_S
+        with self._lock:
+            lately = [name for name, at in self._lost.items() if at > oldest]
+            return max(1, len(self._members) + len(lately))
+
+    def lost_within(self, span_s: float) -> list[InstanceId]:
+        """List the instances whose record went away lately."""
+        oldest = self._clock.monotonic() - span_s
+        with self._lock:
+            return [name for name, at in self._lost.items() if at > oldest]
+
+
+def is_suspected(target: TargetId, group: GroupId, members: list[MemberRecord]) -> bool:
+    """Tell whether most members have lost a primary.
+
+    Examples
+    --------
+    >>> lost = MemberRecord("a", "1", {}, {"g": "db-1"})
+    >>> fine = MemberRecord("b", "1", {}, {})
+    >>> is_suspected("db-1", "g", [lost, fine]), is_suspected("db-1", "g", [lost, fine, fine])
+    (True, False)
+    """
+    suspecting = sum(1 for member in members if member.suspects.get(group) == target)
+    return suspecting > 0 and suspecting * 2 >= len(members)
+
+
+def may_promote(
+    group: GroupId,
+    epoch: int,
+    members: list[MemberRecord],
+    *,
+    lost: list[InstanceId],
+    contact_s: float,
+    history_s: float,
+) -> bool:
+    """Tell whether no instance can use the primary of an earlier epoch any more.
+
+    Parameters
+    ----------
+    group, epoch
+        The change that is to take effect.
+    members : list of MemberRecord
+        All members in the store, read after the change was written.
+    lost : list of InstanceId
+        Members whose record went away within ``PERMISSION_S``.
+    contact_s : float
+        Seconds for which the reader has reached the store without a failure. Only
+        then is it certain that a lease which is gone has run its whole time.
+    history_s : float
+        Seconds for which the reader has seen every change in the store.
+    """
+    if any(member.acknowledged.get(group, 0) < epoch for member in members):
+        return False
+    return contact_s > PERMISSION_S or (history_s > PERMISSION_S and not lost)
--- /dev/null
+++ b/src/quetzalrudder/gateway/probing.py
@@ -0,0 +1,186 @@
+"""Questions of our own to databases: is the primary there, how far is a replica."""
+
+import logging
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from quetzalrudder.exceptions import Overloaded, QuetzalrudderError
+from quetzalrudder.gateway.attempts import AttemptPlanner
+from quetzalrudder.gateway.connections import GatewayPool
+from quetzalrudder.gateway.leadership import Lead, LeaderTable
+from quetzalrudder.gateway.statements import (
+    TargetConnector,
+    TargetFault,
+    TargetLink,
+    TargetStatus,
+)
+from quetzalrudder.gateway.targets import Target, TargetRegistry
+from quetzalrudder.models import GroupId, TargetId, WorkspaceId
+from quetzalrudder.utils import Clock
+
+__all__ = ["PooledProber", "PrimaryWatch"]
+
+log = logging.getLogger(__name__)
+
+# A primary is asked once no answer of it has come for this long. It also bounds the age
+# of the newest known position, for routes whose reads accept 1,500 ms.
+QUIET_S = 0.35
+TURN_S = 0.05
+PROBE_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.3
+
+
+class PooledProber:
+    """Asks databases on idle connections of the pool, or on one of its own.
+
+    Parameters
+    ----------
+    pool : GatewayPool
+        Connections that may be idle.
+    connector : TargetConnector
+        Opens a connection where none is.
+    workspace : Callable
+        Gives a workspace for which connections may be opened; None if there is none.
+    """
+
+    def __init__(
+        self,
+        pool: GatewayPool,
+        connector: TargetConnector,
+        workspace: Callable[[], WorkspaceId | None],
+    ) -> None:
+        self._pool = pool
+        self._connector = connector
+        self._workspace = workspace
+
+    def status(self, target: Target) -> Result[TargetStatus, QuetzalrudderError]:
+        """Ask for role and position.
+
+        Only a failure on a new connection counts: an old one may have gone silent.
+        """
+        loan = self._pool.take_any_idle(target)
+        if loan is not None:
+            with loan:
+                asked = _ask(loan.link, target)
+                if isinstance(asked, Ok) or isinstance(asked.err_value, Overloaded):
+                    loan.keep()
+                    return asked
+        return self._on_new_connection(target, lambda link: _ask(link, target))
+
+    def step_down(self, target: Target, term: int) -> Result[None, QuetzalrudderError]:
+        """Tell an old primary to become a replica."""
+        return self._on_new_connection(target, lambda link: link.step_down(term, PROBE_TIMEOUT_S))
+
+    def _on_new_connection(
+        self, target: Target, ask: Callable[[TargetLink], Result[Any, QuetzalrudderError]]
+    ) -> Result[Any, QuetzalrudderError]:
+        workspace = self._workspace()
+        if workspace is None:
+            return Err(Overloaded("no workspace is configured", place=target.target))
+        opened = self._connector.connect(target, workspace, CONNECT_TIMEOUT_S)
+        if isinstance(opened, Err):
+            return opened
+        try:
+            return ask(opened.ok_value)
+        finally:
+            opened.ok_value.close()
+
+
+def _ask(link: TargetLink, target: Target) -> Result[TargetStatus, QuetzalrudderError]:
+    result = link.status(PROBE_TIMEOUT_S)
+    if isinstance(result, Err):
+        return result
+    if isinstance(result.ok_value, TargetFault):
+        return Err(Overloaded(result.ok_value.value, place=target.target))
+    return Ok(result.ok_value)
+
+
+class PrimaryWatch:
+    """Asks one group's primary when it has been quiet.
+
+    Parameters
+    ----------
+    group : GroupId
+        The group.
+    leaders, registry, planner, prober
+        Who leads, where it is, who learns from the answers, and who asks.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: GroupId,
+        leaders: LeaderTable,
+        registry: TargetRegistry,
+        planner: AttemptPlanner,
+        prober: PooledProber,
+        clock: Clock,
+    ) -> None:
+        self._group = group
+        self._leaders = leaders
+        self._registry = registry
+        self._planner = planner
+        self._prober = prober
+        self._clock = clock
+        self._suspected: TargetId | None = None
+
+    def run(self, stopping: threading.Event) -> None:
+        """Watch until told to stop."""
+        while not stopping.wait(TURN_S):
+            self.step()
+
+    def step(self) -> None:
+        """Ask the primary if it is due, and note whether it is suspect."""
+        lead = self._leaders.lead(self._group)
+        if lead is None:
+            return
+        monitor = self._planner.monitor(self._group)
+        if monitor.silent_s(lead.target) >= QUIET_S:
+            self._ask(lead)
+        suspected = lead.target if monitor.is_suspect(lead.target) else None
+        if suspected != self._suspected:
+            self._suspected = suspected
+            log.warning(
+                "primary suspected" if suspected else "primary no longer suspected",
+                extra={
+                    "group": self._group,
+                    "target": lead.target,
+                    "epoch": lead.epoch,
+                    "silent_s": round(monitor.silent_s(lead.target), 2),
+                },
+            )
+
+    def _ask(self, lead: Lead) -> None:
+        monitor = self._planner.monitor(self._group)
+        target = self._registry.get(lead.target)
+        if target is None:
+            monitor.failed(lead.target)
+            return
+        asked_at = self._clock.monotonic()
+        result = self._prober.status(target)
+        if isinstance(result, Err):
+            if isinstance(result.err_value, Overloaded):
+                monitor.answered(lead.target)
+            else:
+                monitor.failed(lead.target)
+            return
+        status = result.ok_value
+        if not status.primary:
+            monitor.refused_as_replica(lead.target)
+            return
+        monitor.answered(lead.target)
+        if self._leaders.holds(lead):
+            self._planner.window(self._group).add(asked_at, status.received)
+
+    def suspect(self) -> TargetId | None:
+        """Give the primary if this instance has lost it."""
+        record = self._leaders.record(self._group)
+        if record is None or record.primary is None:
+            return None
+        monitor = self._planner.monitor(self._group)
+        return record.primary if monitor.is_suspect(record.primary) else None
--- a/src/quetzalrudder/schema/common/__init__.py
+++ b/src/quetzalrudder/schema/common/__init__.py
@@ -133,6 +133,8 @@
 
     OUTCOME_FORGOTTEN = 42
 
+    STATEMENT_NOT_PREPARED = 43
+
     @classmethod
     def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
         return {
@@ -171,6 +173,7 @@
             40: "ERROR_CODE_REQUEST_CANCELLED",
             41: "ERROR_CODE_TRANSACTION_ABORTED",
             42: "ERROR_CODE_OUTCOME_FORGOTTEN",
+            43: "ERROR_CODE_STATEMENT_NOT_PREPARED",
         }
 
     @classmethod
@@ -211,6 +214,7 @@
             "ERROR_CODE_REQUEST_CANCELLED": 40,
             "ERROR_CODE_TRANSACTION_ABORTED": 41,
             "ERROR_CODE_OUTCOME_FORGOTTEN": 42,
+            "ERROR_CODE_STATEMENT_NOT_PREPARED": 43,
         }
 
 
--- a/src/quetzalrudder/utils.py
+++ b/src/quetzalrudder/utils.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "Address",
+    "BootClock",
     "Clock",
     "Deadline",
     "SystemClock",
@@ -58,6 +59,14 @@
         time.sleep(seconds)
 
 
+class BootClock(SystemClock):
+    """The machine's clock, whose monotonic reading counts suspensions too."""
+
+    def monotonic(self) -> float:
+        """Seconds since the machine started, suspended or not."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclass(frozen=True)
 class Deadline:
     """The moment at which a request is given up."""
