Decode write conflicts; no permission without an own record

The next renewal gave a permission although the record in the store was the predecessor's and lapsed, so a promotion did not wait for that instance. Ruled out: clocks, the watch.

--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -115,22 +115,21 @@
         afterwards, so one of the two sees the other.
         """
         sent_at = self._clock.monotonic()
-        lease = self._store.open_lease(PERMISSION_S)
-        if isinstance(lease, Err):
-            return lease
-        self._lease = lease.ok_value
-        self._written = None
+        opened = self._store.open_lease(PERMISSION_S)
+        if isinstance(opened, Err):
+            return opened
+        lease = opened.ok_value
         # Nothing is acknowledged until the leaders have been read.
-        empty = MemberRecord(self._instance, self._incarnation, {}, {})
-        written = self._write(empty)
+        written = self._write(MemberRecord(self._instance, self._incarnation, {}, {}), lease)
         if isinstance(written, Ok):
             written = self._read_leaders()
         if isinstance(written, Err):
-            self._lease = None
             return written
+        # From here on a renewal of the lease keeps the record too.
+        self._lease = lease
         self._permission.renewed(sent_at)
         self._next_renewal = sent_at + RENEW_S
-        log.info("joined", extra={"incarnation": self._incarnation, "lease": self._lease})
+        log.info("joined", extra={"incarnation": self._incarnation, "lease": lease})
         return Ok(None)
 
     def _read_leaders(self) -> Result[None, QuetzalrudderError]:
@@ -160,39 +159,28 @@
         )
         if record == self._written:
             return Ok(None)
-        return self._write(record)
+        return self._write(record, self._lease)
 
-    def _write(self, record: MemberRecord) -> Result[None, QuetzalrudderError]:
+    def _write(self, record: MemberRecord, lease: LeaseId) -> Result[None, QuetzalrudderError]:
         value = encode_member(record)
-        result = self._store.write(self._key, value, self._revision, self._lease)
-        if isinstance(result, Ok):
-            self._revision = result.ok_value
-            self._written = record
-            log.info(
-                "own record written",
-                extra={
-                    "acknowledged": record.acknowledged,
-                    "suspects": record.suspects,
-                    "revision": self._revision,
-                },
-            )
-            return Ok(None)
-        match result.err_value:
-            case WriteConflict(current=current):
-                # An earlier write ran late, or the record went with an old lease.
-                found = [item for item in current if item.key == self._key]
-                self._revision = found[0].revision if found else 0
-                return self._write_again(record, value)
-            case LeaseEnded():
+        result = self._store.write(self._key, value, self._revision, lease)
+        if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
+            # An earlier write ran late, or the record went with an old lease.
+            found = [item for item in result.err_value.current if item.key == self._key]
+            self._revision = found[0].revision if found else 0
+            result = self._store.write(self._key, value, self._revision, lease)
+        if isinstance(result, Err):
+            if isinstance(result.err_value, LeaseEnded):
                 self._lease = None
-        return result
-
-    def _write_again(self, record: MemberRecord, value: bytes) -> Result[None, QuetzalrudderError]:
-        result = self._store.write(self._key, value, self._revision, self._lease)
-        if isinstance(result, Ok):
-            self._revision = result.ok_value
-            self._written = record
-            return Ok(None)
-        if isinstance(result.err_value, LeaseEnded):
-            self._lease = None
-        return result
+            return result
+        self._revision = result.ok_value
+        self._written = record
+        log.info(
+            "own record written",
+            extra={
+                "acknowledged": record.acknowledged,
+                "suspects": record.suspects,
+                "revision": self._revision,
+            },
+        )
+        return Ok(None)
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -302,13 +302,16 @@
             req.attempts += 1
             planned = self._gateway.planner.plan(req, needs_primary=needs_primary)
             if isinstance(planned, Ok):
-                attempt = planned.ok_value
-                self._outcome.target = attempt.loan.target.target
-                self._outcome.epoch = attempt.lead.epoch if attempt.lead else 0
-                self._outcome.needed = attempt.at_least
+                self._name_target(planned.ok_value)
                 return planned
             last = planned.err_value
 
+    def _name_target(self, attempt: Attempt) -> None:
+        """Let the log line name the database of an attempt."""
+        self._outcome.target = attempt.loan.target.target
+        self._outcome.epoch = attempt.lead.epoch if attempt.lead else 0
+        self._outcome.needed = attempt.at_least
+
     def _try(
         self, req: Request, attempt: Attempt, writes: bool
     ) -> Result[TargetReply, QuetzalrudderError]:
@@ -466,6 +469,7 @@
     ) -> Result[TargetReply, QuetzalrudderError]:
         """Run a statement on a transaction's own connection."""
         attempt = tx.attempt
+        self._name_target(attempt)
         clock = self._gateway.clock
         setup = self._set_up(attempt.loan.pooled, req)
         if isinstance(setup, Err):
@@ -503,6 +507,7 @@
                 return Err(TransactionAborted(str(opened.err_value)))
         if tx.wrote and not self._gateway.planner.still_leads(tx.attempt):
             return Err(TransactionAborted("the primary was replaced before the commit"))
+        self._name_target(tx.attempt)
         asked_at = self._gateway.clock.monotonic()
         result = self._run_commit(req, tx)
         if isinstance(result, Err):
--- a/src/quetzalrudder/gateway/store.py
+++ b/src/quetzalrudder/gateway/store.py
@@ -29,8 +29,8 @@
         The keys as they are now; revision 0 for one that does not exist.
     """
 
-    def __init__(self, message: str, *, current: "tuple[Item, ...]" = ()) -> None:
-        super().__init__(message)
+    def __init__(self, message: str, *, place: str = "", current: "tuple[Item, ...]" = ()) -> None:
+        super().__init__(message, place=place)
         self.current = current
 
 
--- /dev/null
+++ b/tests/gateway_fakes.py
@@ -0,0 +1,348 @@
+"""The platform's store and a group of databases in this process, on a clock of the test's."""
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from quetzalrudder.exceptions import (
+    ConnectionLimitReached,
+    LinkLost,
+    PlatformUnavailable,
+    TargetUnavailable,
+)
+from quetzalrudder.gateway.statements import (
+    Begin,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    Rollback,
+    SessionState,
+    SetValue,
+    TargetFault,
+    TargetReply,
+    TargetStatus,
+    Write,
+)
+from quetzalrudder.gateway.store import (
+    Changes,
+    HistoryGone,
+    Item,
+    LeaseEnded,
+    LeaseId,
+    WriteConflict,
+)
+from quetzalrudder.gateway.targets import LogPosition, Target, TargetRole
+from quetzalrudder.utils import Address
+
+
+class MemoryStore:
+    """Keys with revisions and leases; one object serves every instance of a test."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.revision = 1
+        self.items = {}
+        self.leases = {}
+        self.holders = {}
+        self.history = []
+        self.oldest = 0
+        self.calls = []
+
+    def client(self):
+        return StoreHandle(self)
+
+    def expire(self):
+        now = self.clock.monotonic()
+        for lease in [lease for lease, until in self.leases.items() if until <= now]:
+            self.drop_lease(lease)
+
+    def drop_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [key for key, held in self.holders.items() if held == lease]:
+            self.put(key, None, None)
+
+    def put(self, key, value, lease):
+        self.revision += 1
+        self.holders.pop(key, None)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = Item(key, value, self.revision)
+            if lease:
+                self.holders[key] = lease
+        self.history.append(Item(key, value, self.revision))
+        return self.revision
+
+    def compact(self):
+        self.history.clear()
+        self.oldest = self.revision
+
+
+class StoreHandle:
+    """One client: it can be cut off, lose answers, or have writes run late."""
+
+    def __init__(self, store):
+        self.store = store
+        self.cut = False
+        self.lose_next_answer = False
+        self.late = []
+        self.delay_next_write = False
+
+    def _reach(self):
+        if self.cut:
+            return Err(PlatformUnavailable("cut off"))
+        self.store.expire()
+        return None
+
+    def _answer(self, result):
+        if self.lose_next_answer:
+            self.lose_next_answer = False
+            return Err(PlatformUnavailable("answer lost"))
+        return result
+
+    def run_late_writes(self):
+        late, self.late = self.late, []
+        return [self._write(*args) for args in late]
+
+    def read_prefix(self, prefix):
+        failed = self._reach()
+        if failed:
+            return failed
+        found = [item for key, item in sorted(self.store.items.items()) if key.startswith(prefix)]
+        return self._answer(Ok(Changes(tuple(found), self.store.revision)))
+
+    def watch(self, after, wait_ms):
+        failed = self._reach()
+        if failed:
+            return failed
+        if after < self.store.oldest:
+            return Err(HistoryGone("compacted"))
+        found = tuple(item for item in self.store.history if item.revision > after)
+        return self._answer(Ok(Changes(found, self.store.revision)))
+
+    def write(self, key, value, expected, lease=None):
+        failed = self._reach()
+        if failed:
+            return failed
+        if self.delay_next_write:
+            self.delay_next_write = False
+            self.late.append((key, value, expected, lease))
+            return Err(PlatformUnavailable("no answer"))
+        return self._answer(self._write(key, value, expected, lease))
+
+    def _write(self, key, value, expected, lease):
+        self.store.calls.append(key)
+        current = self.store.items.get(key, Item(key, None, 0))
+        if current.revision != expected:
+            return Err(WriteConflict("another revision", current=(current,)))
+        if lease and lease not in self.store.leases:
+            return Err(LeaseEnded("no such lease"))
+        return Ok(self.store.put(key, value, lease))
+
+    def open_lease(self, ttl_s):
+        failed = self._reach()
+        if failed:
+            return failed
+        lease = LeaseId(self.store.revision * 1000 + len(self.store.leases) + 1)
+        self.store.revision += 1
+        self.store.leases[lease] = self.store.clock.monotonic() + ttl_s
+        self.ttl_s = ttl_s
+        return self._answer(Ok(lease))
+
+    def keep_lease(self, lease):
+        failed = self._reach()
+        if failed:
+            return failed
+        if lease not in self.store.leases:
+            return Err(LeaseEnded("no such lease"))
+        self.store.leases[lease] = self.store.clock.monotonic() + self.ttl_s
+        return self._answer(Ok(None))
+
+    def end_lease(self, lease):
+        failed = self._reach()
+        if failed:
+            return failed
+        self.store.drop_lease(lease)
+        return self._answer(Ok(None))
+
+
+@dataclass
+class FakeDatabase:
+    """A database with a log, whose replication a test drives."""
+
+    info: Target
+    group: "FakeGroup"
+    log: list = field(default_factory=list)
+    term: int = 1
+    primary: bool = False
+    up: bool = True
+    busy: int = 0
+    paused: bool = False
+    open_links: int = 0
+    # Called with each statement before it runs; may return a reply, an error or None.
+    script: object = None
+
+    @property
+    def position(self):
+        return self.log[-1][0] if self.log else LogPosition(self.term, 0)
+
+    def holds(self, position):
+        return self.position >= position
+
+
+class FakeGroup:
+    """One group; it connects like the adapter does, and promotes like the platform."""
+
+    def __init__(self, clock, group="g", names=("db-1", "db-2", "db-3"), max_connections=50):
+        self.clock = clock
+        self.group = group
+        self.max_connections = max_connections
+        self.promotions = []
+        self.opened = 0
+        self.ran = []
+        self.databases = {}
+        for place, name in enumerate(names):
+            role = TargetRole.PRIMARY if place == 0 else TargetRole.REPLICA
+            info = Target(name, group, Address("10.0.0.1", 7000 + place), f"dc-{place}", 3, role)
+            self.databases[name] = FakeDatabase(info, self, primary=place == 0)
+
+    def __getitem__(self, name):
+        return self.databases[name]
+
+    def infos(self):
+        return [database.info for database in self.databases.values()]
+
+    def replicate(self):
+        leader = max(
+            (d for d in self.databases.values() if d.primary and d.up), key=lambda d: d.term
+        )
+        for database in self.databases.values():
+            if database is not leader and database.up and not database.paused:
+                database.log = list(leader.log)
+                database.term = leader.term
+
+    def connect(self, target, workspace, timeout_s):
+        database = self.databases[target.target]
+        if not database.up:
+            return Err(TargetUnavailable("refused", place=target.target))
+        if database.open_links >= self.max_connections:
+            return Err(ConnectionLimitReached("too many", place=target.target))
+        database.open_links += 1
+        self.opened += 1
+        return Ok(FakeLink(database, workspace))
+
+    def promote(self, group, target, *, holder, token):
+        database = self.databases[target]
+        self.promotions.append((target, token))
+        if not database.up:
+            return Err(TargetUnavailable("not running", place=target))
+        if not (database.primary and database.term == self.newest_term()):
+            database.term = self.newest_term() + 1
+            database.primary = True
+        return Ok(None)
+
+    def newest_term(self):
+        return max(database.term for database in self.databases.values())
+
+
+class FakeLink:
+    def __init__(self, database, workspace):
+        self.database = database
+        self.workspace = workspace
+        self.broken = False
+        self.values = {}
+        self.prepared = {}
+        self.pending = []
+        self.state = SessionState.IDLE
+
+    def close(self):
+        if not self.broken:
+            self.broken = True
+            self.database.open_links -= 1
+
+    def reset(self, timeout_s):
+        self.values, self.prepared = {}, {}
+        return self._done()
+
+    def status(self, timeout_s):
+        if not self.database.up:
+            self.close()
+            return Err(LinkLost("gone", place=self.database.info.target))
+        database = self.database
+        return Ok(TargetStatus(database.primary, database.term, database.position))
+
+    def step_down(self, term, timeout_s):
+        if self.database.term < term:
+            self.database.primary = False
+        return Ok(None)
+
+    def _done(self, rows=(), signature="-"):
+        return Ok(TargetReply(self.state, rows, signature, position=self.database.position))
+
+    def _fault(self, fault):
+        return Ok(TargetReply(self.state, fault=fault, position=self.database.position))
+
+    def run(self, request_id, statement, timeout_s, at_least=None):
+        database = self.database
+        if not database.up or self.broken:
+            self.close()
+            return Err(LinkLost("gone", place=database.info.target))
+        if database.script is not None:
+            scripted = database.script(self, request_id, statement)
+            if scripted is not None:
+                if isinstance(scripted, Err):
+                    self.close()
+                return scripted
+        if at_least is not None and not database.holds(at_least):
+            return self._fault(TargetFault.LAGGING)
+        if isinstance(statement, Read | Write | Execute | Commit):
+            if database.busy:
+                database.busy -= 1
+                return self._fault(TargetFault.BUSY)
+            database.group.ran.append(
+                (database.info.target, request_id, statement, self.workspace, dict(self.values))
+            )
+        return self._run(statement)
+
+    def _run(self, statement):
+        match statement:
+            case SetValue(name, value):
+                self.values[name] = value
+            case Prepare(name, writes, shape):
+                self.prepared[name] = (writes, shape)
+            case Begin(read_only):
+                if not read_only and not self.database.primary:
+                    return self._fault(TargetFault.READ_ONLY)
+                self.state = SessionState.IN_TRANSACTION
+            case Rollback():
+                self.pending, self.state = [], SessionState.IDLE
+            case Commit():
+                if self.pending and not self.database.primary:
+                    return self._fault(TargetFault.READ_ONLY)
+                self._append(self.pending)
+                self.pending, self.state = [], SessionState.IDLE
+                return self._done(signature="signed")
+            case Execute(name, arguments):
+                if name not in self.prepared:
+                    return self._fault(TargetFault.NOT_PREPARED)
+                item, _, data = arguments.partition(" ")
+                writes = self.prepared[name][0]
+                return self._run(Write(item, data) if writes else Read(item))
+            case Write(item, data):
+                if not self.database.primary:
+                    return self._fault(TargetFault.READ_ONLY)
+                if self.state is SessionState.IN_TRANSACTION:
+                    self.pending.append((item, data))
+                else:
+                    self._append([(item, data)])
+                return self._done(signature="signed")
+            case Read(item):
+                rows = tuple(f"{i}={d}" for _, i, d in self.database.log if i == item)
+                return self._done(rows[-1:], "signed")
+        return self._done()
+
+    def _append(self, writes):
+        for item, data in writes:
+            index = self.database.position.index + 1
+            self.database.log.append((LogPosition(self.database.term, index), item, data))
--- /dev/null
+++ b/tests/test_gateway_membership.py
@@ -0,0 +1,137 @@
+import pytest
+from result import Ok
+
+from quetzalrudder.gateway.leadership import (
+    PERMISSION_S,
+    LeaderRecord,
+    LeaderTable,
+    Permission,
+)
+from quetzalrudder.gateway.membership import Membership
+from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.records import MEMBER_PREFIX, decode_member, encode_leader
+from tests.clocks import ManualClock
+from tests.gateway_fakes import MemoryStore
+
+
+class Instance:
+    def __init__(self, store, incarnation, name="edge-1"):
+        self.clock = store.clock
+        self.handle = store.client()
+        self.permission = Permission(self.clock)
+        self.leaders = LeaderTable(self.permission, self.clock)
+        self.membership = Membership(
+            store=self.handle,
+            instance=name,
+            incarnation=incarnation,
+            permission=self.permission,
+            leaders=self.leaders,
+            suspects=dict,
+            contact=StoreContact(self.clock),
+            clock=self.clock,
+        )
+
+    def turns(self, count, every_s=0.05):
+        for _ in range(count):
+            self.membership.step()
+            self.clock.advance(every_s)
+
+
+@pytest.fixture
+def store():
+    return MemoryStore(ManualClock())
+
+
+def record(store):
+    return decode_member(store.items[MEMBER_PREFIX + "edge-1"])
+
+
+def test_a_restart_takes_over_the_record_of_its_predecessor(store):
+    Instance(store, "first").turns(2)
+    second = Instance(store, "second")
+    second.turns(2)
+    assert record(store).incarnation == "second"
+    assert second.permission.valid
+
+
+def test_the_record_of_a_restart_does_not_go_with_the_lease_of_its_predecessor(store):
+    Instance(store, "first").turns(2)
+    second = Instance(store, "second")
+    for _ in range(20):
+        second.turns(10)
+        store.expire()
+        assert MEMBER_PREFIX + "edge-1" in store.items
+
+
+def test_no_permission_without_a_record_in_the_store(store):
+    """The record is what a promotion waits for, so a renewed lease alone must not count."""
+    instance = Instance(store, "first")
+    for attempt in range(40):
+        instance.handle.lose_next_answer = attempt % 3 != 0
+        instance.turns(1, every_s=0.3)
+        store.expire()
+        if instance.permission.valid:
+            assert MEMBER_PREFIX + "edge-1" in store.items, attempt
+
+
+def test_permission_runs_out_before_the_lease_of_an_instance_that_is_cut_off(store):
+    instance = Instance(store, "first")
+    instance.turns(5)
+    instance.handle.cut = True
+    cut_at = store.clock.monotonic()
+    while instance.permission.valid:
+        instance.turns(1)
+        store.expire()
+        assert MEMBER_PREFIX + "edge-1" in store.items
+    assert store.clock.monotonic() - cut_at < PERMISSION_S
+
+
+def test_a_lapsed_record_is_written_again_once_the_store_is_back(store):
+    instance = Instance(store, "first")
+    instance.turns(5)
+    instance.handle.cut = True
+    instance.turns(10, every_s=1.0)
+    store.expire()
+    assert not store.items
+    instance.handle.cut = False
+    instance.turns(20)
+    assert instance.permission.valid
+    assert record(store).incarnation == "first"
+
+
+def test_a_late_write_of_a_predecessor_changes_nothing(store):
+    first = Instance(store, "first")
+    first.turns(2)
+    first.leaders.observe(LeaderRecord("g", 4, None, "db-2", revision=99))
+    first.handle.delay_next_write = True
+    first.turns(1)
+    second = Instance(store, "second")
+    second.turns(2)
+    late = first.handle.run_late_writes()
+    assert len(late) == 1
+    assert not isinstance(late[0], Ok)
+    assert record(store).incarnation == "second"
+
+
+def test_a_leader_written_before_joining_is_known_before_the_permission(store):
+    writer = store.client()
+    writer.write("qr/leaders/g", encode_leader(LeaderRecord("g", 7, None, "db-2")), 0)
+    instance = Instance(store, "first")
+    instance.turns(1)
+    assert instance.permission.valid
+    assert instance.leaders.record("g").epoch == 7
+    assert instance.leaders.lead("g") is None
+
+
+def test_a_defect_while_joining_leaves_no_permission(store, monkeypatch):
+    instance = Instance(store, "first")
+
+    def fail(*_):
+        raise TypeError("a defect")
+
+    monkeypatch.setattr(instance.handle, "write", fail)
+    for _ in range(20):
+        with pytest.raises(TypeError):
+            instance.membership.step()
+        assert not instance.permission.valid
+        store.clock.advance(0.3)
