Use a successor once its promotion has taken effect

Ruled out: an instance using the old primary (all had acknowledged). Now the holder asks the successor until it says that it leads.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -38,11 +38,12 @@
 
 log = logging.getLogger(__name__)
 
-# A holder that dies is replaced after this long; the platform's shortest lease is 1 s.
-DUTY_S = 2.0
-DUTY_RENEW_S = 0.5
-# The duty is not used when its lease may end before a call has arrived.
-DUTY_MARGIN_S = 0.5
+# A holder that dies without a restart is replaced after this long.
+DUTY_S = 3.0
+DUTY_RENEW_S = 0.6
+# The duty is not used when its lease may end before a call has arrived or was given up;
+# above the adapter's bound on a promotion's call.
+DUTY_MARGIN_S = 1.0
 TURN_S = 0.05
 # How long a successor may take to answer or to be promoted before another is chosen.
 SUCCESSOR_S = 3.0
@@ -120,6 +121,8 @@
         self._next_renewal = 0.0
         self._next_try = 0.0
         self._moving_since: dict[GroupId, float] = {}
+        # Epoch for which the platform has accepted a promotion.
+        self._promoted: dict[GroupId, int] = {}
         self._unreachable: dict[TargetId, float] = {}
 
     def observe(self, record: DutyRecord | None) -> None:
@@ -269,12 +272,9 @@
             return
         if record.planned and self._clock.monotonic() - since < CATCH_UP_S + SUCCESSOR_S:
             self._hand_log_over(record)
-        if not self.holds_duty:
-            return
-        result = self._promoter.promote(
-            record.group, record.successor, holder=self._instance, token=self._token
-        )
-        if isinstance(result, Ok):
+        if self._promoted.get(record.group) != record.epoch:
+            self._promote(record, since)
+        elif self._leads(record.successor):
             log.info(
                 "promoted",
                 extra={
@@ -286,6 +286,17 @@
                 },
             )
             self._write(replace(record, primary=record.successor, successor=None, planned=False))
+        elif self._clock.monotonic() - since > SUCCESSOR_S:
+            self._choose_another(record)
+
+    def _promote(self, record: LeaderRecord, since: float) -> None:
+        if not self.holds_duty:
+            return
+        result = self._promoter.promote(
+            record.group, record.successor, holder=self._instance, token=self._token
+        )
+        if isinstance(result, Ok):
+            self._promoted[record.group] = record.epoch
             return
         log.warning(
             "not promoted",
@@ -299,6 +310,17 @@
         if isinstance(result.err_value, TargetUnavailable) or late:
             self._choose_another(record)
 
+    def _leads(self, successor: TargetId) -> bool:
+        """Ask a successor whether its promotion has taken effect.
+
+        Until then it serves reads of a log that may lack acknowledged commits.
+        """
+        target = self._registry.get(successor)
+        if target is None:
+            return False
+        status = self._prober.status(target)
+        return isinstance(status, Ok) and status.ok_value.primary
+
     def _choose_another(self, record: LeaderRecord) -> None:
         self._unreachable[record.successor] = self._clock.monotonic()
         successor = self._choose_successor(record.group, None)
@@ -357,6 +379,7 @@
         result = self._store.write(key, encode_leader(record), record.revision)
         if isinstance(result, Ok):
             self._moving_since.pop(record.group, None)
+            self._promoted.pop(record.group, None)
             self._leaders.observe(replace(record, revision=result.ok_value))
             return
         match result.err_value:
--- a/src/quetzalrudder/gateway/leadership.py
+++ b/src/quetzalrudder/gateway/leadership.py
@@ -35,6 +35,8 @@
 PERMISSION_MARGIN_S = 0.2
 # How long open work at a primary may delay its planned replacement.
 PLANNED_WAIT_S = 1.5
+# How often a waiting request looks for a new primary.
+WAIT_TURN_S = 0.01
 
 
 class Permission:
@@ -108,20 +110,19 @@
     def __init__(self, permission: Permission, clock: Clock) -> None:
         self._permission = permission
         self._clock = clock
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
         self._records: dict[GroupId, LeaderRecord] = {}
         self._in_use: dict[GroupId, int] = {}
         self._seen_at: dict[GroupId, float] = {}
 
     def observe(self, record: LeaderRecord) -> bool:
         """Take a record unless it is older than the one known; true if it is new."""
-        with self._changed:
+        with self._lock:
             known = self._records.get(record.group)
             if known is not None and record.revision <= known.revision:
                 return False
             self._records[record.group] = record
             self._seen_at[record.group] = self._clock.monotonic()
-            self._changed.notify_all()
         log.info(
             "primary recorded",
             extra={
@@ -140,7 +141,7 @@
 
     def records(self) -> list[LeaderRecord]:
         """Give the newest record of every group."""
-        with self._changed:
+        with self._lock:
             return list(self._records.values())
 
     def lead(self, group: GroupId) -> Lead | None:
@@ -156,24 +157,25 @@
 
     def wait_for_lead(self, group: GroupId, timeout_s: float) -> Lead | None:
         """Wait until the group has a primary that may be used."""
-        with self._changed:
-            self._changed.wait_for(lambda: self.lead(group) is not None, timeout_s)
-        return self.lead(group)
+        until = self._clock.monotonic() + timeout_s
+        while (lead := self.lead(group)) is None and self._clock.monotonic() < until:
+            self._clock.sleep(WAIT_TURN_S)
+        return lead
 
     def begin_use(self, group: GroupId) -> None:
         """Count work at the primary that a planned replacement waits for."""
-        with self._changed:
+        with self._lock:
             self._in_use[group] = self._in_use.get(group, 0) + 1
 
     def end_use(self, group: GroupId) -> None:
         """Uncount it."""
-        with self._changed:
+        with self._lock:
             self._in_use[group] -= 1
 
     def acknowledged(self) -> dict[GroupId, int]:
         """Give the epochs up to which this instance uses no earlier primary."""
         now = self._clock.monotonic()
-        with self._changed:
+        with self._lock:
             acknowledged = {}
             for group, record in self._records.items():
                 waiting = (
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -199,6 +199,9 @@
         self.group = group
         self.max_connections = max_connections
         self.promotions = []
+        # Seconds until a promotion takes effect, and those that have not yet.
+        self.promote_s = 0.0
+        self.promoting = []
         self.opened = 0
         self.ran = []
         self.databases = {}
@@ -237,11 +240,19 @@
         self.promotions.append((target, token))
         if not database.up:
             return Err(TargetUnavailable("not running", place=target))
-        if not (database.primary and database.term == self.newest_term()):
-            database.term = self.newest_term() + 1
-            database.primary = True
+        self.promoting.append((self.clock.monotonic() + self.promote_s, database))
+        self.settle()
         return Ok(None)
 
+    def settle(self):
+        """Let the promotions whose time has come take effect."""
+        now = self.clock.monotonic()
+        for at, database in [entry for entry in self.promoting if entry[0] <= now]:
+            self.promoting.remove((at, database))
+            if not (database.primary and database.term == self.newest_term()):
+                database.term = self.newest_term() + 1
+                database.primary = True
+
     def newest_term(self):
         return max(database.term for database in self.databases.values())
 
@@ -266,6 +277,7 @@
         return self._done()
 
     def status(self, timeout_s):
+        self.database.group.settle()
         if not self.database.up:
             self.close()
             return Err(LinkLost("gone", place=self.database.info.target))
@@ -285,6 +297,7 @@
 
     def run(self, request_id, statement, timeout_s, at_least=None):
         database = self.database
+        database.group.settle()
         if not database.up or self.broken:
             self.close()
             return Err(LinkLost("gone", place=database.info.target))
--- /dev/null
+++ b/tests/test_gateway_failover.py
@@ -0,0 +1,139 @@
+import pytest
+
+from quetzalrudder.gateway.leadership import PERMISSION_S
+from quetzalrudder.gateway.statements import Read, SessionState, Write
+from tests.gateway_fleet import GatewayFleet
+
+
+@pytest.fixture
+def fleet():
+    running = GatewayFleet()
+    assert running.run(2.0, running.settled) is not None
+    # A holder needs a history of the store before it may promote.
+    running.run(PERMISSION_S + 1)
+    return running
+
+
+def leads(fleet, name):
+    return lambda: all(
+        (lead := instance.gateway.leaders.lead("g")) is not None and lead.target == name
+        for instance in fleet.instances
+        if not instance.frozen
+    )
+
+
+def test_the_announced_primary_is_recorded_once(fleet):
+    assert leads(fleet, "db-1")()
+    assert fleet.group.promotions == []
+
+
+def test_a_crashed_primary_is_replaced_within_two_seconds(fleet):
+    fleet.group["db-1"].up = False
+    took_s = fleet.run(5.0, lambda: bool(fleet.group.promotions))
+    assert took_s is not None
+    assert took_s <= 2.0
+
+
+def test_the_replica_that_received_most_takes_over(fleet):
+    assert fleet[0].session().execute("w1", Write("a", "1")).error is None
+    fleet.group.replicate()
+    fleet.group["db-2"].paused = True
+    assert fleet[0].session().execute("w2", Write("a", "2")).error is None
+    fleet.group.replicate()
+    fleet.group["db-1"].up = False
+    assert fleet.run(5.0, leads(fleet, "db-3")) is not None
+
+
+def test_no_read_at_a_successor_before_its_promotion_has_taken_effect(fleet):
+    """The log of a successor may lack commits that were acknowledged by the old primary."""
+    assert fleet[0].session().execute("w1", Write("a", "1")).error is None
+    fleet.group.promote_s = 1.0
+    fleet.group["db-1"].up = False
+    fleet.run(5.0, lambda: bool(fleet.group.promotions))
+    before = len(fleet.group.ran)
+    while not fleet.group["db-2"].primary and not fleet.group["db-3"].primary:
+        fleet[1].session().execute("r1", Read("a"))
+        fleet.run(0.1)
+        fleet.group.settle()
+    assert fleet.group.ran[before:] == []
+    assert fleet.run(5.0, fleet.settled) is not None
+
+
+def test_an_instance_that_is_cut_off_stops_before_another_primary_leads(fleet):
+    cut_off = fleet[2]
+    cut_off.cut_from_store()
+    for instance in fleet.instances[:2]:
+        instance.unreachable.add("db-1")
+    session = cut_off.session()
+    acknowledged = []
+    for turn in range(400):
+        if session.execute(f"w{turn}", Write("a", str(turn))).error is None:
+            acknowledged.append(fleet.clock.now)
+            assert fleet.group.promotions == []
+        fleet.run(0.05)
+        if fleet.group.promotions:
+            break
+    assert acknowledged
+    assert fleet.group.promotions
+    assert session.execute("late", Write("a", "late")).error is not None
+
+
+def test_a_frozen_instance_acknowledges_nothing_after_it_wakes(fleet):
+    frozen = fleet[2]
+    session = frozen.session()
+    assert session.execute("w1", Write("a", "1")).error is None
+    frozen.frozen = True
+    for instance in fleet.instances[:2]:
+        instance.unreachable.add("db-1")
+    assert fleet.run(12.0, lambda: bool(fleet.group.promotions)) is not None
+    answer = session.execute("w2", Write("a", "2"))
+    assert answer.error is not None
+    assert answer.state is SessionState.IDLE
+
+
+def test_an_answer_that_comes_after_the_permission_ended_is_not_passed_on(fleet):
+    session = fleet[0].session()
+
+    def late(link, request_id, statement):
+        fleet.clock.advance(PERMISSION_S + 1)
+
+    fleet.group["db-1"].script = late
+    answer = session.execute("w1", Write("a", "1"))
+    assert type(answer.error).__name__ == "OutcomeUnknown"
+
+
+def test_a_primary_that_only_one_instance_lost_stays(fleet):
+    fleet[0].unreachable.add("db-1")
+    assert fleet.run(10.0, lambda: bool(fleet.group.promotions)) is None
+
+
+def test_a_healthy_primary_is_used_while_the_store_is_away_for_a_moment(fleet):
+    for instance in fleet.instances:
+        instance.cut_from_store()
+    fleet.run(PERMISSION_S - 2)
+    assert fleet[0].session().execute("w1", Write("a", "1")).error is None
+    assert fleet.group.promotions == []
+
+
+def test_the_duty_moves_on_when_its_holder_freezes(fleet):
+    holder = next(i for i in fleet.instances if i.gateway.duty.holds_duty)
+    holder.frozen = True
+    fleet.group["db-1"].up = False
+    took_s = fleet.run(15.0, lambda: bool(fleet.group.promotions))
+    assert took_s is not None
+    tokens = [token for _, token in fleet.group.promotions]
+    assert tokens == sorted(tokens)
+
+
+def test_a_leaving_primary_hands_its_log_over(fleet):
+    from dataclasses import replace
+
+    assert fleet[0].session().execute("w1", Write("a", "1")).error is None
+    for instance in fleet.instances:
+        info = instance.gateway.registry.get("db-1")
+        instance.gateway.registry.put(replace(info, draining=True))
+    fleet.group.replicate()
+    assert fleet.run(3.0, leads(fleet, "db-2")) or leads(fleet, "db-3")()
+    assert not fleet.group["db-1"].primary
+    new = fleet[0].gateway.leaders.lead("g").target
+    assert [entry[1:] for entry in fleet.group[new].log] == [("a", "1")]
