A successor must lead a later term than the last primary

Ruled out: a missing acknowledgement (all six stood in the store). Records now keep the term, and a successor has to lead a later one.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -217,8 +217,11 @@
         found = [
             target for target in self._registry.of_group(group) if target.role is TargetRole.PRIMARY
         ]
-        if len(found) == 1:
-            self._write(LeaderRecord(group, 1, found[0].target))
+        if len(found) != 1:
+            return
+        status = self._prober.status(found[0])
+        if isinstance(status, Ok) and status.ok_value.primary:
+            self._write(LeaderRecord(group, 1, found[0].target, term=status.ok_value.term))
 
     def _check(self, record: LeaderRecord) -> None:
         info = self._registry.get(record.primary)
@@ -274,7 +277,7 @@
             self._hand_log_over(record)
         if self._promoted.get(record.group) != record.epoch:
             self._promote(record, since)
-        elif self._leads(record.successor):
+        elif (term := self._new_term(record)) is not None:
             log.info(
                 "promoted",
                 extra={
@@ -282,10 +285,13 @@
                     "target": record.successor,
                     "epoch": record.epoch,
                     "token": self._token,
+                    "term": term,
                     "took_s": round(self._clock.monotonic() - since, 3),
                 },
             )
-            self._write(replace(record, primary=record.successor, successor=None, planned=False))
+            self._write(
+                replace(record, primary=record.successor, successor=None, planned=False, term=term)
+            )
         elif self._clock.monotonic() - since > SUCCESSOR_S:
             self._choose_another(record)
 
@@ -310,16 +316,20 @@
         if isinstance(result.err_value, TargetUnavailable) or late:
             self._choose_another(record)
 
-    def _leads(self, successor: TargetId) -> bool:
-        """Ask a successor whether its promotion has taken effect.
+    def _new_term(self, record: LeaderRecord) -> int | None:
+        """Ask a successor for the term that it leads; None before its promotion takes effect.
 
-        Until then it serves reads of a log that may lack acknowledged commits.
+        Until then it serves reads of a log that may lack acknowledged commits. One that
+        was replaced earlier may still say that it leads its old term.
         """
-        target = self._registry.get(successor)
+        target = self._registry.get(record.successor)
         if target is None:
-            return False
+            return None
         status = self._prober.status(target)
-        return isinstance(status, Ok) and status.ok_value.primary
+        if isinstance(status, Err):
+            return None
+        found = status.ok_value
+        return found.term if found.primary and found.term > record.term else None
 
     def _choose_another(self, record: LeaderRecord) -> None:
         self._unreachable[record.successor] = self._clock.monotonic()
--- a/src/quetzalrudder/gateway/leadership.py
+++ b/src/quetzalrudder/gateway/leadership.py
@@ -84,6 +84,8 @@
     previous: TargetId | None = None
     # True if the previous primary is healthy and its work is finished first.
     planned: bool = False
+    # Log term of the last primary that was recorded; the next one has a later term.
+    term: int = 0
     revision: int = 0
 
 
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -91,6 +91,7 @@
             "successor": record.successor,
             "previous": record.previous,
             "planned": record.planned,
+            "term": record.term,
         }
     )
 
@@ -112,6 +113,7 @@
             successor=fields["successor"],
             previous=fields["previous"],
             planned=bool(fields["planned"]),
+            term=int(fields["term"]),
             revision=item.revision,
         )
     except (KeyError, ValueError) as exc:
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -59,6 +59,19 @@
     assert fleet.run(5.0, fleet.settled) is not None
 
 
+def test_a_successor_that_still_believes_in_its_old_term_is_not_used_early(fleet):
+    """Once replaced, db-1 goes on saying that it leads, as nobody told it otherwise."""
+    for instance in fleet.instances:
+        instance.unreachable.add("db-1")
+    assert fleet.run(10.0, leads(fleet, "db-3")) is not None
+    assert fleet.group["db-1"].primary
+    for instance in fleet.instances:
+        instance.unreachable = {"db-2", "db-3"}
+    fleet.group.promote_s = 1.0
+    assert fleet.run(20.0, leads(fleet, "db-1")) is not None
+    assert fleet.group["db-1"].term > fleet.group["db-3"].term
+
+
 def test_an_instance_that_is_cut_off_stops_before_another_primary_leads(fleet):
     cut_off = fleet[2]
     cut_off.cut_from_store()
