Read the seen holder of the duty once

Ruled out: the length of leases, held-up calls. Also the bound on a promotion counts from when it may begin. Test: red before.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -130,6 +130,14 @@
         if record is None:
             # Instances do not all try at once.
             self._next_try = self._clock.monotonic() + self._rng.random() * 0.1
+        if record != self._seen:
+            log.info(
+                "duty seen",
+                extra={
+                    "holder": record.instance if record is not None else "",
+                    "revision": record.revision if record is not None else 0,
+                },
+            )
         self._seen = record
 
     @property
@@ -165,9 +173,11 @@
         now = self._clock.monotonic()
         if now < self._next_try:
             return
+        # The record may change while the lease is opened; then the write must fail.
+        seen = self._seen
         # A predecessor of this process cannot run any more.
-        if self._seen is not None and (
-            self._seen.instance != self._instance or self._seen.incarnation == self._incarnation
+        if seen is not None and (
+            seen.instance != self._instance or seen.incarnation == self._incarnation
         ):
             return
         self._next_try = now + DUTY_RENEW_S
@@ -175,7 +185,7 @@
         if isinstance(lease, Err):
             self._contact.failed(lease.err_value)
             return
-        expected = self._seen.revision if self._seen is not None else 0
+        expected = seen.revision if seen is not None else 0
         value = encode_duty(DutyRecord(self._instance, self._incarnation))
         written = self._store.write(DUTY_KEY, value, expected, lease.ok_value)
         if isinstance(written, Err):
@@ -270,9 +280,9 @@
         return best[1]
 
     def _move_on(self, record: LeaderRecord) -> None:
-        since = self._moving_since.setdefault(record.group, self._clock.monotonic())
         if not self._is_clear(record):
             return
+        since = self._moving_since.setdefault(record.group, self._clock.monotonic())
         if record.planned and self._clock.monotonic() - since < CATCH_UP_S + SUCCESSOR_S:
             self._hand_log_over(record)
         if self._promoted.get(record.group) != record.epoch:
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -150,3 +150,29 @@
     assert not fleet.group["db-1"].primary
     new = fleet[0].gateway.leaders.lead("g").target
     assert [entry[1:] for entry in fleet.group[new].log] == [("a", "1")]
+
+
+def test_the_duty_is_not_taken_from_a_holder_seen_meanwhile(fleet):
+    """Another instance may take the duty, and be seen, between the lease and the write."""
+    holder = next(i for i in fleet.instances if i.gateway.duty.holds_duty)
+    late, other = (i for i in fleet.instances if i is not holder)
+    holder.frozen = True
+    fleet.run(10.0, lambda: "qr/duty" not in fleet.store.items)
+    duty = late.gateway.duty
+    handle = duty._store
+    open_lease = handle.open_lease
+
+    def open_slowly(ttl_s):
+        lease = open_lease(ttl_s)
+        while not other.gateway.duty.holds_duty:
+            other.step()
+            fleet.clock.advance(0.05)
+        late.mirror.step()
+        return lease
+
+    handle.open_lease = open_slowly
+    late.mirror.step()
+    fleet.clock.advance(0.2)
+    duty.step()
+    assert other.gateway.duty.holds_duty
+    assert not duty.holds_duty
