Refuse at once without a primary in sight; bound the wait of a statement

Now it waits only while a change of primary is under way and expected within 1.3 s, and 0.6 of the route's time at most for slots and connections; else it is refused with the time to come back.

--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -28,6 +28,7 @@
     "Overloaded",
     "PlatformUnavailable",
     "PositionLost",
+    "PrimaryChanging",
     "QuetzalrudderError",
     "RateExceeded",
     "RequestCancelled",
@@ -164,6 +165,10 @@
     code = ErrorCode.NO_PRIMARY
 
 
+class PrimaryChanging(NoPrimary):
+    """No primary may be used, and none is expected soon enough to wait for it."""
+
+
 class NoReplica(QuetzalrudderError):
     """No database of the group holds data that the read may accept."""
 
@@ -313,7 +318,10 @@
     return found
 
 
-_CLASS_BY_CODE = {cls.code: cls for cls in _all_subclasses(QuetzalrudderError)}
+# A class without a code of its own travels as the class that it specializes.
+_CLASS_BY_CODE = {
+    cls.code: cls for cls in _all_subclasses(QuetzalrudderError) if "code" in vars(cls)
+}
 
 
 def to_failure(exc: QuetzalrudderError) -> Failure:
--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -13,6 +13,7 @@
     NoReplica,
     OutcomeUnknown,
     Overloaded,
+    PrimaryChanging,
     QuetzalrudderError,
     StaleTerm,
     StatementFailed,
@@ -34,6 +35,7 @@
 from quetzalrudder.utils import Clock
 
 __all__ = [
+    "QUEUE_PART",
     "Attempt",
     "AttemptPlanner",
     "Request",
@@ -48,8 +50,9 @@
 LONGEST_PAUSE_S = 0.04
 # A read is tried elsewhere if a database takes longer, as its connection may be silent.
 READ_ATTEMPT_S = 0.4
-# How long a request waits for a primary that is being replaced.
-LEAD_WAIT_S = 0.25
+# Part of a statement's time for which it may wait for slots, connections and primaries;
+# the caller keeps the rest for a retry at another instance.
+QUEUE_PART = 0.6
 # When a caller may come back while a primary is replaced: the platform states 300 to
 # 1,000 ms for a promotion.
 LEAD_RETRY_MS = 500
@@ -65,6 +68,8 @@
     workspace: WorkspaceId
     # Clock readings, in seconds.
     deadline_at: float
+    # When to stop waiting for something to run it.
+    queue_until: float
     wanted_at: float
     # The session's own commits.
     covers: LogPosition | None
@@ -84,7 +89,7 @@
 
     def may_repeat(self, exc: QuetzalrudderError) -> bool:
         """Tell whether an attempt after this failure can end otherwise."""
-        return isinstance(exc, REPEATABLE)
+        return isinstance(exc, REPEATABLE) and not isinstance(exc, PrimaryChanging)
 
 
 REPEATABLE = (
@@ -189,13 +194,12 @@
         now = self._clock.monotonic()
         lead = self._leaders.lead(group)
         if lead is None:
-            wait_s = min(LEAD_WAIT_S, req.deadline_at - now)
-            lead = self._leaders.wait_for_lead(group, max(0.0, wait_s))
+            wait_s = min(self._leaders.expected_wait_s(group), req.queue_until - now)
+            lead = self._leaders.wait_for_lead(group, wait_s)
         target = self._registry.get(lead.target) if lead is not None else None
         if target is None:
-            return Err(
-                NoPrimary("no primary may be used", place=group, retry_after_ms=LEAD_RETRY_MS)
-            )
+            reason = "no primary may be used"
+            return Err(PrimaryChanging(reason, place=group, retry_after_ms=LEAD_RETRY_MS))
         return self._borrow(req, target, lead, None, req.deadline_at)
 
     def _borrow(
@@ -206,7 +210,8 @@
         at_least: LogPosition | None,
         until: float,
     ) -> Result[Attempt, QuetzalrudderError]:
-        loan = self._pool.checkout(target, req.workspace, req.urgency, until)
+        wait_until = min(until, req.queue_until)
+        loan = self._pool.checkout(target, req.workspace, req.urgency, wait_until)
         if isinstance(loan, Err):
             self._note_unreachable(target, lead, loan.err_value)
             req.excluded.add(target.target)
--- a/src/quetzalrudder/gateway/leadership.py
+++ b/src/quetzalrudder/gateway/leadership.py
@@ -35,6 +35,9 @@
 PERMISSION_MARGIN_S = 0.2
 # How long open work at a primary may delay its planned replacement.
 PLANNED_WAIT_S = 1.5
+# How long a change of primary usually takes until the new one can be used: the promotion
+# itself 300 to 1,000 ms, and the acknowledgements.
+CHANGE_S = 1.3
 # How often a waiting request looks for a new primary.
 WAIT_TURN_S = 0.01
 
@@ -157,6 +160,13 @@
         """Tell whether nothing can have replaced a primary until now."""
         return self.lead(lead.group) == lead
 
+    def expected_wait_s(self, group: GroupId) -> float:
+        """Seconds after which a primary is expected; 0 if none is in sight."""
+        record = self._records.get(group)
+        if record is None or record.primary is not None or not self._permission.valid:
+            return 0.0
+        return max(0.0, self._seen_at[group] + CHANGE_S - self._clock.monotonic())
+
     def wait_for_lead(self, group: GroupId, timeout_s: float) -> Lead | None:
         """Wait until the group has a primary that may be used."""
         until = self._clock.monotonic() + timeout_s
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -18,6 +18,7 @@
     Unauthenticated,
 )
 from quetzalrudder.gateway.attempts import (
+    QUEUE_PART,
     Attempt,
     AttemptPlanner,
     Request,
@@ -184,6 +185,7 @@
             route=route,
             workspace=workspace,
             deadline_at=started + route.timeout_ms / MS_PER_S,
+            queue_until=started + route.timeout_ms / MS_PER_S * QUEUE_PART,
             wanted_at=started + route.objective_ms / MS_PER_S,
             covers=self._own,
         )
@@ -295,7 +297,7 @@
                 if not req.may_repeat(last):
                     return Err(last)
                 pause_s = retry_pause_s(req, self._gateway.rng)
-                if clock.monotonic() + pause_s >= req.deadline_at:
+                if clock.monotonic() + pause_s >= req.queue_until:
                     return Err(last)
                 clock.sleep(pause_s)
             self._outcome.attempts += 1
