--- a/src/quetzalrudder/gateway/catalog.py
+++ b/src/quetzalrudder/gateway/catalog.py
@@ -94,19 +94,34 @@
     def __init__(self) -> None:
         self._changed = threading.Condition()
         self._current = Catalog()
+        self._raw = b""
+
+    @property
+    def raw(self) -> bytes:
+        """The catalog in force as the store holds it, for peers."""
+        return self._raw
 
     @property
     def current(self) -> Catalog:
         """The catalog in force."""
         return self._current
 
-    def offer(self, catalog: Catalog) -> bool:
-        """Take a catalog unless it is older than the one in force."""
+    def offer(self, catalog: Catalog, raw: bytes = b"") -> bool:
+        """Take a catalog unless it is older than the one in force.
+
+        Parameters
+        ----------
+        catalog : Catalog
+            The version.
+        raw : bytes
+            The same as the store holds it.
+        """
         with self._changed:
             if catalog.version <= self._current.version:
                 return False
             before = self._current.version
             self._current = catalog
+            self._raw = raw
             self._changed.notify_all()
         log.info(
             "configuration in force",
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -10,6 +10,7 @@
 
 from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
 from quetzalrudder.gateway.leadership import (
+    OUTAGE_LIMIT_S,
     PERMISSION_S,
     LeaderRecord,
     LeaderTable,
@@ -22,9 +23,11 @@
     DUTY_KEY,
     LEADER_PREFIX,
     MEMBER_PREFIX,
+    ROSTER_PREFIX,
     DutyRecord,
     decode_leader,
     decode_member,
+    decode_roster,
     encode_duty,
     encode_leader,
 )
@@ -49,7 +52,8 @@
 SUCCESSOR_S = 3.0
 # How long a planned replacement waits for the successor to receive the whole log.
 CATCH_UP_S = 1.0
-PROBE_TIMEOUT_S = 0.3
+# An instance that was no member for this long has lost every permission, also a peer's.
+FORGET_S = PERMISSION_S + OUTAGE_LIMIT_S + 5.0
 
 
 class Promoter(Protocol):
@@ -124,6 +128,7 @@
         # Epoch for which the platform has accepted a promotion.
         self._promoted: dict[GroupId, int] = {}
         self._unreachable: dict[TargetId, float] = {}
+        self._resigned = False
 
     def observe(self, record: DutyRecord | None) -> None:
         """Take what the store says of the duty; None if nobody holds it."""
@@ -149,12 +154,24 @@
         """Look for work until told to stop; then leave the duty to another."""
         while not stopping.wait(TURN_S):
             self.step()
+        self._give_up()
+
+    def resign(self) -> None:
+        """Leave the duty to another instance for good."""
+        self._resigned = True
+
+    def _give_up(self) -> None:
         self._valid_until = -1.0
-        if self._lease is not None:
-            self._store.end_lease(self._lease)
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            ended = self._store.end_lease(lease)
+            log.info("duty left", extra={"token": self._token, "done": isinstance(ended, Ok)})
 
     def step(self) -> None:
         """Keep or take the duty, and move each group's replacement on."""
+        if self._resigned:
+            self._give_up()
+            return
         if self._lease is None:
             self._take()
         elif self._clock.monotonic() >= self._next_renewal:
@@ -163,6 +180,24 @@
             return
         for group in self._groups():
             self._look_after(group)
+        self._clear_roster()
+
+    @property
+    def seen_holder(self) -> InstanceId | None:
+        """Who holds the duty, as far as this instance has seen."""
+        return self._seen.instance if self._seen is not None else None
+
+    def _clear_roster(self) -> None:
+        """Forget instances that cannot use any primary without joining again."""
+        for absence in self._members.absences():
+            if absence.since_s > FORGET_S:
+                record = absence.roster
+                gone = self._store.delete(ROSTER_PREFIX + record.instance, record.revision)
+                log.info(
+                    "roster entry cleared",
+                    extra={"member": record.instance, "done": isinstance(gone, Ok)},
+                )
+                self._members.remove_roster(record.instance)
 
     def _groups(self) -> list[GroupId]:
         return sorted({target.group for target in self._registry.all_targets()})
@@ -348,24 +383,27 @@
             self._write(replace(record, epoch=record.epoch + 1, successor=successor))
 
     def _is_clear(self, record: LeaderRecord) -> bool:
-        """Read the members and tell whether nobody can use the old primary any more."""
-        if any(
-            member.acknowledged.get(record.group, 0) < record.epoch
-            for member in self._members.members()
-        ):
+        """Tell whether nobody can use the old primary any more."""
+        if not self._may_promote(record):
             return False
-        result = self._store.read_prefix(MEMBER_PREFIX)
-        if isinstance(result, Err):
-            self._contact.failed(result.err_value)
+        # The view may be late: what it says is confirmed by a linearizable read.
+        members = self._store.read_prefix(MEMBER_PREFIX)
+        roster = self._store.read_prefix(ROSTER_PREFIX) if isinstance(members, Ok) else members
+        if isinstance(roster, Err):
+            self._contact.failed(roster.err_value)
             return False
-        members = [decode_member(item) for item in result.ok_value.items]
+        self._members.replace_all([decode_member(item) for item in members.ok_value.items])
+        self._members.replace_roster([decode_roster(item) for item in roster.ok_value.items])
+        return self._may_promote(record)
+
+    def _may_promote(self, record: LeaderRecord) -> bool:
         return may_promote(
             record.group,
             record.epoch,
-            members,
-            lost=self._members.lost_within(PERMISSION_S),
-            contact_s=self._contact.contact_s,
-            history_s=self._contact.history_s,
+            self._instance,
+            self._members.members(),
+            self._members.absences(),
+            entry=self._members.entry(self._instance),
         )
 
     def _hand_log_over(self, record: LeaderRecord) -> None:
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -5,30 +5,34 @@
 import threading
 import uuid
 from collections.abc import Callable
-from concurrent.futures import Executor, Future
+from concurrent.futures import Executor, Future, wait
 from contextlib import ExitStack
 from dataclasses import dataclass
 
 from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway.attempts import AttemptPlanner
-from quetzalrudder.gateway.catalog import CatalogHolder
+from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
 from quetzalrudder.gateway.connections import GatewayPool
 from quetzalrudder.gateway.failover import FailoverDuty, Promoter
 from quetzalrudder.gateway.leadership import LeaderTable, MemberTable, Permission
 from quetzalrudder.gateway.measurements import Measurements
 from quetzalrudder.gateway.membership import Membership
 from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
+from quetzalrudder.gateway.peering import PeerCaller, Peering, Self
 from quetzalrudder.gateway.placement import Placement
 from quetzalrudder.gateway.probing import PooledProber, PrimaryWatch
 from quetzalrudder.gateway.quotas import QuotaRules, QuotaTable
+from quetzalrudder.gateway.rate_grants import RateKeeper
 from quetzalrudder.gateway.records import (
     DUTY_KEY,
     LEADER_PREFIX,
     MEMBER_PREFIX,
     PREFIX,
+    ROSTER_PREFIX,
     decode_duty,
     decode_leader,
     decode_member,
+    decode_roster,
 )
 from quetzalrudder.gateway.sessions import Gateway, ProxySession
 from quetzalrudder.gateway.statements import TargetConnector
@@ -44,6 +48,8 @@
 # How often idle connections are looked through for closed ones, and groups for new ones.
 CARE_S = 0.25
 DEFAULT_CONNECTIONS = 8
+# Bound on the calls that end lease and roster entry; an exit without them is safe.
+LEAVE_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -52,6 +58,8 @@
 
     instance: InstanceId
     data_centre: DataCentre
+    # Where other instances call this one.
+    peer_address: str
 
 
 class GatewayInstance:
@@ -65,6 +73,10 @@
         Gives a client of the store; each task has its own.
     connector, promoter
         Connections to databases, and the platform's call that promotes one.
+    caller : PeerCaller
+        Reaches other instances.
+    decode_catalog : Callable
+        Reads a configuration as the store holds it.
     quota_rules : QuotaRules
         How the operators count.
     clock : Clock
@@ -80,6 +92,8 @@
         open_store: Callable[[], Store],
         connector: TargetConnector,
         promoter: Promoter,
+        caller: PeerCaller,
+        decode_catalog: Callable[[bytes], Catalog],
         quota_rules: QuotaRules,
         clock: Clock,
         rng: random.Random,
@@ -103,10 +117,11 @@
             clock=clock,
         )
         self.prober = PooledProber(self.pool, connector, self._any_workspace)
+        quotas = QuotaTable(quota_rules, clock)
         self._gateway = Gateway(
             catalogs=self.catalogs,
             planner=self.planner,
-            quotas=QuotaTable(quota_rules, clock),
+            quotas=quotas,
             instances=self.members.count,
             measurements=self.measurements,
             clock=clock,
@@ -118,8 +133,10 @@
             store=open_store(),
             instance=identity.instance,
             incarnation=incarnation,
+            address=identity.peer_address,
             permission=self.permission,
             leaders=self.leaders,
+            members=self.members,
             suspects=self._suspects,
             contact=self.contact,
             clock=clock,
@@ -137,9 +154,23 @@
             rng=rng,
             clock=clock,
         )
+        self.peering = Peering(
+            own=Self(identity.instance, incarnation, identity.peer_address),
+            caller=caller,
+            permission=self.permission,
+            leaders=self.leaders,
+            members=self.members,
+            catalogs=self.catalogs,
+            contact=self.contact,
+            quotas=quotas,
+            keeper=RateKeeper(quota_rules.granted_per_s, clock),
+            keeper_instance=lambda: self.duty.seen_holder,
+            decode_catalog=decode_catalog,
+            clock=clock,
+        )
         self._watches: dict[GroupId, PrimaryWatch] = {}
         self._stopping = threading.Event()
-        self._tasks: list[Future] = []
+        self._tasks: dict[str, Future] = {}
 
     def open_session(self, database: str, key: str) -> ProxySession:
         """Make a caller's session."""
@@ -170,14 +201,24 @@
             ("mirror", mirror.run),
             ("membership", self.membership.run),
             ("duty", self.duty.run),
+            ("peering", lambda stopping: self.peering.run(executor, stopping)),
             ("care", lambda stopping: self._care(executor, stopping)),
         ):
             self._start_task(executor, name, run)
 
+    def begin_stop(self) -> None:
+        """Hand the duty on at the start of a planned stop."""
+        self.duty.resign()
+
+    def leave(self) -> None:
+        """Leave the fleet, once no session is open."""
+        self._stopping.set()
+        wait([self._tasks["membership"], self._tasks["duty"]], LEAVE_S)
+
     def _start_task(
         self, executor: Executor, name: str, run: Callable[[threading.Event], None]
     ) -> None:
-        self._tasks.append(executor.submit(self._supervise, name, run))
+        self._tasks[name] = executor.submit(self._supervise, name, run)
 
     def _supervise(self, name: str, run: Callable[[threading.Event], None]) -> None:
         """Run a task again after a defect, so that one bad record does not end it."""
@@ -190,7 +231,7 @@
 
     def _stop(self) -> None:
         self._stopping.set()
-        for task in self._tasks:
+        for task in self._tasks.values():
             task.result()
 
     def _care(self, executor: Executor, stopping: threading.Event) -> None:
@@ -226,22 +267,27 @@
     # The gateway's own keys.
 
     def _replace_own(self, items: list[Item]) -> None:
-        members = []
+        members, roster = [], []
         duty = None
         for item in items:
             if item.key.startswith(MEMBER_PREFIX):
                 members.append(item)
+            elif item.key.startswith(ROSTER_PREFIX):
+                roster.append(item)
             elif item.key == DUTY_KEY:
                 duty = item
             else:
                 self._change_own(item)
         self.members.replace_all([decode_member(item) for item in members])
+        self.members.replace_roster([decode_roster(item) for item in roster])
         self.duty.observe(decode_duty(duty) if duty is not None else None)
 
     def _change_own(self, item: Item) -> None:
         try:
             if item.key.startswith(MEMBER_PREFIX):
                 self._change_member(item)
+            elif item.key.startswith(ROSTER_PREFIX):
+                self._change_roster(item)
             elif item.key == DUTY_KEY:
                 self.duty.observe(None if item.value is None else decode_duty(item))
             elif item.key.startswith(LEADER_PREFIX) and item.value is not None:
@@ -249,6 +295,12 @@
         except MalformedMessage as exc:
             log.error("record of the store cannot be read", extra={"reason": str(exc)})
 
+    def _change_roster(self, item: Item) -> None:
+        if item.value is None:
+            self.members.remove_roster(InstanceId(item.key.removeprefix(ROSTER_PREFIX)))
+        else:
+            self.members.put_roster(decode_roster(item))
+
     def _change_member(self, item: Item) -> None:
         if item.value is None:
             self.members.remove(InstanceId(item.key.removeprefix(MEMBER_PREFIX)))
--- a/src/quetzalrudder/gateway/leadership.py
+++ b/src/quetzalrudder/gateway/leadership.py
@@ -14,23 +14,33 @@
 from quetzalrudder.utils import Clock
 
 __all__ = [
+    "OUTAGE_LIMIT_S",
     "PERMISSION_S",
+    "VOUCH_S",
+    "Absence",
     "Lead",
     "LeaderRecord",
     "LeaderTable",
     "MemberRecord",
     "MemberTable",
     "Permission",
+    "RosterRecord",
     "is_suspected",
     "may_promote",
 ]
 
 log = logging.getLogger(__name__)
 
-# How long a renewal allows the use of primaries. Longer outages of the store stop writes;
-# an instance that is cut off delays a failover by as much. The brief asks for failovers
-# within 7 s.
-PERMISSION_S = 6.0
+# How long a renewal allows the use of primaries. An instance that is cut off from store and
+# peers delays a failover by as much; the brief asks for failovers within 7 s.
+PERMISSION_S = 2.5
+# How long a peer answers for an instance that asks it.
+VOUCH_S = 0.8
+# How long instances that all miss the store may go on answering for each other. Longer
+# than the users' outages of up to 9 s.
+OUTAGE_LIMIT_S = 20.0
+# How long an instance may go on that does not know the holder of the duty.
+STRANGER_S = OUTAGE_LIMIT_S + VOUCH_S
 # Clocks of instances may differ in rate; the platform states no figure.
 PERMISSION_MARGIN_S = 0.2
 # How long open work at a primary may delay its planned replacement.
@@ -53,25 +63,33 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._until = -1.0
+        # By the own lease, and by peers.
+        self._own_until = -1.0
+        self._vouched_until = -1.0
+        self._dropped = False
 
     def renewed(self, sent_at: float) -> None:
         """Note that the store has renewed the lease by a call sent at that time."""
-        self._until = max(self._until, sent_at + PERMISSION_S - PERMISSION_MARGIN_S)
+        self._own_until = max(self._own_until, sent_at + PERMISSION_S - PERMISSION_MARGIN_S)
+
+    def vouched(self, asked_at: float, valid_s: float) -> None:
+        """Note that peers, asked at that time, answer for this instance."""
+        self._vouched_until = max(self._vouched_until, asked_at + valid_s)
 
     def drop(self) -> None:
-        """Give the permission up."""
-        self._until = -1.0
+        """Give the permission up for good."""
+        self._dropped = True
 
     @property
     def valid(self) -> bool:
         """True while primaries may be used."""
-        return self._clock.monotonic() < self._until
+        until = max(self._own_until, self._vouched_until)
+        return not self._dropped and self._clock.monotonic() < until
 
     @property
-    def left_s(self) -> float:
-        """Seconds until it runs out."""
-        return max(0.0, self._until - self._clock.monotonic())
+    def own_left_s(self) -> float:
+        """Seconds for which the own lease still allows it; negative once it has run out."""
+        return -1.0 if self._dropped else self._own_until - self._clock.monotonic()
 
 
 @dataclass(frozen=True)
@@ -119,6 +137,9 @@
         self._records: dict[GroupId, LeaderRecord] = {}
         self._in_use: dict[GroupId, int] = {}
         self._seen_at: dict[GroupId, float] = {}
+        # Until when peers may use primaries on the word of this instance.
+        self._vouching_until = -1.0
+        self._acknowledge_from: dict[GroupId, float] = {}
 
     def observe(self, record: LeaderRecord) -> bool:
         """Take a record unless it is older than the one known; true if it is new."""
@@ -128,6 +149,7 @@
                 return False
             self._records[record.group] = record
             self._seen_at[record.group] = self._clock.monotonic()
+            self._acknowledge_from[record.group] = self._vouching_until
         log.info(
             "primary recorded",
             extra={
@@ -149,6 +171,16 @@
         with self._lock:
             return list(self._records.values())
 
+    def vouch(self, valid_s: float) -> list[LeaderRecord]:
+        """Answer for a peer, and give the records that it has to take first.
+
+        A later record is acknowledged only after the peer's permission has run out.
+        """
+        with self._lock:
+            until = self._clock.monotonic() + valid_s
+            self._vouching_until = max(self._vouching_until, until)
+            return list(self._records.values())
+
     def lead(self, group: GroupId) -> Lead | None:
         """Give the primary that may be used now; None if there is none."""
         record = self._records.get(group)
@@ -196,7 +228,7 @@
                     and self._in_use.get(group, 0) > 0
                     and now < self._seen_at[group] + PLANNED_WAIT_S
                 )
-                if not waiting:
+                if not waiting and now >= self._acknowledge_from[group]:
                     acknowledged[group] = record.epoch
             return acknowledged
 
@@ -211,6 +243,28 @@
     suspects: dict[GroupId, TargetId]
 
 
+@dataclass(frozen=True)
+class RosterRecord:
+    """An instance that has joined once, and where peers reach it."""
+
+    instance: InstanceId
+    incarnation: str
+    address: str
+    # Highest ``created`` of the entries that the instance has seen: it asks all of those
+    # before it goes on without the store.
+    knows: int = 0
+    revision: int = 0
+    created: int = 0
+
+
+@dataclass(frozen=True)
+class Absence:
+    """An instance that has joined and has no member record now."""
+
+    roster: RosterRecord
+    since_s: float
+
+
 class MemberTable:
     """The instances that may use primaries, as this instance sees them in the store.
 
@@ -220,24 +274,19 @@
         Source of time.
     """
 
-    # Instances are counted for some time after they were last seen, as one that is cut
-    # off from the store goes on admitting requests.
-    COUNT_S = 20.0
-
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
         self._members: dict[InstanceId, MemberRecord] = {}
-        self._seen: dict[InstanceId, float] = {}
-        self._lost: dict[InstanceId, float] = {}
+        self._roster: dict[InstanceId, RosterRecord] = {}
+        self._absent_since: dict[InstanceId, float] = {}
 
     def put(self, record: MemberRecord) -> None:
         """Take a member's record."""
         with self._lock:
             known = self._members.get(record.instance)
             self._members[record.instance] = record
-            self._seen[record.instance] = self._clock.monotonic()
-            self._lost.pop(record.instance, None)
+            self._absent_since.pop(record.instance, None)
         if known is None or known.incarnation != record.incarnation:
             log.info(
                 "instance joined",
@@ -249,9 +298,7 @@
         with self._lock:
             if self._members.pop(instance, None) is None:
                 return
-            now = self._clock.monotonic()
-            self._seen[instance] = now
-            self._lost[instance] = now
+            self._absent_since[instance] = self._clock.monotonic()
         log.info("instance left", extra={"member": instance})
 
     def replace_all(self, records: list[MemberRecord]) -> None:
@@ -264,23 +311,66 @@
         for name in gone:
             self.remove(name)
 
+    def put_roster(self, record: RosterRecord) -> None:
+        """Take a roster entry; each time an instance joins it gets a new revision."""
+        with self._lock:
+            known = self._roster.get(record.instance)
+            if known is not None and known.revision >= record.revision:
+                return
+            self._roster[record.instance] = record
+            if record.instance not in self._members:
+                self._absent_since[record.instance] = self._clock.monotonic()
+
+    def remove_roster(self, instance: InstanceId) -> None:
+        """Forget an instance that left for good."""
+        with self._lock:
+            self._roster.pop(instance, None)
+            self._absent_since.pop(instance, None)
+
+    def replace_roster(self, records: list[RosterRecord]) -> None:
+        """Take a full list of the roster."""
+        listed = {record.instance for record in records}
+        with self._lock:
+            gone = [name for name in self._roster if name not in listed]
+        for record in records:
+            self.put_roster(record)
+        for name in gone:
+            self.remove_roster(name)
+
+    def newest_entry(self) -> int:
+        """Give the highest ``created`` of the roster."""
+        with self._lock:
+            return max((record.created for record in self._roster.values()), default=0)
+
+    def entry(self, instance: InstanceId) -> RosterRecord | None:
+        """Give an instance's roster entry."""
+        with self._lock:
+            return self._roster.get(instance)
+
     def members(self) -> list[MemberRecord]:
         """List the members that are in the store."""
         with self._lock:
             return list(self._members.values())
 
-    def count(self) -> int:
-        """Count the instances that may admit requests, also lately lost ones."""
-        oldest = self._clock.monotonic() - self.COUNT_S
+    def roster(self) -> list[RosterRecord]:
+        """List all instances that have joined and not left for good."""
         with self._lock:
-            lately = [name for name, at in self._lost.items() if at > oldest]
-            return max(1, len(self._members) + len(lately))
+            return list(self._roster.values())
 
-    def lost_within(self, span_s: float) -> list[InstanceId]:
-        """List the instances whose record went away lately."""
-        oldest = self._clock.monotonic() - span_s
+    def absences(self) -> list[Absence]:
+        """List the instances of the roster that are no members now."""
+        now = self._clock.monotonic()
         with self._lock:
-            return [name for name, at in self._lost.items() if at > oldest]
+            return [
+                Absence(record, now - self._absent_since.get(name, now))
+                for name, record in self._roster.items()
+                if name not in self._members
+            ]
+
+    def count(self) -> int:
+        """Count the instances that may admit requests, also those lost lately."""
+        with self._lock:
+            return max(1, len(self._roster.keys() | self._members.keys()))
 
 
 def is_suspected(target: TargetId, group: GroupId, members: list[MemberRecord]) -> bool:
@@ -300,11 +390,11 @@
 def may_promote(
     group: GroupId,
     epoch: int,
+    holder: InstanceId,
     members: list[MemberRecord],
+    absences: list[Absence],
     *,
-    lost: list[InstanceId],
-    contact_s: float,
-    history_s: float,
+    entry: RosterRecord | None,
 ) -> bool:
     """Tell whether no instance can use the primary of an earlier epoch any more.
 
@@ -312,16 +402,22 @@
     ----------
     group, epoch
         The change that is to take effect.
+    holder : InstanceId
+        Who asks; its own acknowledgement shows that it vouches for nobody any more.
     members : list of MemberRecord
         All members in the store, read after the change was written.
-    lost : list of InstanceId
-        Members whose record went away within ``PERMISSION_S``.
-    contact_s : float
-        Seconds for which the reader has reached the store without a failure. Only
-        then is it certain that a lease which is gone has run its whole time.
-    history_s : float
-        Seconds for which the reader has seen every change in the store.
+    absences : list of Absence
+        Instances that joined once and are no members now.
+    entry : RosterRecord, optional
+        The holder's roster entry. Absent instances that know it do not go on without
+        asking the holder; others may for as long as an outage may last.
     """
+    if entry is None or holder not in {member.instance for member in members}:
+        return False
     if any(member.acknowledged.get(group, 0) < epoch for member in members):
         return False
-    return contact_s > PERMISSION_S or (history_s > PERMISSION_S and not lost)
+    return all(
+        absence.since_s
+        > PERMISSION_S + (0.0 if absence.roster.knows >= entry.created else STRANGER_S)
+        for absence in absences
+    )
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -11,14 +11,19 @@
     PERMISSION_S,
     LeaderTable,
     MemberRecord,
+    MemberTable,
     Permission,
+    RosterRecord,
 )
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.records import (
     LEADER_PREFIX,
     MEMBER_PREFIX,
+    ROSTER_PREFIX,
     decode_leader,
+    decode_roster,
     encode_member,
+    encode_roster,
 )
 from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict
 from quetzalrudder.models import GroupId, InstanceId, TargetId
@@ -29,8 +34,8 @@
 log = logging.getLogger(__name__)
 
 # Several renewals fit into the time that a permission lasts.
-RENEW_S = 0.9
-RETRY_S = 0.25
+RENEW_S = 0.7
+RETRY_S = 0.2
 # How often the own record is compared with what should be said.
 TURN_S = 0.03
 
@@ -42,12 +47,14 @@
     ----------
     store : Store
         The store.
-    instance, incarnation
-        This process.
+    instance, incarnation, address
+        This process, and where peers reach it.
     permission : Permission
         Renewed with the lease.
     leaders : LeaderTable
         Says which epochs are acknowledged.
+    members : MemberTable
+        The roster as far as this instance has seen it.
     suspects : Callable
         Gives the primaries that this instance has lost.
     contact : StoreContact
@@ -62,8 +69,10 @@
         store: Store,
         instance: InstanceId,
         incarnation: str,
+        address: str,
         permission: Permission,
         leaders: LeaderTable,
+        members: MemberTable,
         suspects: Callable[[], dict[GroupId, TargetId]],
         contact: StoreContact,
         clock: Clock,
@@ -71,9 +80,14 @@
         self._store = store
         self._instance = instance
         self._incarnation = incarnation
+        self._address = address
         self._key = MEMBER_PREFIX + instance
+        self._roster_key = ROSTER_PREFIX + instance
+        self._roster_revision = 0
         self._permission = permission
         self._leaders = leaders
+        self._members = members
+        self._known_entries = 0
         self._suspects = suspects
         self._contact = contact
         self._clock = clock
@@ -84,12 +98,21 @@
         self._next_try = 0.0
 
     def run(self, stopping: threading.Event) -> None:
-        """Keep record and lease until told to stop; then end the lease."""
+        """Keep record and lease until told to stop, then leave."""
         while not stopping.wait(TURN_S):
             self.step()
+        self.leave()
+
+    def leave(self) -> None:
+        """Use no primary any more, and say so in the store."""
         self._permission.drop()
-        if self._lease is not None:
-            self._store.end_lease(self._lease)
+        if self._lease is None:
+            return
+        ended = self._store.end_lease(self._lease)
+        gone = self._store.delete(self._roster_key, self._roster_revision)
+        log.info(
+            "left", extra={"lease_ended": isinstance(ended, Ok), "erased": isinstance(gone, Ok)}
+        )
 
     def step(self) -> None:
         """Do what is due."""
@@ -109,12 +132,17 @@
                 self._contact.failed(result.err_value)
 
     def _join(self) -> Result[None, QuetzalrudderError]:
-        """Take a lease, write the record under it, then read who leads each group.
+        """Enter the roster, write the record under a lease, then read who leads each group.
+
+        The roster has no lease: it tells of instances whose lease the store has lost.
 
         Whoever replaces a primary writes the leader's record first and reads the members
         afterwards, so one of the two sees the other.
         """
         sent_at = self._clock.monotonic()
+        entered = self._enter_roster()
+        if isinstance(entered, Err):
+            return entered
         opened = self._store.open_lease(PERMISSION_S)
         if isinstance(opened, Err):
             return opened
@@ -123,6 +151,8 @@
         written = self._write(MemberRecord(self._instance, self._incarnation, {}, {}), lease)
         if isinstance(written, Ok):
             written = self._read_leaders()
+        if isinstance(written, Ok):
+            written = self._read_roster()
         if isinstance(written, Err):
             return written
         # From here on a renewal of the lease keeps the record too.
@@ -132,6 +162,29 @@
         log.info("joined", extra={"incarnation": self._incarnation, "lease": lease})
         return Ok(None)
 
+    def _enter_roster(self) -> Result[None, QuetzalrudderError]:
+        knows = self._members.newest_entry()
+        record = RosterRecord(self._instance, self._incarnation, self._address, knows)
+        result = self._store.write(self._roster_key, encode_roster(record), self._roster_revision)
+        if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
+            self._roster_revision = _revision_of(self._roster_key, result.err_value)
+            result = self._store.write(
+                self._roster_key, encode_roster(record), self._roster_revision
+            )
+        if isinstance(result, Err):
+            return result
+        self._roster_revision = result.ok_value
+        self._known_entries = knows
+        return Ok(None)
+
+    def _read_roster(self) -> Result[None, QuetzalrudderError]:
+        result = self._store.read_prefix(ROSTER_PREFIX)
+        if isinstance(result, Err):
+            return result
+        for item in result.ok_value.items:
+            self._members.put_roster(decode_roster(item))
+        return Ok(None)
+
     def _read_leaders(self) -> Result[None, QuetzalrudderError]:
         result = self._store.read_prefix(LEADER_PREFIX)
         if isinstance(result, Err):
@@ -153,7 +206,11 @@
         return Ok(None)
 
     def _say(self) -> Result[None, QuetzalrudderError]:
-        """Write the record if what it says has changed."""
+        """Write record and roster entry if what they say has changed."""
+        if self._members.newest_entry() > self._known_entries:
+            entered = self._enter_roster()
+            if isinstance(entered, Err):
+                return entered
         record = MemberRecord(
             self._instance, self._incarnation, self._leaders.acknowledged(), self._suspects()
         )
@@ -166,8 +223,7 @@
         result = self._store.write(self._key, value, self._revision, lease)
         if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
             # An earlier write ran late, or the record went with an old lease.
-            found = [item for item in result.err_value.current if item.key == self._key]
-            self._revision = found[0].revision if found else 0
+            self._revision = _revision_of(self._key, result.err_value)
             result = self._store.write(self._key, value, self._revision, lease)
         if isinstance(result, Err):
             if isinstance(result.err_value, LeaseEnded):
@@ -184,3 +240,8 @@
             },
         )
         return Ok(None)
+
+
+def _revision_of(key: str, conflict: WriteConflict) -> int:
+    """Give the revision that a key has now; 0 if it does not exist."""
+    return next((item.revision for item in conflict.current if item.key == key), 0)
--- /dev/null
+++ b/src/quetzalrudder/gateway/peering.py
@@ -0,0 +1,297 @@
+"""What instances tell each other: permissions, records, configurations and rates.
+
+An instance that cannot renew its lease asks its peers. One that holds a permission of the
+store answers for it; and if none of them reaches the store, they go on together, as long
+as every instance that could change a primary takes part.
+"""
+
+import logging
+import threading
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Ok, Result
+
+from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
+from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
+from quetzalrudder.gateway.leadership import (
+    OUTAGE_LIMIT_S,
+    PERMISSION_S,
+    VOUCH_S,
+    LeaderTable,
+    MemberTable,
+    Permission,
+    RosterRecord,
+)
+from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.quotas import QuotaTable
+from quetzalrudder.gateway.rate_grants import GRANT_S, RateKeeper
+from quetzalrudder.gateway.records import LEADER_PREFIX, decode_leader, encode_leader
+from quetzalrudder.gateway.store import Item
+from quetzalrudder.models import InstanceId, WorkspaceId
+from quetzalrudder.schema.gateway import (
+    Demand,
+    GroupLeader,
+    PeerReply,
+    PeerReport,
+    PermissionGrant,
+    RateGrant,
+)
+from quetzalrudder.utils import MS_PER_S, Clock
+
+__all__ = ["PeerCaller", "Peering", "Self"]
+
+log = logging.getLogger(__name__)
+
+TURN_S = 0.1
+# How often the keeper of the rates is told the demand.
+REPORT_S = 0.35
+# How often peers are asked while the own lease is not renewed.
+ASK_S = 0.25
+# A renewal is overdue once the permission has this long left.
+ASK_BELOW_S = PERMISSION_S - 1.2
+CALL_TIMEOUT_S = 0.3
+
+
+class PeerCaller(Protocol):
+    """Calls another instance."""
+
+    def exchange(
+        self, address: str, report: PeerReport, timeout_s: float
+    ) -> Result[PeerReply, QuetzalrudderError]:
+        """Send a report and give the answer."""
+
+
+@dataclass(frozen=True)
+class Self:
+    """The process itself, as peers see it."""
+
+    instance: InstanceId
+    incarnation: str
+    # Where peers call it.
+    address: str
+
+
+@dataclass(frozen=True)
+class _Asked:
+    peer: RosterRecord
+    result: Result[PeerReply, QuetzalrudderError]
+
+
+class Peering:
+    """An instance's side of the exchange.
+
+    Parameters
+    ----------
+    own : Self
+        This process.
+    caller : PeerCaller
+        Reaches other instances.
+    permission, leaders, members, catalogs, contact
+        What this instance knows.
+    quotas, keeper
+        Demand and grants of rates.
+    keeper_instance : Callable
+        Gives the instance that keeps the rates; None if it is not known.
+    decode_catalog : Callable
+        Reads a configuration as the store holds it.
+    clock : Clock
+        Source of time; it must count suspensions.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Self,
+        caller: PeerCaller,
+        permission: Permission,
+        leaders: LeaderTable,
+        members: MemberTable,
+        catalogs: CatalogHolder,
+        contact: StoreContact,
+        quotas: QuotaTable,
+        keeper: RateKeeper,
+        keeper_instance: Callable[[], InstanceId | None],
+        decode_catalog: Callable[[bytes], Catalog],
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._caller = caller
+        self._permission = permission
+        self._leaders = leaders
+        self._members = members
+        self._catalogs = catalogs
+        self._contact = contact
+        self._quotas = quotas
+        self._keeper = keeper
+        self._keeper_instance = keeper_instance
+        self._decode_catalog = decode_catalog
+        self._clock = clock
+        self._lock = threading.Lock()
+        # Instances that called this one; they may not be in the roster as it is known here.
+        self._heard: dict[InstanceId, RosterRecord] = {}
+        self._next_report = 0.0
+        self._next_ask = 0.0
+        self._has_word = False
+
+    # Answers.
+
+    def answer(self, report: PeerReport) -> PeerReply:
+        """Answer another instance's report."""
+        peer = RosterRecord(InstanceId(report.instance), report.incarnation, report.address)
+        with self._lock:
+            self._heard[peer.instance] = peer
+        reply = PeerReply(instance=self._own.instance, incarnation=self._own.incarnation)
+        if report.asks_permission:
+            self._grant_permission(reply)
+        if report.catalog_version < self._catalogs.current.version:
+            reply.catalog = self._catalogs.raw
+        demands = {WorkspaceId(item.workspace): item.per_s for item in report.demands}
+        if demands:
+            self._grant_rates(peer.instance, demands, reply)
+        return reply
+
+    def _grant_permission(self, reply: PeerReply) -> None:
+        left_s = self._permission.own_left_s
+        if left_s > 0:
+            reply.grant = PermissionGrant.VOUCHED
+            valid_s = min(VOUCH_S, left_s)
+        elif self._contact.contact_s == 0:
+            reply.grant = PermissionGrant.NO_STORE
+            valid_s = VOUCH_S
+        else:
+            reply.grant = PermissionGrant.NONE
+            return
+        records = self._leaders.vouch(valid_s)
+        reply.valid_ms = int(valid_s * MS_PER_S)
+        reply.leaders = [
+            GroupLeader(group=record.group, value=encode_leader(record), revision=record.revision)
+            for record in records
+        ]
+
+    def _grant_rates(
+        self, instance: InstanceId, demands: dict[WorkspaceId, float], reply: PeerReply
+    ) -> None:
+        workspaces = dict(self._catalogs.current.workspaces)
+        grants = self._keeper.grant(instance, demands, workspaces)
+        if grants is not None:
+            reply.rate_valid_ms = int(GRANT_S * MS_PER_S)
+            reply.rate_grants = [
+                RateGrant(workspace=name, per_s=per_s) for name, per_s in grants.items()
+            ]
+
+    # Calls.
+
+    def run(self, executor: Executor, stopping: threading.Event) -> None:
+        """Exchange with peers until told to stop."""
+        while not stopping.wait(TURN_S):
+            self.step(executor)
+
+    def step(self, executor: Executor) -> None:
+        """Make the calls that are due."""
+        now = self._clock.monotonic()
+        if self._permission.own_left_s < ASK_BELOW_S:
+            if now >= self._next_ask:
+                self._next_ask = now + ASK_S
+                self._ask_all(executor)
+            return
+        if self._has_word:
+            self._has_word = False
+            log.info("permission held by the own lease again")
+        if now >= self._next_report:
+            self._next_report = now + REPORT_S
+            self._report_demand()
+
+    def _peers(self) -> list[RosterRecord]:
+        """List every instance that may use primaries, as far as this one knows."""
+        with self._lock:
+            known = dict(self._heard)
+        known |= {record.instance: record for record in self._members.roster()}
+        return [peer for name, peer in sorted(known.items()) if name != self._own.instance]
+
+    def _make_report(self, *, asks: bool) -> PeerReport:
+        return PeerReport(
+            instance=self._own.instance,
+            incarnation=self._own.incarnation,
+            address=self._own.address,
+            asks_permission=asks,
+            catalog_version=self._catalogs.current.version,
+        )
+
+    def _report_demand(self) -> None:
+        keeper = self._keeper_instance()
+        demands = self._quotas.demands()
+        self._keeper.keep(is_keeper=keeper == self._own.instance)
+        if keeper is None or not demands:
+            return
+        report = self._make_report(asks=False)
+        report.demands = [Demand(workspace=name, per_s=per_s) for name, per_s in demands.items()]
+        asked_at = self._clock.monotonic()
+        if keeper == self._own.instance:
+            self._take(self.answer(report), asked_at)
+            return
+        peer = next((peer for peer in self._peers() if peer.instance == keeper), None)
+        if peer is not None:
+            result = self._caller.exchange(peer.address, report, CALL_TIMEOUT_S)
+            if isinstance(result, Ok):
+                self._take(result.ok_value, asked_at)
+
+    def _ask_all(self, executor: Executor) -> None:
+        """Ask every peer to answer for this instance."""
+        asked_at = self._clock.monotonic()
+        asked = self._call_all(executor, self._peers(), self._make_report(asks=True))
+        replies = [item.result.ok_value for item in asked if isinstance(item.result, Ok)]
+        grants = [reply.grant for reply in replies]
+        vouched = [reply for reply in replies if reply.grant is PermissionGrant.VOUCHED]
+        valid_s = max((reply.valid_ms / MS_PER_S for reply in vouched), default=0.0)
+        all_without = len(replies) == len(asked) > 0 and all(
+            grant is PermissionGrant.NO_STORE for grant in grants
+        )
+        if all_without and -self._permission.own_left_s < OUTAGE_LIMIT_S:
+            valid_s = VOUCH_S
+        if valid_s > 0:
+            self._permission.vouched(asked_at, valid_s)
+        if (valid_s > 0) != self._has_word:
+            self._has_word = valid_s > 0
+            log.info(
+                "permission held by peers" if self._has_word else "peers give no permission",
+                extra={
+                    "asked": len(asked),
+                    "answered": len(replies),
+                    "vouched": len(vouched),
+                    "own_left_s": round(self._permission.own_left_s, 2),
+                },
+            )
+
+    def _call_all(
+        self, executor: Executor, peers: list[RosterRecord], report: PeerReport
+    ) -> list[_Asked]:
+        asked_at = self._clock.monotonic()
+        futs: list[tuple[RosterRecord, Future]] = [
+            (peer, executor.submit(self._caller.exchange, peer.address, report, CALL_TIMEOUT_S))
+            for peer in peers
+        ]
+        asked = [_Asked(peer, fut.result()) for peer, fut in futs]
+        for item in asked:
+            if isinstance(item.result, Ok):
+                self._take(item.result.ok_value, asked_at)
+        return asked
+
+    def _take(self, reply: PeerReply, asked_at: float) -> None:
+        """Learn from an answer; its records come before the permission that it gives."""
+        try:
+            for leader in reply.leaders:
+                item = Item(LEADER_PREFIX + leader.group, leader.value, leader.revision)
+                self._leaders.observe(decode_leader(item))
+            if reply.catalog:
+                self._catalogs.offer(self._decode_catalog(reply.catalog), reply.catalog)
+        except MalformedMessage as exc:
+            log.error(
+                "a peer's record cannot be read",
+                extra={"peer": reply.instance, "reason": str(exc)},
+            )
+        if reply.rate_valid_ms:
+            grants = {WorkspaceId(item.workspace): item.per_s for item in reply.rate_grants}
+            self._quotas.take_grants(grants, asked_at + reply.rate_valid_ms / MS_PER_S)
--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -26,6 +26,8 @@
 LAGGING_S = 0.1
 FIRST_HOLD_OFF_S = 0.2
 LONGEST_HOLD_OFF_S = 2.0
+# Enough to reach the longest; keeps the power small.
+MAX_DOUBLINGS = 10
 
 
 @dataclass
@@ -122,5 +124,6 @@
         with self._lock:
             health = self._of(target)
             health.failures += 1
-            hold_off_s = min(LONGEST_HOLD_OFF_S, FIRST_HOLD_OFF_S * 2 ** (health.failures - 1))
+            doublings = min(health.failures - 1, MAX_DOUBLINGS)
+            hold_off_s = min(LONGEST_HOLD_OFF_S, FIRST_HOLD_OFF_S * 2**doublings)
             health.held_off_until = self._clock.monotonic() + hold_off_s
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from quetzalrudder.exceptions import MalformedMessage
-from quetzalrudder.gateway.leadership import LeaderRecord, MemberRecord
+from quetzalrudder.gateway.leadership import LeaderRecord, MemberRecord, RosterRecord
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.models import GroupId, InstanceId, TargetId
 
@@ -13,17 +13,21 @@
     "LEADER_PREFIX",
     "MEMBER_PREFIX",
     "PREFIX",
+    "ROSTER_PREFIX",
     "DutyRecord",
     "decode_duty",
     "decode_leader",
     "decode_member",
+    "decode_roster",
     "encode_duty",
     "encode_leader",
     "encode_member",
+    "encode_roster",
 ]
 
 PREFIX = "qr/"
 MEMBER_PREFIX = "qr/members/"
+ROSTER_PREFIX = "qr/roster/"
 LEADER_PREFIX = "qr/leaders/"
 DUTY_KEY = "qr/duty"
 
@@ -82,6 +86,39 @@
         raise MalformedMessage(f"not a member: {exc!r}", place=item.key) from exc
 
 
+def encode_roster(record: RosterRecord) -> bytes:
+    """Write a roster entry."""
+    return _dump(
+        {
+            "incarnation": record.incarnation,
+            "address": record.address,
+            "knows": record.knows,
+        }
+    )
+
+
+def decode_roster(item: Item) -> RosterRecord:
+    """Read a roster entry.
+
+    Raises
+    ------
+    MalformedMessage
+        The value is not one that this version writes.
+    """
+    fields = _load(item)
+    try:
+        return RosterRecord(
+            instance=InstanceId(item.key.removeprefix(ROSTER_PREFIX)),
+            incarnation=str(fields["incarnation"]),
+            address=str(fields["address"]),
+            knows=int(fields["knows"]),
+            revision=item.revision,
+            created=item.created,
+        )
+    except (KeyError, ValueError) as exc:
+        raise MalformedMessage(f"not a roster entry: {exc!r}", place=item.key) from exc
+
+
 def encode_leader(record: LeaderRecord) -> bytes:
     """Write who leads a group."""
     return _dump(
--- a/src/quetzalrudder/gateway/store.py
+++ b/src/quetzalrudder/gateway/store.py
@@ -41,6 +41,8 @@
     key: str
     value: bytes | None
     revision: int
+    # Revision at which the key came into being; later writes keep it.
+    created: int = 0
 
 
 @dataclass(frozen=True)
@@ -65,6 +67,9 @@
     ) -> Result[int, QuetzalrudderError]:
         """Write a key if it has the expected revision; give the new revision."""
 
+    def delete(self, key: str, expected: int) -> Result[int, QuetzalrudderError]:
+        """Delete a key if it has the expected revision."""
+
     def open_lease(self, ttl_s: float) -> Result[LeaseId, QuetzalrudderError]:
         """Open a lease."""
 
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -68,10 +68,12 @@
         if value is None:
             self.items.pop(key, None)
         else:
-            self.items[key] = Item(key, value, self.revision)
+            known = self.items.get(key)
+            created = self.revision if known is None else known.created
+            self.items[key] = Item(key, value, self.revision, created)
             if lease:
                 self.holders[key] = lease
-        self.history.append(Item(key, value, self.revision))
+        self.history.append(self.items.get(key, Item(key, None, self.revision)))
         return self.revision
 
     def compact(self):
@@ -140,6 +142,15 @@
             return Err(LeaseEnded("no such lease"))
         return Ok(self.store.put(key, value, lease))
 
+    def delete(self, key, expected):
+        failed = self._reach()
+        if failed:
+            return failed
+        current = self.store.items.get(key, Item(key, None, 0))
+        if current.revision != expected:
+            return Err(WriteConflict("another revision", current=(current,)))
+        return self._answer(Ok(self.store.put(key, None, None)))
+
     def open_lease(self, ttl_s):
         failed = self._reach()
         if failed:
@@ -262,6 +273,7 @@
         self.database = database
         self.workspace = workspace
         self.broken = False
+        self.is_cut = lambda: False
         self.values = {}
         self.prepared = {}
         self.pending = []
@@ -278,7 +290,7 @@
 
     def status(self, timeout_s):
         self.database.group.settle()
-        if not self.database.up:
+        if not self.database.up or self.is_cut():
             self.close()
             return Err(LinkLost("gone", place=self.database.info.target))
         database = self.database
@@ -298,7 +310,7 @@
     def run(self, request_id, statement, timeout_s, at_least=None):
         database = self.database
         database.group.settle()
-        if not database.up or self.broken:
+        if not database.up or self.broken or self.is_cut():
             self.close()
             return Err(LinkLost("gone", place=database.info.target))
         if database.script is not None:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,7 +1,11 @@
 """Several gateway instances on one store and one group of databases, on a manual clock."""
 
 import random
+from concurrent.futures import Executor, Future
 
+from result import Err, Ok
+
+from quetzalrudder.exceptions import LinkLost, TargetUnavailable
 from quetzalrudder.gateway import (
     Catalog,
     Consistency,
@@ -21,9 +25,23 @@
 TURN_S = 0.05
 
 
+class DirectExecutor(Executor):
+    """Runs each call at once, so that a test is the same every time."""
+
+    def submit(self, fn, /, *args, **kwargs):
+        fut = Future()
+        fut.set_result(fn(*args, **kwargs))
+        return fut
+
+
+DIRECT = DirectExecutor()
+
+
 def catalog(version=1, **changes):
     routes = {
         "offers": Route("offers", "g", Consistency.PRIMARY, 0, 1000, 200, 1),
+        # Its requests give up before the clock has moved much.
+        "quick": Route("quick", "g", Consistency.PRIMARY, 0, 20, 10, 1),
         "prices": Route("prices", "g", Consistency.BOUNDED, 1500, 2000, 600, 2),
         "deals": Route("deals", "g", Consistency.SESSION, 2500, 1000, 400, 2),
     }
@@ -46,17 +64,19 @@
         self.name = name
         self.handles = []
         self.gateway = GatewayInstance(
-            identity=InstanceIdentity(name, "dc-0"),
+            identity=InstanceIdentity(name, "dc-0", name),
             open_store=self.open_store,
             connector=self,
             promoter=fleet.group,
+            caller=self,
+            decode_catalog=lambda raw: catalog(int(raw)),
             quota_rules=QuotaRules(),
             clock=fleet.clock,
             rng=random.Random(seed),
         )
         own = PrefixHandler(PREFIX, self.gateway._replace_own, self.gateway._change_own)
         self.mirror = StoreMirror(self.open_store(), [own], self.gateway.contact, fleet.clock)
-        self.gateway.catalogs.offer(catalog())
+        self.gateway.catalogs.offer(catalog(), b"1")
         self.gateway.registry.replace_all(fleet.group.infos())
         self.watch = PrimaryWatch(
             group="g",
@@ -70,6 +90,7 @@
         # Databases that this instance cannot reach.
         self.unreachable = set()
         self.frozen = False
+        self.cut_from_peers = False
 
     def open_store(self):
         handle = self.fleet.store.client()
@@ -77,13 +98,18 @@
         return handle
 
     def connect(self, target, workspace, timeout_s):
-        from result import Err
-
-        from quetzalrudder.exceptions import TargetUnavailable
-
         if target.target in self.unreachable:
             return Err(TargetUnavailable("cut off", place=target.target))
-        return self.fleet.group.connect(target, workspace, timeout_s)
+        opened = self.fleet.group.connect(target, workspace, timeout_s)
+        if isinstance(opened, Ok):
+            opened.ok_value.is_cut = lambda: target.target in self.unreachable
+        return opened
+
+    def exchange(self, address, report, timeout_s):
+        other = self.fleet.by_name.get(address)
+        if other is None or other.frozen or self.cut_from_peers or other.cut_from_peers:
+            return Err(LinkLost("no answer", place=address))
+        return Ok(other.gateway.peering.answer(report))
 
     def cut_from_store(self, cut=True):
         for handle in self.handles:
@@ -94,6 +120,7 @@
             return
         self.mirror.step()
         self.gateway.membership.step()
+        self.gateway.peering.step(DIRECT)
         self.watch.step()
         self.gateway.duty.step()
 
@@ -106,11 +133,22 @@
         self.clock = ManualClock()
         self.store = MemoryStore(self.clock)
         self.group = FakeGroup(self.clock)
-        self.instances = [FleetInstance(self, name, seed + n) for n, name in enumerate(names)]
+        self.by_name = {}
+        self.instances = []
+        for place, name in enumerate(names):
+            self.start(name, seed + place)
 
     def __getitem__(self, place):
         return self.instances[place]
 
+    def start(self, name, seed=0):
+        """Start an instance; one of the same name is killed first."""
+        self.instances = [instance for instance in self.instances if instance.name != name]
+        started = FleetInstance(self, name, seed)
+        self.instances.append(started)
+        self.by_name[name] = started
+        return started
+
     def run(self, seconds, until=None):
         """Step every instance; give the seconds until a condition held, or None."""
         started = self.clock.now
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -5,6 +5,7 @@
     PERMISSION_S,
     LeaderRecord,
     LeaderTable,
+    MemberTable,
     Permission,
 )
 from quetzalrudder.gateway.membership import Membership
@@ -24,8 +25,10 @@
             store=self.handle,
             instance=name,
             incarnation=incarnation,
+            address=name,
             permission=self.permission,
             leaders=self.leaders,
+            members=MemberTable(self.clock),
             suspects=dict,
             contact=StoreContact(self.clock),
             clock=self.clock,
@@ -92,7 +95,7 @@
     instance.handle.cut = True
     instance.turns(10, every_s=1.0)
     store.expire()
-    assert not store.items
+    assert MEMBER_PREFIX + "edge-1" not in store.items
     instance.handle.cut = False
     instance.turns(20)
     assert instance.permission.valid
--- /dev/null
+++ b/tests/test_gateway_permissions.py
@@ -0,0 +1,188 @@
+"""No acknowledged write or read at a primary once another leads, whatever is cut off."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from quetzalrudder.gateway.leadership import OUTAGE_LIMIT_S, PERMISSION_S
+from quetzalrudder.gateway.statements import Write
+from tests.gateway_fleet import GatewayFleet
+
+
+@pytest.fixture
+def fleet():
+    running = GatewayFleet()
+    assert running.run(3.0, running.settled) is not None
+    running.run(2.0)
+    return running
+
+
+def served_s(fleet, instance, seconds):
+    """Seconds of a span in which writes through an instance are acknowledged."""
+    session = instance.session()
+    served = 0
+    for turn in range(int(seconds / 0.1)):
+        served += session.execute(f"w{turn}", Write("a", str(turn))).error is None
+        fleet.run(0.1)
+    return served * 0.1
+
+
+def test_an_instance_without_the_store_goes_on_through_its_peers(fleet):
+    fleet[2].cut_from_store()
+    assert served_s(fleet, fleet[2], 12.0) > 11.0
+    assert fleet.group.promotions == []
+
+
+def test_without_store_and_peers_it_stops_when_its_permission_ends(fleet):
+    fleet[2].cut_from_store()
+    fleet[2].cut_from_peers = True
+    assert served_s(fleet, fleet[2], 12.0) <= PERMISSION_S
+
+
+def test_service_goes_on_while_the_store_is_away_for_all(fleet):
+    for instance in fleet.instances:
+        instance.cut_from_store()
+    assert served_s(fleet, fleet[0], 12.0) > 11.0
+
+
+def test_an_outage_does_not_last_for_ever(fleet):
+    for instance in fleet.instances:
+        instance.cut_from_store()
+    fleet.run(OUTAGE_LIMIT_S + PERMISSION_S + 1)
+    assert served_s(fleet, fleet[0], 1.0) == 0
+
+
+def test_half_a_fleet_without_store_and_the_others_stops(fleet):
+    """The other part may have the store, and replace the primary."""
+    for instance in fleet.instances[:2]:
+        instance.cut_from_store()
+        instance.cut_from_peers = True
+    assert served_s(fleet, fleet[0], 6.0) <= PERMISSION_S
+
+
+def test_a_change_of_primary_reaches_an_instance_through_its_peers(fleet):
+    fleet[2].cut_from_store()
+    fleet.run(4.0)
+    fleet.group["db-1"].up = False
+    assert fleet.run(6.0, lambda: bool(fleet.group.promotions)) is not None
+    fleet.run(2.0)
+    assert served_s(fleet, fleet[2], 1.0) > 0.8
+
+
+def test_after_all_restarted_a_lost_primary_is_replaced_soon(fleet):
+    fleet.group["db-1"].up = False
+    for name in ("edge-1", "edge-2", "edge-3"):
+        fleet.start(name, seed=7)
+    took_s = fleet.run(10.0, lambda: bool(fleet.group.promotions))
+    assert took_s is not None
+    assert took_s <= 2.5
+
+
+class Checker:
+    """Plays random faults and remembers which database led when."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.fleet = GatewayFleet(("edge-1", "edge-2", "edge-3", "edge-4"), seed)
+        self.fleet.group.promote_s = self.rng.choice((0.0, 0.3, 1.0))
+        self.fleet.run(3.0, self.fleet.settled)
+        self.acknowledged = 0
+
+    def check_writes(self):
+        for instance in self.fleet.instances:
+            if instance.frozen:
+                continue
+            newest = self.newest_leader()
+            answer = instance.session("quick").execute("w", Write("a", "1"))
+            if answer.error is None:
+                ran_at = self.fleet.group.ran[-1][0]
+                assert ran_at == newest, (instance.name, ran_at, newest)
+                self.acknowledged += 1
+
+    def newest_leader(self):
+        self.fleet.group.settle()
+        leaders = [d for d in self.fleet.group.databases.values() if d.primary]
+        return max(leaders, key=lambda d: d.term).info.target
+
+    def disturb(self):
+        fleet, rng = self.fleet, self.rng
+        instance = rng.choice(fleet.instances)
+        match rng.randrange(11):
+            case 0:
+                instance.cut_from_store(rng.random() < 0.6)
+            case 1:
+                instance.cut_from_peers = rng.random() < 0.6
+            case 2:
+                instance.frozen = rng.random() < 0.6
+            case 3:
+                fleet.start(instance.name, rng.randrange(1000))
+            case 4:
+                target = rng.choice((self.newest_leader(), "db-1", "db-2", "db-3"))
+                for other in fleet.instances:
+                    if rng.random() < 0.7:
+                        other.unreachable.add(target)
+            case 5:
+                for other in fleet.instances:
+                    other.unreachable.clear()
+            case 6:
+                # The store is away for all and loses every lease meanwhile.
+                for other in fleet.instances:
+                    other.cut_from_store()
+                for lease in list(fleet.store.leases):
+                    fleet.store.drop_lease(lease)
+            case 7:
+                for other in fleet.instances:
+                    other.cut_from_store(False)
+            case 8:
+                fleet.store.compact()
+            case 9 | 10:
+                # A partition with the primary, without the store.
+                self.heal()
+                target = self.newest_leader()
+                for other in fleet.instances:
+                    if rng.random() < 0.5:
+                        other.cut_from_store()
+                        other.cut_from_peers = True
+                    else:
+                        other.unreachable.add(target)
+
+    def heal(self):
+        for instance in self.fleet.instances:
+            instance.frozen = instance.cut_from_peers = False
+            instance.cut_from_store(False)
+            instance.unreachable.clear()
+        self.fleet.run(self.rng.choice((0.5, 4.0)))
+
+    def play(self, steps):
+        for _ in range(steps):
+            self.disturb()
+            for _ in range(self.rng.randrange(1, 30)):
+                self.fleet.run(0.05)
+                self.check_writes()
+
+
+@settings(max_examples=60)
+@given(st.integers(min_value=0, max_value=100_000))
+def test_no_write_is_acknowledged_at_a_replaced_primary(seed):
+    Checker(seed).play(30)
+
+
+def test_the_search_acknowledges_writes_and_replaces_primaries():
+    """The search would prove nothing if it served nothing."""
+    checkers = [Checker(seed) for seed in range(5)]
+    for checker in checkers:
+        checker.play(12)
+    assert sum(checker.acknowledged for checker in checkers) > 100
+    assert sum(len(checker.fleet.group.promotions) for checker in checkers) > 0
+
+
+def test_the_search_finds_a_naive_holder(monkeypatch):
+    """Without waiting for acknowledgements, writes are acknowledged at two primaries."""
+    monkeypatch.setattr(
+        "quetzalrudder.gateway.failover.may_promote", lambda *_args, **_kwargs: True
+    )
+    with pytest.raises(AssertionError):
+        for seed in range(60):
+            Checker(seed).play(30)
--- a/tests/test_rig_store.py
+++ b/tests/test_rig_store.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import threading
+from contextlib import suppress
 
 import pytest
 from result import Err, Ok
@@ -33,7 +34,7 @@
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
     def serve(self, sock):
-        with sock, sock.makefile("rb") as stream:
+        with suppress(ConnectionResetError), sock, sock.makefile("rb") as stream:
             while line := stream.readline():
                 length = 0
                 while (header := stream.readline().strip()) != b"":
@@ -84,7 +85,7 @@
     server.answers = [(412, {"items": [item]}), (412, {"items": [{"key": "qr/a", "rev": 0}]})]
     result = client.write("qr/a", b"x", 8)
     assert isinstance(result.err_value, WriteConflict)
-    assert result.err_value.current == (Item("qr/a", b"y", 9),)
+    assert result.err_value.current == (Item("qr/a", b"y", 9, 2),)
     assert client.write("qr/a", b"x", 8).err_value.current == (Item("qr/a", None, 0),)
 
 
