Count against the rate only what reaches a database

An operation that reached none gives its admission back. Also: rates are granted only by the holder of the duty, as a cut-off predecessor could go on granting. Test: red before.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -165,6 +165,7 @@
             quotas=quotas,
             keeper=RateKeeper(quota_rules.granted_per_s, clock),
             keeper_instance=lambda: self.duty.seen_holder,
+            holds_duty=lambda: self.duty.holds_duty,
             decode_catalog=decode_catalog,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -95,6 +95,8 @@
         Demand and grants of rates.
     keeper_instance : Callable
         Gives the instance that keeps the rates; None if it is not known.
+    holds_duty : Callable
+        Tells whether this instance is it, by a lease that is valid now.
     decode_catalog : Callable
         Reads a configuration as the store holds it.
     clock : Clock
@@ -114,6 +116,7 @@
         quotas: QuotaTable,
         keeper: RateKeeper,
         keeper_instance: Callable[[], InstanceId | None],
+        holds_duty: Callable[[], bool],
         decode_catalog: Callable[[bytes], Catalog],
         clock: Clock,
     ) -> None:
@@ -127,6 +130,7 @@
         self._quotas = quotas
         self._keeper = keeper
         self._keeper_instance = keeper_instance
+        self._holds_duty = holds_duty
         self._decode_catalog = decode_catalog
         self._clock = clock
         self._lock = threading.Lock()
@@ -149,6 +153,7 @@
         if report.catalog_version < self._catalogs.current.version:
             reply.catalog = self._catalogs.raw
         demands = {WorkspaceId(item.workspace): item.per_s for item in report.demands}
+        self._keeper.keep(is_keeper=self._holds_duty())
         if demands:
             self._grant_rates(peer.instance, demands, reply)
         return reply
@@ -223,7 +228,7 @@
     def _report_demand(self) -> None:
         keeper = self._keeper_instance()
         demands = self._quotas.demands()
-        self._keeper.keep(is_keeper=keeper == self._own.instance)
+        self._keeper.keep(is_keeper=self._holds_duty())
         if keeper is None or not demands:
             return
         report = self._make_report(asks=False)
--- a/src/quetzalrudder/gateway/quotas.py
+++ b/src/quetzalrudder/gateway/quotas.py
@@ -18,7 +18,7 @@
 from quetzalrudder.models import WorkspaceId
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["QuotaRules", "QuotaTable"]
+__all__ = ["Admission", "QuotaRules", "QuotaTable"]
 
 # Kept back for requests that are sent in one window and arrive in the next.
 SAFETY = 0.9
@@ -118,6 +118,16 @@
             self.saved = 0.0
 
 
+@dataclass(frozen=True)
+class Admission:
+    """One operation that was counted."""
+
+    table: "QuotaTable"
+    workspace: WorkspaceId
+    # When it was counted in the own part; None if a grant was spent.
+    counted_at: float | None
+
+
 class QuotaTable:
     """Admits operations by workspace.
 
@@ -136,9 +146,12 @@
         self._windows: dict[WorkspaceId, _Window] = {}
         self._started_at = clock.monotonic()
 
-    def admit(self, limit: Workspace, instances: int) -> Result[None, RateExceeded]:
+    def admit(self, limit: Workspace, instances: int) -> Result["Admission", RateExceeded]:
         """Count one operation, or refuse it with the time to come back.
 
+        The operators count what reaches a database; give an admission back if that
+        never happened.
+
         Parameters
         ----------
         limit : Workspace
@@ -153,13 +166,13 @@
             window = self._window(limit.workspace, even_rate)
             window.ask(now)
             if window.spend(now):
-                return Ok(None)
+                return Ok(Admission(self, limit.workspace, None))
             while window.admitted and window.admitted[0] <= now - self._rules.window_s:
                 window.admitted.popleft()
             wait_s = self._wait_s(window, part, even_rate, now)
             if wait_s <= 0:
                 window.admitted.append(now)
-                return Ok(None)
+                return Ok(Admission(self, limit.workspace, now))
         return Err(
             RateExceeded(
                 f"{len(window.admitted)} operations in {self._rules.window_s} s, part {part:.1f}",
@@ -168,6 +181,16 @@
             )
         )
 
+    def give_back(self, admission: "Admission") -> None:
+        """Uncount an operation that reached no database."""
+        with self._lock:
+            window = self._windows[admission.workspace]
+            if admission.counted_at is None:
+                window.saved += 1
+            elif admission.counted_at in window.admitted:
+                window.admitted.remove(admission.counted_at)
+                window.credit += 1
+
     def _window(self, workspace: WorkspaceId, even_rate: float) -> _Window:
         window = self._windows.get(workspace)
         if window is None:
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -30,7 +30,7 @@
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder, Route
 from quetzalrudder.gateway.connections import Loan, PooledLink
 from quetzalrudder.gateway.measurements import Measurements
-from quetzalrudder.gateway.quotas import QuotaTable
+from quetzalrudder.gateway.quotas import Admission, QuotaTable
 from quetzalrudder.gateway.statements import (
     Begin,
     Commit,
@@ -133,6 +133,8 @@
         # The session's own commits.
         self._own: LogPosition | None = None
         self._outcome = _Outcome()
+        # Set while the operation has not been offered to a database.
+        self._admission: Admission | None = None
 
     @property
     def state(self) -> SessionState:
@@ -237,7 +239,17 @@
         limit = catalog.workspaces.get(req.workspace)
         if limit is None:
             return Ok(None)
-        return self._gateway.quotas.admit(limit, self._gateway.instances())
+        admitted = self._gateway.quotas.admit(limit, self._gateway.instances())
+        if isinstance(admitted, Err):
+            return admitted
+        self._admission = admitted.ok_value
+        return Ok(None)
+
+    def _end_admission(self) -> None:
+        """Give the operation's admission back if no database was offered it."""
+        admission, self._admission = self._admission, None
+        if admission is not None:
+            self._gateway.quotas.give_back(admission)
 
     def _begin(
         self, req: Request, read_only: bool, catalog: Catalog
@@ -258,7 +270,10 @@
         admitted = self._admit(req, catalog)
         if isinstance(admitted, Err):
             return admitted
-        return self._run_single(req)
+        try:
+            return self._run_single(req)
+        finally:
+            self._end_admission()
 
     def _writes(self, statement: Statement) -> bool:
         match statement:
@@ -323,6 +338,7 @@
             self._note_fault(attempt, setup.err_value)
             return setup
         statement = self._as_prepared(req.statement)
+        self._admission = None
         asked_at = self._gateway.clock.monotonic()
         result = attempt.loan.link.run(
             req.request_id, statement, attempt.timeout_s(asked_at), attempt.at_least
@@ -464,6 +480,7 @@
         if not self._gateway.planner.confirm(attempt, reply, asked_at):
             return Err(stale_answer(attempt.loan.target.target))
         self._gateway.planner.begin_use(attempt)
+        self._admission = None
         return Ok(None)
 
     def _run_pinned(
@@ -561,6 +578,7 @@
         """Let go of the transaction's connection; roll back unless it has committed."""
         tx, self._tx = self._tx, None
         self._failed = False
+        self._end_admission()
         if tx is None or tx.attempt is None:
             return
         attempt = tx.attempt
