--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -140,7 +140,8 @@
                     return Err(refusal)
                 closing = self._dispatch()
             _close_all(closing)
-            if not waiter.ready.wait(max(0.0, deadline_at - self._clock.monotonic())):
+            left_s = max(0.0, deadline_at - self._clock.monotonic())
+            if not self._clock.wait(waiter.ready, left_s):
                 with self._lock:
                     self._leave(waiter)
                     if not waiter.ready.is_set():
--- a/src/quetzalrudder/utils.py
+++ b/src/quetzalrudder/utils.py
@@ -1,6 +1,7 @@
 """Clocks, deadlines and addresses."""
 
 import dataclasses
+import threading
 import time
 import typing
 from dataclasses import dataclass
@@ -42,6 +43,9 @@
     def sleep(self, seconds: float) -> None:
         """Wait."""
 
+    def wait(self, event: threading.Event, seconds: float) -> bool:
+        """Wait for an event; false if it was not set in time."""
+
 
 class SystemClock:
     """The machine's own clock."""
@@ -58,6 +62,10 @@
         """Wait."""
         time.sleep(seconds)
 
+    def wait(self, event: threading.Event, seconds: float) -> bool:
+        """Wait for an event; false if it was not set in time."""
+        return event.wait(seconds)
+
 
 class BootClock(SystemClock):
     """The machine's clock, whose monotonic reading counts suspensions too."""
--- a/tests/clocks.py
+++ b/tests/clocks.py
@@ -13,5 +13,10 @@
     def sleep(self, seconds: float) -> None:
         self.advance(seconds)
 
+    def wait(self, event, seconds):
+        if not event.is_set():
+            self.advance(seconds)
+        return event.is_set()
+
     def advance(self, seconds: float) -> None:
         self.now += seconds
--- /dev/null
+++ b/tests/test_rig_wire.py
@@ -0,0 +1,301 @@
+"""Messages of the session protocol in both directions, cut at every byte."""
+
+import socket
+import threading
+import time
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+from rig.lines import MAX_MESSAGE_BYTES, LineSocket, LineTooLong
+from rig.target_link import WireConnector, WireLink
+from rig.wire import (
+    Greeting,
+    Query,
+    Quit,
+    decode_position,
+    decode_request,
+    decode_statement,
+    encode_answer,
+    encode_greeting_answer,
+    encode_statement,
+)
+
+from quetzalrudder import exceptions
+from quetzalrudder.exceptions import MalformedMessage
+from quetzalrudder.gateway.sessions import Answer
+from quetzalrudder.gateway.statements import Malformed, Read, SessionState, TargetFault
+from quetzalrudder.gateway.targets import LogPosition, Target, TargetRole
+from quetzalrudder.utils import Address
+
+STATEMENTS = [
+    "BEGIN",
+    "BEGIN FETCH",
+    "COMMIT",
+    "ROLLBACK",
+    "FETCH 1a4",
+    "PUT 1a4 some data  with  blanks ",
+    "SET lang kk",
+    "PREPARE s1 PUT q2c",
+    "PREPARE s1 FETCH q2c and more",
+    "EXEC s1 1a4",
+    "EXEC s1 1a4 xkqp wnzd",
+    "DEALLOC s1",
+]
+
+
+@pytest.mark.parametrize("text", STATEMENTS)
+def test_a_statement_is_passed_on_unchanged(text):
+    assert encode_statement(decode_statement(text)) == text
+
+
+@given(st.text(st.characters(codec="latin-1", exclude_characters="\r\n"), max_size=40))
+def test_any_text_is_unchanged_or_malformed(text):
+    statement = decode_statement(text)
+    assert isinstance(statement, Malformed) or encode_statement(statement) == text
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("CONNECT lepu270 u3f1", Greeting("lepu270", "u3f1")),
+        ("CONNECT lepu270", Greeting("lepu270", "")),
+        ("QUERY 5c FETCH 1a4", Query("5c", "FETCH 1a4")),
+        ("QUIT", Quit()),
+    ],
+)
+def test_requests(line, expected):
+    assert decode_request(line) == expected
+
+
+@pytest.mark.parametrize("line", ["", "QUERY", "QUERY 5c", "connect a b", "READY I -", "\x00"])
+def test_what_is_no_request(line):
+    with pytest.raises(MalformedMessage):
+        decode_request(line)
+
+
+@pytest.mark.parametrize("text", ["", "3", "3.", ".7", "3.x", "-1.2", "3.1.2"])
+def test_what_is_no_position(text):
+    with pytest.raises(MalformedMessage):
+        decode_position(text)
+
+
+PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "MAXCONN"}
+
+
+def test_only_failures_that_keep_nothing_are_told_as_promises():
+    kinds = [kind for kind in vars(exceptions).values() if isinstance(kind, type)]
+    for kind in kinds:
+        if not issubclass(kind, exceptions.QuetzalrudderError):
+            continue
+        code = encode_greeting_answer(kind("why")).split()[1]
+        if kind("why").ending is not exceptions.Ending.NOT_RUN:
+            assert code not in PROMISES, kind
+
+
+def test_answers():
+    done = Answer(SessionState.IN_TRANSACTION, ("x", "y z"), "sig")
+    assert encode_answer(done) == "ROW x\r\nROW y z\r\nDONE sig\r\nREADY T -\r\n"
+    exc = exceptions.Overloaded("full\r\nof it", place="db-1", retry_after_ms=20)
+    failed = encode_answer(Answer(SessionState.IDLE, error=exc))
+    assert failed == "ERR BUSY db-1: full  of it; retry after 20 ms\r\nREADY I -\r\n"
+
+
+class TcpPeer:
+    """One accepted connection that sends what the test says."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+
+    def target(self):
+        address = Address("127.0.0.1", self.port)
+        return Target("db-1", "g", address, "dc", 3, TargetRole.REPLICA)
+
+    def connected(self):
+        """A link and the peer's socket, after the greeting."""
+        links = []
+
+        def connect():
+            links.append(WireConnector().connect(self.target(), "almaty", 2.0))
+
+        thread = threading.Thread(target=connect)
+        thread.start()
+        sock, _ = self.listener.accept()
+        greeting = sock.recv(1000)
+        sock.sendall(b"READY I 3.1207\r\n")
+        thread.join()
+        return links[0].ok_value, sock, greeting
+
+
+@pytest.fixture
+def peer():
+    running = TcpPeer()
+    yield running
+    running.listener.close()
+
+
+ANSWER = b"ROW qhzk wm\r\nDONE 7.1f3.c\r\nREADY I 3.1209\r\n"
+
+
+def test_a_link_greets_with_group_workspace_and_id(peer):
+    _, sock, greeting = peer.connected()
+    assert greeting == b"CONNECT g almaty db-1\r\n"
+    sock.close()
+
+
+def test_a_whole_answer_is_read_however_it_is_cut(peer):
+    link, sock, _ = peer.connected()
+    for cut in range(len(ANSWER) + 1):
+        sent = threading.Thread(
+            target=lambda cut=cut: (
+                sock.recv(1000),
+                sock.sendall(ANSWER[:cut]),
+                time.sleep(0.002),
+                sock.sendall(ANSWER[cut:]),
+            )
+        )
+        sent.start()
+        reply = link.run("5c", Read("1a4"), 2.0, LogPosition(3, 7)).ok_value
+        sent.join()
+        assert reply.rows == ("qhzk wm",)
+        assert reply.signature == "7.1f3.c"
+        assert reply.position == LogPosition(3, 1209)
+    sock.close()
+
+
+@pytest.mark.parametrize("cut", range(len(ANSWER)))
+def test_an_answer_that_ends_early_is_never_a_success(peer, cut):
+    link, sock, _ = peer.connected()
+    sock.sendall(ANSWER[:cut])
+    sock.shutdown(socket.SHUT_WR)
+    result = link.run("5c", Read("1a4"), 2.0)
+    assert isinstance(result, Err)
+    assert link.broken
+    sock.close()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"READY I 3.1\r\n",
+        b"DONE a\r\nDONE b\r\nREADY I -\r\n",
+        b"DONE a\r\nROW b\r\nREADY I -\r\n",
+        b"DONE a\r\nREADY I x.y\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"\r\n",
+    ],
+)
+def test_an_answer_of_another_form_breaks_the_connection(peer, answer):
+    link, sock, _ = peer.connected()
+    sock.sendall(answer)
+    assert isinstance(link.run("5c", Read("1a4"), 2.0), Err)
+    assert link.broken
+    sock.close()
+
+
+@pytest.mark.parametrize(
+    ("code", "fault"),
+    [
+        (b"BUSY", TargetFault.BUSY),
+        (b"NOSTMT s", TargetFault.NOT_PREPARED),
+        (b"LAGGING", TargetFault.LAGGING),
+        (b"READONLY i-7", TargetFault.READ_ONLY),
+        (b"FAILED", TargetFault.FAILED),
+        (b"TIMEOUT", TargetFault.TIMED_OUT),
+        (b"WHAT is this", TargetFault.OTHER),
+    ],
+)
+def test_faults(peer, code, fault):
+    link, sock, _ = peer.connected()
+    sock.sendall(b"ERR " + code + b"\r\nREADY E 3.1\r\n")
+    reply = link.run("5c", Read("1a4"), 2.0).ok_value
+    assert (reply.fault, reply.state) == (fault, SessionState.FAILED_TRANSACTION)
+    sock.close()
+
+
+def test_status(peer):
+    link, sock, _ = peer.connected()
+    sock.sendall(b"ROW primary 4 3.1209 0 12 2 17\r\nDONE -\r\nREADY I 3.1204\r\n")
+    status = link.status(2.0)
+    assert status == Ok(status.ok_value)
+    assert (status.ok_value.primary, status.ok_value.term) == (True, 4)
+    assert status.ok_value.received == LogPosition(3, 1209)
+    sock.close()
+
+
+def test_bytes_that_nobody_asked_for_break_a_connection(peer):
+    link, sock, _ = peer.connected()
+    assert not link.broken
+    sock.sendall(b"READY I -\r\n")
+    time.sleep(0.05)
+    assert link.broken
+    sock.close()
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind"),
+    [
+        (b"ERR MAXCONN full\r\n", exceptions.ConnectionLimitReached),
+        (b"ERR MOVED other\r\n", exceptions.TargetUnavailable),
+        (b"ERR BUSY\r\n", exceptions.Overloaded),
+        (b"nonsense\r\n", exceptions.TargetUnavailable),
+        (b"", exceptions.TargetUnavailable),
+    ],
+)
+def test_a_refused_greeting_has_a_type(peer, answer, kind):
+    def serve():
+        sock, _ = peer.listener.accept()
+        sock.recv(1000)
+        sock.sendall(answer)
+        sock.close()
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    result = WireConnector().connect(peer.target(), "almaty", 2.0)
+    thread.join()
+    assert type(result.err_value) is kind
+
+
+def tcp_pair():
+    listener = socket.create_server(("127.0.0.1", 0))
+    ours = socket.create_connection(listener.getsockname())
+    theirs, _ = listener.accept()
+    listener.close()
+    return LineSocket(ours), theirs
+
+
+def test_a_line_without_end_is_bounded():
+    lines, theirs = tcp_pair()
+
+    def flood():
+        try:
+            while True:
+                theirs.sendall(b"x" * 65536)
+        except OSError:
+            return
+
+    thread = threading.Thread(target=flood)
+    thread.start()
+    with pytest.raises(LineTooLong):
+        lines.read_line(time.monotonic() + 20)
+    lines.close(reset=True)
+    thread.join()
+    assert MAX_MESSAGE_BYTES == 1024 * 1024
+
+
+def test_a_peer_that_sends_nothing_times_out():
+    lines, theirs = tcp_pair()
+    with pytest.raises(TimeoutError):
+        lines.read_line(time.monotonic() + 0.02)
+    theirs.close()
+    lines.close()
+
+
+def test_a_closed_link_says_so_without_sending():
+    lines, theirs = tcp_pair()
+    link = WireLink(lines, "db-1")
+    link.close()
+    assert type(link.run("5c", Read("a"), 1.0).err_value) is exceptions.TargetUnavailable
+    theirs.close()
