--- a/src/quetzalrudder/logs.py
+++ b/src/quetzalrudder/logs.py
@@ -94,6 +94,7 @@
         writer.setFormatter(_json_formatter(instance, {}))
         self._listener = logging.handlers.QueueListener(lines, writer)
         self._level = level.upper()
+        self._closed = False
 
     @property
     def left_out(self) -> int:
@@ -108,4 +109,10 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        self._listener.stop()
+        self.close()
+
+    def close(self) -> None:
+        """Write what is queued."""
+        if not self._closed:
+            self._closed = True
+            self._listener.stop()
--- /dev/null
+++ b/tests/gateway_standins.py
@@ -0,0 +1,241 @@
+"""The platform's store and databases on loopback sockets, over the in-memory fakes."""
+
+import base64
+import json
+import socket
+import threading
+from http.server import BaseHTTPRequestHandler
+from socketserver import ThreadingTCPServer
+from urllib.parse import parse_qs, urlparse
+
+from result import Err
+from rig.wire import FAULTS, LETTERS, decode_position, decode_statement
+
+from quetzalrudder.gateway.store import HistoryGone, LeaseEnded, WriteConflict
+from quetzalrudder.models import RequestId
+from quetzalrudder.utils import SystemClock
+from tests.gateway_fakes import FakeGroup, MemoryStore
+
+CODES = {fault: code for code, fault in FAULTS.items()}
+WATCH_TURN_S = 0.01
+
+
+def encode_item(item):
+    if item.value is None:
+        return {"key": item.key, "rev": item.revision, "deleted": True}
+    value = base64.b64encode(item.value).decode()
+    return {"key": item.key, "value": value, "rev": item.revision, "created": item.created}
+
+
+class StoreHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def answer(self, status, body):
+        raw = json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(raw)))
+        self.end_headers()
+        self.wfile.write(raw)
+
+    def body(self):
+        return json.loads(self.rfile.read(int(self.headers.get("Content-Length") or 0)) or b"{}")
+
+    def do_GET(self):  # noqa: N802
+        url = urlparse(self.path)
+        query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
+        with self.server.lock:
+            found = self.server.handle.read_prefix(query["prefix"]).ok_value
+        if url.path == "/kv-range":
+            items = [encode_item(item) for item in found.items]
+            body = {"items": items, "morePages": False, "currentRev": found.revision}
+            self.answer(200, body)
+            return
+        self.watch(int(query["after"]), int(query["waitMs"]))
+
+    def watch(self, after, wait_ms):
+        clock = self.server.clock
+        until = clock.monotonic() + wait_ms / 1000
+        while True:
+            with self.server.lock:
+                result = self.server.handle.watch(after, wait_ms)
+            if isinstance(result, Err):
+                assert isinstance(result.err_value, HistoryGone)
+                self.answer(410, {})
+                return
+            if result.ok_value.items or clock.monotonic() >= until:
+                events = [encode_item(item) for item in result.ok_value.items]
+                self.answer(200, {"events": events, "currentRev": result.ok_value.revision})
+                return
+            clock.sleep(WATCH_TURN_S)
+
+    def do_POST(self):  # noqa: N802
+        body = self.body()
+        handle = self.server.handle
+        with self.server.lock:
+            if self.path == "/kv-lease":
+                lease = handle.open_lease(body["ttlMs"] / 1000).ok_value
+                status, answer = 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+            elif self.path.startswith("/kv-keep/"):
+                kept = handle.keep_lease(int(self.path.rsplit("/", 1)[1]))
+                status, answer = (404, {}) if isinstance(kept, Err) else (200, {"ttlMs": 1})
+            elif self.path == "/promote":
+                promoted = self.server.group.promote(
+                    body["service"],
+                    body["id"],
+                    holder=self.headers["Holder"],
+                    token=int(self.headers["Fencing-Token"]),
+                )
+                status, answer = (409, {}) if isinstance(promoted, Err) else (200, {})
+            else:
+                status, answer = self.txn(body)
+        self.answer(status, answer)
+
+    def txn(self, body):
+        handle = self.server.handle
+        expected = body["expect"][0]["rev"]
+        if body["deletes"]:
+            result = handle.delete(body["deletes"][0], expected)
+        else:
+            put = body["puts"][0]
+            value = base64.b64decode(put["value"])
+            result = handle.write(put["key"], value, expected, put["lease"] or None)
+        if not isinstance(result, Err):
+            return 200, {"rev": result.ok_value}
+        match result.err_value:
+            case WriteConflict(current=current):
+                items = [
+                    encode_item(item) if item.value is not None else {"key": item.key, "rev": 0}
+                    for item in current
+                ]
+                return 412, {"items": items}
+            case LeaseEnded():
+                return 404, {}
+
+    def do_DELETE(self):  # noqa: N802
+        with self.server.lock:
+            self.server.handle.end_lease(int(self.path.rsplit("/", 1)[1]))
+        self.answer(200, {})
+
+
+class Server(ThreadingTCPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+
+
+class DatabaseServer:
+    """Speaks the session protocol for one fake database."""
+
+    def __init__(self, database, lock):
+        self.database = database
+        self.lock = lock
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        with sock, sock.makefile("rb") as stream:
+            _, group, workspace, expected = stream.readline().decode("latin-1").split()
+            assert (group, expected) == (self.database.info.group, self.database.info.target)
+            with self.lock:
+                opened = self.database.group.connect(self.database.info, workspace, 1.0)
+            if isinstance(opened, Err):
+                return
+            link = opened.ok_value
+            sock.sendall(b"READY I -\r\n")
+            try:
+                while line := stream.readline().decode("latin-1").strip("\r\n"):
+                    if line == "QUIT":
+                        break
+                    answer = self.run(link, line)
+                    if answer is None:
+                        return
+                    sock.sendall(answer.encode("latin-1"))
+            except OSError:
+                pass
+            with self.lock:
+                link.close()
+
+    def run(self, link, line):
+        """Answer one line; None if the database is down."""
+        _, request_id, text = line.split(" ", 2)
+        at_least = None
+        if text.startswith("WAITLSN "):
+            _, position, text = text.split(" ", 2)
+            at_least = decode_position(position)
+        with self.lock:
+            if not self.database.up:
+                return None
+            if text == "STATUS":
+                status = link.status(1.0).ok_value
+                role = "primary" if status.primary else "replica"
+                row = f"ROW {role} {status.term} {status.received} 0 0 0 1\r\n"
+                return f"{row}DONE -\r\nREADY I {status.received}\r\n"
+            if text == "RESET":
+                reply = link.reset(1.0).ok_value
+            else:
+                statement = decode_statement(text)
+                reply = link.run(RequestId(request_id), statement, 1.0, at_least).ok_value
+            self.database.group.replicate()
+        ready = f"READY {LETTERS[reply.state]} {reply.position}\r\n"
+        if reply.fault is not None:
+            return f"ERR {CODES[reply.fault]} stand-in\r\n{ready}"
+        rows = "".join(f"ROW {row}\r\n" for row in reply.rows)
+        return f"{rows}DONE {reply.signature}\r\n{ready}"
+
+
+class Platform:
+    """A store and one group of three databases."""
+
+    def __init__(self, config):
+        clock = SystemClock()
+        self.lock = threading.RLock()
+        self.group = FakeGroup(clock, group="core")
+        self.store = MemoryStore(clock)
+        self.databases = [
+            DatabaseServer(database, self.lock) for database in self.group.databases.values()
+        ]
+        for server in self.databases:
+            info = server.database.info
+            entry = {
+                "service": "core",
+                "addr": f"127.0.0.1:{server.port}",
+                "zone": info.data_centre,
+                "slots": 3,
+                "state": "ready",
+                "dbRole": info.role.value,
+            }
+            self.put(f"servers/{info.target}", entry)
+        self.put("op/config", config)
+        self.http = Server(("127.0.0.1", 0), StoreHandler)
+        self.http.lock, self.http.clock = self.lock, clock
+        self.http.group, self.http.handle = self.group, self.store.client()
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.http.server_address[1]}"
+
+    def put(self, key, value):
+        with self.lock:
+            self.store.put(key, json.dumps(value).encode(), None)
+
+    def items(self, prefix):
+        with self.lock:
+            return [item for key, item in self.store.items.items() if key.startswith(prefix)]
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+        for server in self.databases:
+            server.listener.close()
