Ask primaries less; send the caller's BEGIN and ROLLBACK under their own ids

A primary is now asked after 0.8 s of silence, at once when it is new here, when a connection to it broke, or when another instance has lost it. Ruled out: RESET and SET on connections (unchanged here).

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -254,6 +254,8 @@
         match fault:
             case None:
                 self._placement.note_failure(target)
+                if attempt.lead is not None:
+                    self.monitor(attempt.lead.group).doubt(target)
             case TargetFault.BUSY:
                 self._placement.note_busy(target)
                 self._answered(target, attempt.lead)
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -242,6 +242,7 @@
                 watch = PrimaryWatch(
                     group=group,
                     leaders=self.leaders,
+                    members=self.members,
                     registry=self.registry,
                     planner=self.planner,
                     prober=self.prober,
@@ -250,7 +251,10 @@
                 self._watches[group] = watch
                 self._start_task(executor, f"watch {group}", watch.run)
             self.pool.forget_except({target.target for target in targets})
-            self.pool.drop_broken()
+            broken = set(self.pool.drop_broken())
+            for record in self.leaders.records():
+                if record.primary in broken:
+                    self.planner.monitor(record.group).doubt(record.primary)
 
     def _suspects(self) -> dict[GroupId, TargetId]:
         found = {group: watch.suspect() for group, watch in list(self._watches.items())}
--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -10,7 +10,7 @@
 from quetzalrudder.exceptions import Overloaded, QuetzalrudderError
 from quetzalrudder.gateway.attempts import AttemptPlanner
 from quetzalrudder.gateway.connections import GatewayPool
-from quetzalrudder.gateway.leadership import Lead, LeaderTable
+from quetzalrudder.gateway.leadership import Lead, LeaderTable, MemberTable
 from quetzalrudder.gateway.statements import (
     TargetConnector,
     TargetFault,
@@ -25,9 +25,6 @@
 
 log = logging.getLogger(__name__)
 
-# A primary is asked once no answer of it has come for this long. It also bounds the age
-# of the newest known position, for routes whose reads accept 1,500 ms.
-QUIET_S = 0.35
 TURN_S = 0.05
 PROBE_TIMEOUT_S = 0.3
 CONNECT_TIMEOUT_S = 0.3
@@ -105,8 +102,9 @@
     ----------
     group : GroupId
         The group.
-    leaders, registry, planner, prober
-        Who leads, where it is, who learns from the answers, and who asks.
+    leaders, members, registry, planner, prober
+        Who leads, whom other instances suspect, where it is, who learns from the answers,
+        and who asks.
     clock : Clock
         Source of time.
     """
@@ -116,6 +114,7 @@
         *,
         group: GroupId,
         leaders: LeaderTable,
+        members: MemberTable,
         registry: TargetRegistry,
         planner: AttemptPlanner,
         prober: PooledProber,
@@ -123,6 +122,7 @@
     ) -> None:
         self._group = group
         self._leaders = leaders
+        self._members = members
         self._registry = registry
         self._planner = planner
         self._prober = prober
@@ -140,7 +140,11 @@
         if lead is None:
             return
         monitor = self._planner.monitor(self._group)
-        if monitor.silent_s(lead.target) >= QUIET_S:
+        if any(
+            member.suspects.get(self._group) == lead.target for member in self._members.members()
+        ):
+            monitor.doubt(lead.target)
+        if monitor.is_due(lead.target):
             self._ask(lead)
         suspected = lead.target if monitor.is_suspect(lead.target) else None
         if suspected != self._suspected:
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -89,6 +89,8 @@
 
 @dataclass
 class _Transaction:
+    # Of the caller's BEGIN, which is sent with the first statement.
+    request_id: RequestId
     route: Route
     workspace: WorkspaceId
     read_only: bool
@@ -212,7 +214,7 @@
             case Begin(read_only):
                 return self._begin(req, read_only, catalog)
             case Rollback():
-                self._end_transaction(commit=False)
+                self._end_transaction(commit=False, request_id=req.request_id)
                 return Ok(None)
             case Commit():
                 return self._commit(req)
@@ -259,7 +261,7 @@
         admitted = self._admit(req, catalog)
         if isinstance(admitted, Err):
             return admitted
-        self._tx = _Transaction(req.route, req.workspace, read_only)
+        self._tx = _Transaction(req.request_id, req.route, req.workspace, read_only)
         return Ok(None)
 
     def _run_operation(
@@ -467,7 +469,7 @@
             return setup
         asked_at = self._gateway.clock.monotonic()
         result = attempt.loan.link.run(
-            OWN_REQUEST, Begin(tx.read_only), attempt.timeout_s(asked_at), attempt.at_least
+            tx.request_id, Begin(tx.read_only), attempt.timeout_s(asked_at), attempt.at_least
         )
         if isinstance(result, Err):
             self._note_fault(attempt, result.err_value)
@@ -574,7 +576,7 @@
                 case _:
                     return Err(TransactionAborted(str(exc)))
 
-    def _end_transaction(self, *, commit: bool) -> None:
+    def _end_transaction(self, *, commit: bool, request_id: RequestId = OWN_REQUEST) -> None:
         """Let go of the transaction's connection; roll back unless it has committed."""
         tx, self._tx = self._tx, None
         self._failed = False
@@ -586,16 +588,16 @@
             if tx.changed_values and not commit:
                 # Whether the database undid the changes is not known: it is reset.
                 attempt.loan.pooled.values[""] = ""
-            if commit or self._roll_back(attempt.loan):
+            if commit or self._roll_back(attempt.loan, request_id):
                 attempt.loan.keep()
         finally:
             self._gateway.planner.end_use(attempt)
             attempt.loan.end()
 
-    def _roll_back(self, loan: Loan) -> bool:
+    def _roll_back(self, loan: Loan, request_id: RequestId) -> bool:
         if loan.link.broken:
             return False
-        result = loan.link.run(OWN_REQUEST, Rollback(), ROLLBACK_TIMEOUT_S)
+        result = loan.link.run(request_id, Rollback(), ROLLBACK_TIMEOUT_S)
         return isinstance(result, Ok) and result.ok_value.state is SessionState.IDLE
 
     def abandon_transaction(self, reason: str) -> None:
--- a/src/quetzalrudder/gateway/suspicion.py
+++ b/src/quetzalrudder/gateway/suspicion.py
@@ -12,6 +12,11 @@
 # The aim is a failover within 2 s plus the platform's own time.
 SUSPECT_AFTER_S = 0.5
 SUSPECT_FAILURES = 2
+# A primary is asked once no answer of it has come for this long. It also bounds the age
+# of the newest known position, for routes whose reads accept 1,500 ms.
+QUIET_S = 0.8
+# The same for a primary that is new here or to which a connection broke.
+DOUBTED_QUIET_S = 0.1
 # A promoted database refuses writes for the time of its promotion, up to 1 s here. One
 # that refuses them for longer does not lead.
 READ_ONLY_S = 3.0
@@ -23,6 +28,9 @@
     last_answer: float
     failures: int = 0
     read_only_since: float | None = None
+    # Set for a primary that has not answered yet, and by a connection that broke: only a
+    # question tells more.
+    doubted: bool = True
 
 
 class PrimaryMonitor:
@@ -51,6 +59,19 @@
             contact.last_answer = self._clock.monotonic()
             contact.failures = 0
             contact.read_only_since = None
+            contact.doubted = False
+
+    def doubt(self, target: TargetId) -> None:
+        """Note that a connection broke, or that another instance has lost the primary."""
+        with self._lock:
+            self._of(target).doubted = True
+
+    def is_due(self, target: TargetId) -> bool:
+        """Tell whether the primary should be asked now."""
+        with self._lock:
+            contact = self._of(target)
+            silent_s = self._clock.monotonic() - contact.last_answer
+            return silent_s >= (DOUBTED_QUIET_S if contact.doubted else QUIET_S)
 
     def refused_as_replica(self, target: TargetId) -> None:
         """Note that the database says that it does not lead."""
@@ -67,7 +88,9 @@
         An old connection may be silent while new ones work, and is no sign.
         """
         with self._lock:
-            self._of(target).failures += 1
+            contact = self._of(target)
+            contact.failures += 1
+            contact.doubted = True
 
     def silent_s(self, target: TargetId) -> float:
         """Seconds since the last answer."""
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -81,6 +81,7 @@
         self.watch = PrimaryWatch(
             group="g",
             leaders=self.gateway.leaders,
+            members=self.gateway.members,
             registry=self.gateway.registry,
             planner=self.gateway.planner,
             prober=self.gateway.prober,
