An isolated instance is not ready and leaves its sessions to others

An outage of the store alone leaves all ready. Ruled out: a dead database (others served the same groups meanwhile).

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -179,8 +179,14 @@
 
     @property
     def ready(self) -> bool:
-        """True once callers can be served."""
-        return self.catalogs.current.version > 0 and bool(self.registry.all_targets())
+        """True while callers can be served at least as well as by other instances."""
+        known = self.catalogs.current.version > 0 and bool(self.registry.all_targets())
+        return known and not self.isolated
+
+    @property
+    def isolated(self) -> bool:
+        """True while this instance is cut off from the store and from most others."""
+        return self.peering.isolated
 
     def start(self, executor: Executor, handlers: list[PrefixHandler], stack: ExitStack) -> None:
         """Start all tasks; they end when the stack is closed.
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -139,6 +139,16 @@
         self._next_report = 0.0
         self._next_ask = 0.0
         self._has_word = False
+        # Of the last time that peers were asked for permission.
+        self._asked = 0
+        self._answered = 0
+
+    @property
+    def isolated(self) -> bool:
+        """True if neither the store nor most peers are reached: callers do better elsewhere."""
+        if self._permission.own_left_s >= ASK_BELOW_S or self._contact.contact_s > 0:
+            return False
+        return self._answered * 2 < self._asked
 
     # Answers.
 
@@ -248,6 +258,7 @@
         asked_at = self._clock.monotonic()
         asked = self._call_all(executor, self._peers(), self._make_report(asks=True))
         replies = [item.result.ok_value for item in asked if isinstance(item.result, Ok)]
+        self._asked, self._answered = len(asked), len(replies)
         grants = [reply.grant for reply in replies]
         vouched = [reply for reply in replies if reply.grant is PermissionGrant.VOUCHED]
         valid_s = max((reply.valid_ms / MS_PER_S for reply in vouched), default=0.0)
--- a/tests/test_gateway_permissions.py
+++ b/tests/test_gateway_permissions.py
@@ -186,3 +186,23 @@
     with pytest.raises(AssertionError):
         for seed in range(60):
             Checker(seed).play(30)
+
+
+def test_only_an_instance_that_is_cut_off_itself_leaves_its_callers_to_others(fleet):
+    fleet[2].cut_from_store()
+    fleet.run(4.0)
+    assert fleet[2].gateway.ready
+    fleet[2].cut_from_peers = True
+    fleet.run(1.0)
+    assert not fleet[2].gateway.ready
+    assert fleet[0].gateway.ready
+    fleet[2].cut_from_store(False)
+    fleet.run(1.0)
+    assert fleet[2].gateway.ready
+
+
+def test_an_outage_of_the_store_leaves_all_instances_ready(fleet):
+    for instance in fleet.instances:
+        instance.cut_from_store()
+    fleet.run(OUTAGE_LIMIT_S + 5)
+    assert all(instance.gateway.ready for instance in fleet.instances)
