Most instances may go on without the store; a promotion needs half of them

Now most of the instances that the own roster entry names are enough. An absent instance counts as stopped 2.5 s after its record went if half of those it names have acknowledged, else after 23 s. Ruled out: the vouching of single instances (worked before and after). Tests: one instance with the store, a dead one in an outage; the search plays lost answers and new instances, and a holder that forgets outages fails it.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -402,8 +402,8 @@
             record.epoch,
             self._instance,
             self._members.members(),
+            self._members.roster(),
             self._members.absences(),
-            entry=self._members.entry(self._instance),
         )
 
     def _hand_log_over(self, record: LeaderRecord) -> None:
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -166,6 +166,7 @@
             keeper=RateKeeper(quota_rules.granted_per_s, clock),
             keeper_instance=lambda: self.duty.seen_holder,
             holds_duty=lambda: self.duty.holds_duty,
+            known_views=self.membership.known_views,
             decode_catalog=decode_catalog,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/leadership.py
+++ b/src/quetzalrudder/gateway/leadership.py
@@ -25,6 +25,7 @@
     "MemberTable",
     "Permission",
     "RosterRecord",
+    "is_majority",
     "is_suspected",
     "may_promote",
 ]
@@ -39,8 +40,6 @@
 # How long instances that all miss the store may go on answering for each other. Longer
 # than the users' outages of up to 9 s.
 OUTAGE_LIMIT_S = 20.0
-# How long an instance may go on that does not know the holder of the duty.
-STRANGER_S = OUTAGE_LIMIT_S + VOUCH_S
 # Clocks of instances may differ in rate; the platform states no figure.
 PERMISSION_MARGIN_S = 0.2
 # How long open work at a primary may delay its planned replacement.
@@ -250,8 +249,8 @@
     instance: InstanceId
     incarnation: str
     address: str
-    # Highest ``created`` of the entries that the instance has seen: it asks all of those
-    # before it goes on without the store.
+    # Highest ``created`` of the entries that the instance has seen: it needs most of those
+    # to go on without the store.
     knows: int = 0
     revision: int = 0
     created: int = 0
@@ -342,11 +341,6 @@
         with self._lock:
             return max((record.created for record in self._roster.values()), default=0)
 
-    def entry(self, instance: InstanceId) -> RosterRecord | None:
-        """Give an instance's roster entry."""
-        with self._lock:
-            return self._roster.get(instance)
-
     def members(self) -> list[MemberRecord]:
         """List the members that are in the store."""
         with self._lock:
@@ -392,9 +386,8 @@
     epoch: int,
     holder: InstanceId,
     members: list[MemberRecord],
+    roster: list[RosterRecord],
     absences: list[Absence],
-    *,
-    entry: RosterRecord | None,
 ) -> bool:
     """Tell whether no instance can use the primary of an earlier epoch any more.
 
@@ -406,18 +399,43 @@
         Who asks; its own acknowledgement shows that it vouches for nobody any more.
     members : list of MemberRecord
         All members in the store, read after the change was written.
+    roster : list of RosterRecord
+        All instances that have joined.
     absences : list of Absence
-        Instances that joined once and are no members now.
-    entry : RosterRecord, optional
-        The holder's roster entry. Absent instances that know it do not go on without
-        asking the holder; others may for as long as an outage may last.
+        Those of the roster that are no members now.
     """
-    if entry is None or holder not in {member.instance for member in members}:
+    if holder not in {member.instance for member in members}:
         return False
     if any(member.acknowledged.get(group, 0) < epoch for member in members):
         return False
+    acknowledged = {member.instance for member in members}
     return all(
-        absence.since_s
-        > PERMISSION_S + (0.0 if absence.roster.knows >= entry.created else STRANGER_S)
+        absence.since_s > PERMISSION_S + _outage_s(absence.roster, roster, acknowledged)
         for absence in absences
     )
+
+
+def _outage_s(
+    absent: RosterRecord, roster: list[RosterRecord], acknowledged: set[InstanceId]
+) -> float:
+    """Seconds for which an absent instance may go on with others that miss the store.
+
+    It needs most of the instances that it knows; those that have acknowledged a change
+    tell it so when it asks them.
+    """
+    known = [record.instance for record in roster if record.created <= absent.knows]
+    others = [name for name in known if name not in acknowledged]
+    if known and not is_majority(len(others), len(known)):
+        return 0.0
+    return OUTAGE_LIMIT_S + VOUCH_S
+
+
+def is_majority(count: int, total: int) -> bool:
+    """Tell whether some of a number are more than half of it.
+
+    Examples
+    --------
+    >>> is_majority(3, 6), is_majority(4, 6)
+    (False, True)
+    """
+    return count * 2 > total
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -87,7 +87,10 @@
         self._permission = permission
         self._leaders = leaders
         self._members = members
+        # Highest ``created`` that the own roster entry names for certain, and that of a
+        # write whose answer is missing.
         self._known_entries = 0
+        self._tried_entries = 0
         self._suspects = suspects
         self._contact = contact
         self._clock = clock
@@ -164,6 +167,7 @@
 
     def _enter_roster(self) -> Result[None, QuetzalrudderError]:
         knows = self._members.newest_entry()
+        self._tried_entries = max(self._tried_entries, knows)
         record = RosterRecord(self._instance, self._incarnation, self._address, knows)
         result = self._store.write(self._roster_key, encode_roster(record), self._roster_revision)
         if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
@@ -177,6 +181,12 @@
         self._known_entries = knows
         return Ok(None)
 
+    def known_views(self) -> list[list[RosterRecord]]:
+        """Give the instances that the own roster entry names: two views if one is in doubt."""
+        roster = self._members.roster()
+        bounds = {self._known_entries, self._tried_entries}
+        return [[record for record in roster if record.created <= bound] for bound in bounds]
+
     def _read_roster(self) -> Result[None, QuetzalrudderError]:
         result = self._store.read_prefix(ROSTER_PREFIX)
         if isinstance(result, Err):
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -2,7 +2,8 @@
 
 An instance that cannot renew its lease asks its peers. One that holds a permission of the
 store answers for it; and if none of them reaches the store, they go on together, as long
-as every instance that could change a primary takes part.
+as most instances take part. Whoever changes a primary needs the acknowledgement of half of
+them, or waits until such an outage has lasted for as long as it may.
 """
 
 import logging
@@ -24,6 +25,7 @@
     MemberTable,
     Permission,
     RosterRecord,
+    is_majority,
 )
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.quotas import QuotaTable
@@ -97,6 +99,8 @@
         Gives the instance that keeps the rates; None if it is not known.
     holds_duty : Callable
         Tells whether this instance is it, by a lease that is valid now.
+    known_views : Callable
+        Gives the instances that the own roster entry names.
     decode_catalog : Callable
         Reads a configuration as the store holds it.
     clock : Clock
@@ -117,6 +121,7 @@
         keeper: RateKeeper,
         keeper_instance: Callable[[], InstanceId | None],
         holds_duty: Callable[[], bool],
+        known_views: Callable[[], list[list[RosterRecord]]],
         decode_catalog: Callable[[bytes], Catalog],
         clock: Clock,
     ) -> None:
@@ -131,6 +136,7 @@
         self._keeper = keeper
         self._keeper_instance = keeper_instance
         self._holds_duty = holds_duty
+        self._known_views = known_views
         self._decode_catalog = decode_catalog
         self._clock = clock
         self._lock = threading.Lock()
@@ -173,7 +179,7 @@
         if left_s > 0:
             reply.grant = PermissionGrant.VOUCHED
             valid_s = min(VOUCH_S, left_s)
-        elif self._contact.contact_s == 0:
+        elif self._contact.contact_s == 0 and left_s > -OUTAGE_LIMIT_S:
             reply.grant = PermissionGrant.NO_STORE
             valid_s = VOUCH_S
         else:
@@ -259,13 +265,14 @@
         asked = self._call_all(executor, self._peers(), self._make_report(asks=True))
         replies = [item.result.ok_value for item in asked if isinstance(item.result, Ok)]
         self._asked, self._answered = len(asked), len(replies)
-        grants = [reply.grant for reply in replies]
         vouched = [reply for reply in replies if reply.grant is PermissionGrant.VOUCHED]
         valid_s = max((reply.valid_ms / MS_PER_S for reply in vouched), default=0.0)
-        all_without = len(replies) == len(asked) > 0 and all(
-            grant is PermissionGrant.NO_STORE for grant in grants
-        )
-        if all_without and -self._permission.own_left_s < OUTAGE_LIMIT_S:
+        confirming = {self._own.instance} | {
+            InstanceId(reply.instance)
+            for reply in replies
+            if reply.grant is PermissionGrant.NO_STORE
+        }
+        if self._may_go_on_without_store(confirming):
             valid_s = VOUCH_S
         if valid_s > 0:
             self._permission.vouched(asked_at, valid_s)
@@ -281,6 +288,13 @@
                 },
             )
 
+    def _may_go_on_without_store(self, confirming: set[InstanceId]) -> bool:
+        """Tell whether most instances miss the store and hold no change of a primary."""
+        if -self._permission.own_left_s >= OUTAGE_LIMIT_S:
+            return False
+        views = [{record.instance for record in view} for view in self._known_views()]
+        return all(view and is_majority(len(view & confirming), len(view)) for view in views)
+
     def _call_all(
         self, executor: Executor, peers: list[RosterRecord], report: PeerReport
     ) -> list[_Asked]:
--- a/tests/test_gateway_permissions.py
+++ b/tests/test_gateway_permissions.py
@@ -109,7 +109,7 @@
     def disturb(self):
         fleet, rng = self.fleet, self.rng
         instance = rng.choice(fleet.instances)
-        match rng.randrange(11):
+        match rng.randrange(13):
             case 0:
                 instance.cut_from_store(rng.random() < 0.6)
             case 1:
@@ -137,6 +137,12 @@
                     other.cut_from_store(False)
             case 8:
                 fleet.store.compact()
+            case 11:
+                # Writes go through and their answers are lost.
+                for handle in instance.handles:
+                    handle.lose_next_answer = True
+            case 12 if len(fleet.instances) < 7:
+                fleet.start(f"spare-{len(fleet.instances)}", rng.randrange(1000))
             case 9 | 10:
                 # A partition with the primary, without the store.
                 self.heal()
@@ -188,6 +194,31 @@
             Checker(seed).play(30)
 
 
+def test_the_search_finds_a_holder_that_forgets_outages(monkeypatch):
+    """Without the store, most of a fleet may go on for longer than a permission lasts."""
+    monkeypatch.setattr("quetzalrudder.gateway.leadership._outage_s", lambda *_: 0.0)
+    with pytest.raises(AssertionError):
+        for seed in range(200):
+            Checker(seed).play(30)
+
+
+def test_one_instance_with_the_store_does_not_stop_the_others(fleet):
+    """It loses a primary that all others reach, and must wait before it replaces it."""
+    for instance in fleet.instances[1:]:
+        instance.cut_from_store()
+    fleet[0].cut_from_peers = True
+    fleet[0].unreachable = {"db-1"}
+    assert served_s(fleet, fleet[1], 12.0) > 11.0
+    assert fleet.group.promotions == []
+
+
+def test_a_dead_instance_does_not_stop_the_others_in_an_outage(fleet):
+    fleet[0].frozen = True
+    for instance in fleet.instances:
+        instance.cut_from_store()
+    assert served_s(fleet, fleet[1], 12.0) > 11.0
+
+
 def test_only_an_instance_that_is_cut_off_itself_leaves_its_callers_to_others(fleet):
     fleet[2].cut_from_store()
     fleet.run(4.0)
