--- a/src/quetzalrudder/gateway/leadership.py
+++ b/src/quetzalrudder/gateway/leadership.py
@@ -34,9 +34,9 @@
 
 # How long a renewal allows the use of primaries. An instance that is cut off from store and
 # peers delays a failover by as much; the brief asks for failovers within 7 s.
-PERMISSION_S = 2.5
+PERMISSION_S = 1.8
 # How long a peer answers for an instance that asks it.
-VOUCH_S = 0.8
+VOUCH_S = 0.6
 # How long instances that all miss the store may go on answering for each other. Longer
 # than the users' outages of up to 9 s.
 OUTAGE_LIMIT_S = 20.0
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -34,7 +34,7 @@
 log = logging.getLogger(__name__)
 
 # Several renewals fit into the time that a permission lasts.
-RENEW_S = 0.7
+RENEW_S = 0.5
 RETRY_S = 0.2
 # How often the own record is compared with what should be said.
 TURN_S = 0.03
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -51,9 +51,9 @@
 # How often the keeper of the rates is told the demand.
 REPORT_S = 0.35
 # How often peers are asked while the own lease is not renewed.
-ASK_S = 0.25
+ASK_S = 0.2
 # A renewal is overdue once the permission has this long left.
-ASK_BELOW_S = PERMISSION_S - 1.2
+ASK_BELOW_S = PERMISSION_S - 1.0
 CALL_TIMEOUT_S = 0.3
 
 
