--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -34,7 +34,8 @@
     decode_member,
     decode_roster,
 )
-from quetzalrudder.gateway.sessions import Gateway, ProxySession
+from quetzalrudder.gateway.running import Gateway
+from quetzalrudder.gateway.sessions import ProxySession
 from quetzalrudder.gateway.statements import TargetConnector
 from quetzalrudder.gateway.store import Item, Store
 from quetzalrudder.gateway.targets import Target, TargetRegistry
