--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -1,4 +1,4 @@
-"""The duty to replace primaries: held by one instance at a time, by a lease in the store."""
+"""Replaces lost and leaving primaries, while this instance holds the duty."""
 
 import logging
 import random
@@ -9,30 +9,23 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
-from quetzalrudder.gateway.leadership import (
-    OUTAGE_LIMIT_S,
-    PERMISSION_S,
-    LeaderRecord,
-    LeaderTable,
-    MemberTable,
-    is_suspected,
-    may_promote,
-)
+from quetzalrudder.gateway.duty import Duty
+from quetzalrudder.gateway.leadership import LeaderRecord, LeaderTable
+from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S
+from quetzalrudder.gateway.promotion_rules import is_suspected, may_promote
 from quetzalrudder.gateway.records import (
-    DUTY_KEY,
     LEADER_PREFIX,
     MEMBER_PREFIX,
     ROSTER_PREFIX,
-    DutyRecord,
     decode_leader,
     decode_member,
     decode_roster,
-    encode_duty,
     encode_leader,
 )
 from quetzalrudder.gateway.statements import TargetStatus
-from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict
+from quetzalrudder.gateway.store import Store, WriteConflict
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry, TargetRole
 from quetzalrudder.models import GroupId, InstanceId, TargetId
 from quetzalrudder.utils import Clock
@@ -41,12 +34,6 @@
 
 log = logging.getLogger(__name__)
 
-# A holder that dies without a restart is replaced after this long.
-DUTY_S = 3.0
-DUTY_RENEW_S = 0.6
-# The duty is not used when its lease may end before a call has arrived or was given up;
-# above the adapter's bound on a promotion's call.
-DUTY_MARGIN_S = 1.0
 TURN_S = 0.05
 # How long a successor may take to answer or to be promoted before another is chosen.
 SUCCESSOR_S = 3.0
@@ -111,82 +98,44 @@
         self._promoter = promoter
         self._prober = prober
         self._instance = instance
-        self._incarnation = incarnation
         self._registry = registry
         self._leaders = leaders
         self._members = members
         self._contact = contact
-        self._rng = rng
         self._clock = clock
-        self._seen: DutyRecord | None = None
-        self._lease: LeaseId | None = None
-        self._token = 0
-        self._valid_until = -1.0
-        self._next_renewal = 0.0
-        self._next_try = 0.0
+        self.duty = Duty(
+            store=store,
+            instance=instance,
+            incarnation=incarnation,
+            contact=contact,
+            rng=rng,
+            clock=clock,
+        )
         self._moving_since: dict[GroupId, float] = {}
         # Epoch for which the platform has accepted a promotion.
         self._promoted: dict[GroupId, int] = {}
         self._unreachable: dict[TargetId, float] = {}
-        self._resigned = False
-
-    def observe(self, record: DutyRecord | None) -> None:
-        """Take what the store says of the duty; None if nobody holds it."""
-        if record is None:
-            # Instances do not all try at once.
-            self._next_try = self._clock.monotonic() + self._rng.random() * 0.1
-        if record != self._seen:
-            log.info(
-                "duty seen",
-                extra={
-                    "holder": record.instance if record is not None else "",
-                    "revision": record.revision if record is not None else 0,
-                },
-            )
-        self._seen = record
 
     @property
     def holds_duty(self) -> bool:
         """True while this instance may replace primaries."""
-        return self._clock.monotonic() < self._valid_until
+        return self.duty.held
 
     def run(self, stopping: threading.Event) -> None:
         """Look for work until told to stop; then leave the duty to another."""
         while not stopping.wait(TURN_S):
             self.step()
-        self._give_up()
-
-    def resign(self) -> None:
-        """Leave the duty to another instance for good."""
-        self._resigned = True
-
-    def _give_up(self) -> None:
-        self._valid_until = -1.0
-        lease, self._lease = self._lease, None
-        if lease is not None:
-            ended = self._store.end_lease(lease)
-            log.info("duty left", extra={"token": self._token, "done": isinstance(ended, Ok)})
+        self.duty.give_up()
 
     def step(self) -> None:
         """Keep or take the duty, and move each group's replacement on."""
-        if self._resigned:
-            self._give_up()
-            return
-        if self._lease is None:
-            self._take()
-        elif self._clock.monotonic() >= self._next_renewal:
-            self._renew()
+        self.duty.step()
         if not self.holds_duty:
             return
         for group in self._groups():
             self._look_after(group)
         self._clear_roster()
 
-    @property
-    def seen_holder(self) -> InstanceId | None:
-        """Who holds the duty, as far as this instance has seen."""
-        return self._seen.instance if self._seen is not None else None
-
     def _clear_roster(self) -> None:
         """Forget instances that cannot use any primary without joining again."""
         for absence in self._members.absences():
@@ -202,50 +151,6 @@
     def _groups(self) -> list[GroupId]:
         return sorted({target.group for target in self._registry.all_targets()})
 
-    # The duty.
-
-    def _take(self) -> None:
-        now = self._clock.monotonic()
-        if now < self._next_try:
-            return
-        # The record may change while the lease is opened; then the write must fail.
-        seen = self._seen
-        # A predecessor of this process cannot run any more.
-        if seen is not None and (
-            seen.instance != self._instance or seen.incarnation == self._incarnation
-        ):
-            return
-        self._next_try = now + DUTY_RENEW_S
-        lease = self._store.open_lease(DUTY_S)
-        if isinstance(lease, Err):
-            self._contact.failed(lease.err_value)
-            return
-        expected = seen.revision if seen is not None else 0
-        value = encode_duty(DutyRecord(self._instance, self._incarnation))
-        written = self._store.write(DUTY_KEY, value, expected, lease.ok_value)
-        if isinstance(written, Err):
-            log.info("duty not taken", extra={"reason": str(written.err_value)})
-            self._store.end_lease(lease.ok_value)
-            return
-        self._lease = lease.ok_value
-        self._token = written.ok_value
-        self._valid_until = now + DUTY_S - DUTY_MARGIN_S
-        self._next_renewal = now + DUTY_RENEW_S
-        log.info("duty taken", extra={"token": self._token})
-
-    def _renew(self) -> None:
-        sent_at = self._clock.monotonic()
-        self._next_renewal = sent_at + DUTY_RENEW_S
-        result = self._store.keep_lease(self._lease)
-        if isinstance(result, Ok):
-            self._valid_until = sent_at + DUTY_S - DUTY_MARGIN_S
-        elif isinstance(result.err_value, LeaseEnded):
-            log.warning("duty lost", extra={"token": self._token})
-            self._lease = None
-            self._valid_until = -1.0
-        else:
-            self._contact.failed(result.err_value)
-
     # Replacing a primary.
 
     def _look_after(self, group: GroupId) -> None:
@@ -329,7 +234,7 @@
                     "group": record.group,
                     "target": record.successor,
                     "epoch": record.epoch,
-                    "token": self._token,
+                    "token": self.duty.token,
                     "term": term,
                     "took_s": round(self._clock.monotonic() - since, 3),
                 },
@@ -344,7 +249,7 @@
         if not self.holds_duty:
             return
         result = self._promoter.promote(
-            record.group, record.successor, holder=self._instance, token=self._token
+            record.group, record.successor, holder=self._instance, token=self.duty.token
         )
         if isinstance(result, Ok):
             self._promoted[record.group] = record.epoch
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -14,11 +14,13 @@
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
 from quetzalrudder.gateway.connections import GatewayPool
 from quetzalrudder.gateway.failover import FailoverDuty, Promoter
-from quetzalrudder.gateway.leadership import LeaderTable, MemberTable, Permission
+from quetzalrudder.gateway.leadership import LeaderTable
 from quetzalrudder.gateway.measurements import Measurements
+from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.membership import Membership
 from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
 from quetzalrudder.gateway.peering import PeerCaller, Peering, Self
+from quetzalrudder.gateway.permission import Permission
 from quetzalrudder.gateway.placement import Placement
 from quetzalrudder.gateway.probing import PooledProber, PrimaryWatch
 from quetzalrudder.gateway.quotas import QuotaRules, QuotaTable
@@ -142,7 +144,7 @@
             contact=self.contact,
             clock=clock,
         )
-        self.duty = FailoverDuty(
+        self.failover = FailoverDuty(
             store=open_store(),
             promoter=promoter,
             prober=self.prober,
@@ -165,8 +167,8 @@
             contact=self.contact,
             quotas=quotas,
             keeper=RateKeeper(quota_rules.granted_per_s, clock),
-            keeper_instance=lambda: self.duty.seen_holder,
-            holds_duty=lambda: self.duty.holds_duty,
+            keeper_instance=lambda: self.failover.duty.seen_holder,
+            holds_duty=lambda: self.failover.holds_duty,
             known_views=self.membership.known_views,
             decode_catalog=decode_catalog,
             clock=clock,
@@ -209,7 +211,7 @@
         for name, run in (
             ("mirror", mirror.run),
             ("membership", self.membership.run),
-            ("duty", self.duty.run),
+            ("duty", self.failover.run),
             ("peering", lambda stopping: self.peering.run(executor, stopping)),
             ("care", lambda stopping: self._care(executor, stopping)),
         ):
@@ -217,7 +219,7 @@
 
     def begin_stop(self) -> None:
         """Hand the duty on at the start of a planned stop."""
-        self.duty.resign()
+        self.failover.duty.resign()
 
     def leave(self) -> None:
         """Leave the fleet, once no session is open."""
@@ -293,7 +295,7 @@
                 self._change_own(item)
         self.members.replace_all([decode_member(item) for item in members])
         self.members.replace_roster([decode_roster(item) for item in roster])
-        self.duty.observe(decode_duty(duty) if duty is not None else None)
+        self.failover.duty.observe(decode_duty(duty) if duty is not None else None)
 
     def _change_own(self, item: Item) -> None:
         try:
@@ -302,7 +304,7 @@
             elif item.key.startswith(ROSTER_PREFIX):
                 self._change_roster(item)
             elif item.key == DUTY_KEY:
-                self.duty.observe(None if item.value is None else decode_duty(item))
+                self.failover.duty.observe(None if item.value is None else decode_duty(item))
             elif item.key.startswith(LEADER_PREFIX) and item.value is not None:
                 self.leaders.observe(decode_leader(item))
         except MalformedMessage as exc:
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -7,15 +7,10 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError
-from quetzalrudder.gateway.leadership import (
-    PERMISSION_S,
-    LeaderTable,
-    MemberRecord,
-    MemberTable,
-    Permission,
-    RosterRecord,
-)
+from quetzalrudder.gateway.leadership import LeaderTable
+from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.permission import PERMISSION_S, Permission
 from quetzalrudder.gateway.records import (
     LEADER_PREFIX,
     MEMBER_PREFIX,
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -17,17 +17,11 @@
 
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
-from quetzalrudder.gateway.leadership import (
-    OUTAGE_LIMIT_S,
-    PERMISSION_S,
-    VOUCH_S,
-    LeaderTable,
-    MemberTable,
-    Permission,
-    RosterRecord,
-    is_majority,
-)
+from quetzalrudder.gateway.leadership import LeaderTable
+from quetzalrudder.gateway.members import MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, VOUCH_S, Permission
+from quetzalrudder.gateway.promotion_rules import is_majority
 from quetzalrudder.gateway.quotas import QuotaTable
 from quetzalrudder.gateway.rate_grants import GRANT_S, RateKeeper
 from quetzalrudder.gateway.records import LEADER_PREFIX, decode_leader, encode_leader
--- /dev/null
+++ b/src/quetzalrudder/gateway/permission.py
@@ -0,0 +1,62 @@
+"""Whether an instance may use primaries, by the store's word or by its peers'.
+
+An old primary goes on serving after it was replaced. So an instance uses a primary only
+with a *permission*: its own lease in the store was renewed recently enough, counted from
+the moment the renewal was sent, or peers answer for it. Whoever changes a primary waits
+until every instance has acknowledged the change or its permission has run out.
+"""
+
+from quetzalrudder.utils import Clock
+
+__all__ = ["OUTAGE_LIMIT_S", "PERMISSION_S", "VOUCH_S", "Permission"]
+
+# How long a renewal allows the use of primaries. An instance that is cut off from store and
+# peers delays a failover by as much; the brief asks for failovers within 7 s.
+PERMISSION_S = 1.8
+# How long a peer answers for an instance that asks it.
+VOUCH_S = 0.6
+# How long instances that all miss the store may go on answering for each other. Longer
+# than the users' outages of up to 9 s.
+OUTAGE_LIMIT_S = 20.0
+# Clocks of instances may differ in rate; the platform states no figure.
+PERMISSION_MARGIN_S = 0.2
+
+
+class Permission:
+    """The right to use primaries, which runs out by itself.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time; it must count suspensions.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        # By the own lease, and by peers.
+        self._own_until = -1.0
+        self._vouched_until = -1.0
+        self._dropped = False
+
+    def renewed(self, sent_at: float) -> None:
+        """Note that the store has renewed the lease by a call sent at that time."""
+        self._own_until = max(self._own_until, sent_at + PERMISSION_S - PERMISSION_MARGIN_S)
+
+    def vouched(self, asked_at: float, valid_s: float) -> None:
+        """Note that peers, asked at that time, answer for this instance."""
+        self._vouched_until = max(self._vouched_until, asked_at + valid_s)
+
+    def drop(self) -> None:
+        """Give the permission up for good."""
+        self._dropped = True
+
+    @property
+    def valid(self) -> bool:
+        """True while primaries may be used."""
+        until = max(self._own_until, self._vouched_until)
+        return not self._dropped and self._clock.monotonic() < until
+
+    @property
+    def own_left_s(self) -> float:
+        """Seconds for which the own lease still allows it; negative once it has run out."""
+        return -1.0 if self._dropped else self._own_until - self._clock.monotonic()
--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -10,7 +10,8 @@
 from quetzalrudder.exceptions import Overloaded, QuetzalrudderError
 from quetzalrudder.gateway.attempts import AttemptPlanner
 from quetzalrudder.gateway.connections import GatewayPool
-from quetzalrudder.gateway.leadership import Lead, LeaderTable, MemberTable
+from quetzalrudder.gateway.leadership import Lead, LeaderTable
+from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.statements import (
     TargetConnector,
     TargetFault,
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -1,12 +1,23 @@
 """How members, primaries and the duty are written in the store."""
 
-import json
 from dataclasses import dataclass
+from typing import TypeVar
+
+import betterproto2
 
 from quetzalrudder.exceptions import MalformedMessage
-from quetzalrudder.gateway.leadership import LeaderRecord, MemberRecord, RosterRecord
+from quetzalrudder.gateway.leadership import LeaderRecord
+from quetzalrudder.gateway.members import MemberRecord, RosterRecord
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.models import GroupId, InstanceId, TargetId
+from quetzalrudder.schema.gateway import (
+    DutyValue,
+    GroupEpoch,
+    GroupSuspect,
+    LeaderValue,
+    MemberValue,
+    RosterValue,
+)
 
 __all__ = [
     "DUTY_KEY",
@@ -31,6 +42,8 @@
 LEADER_PREFIX = "qr/leaders/"
 DUTY_KEY = "qr/duty"
 
+M = TypeVar("M", bound=betterproto2.Message)
+
 
 @dataclass(frozen=True)
 class DutyRecord:
@@ -41,137 +54,104 @@
     revision: int = 0
 
 
-def _load(item: Item) -> dict:
-    try:
-        found = json.loads(item.value or b"")
-    except ValueError as exc:
-        raise MalformedMessage(f"not JSON: {exc}", place=item.key) from exc
-    if not isinstance(found, dict):
-        raise MalformedMessage("not an object", place=item.key)
-    return found
-
+def _parse(item: Item, kind: type[M]) -> M:
+    """Read a value.
 
-def _dump(fields: dict) -> bytes:
-    return json.dumps(fields, separators=(",", ":"), sort_keys=True).encode()
+    Raises
+    ------
+    MalformedMessage
+        The value is not one that this version writes.
+    """
+    try:
+        return kind.parse(item.value or b"")
+    except Exception as exc:
+        # The decoder raises errors of several unrelated classes.
+        raise MalformedMessage(f"not a {kind.__name__}: {exc!r}", place=item.key) from exc
 
 
 def encode_member(record: MemberRecord) -> bytes:
     """Write a member."""
-    return _dump(
-        {
-            "incarnation": record.incarnation,
-            "acknowledged": record.acknowledged,
-            "suspects": record.suspects,
-        }
+    return bytes(
+        MemberValue(
+            incarnation=record.incarnation,
+            acknowledged=[
+                GroupEpoch(group=group, epoch=epoch)
+                for group, epoch in sorted(record.acknowledged.items())
+            ],
+            suspects=[
+                GroupSuspect(group=group, target=target)
+                for group, target in sorted(record.suspects.items())
+            ],
+        )
     )
 
 
 def decode_member(item: Item) -> MemberRecord:
-    """Read a member.
-
-    Raises
-    ------
-    MalformedMessage
-        The value is not one that this version writes.
-    """
-    fields = _load(item)
-    try:
-        return MemberRecord(
-            instance=InstanceId(item.key.removeprefix(MEMBER_PREFIX)),
-            incarnation=str(fields["incarnation"]),
-            acknowledged={GroupId(k): int(v) for k, v in fields["acknowledged"].items()},
-            suspects={GroupId(k): TargetId(v) for k, v in fields["suspects"].items()},
-        )
-    except (KeyError, ValueError, AttributeError) as exc:
-        raise MalformedMessage(f"not a member: {exc!r}", place=item.key) from exc
+    """Read a member; ``MalformedMessage`` if it is none."""
+    value = _parse(item, MemberValue)
+    return MemberRecord(
+        instance=InstanceId(item.key.removeprefix(MEMBER_PREFIX)),
+        incarnation=value.incarnation,
+        acknowledged={GroupId(found.group): found.epoch for found in value.acknowledged},
+        suspects={GroupId(found.group): TargetId(found.target) for found in value.suspects},
+    )
 
 
 def encode_roster(record: RosterRecord) -> bytes:
     """Write a roster entry."""
-    return _dump(
-        {
-            "incarnation": record.incarnation,
-            "address": record.address,
-            "knows": record.knows,
-        }
+    return bytes(
+        RosterValue(incarnation=record.incarnation, address=record.address, knows=record.knows)
     )
 
 
 def decode_roster(item: Item) -> RosterRecord:
-    """Read a roster entry.
-
-    Raises
-    ------
-    MalformedMessage
-        The value is not one that this version writes.
-    """
-    fields = _load(item)
-    try:
-        return RosterRecord(
-            instance=InstanceId(item.key.removeprefix(ROSTER_PREFIX)),
-            incarnation=str(fields["incarnation"]),
-            address=str(fields["address"]),
-            knows=int(fields["knows"]),
-            revision=item.revision,
-            created=item.created,
-        )
-    except (KeyError, ValueError) as exc:
-        raise MalformedMessage(f"not a roster entry: {exc!r}", place=item.key) from exc
+    """Read a roster entry; ``MalformedMessage`` if it is none."""
+    value = _parse(item, RosterValue)
+    return RosterRecord(
+        instance=InstanceId(item.key.removeprefix(ROSTER_PREFIX)),
+        incarnation=value.incarnation,
+        address=value.address,
+        knows=value.knows,
+        revision=item.revision,
+        created=item.created,
+    )
 
 
 def encode_leader(record: LeaderRecord) -> bytes:
     """Write who leads a group."""
-    return _dump(
-        {
-            "epoch": record.epoch,
-            "primary": record.primary,
-            "successor": record.successor,
-            "previous": record.previous,
-            "planned": record.planned,
-            "term": record.term,
-        }
+    return bytes(
+        LeaderValue(
+            epoch=record.epoch,
+            primary=record.primary or "",
+            successor=record.successor or "",
+            previous=record.previous or "",
+            planned=record.planned,
+            term=record.term,
+        )
     )
 
 
 def decode_leader(item: Item) -> LeaderRecord:
-    """Read who leads a group.
-
-    Raises
-    ------
-    MalformedMessage
-        The value is not one that this version writes.
-    """
-    fields = _load(item)
-    try:
-        return LeaderRecord(
-            group=GroupId(item.key.removeprefix(LEADER_PREFIX)),
-            epoch=int(fields["epoch"]),
-            primary=fields["primary"],
-            successor=fields["successor"],
-            previous=fields["previous"],
-            planned=bool(fields["planned"]),
-            term=int(fields["term"]),
-            revision=item.revision,
-        )
-    except (KeyError, ValueError) as exc:
-        raise MalformedMessage(f"not a leader record: {exc!r}", place=item.key) from exc
+    """Read who leads a group; ``MalformedMessage`` if it is no such record."""
+    value = _parse(item, LeaderValue)
+    return LeaderRecord(
+        group=GroupId(item.key.removeprefix(LEADER_PREFIX)),
+        epoch=value.epoch,
+        primary=TargetId(value.primary) if value.primary else None,
+        successor=TargetId(value.successor) if value.successor else None,
+        previous=TargetId(value.previous) if value.previous else None,
+        planned=value.planned,
+        term=value.term,
+        revision=item.revision,
+    )
 
 
 def encode_duty(record: DutyRecord) -> bytes:
     """Write who holds the duty."""
-    return _dump({"instance": record.instance, "incarnation": record.incarnation})
+    return bytes(DutyValue(instance=record.instance, incarnation=record.incarnation))
 
 
 def decode_duty(item: Item) -> DutyRecord:
-    """Read who holds the duty.
-
-    Raises
-    ------
-    MalformedMessage
-        The value is not one that this version writes.
-    """
-    fields = _load(item)
-    try:
-        return DutyRecord(InstanceId(fields["instance"]), str(fields["incarnation"]), item.revision)
-    except KeyError as exc:
-        raise MalformedMessage(f"not a duty record: {exc!r}", place=item.key) from exc
+    """Read who holds the duty; ``MalformedMessage`` if it is no such record."""
+    value = _parse(item, DutyValue)
+    return DutyRecord(InstanceId(value.instance), value.incarnation, item.revision)
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -5,13 +5,19 @@
 
 __all__ = (
     "Demand",
+    "DutyValue",
     "GatewayPeersBase",
     "GatewayPeersStub",
+    "GroupEpoch",
     "GroupLeader",
+    "GroupSuspect",
+    "LeaderValue",
+    "MemberValue",
     "PeerReply",
     "PeerReport",
     "PermissionGrant",
     "RateGrant",
+    "RosterValue",
 )
 
 from dataclasses import dataclass
@@ -83,6 +89,34 @@
 default_message_pool.register_message("gateway", "Demand", Demand)
 
 
+@dataclass(eq=False, repr=False)
+class DutyValue(betterproto2.Message):
+    """
+    Under a lease: who may replace primaries.
+    """
+
+    instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    incarnation: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+
+default_message_pool.register_message("gateway", "DutyValue", DutyValue)
+
+
+@dataclass(eq=False, repr=False)
+class GroupEpoch(betterproto2.Message):
+    """
+    Values of the platform's store.
+    """
+
+    group: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    epoch: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("gateway", "GroupEpoch", GroupEpoch)
+
+
 @dataclass(eq=False, repr=False)
 class GroupLeader(betterproto2.Message):
     """
@@ -102,6 +136,62 @@
 default_message_pool.register_message("gateway", "GroupLeader", GroupLeader)
 
 
+@dataclass(eq=False, repr=False)
+class GroupSuspect(betterproto2.Message):
+    group: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    target: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+
+default_message_pool.register_message("gateway", "GroupSuspect", GroupSuspect)
+
+
+@dataclass(eq=False, repr=False)
+class LeaderValue(betterproto2.Message):
+    """
+    Who leads a group; no primary while it changes.
+    """
+
+    epoch: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+    primary: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+    successor: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+
+    previous: "str" = betterproto2.field(4, betterproto2.TYPE_STRING)
+
+    planned: "bool" = betterproto2.field(5, betterproto2.TYPE_BOOL)
+
+    term: "int" = betterproto2.field(6, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("gateway", "LeaderValue", LeaderValue)
+
+
+@dataclass(eq=False, repr=False)
+class MemberValue(betterproto2.Message):
+    """
+    Under a lease: an instance that may use primaries.
+    """
+
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    acknowledged: "list[GroupEpoch]" = betterproto2.field(
+        2, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+    """
+    Epochs before which the instance uses no primary any more.
+    """
+
+    suspects: "list[GroupSuspect]" = betterproto2.field(3, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    Primaries that the instance has lost.
+    """
+
+
+default_message_pool.register_message("gateway", "MemberValue", MemberValue)
+
+
 @dataclass(eq=False, repr=False)
 class PeerReply(betterproto2.Message):
     instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
@@ -167,6 +257,25 @@
 default_message_pool.register_message("gateway", "RateGrant", RateGrant)
 
 
+@dataclass(eq=False, repr=False)
+class RosterValue(betterproto2.Message):
+    """
+    Without a lease: an instance that has joined.
+    """
+
+    incarnation: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    address: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+    knows: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+    """
+    Highest creation of the roster entries that the instance has seen.
+    """
+
+
+default_message_pool.register_message("gateway", "RosterValue", RosterValue)
+
+
 class GatewayPeersStub(betterproto2_grpclib.ServiceStub):
     async def exchange(
         self,
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -123,7 +123,7 @@
         self.gateway.membership.step()
         self.gateway.peering.step(DIRECT)
         self.watch.step()
-        self.gateway.duty.step()
+        self.gateway.failover.step()
 
     def session(self, database="offers", key="key-1"):
         return self.gateway.open_session(database, key)
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -1,6 +1,6 @@
 import pytest
 
-from quetzalrudder.gateway.leadership import PERMISSION_S
+from quetzalrudder.gateway.permission import PERMISSION_S
 from quetzalrudder.gateway.statements import Read, SessionState, Write
 from tests.gateway_fleet import GatewayFleet
 
@@ -129,7 +129,7 @@
 
 
 def test_the_duty_moves_on_when_its_holder_freezes(fleet):
-    holder = next(i for i in fleet.instances if i.gateway.duty.holds_duty)
+    holder = next(i for i in fleet.instances if i.gateway.failover.holds_duty)
     holder.frozen = True
     fleet.group["db-1"].up = False
     took_s = fleet.run(15.0, lambda: bool(fleet.group.promotions))
@@ -154,17 +154,17 @@
 
 def test_the_duty_is_not_taken_from_a_holder_seen_meanwhile(fleet):
     """Another instance may take the duty, and be seen, between the lease and the write."""
-    holder = next(i for i in fleet.instances if i.gateway.duty.holds_duty)
+    holder = next(i for i in fleet.instances if i.gateway.failover.holds_duty)
     late, other = (i for i in fleet.instances if i is not holder)
     holder.frozen = True
     fleet.run(10.0, lambda: "qr/duty" not in fleet.store.items)
-    duty = late.gateway.duty
+    duty = late.gateway.failover.duty
     handle = duty._store
     open_lease = handle.open_lease
 
     def open_slowly(ttl_s):
         lease = open_lease(ttl_s)
-        while not other.gateway.duty.holds_duty:
+        while not other.gateway.failover.holds_duty:
             other.step()
             fleet.clock.advance(0.05)
         late.mirror.step()
@@ -174,5 +174,5 @@
     late.mirror.step()
     fleet.clock.advance(0.2)
     duty.step()
-    assert other.gateway.duty.holds_duty
-    assert not duty.holds_duty
+    assert other.gateway.failover.holds_duty
+    assert not duty.held
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -1,15 +1,11 @@
 import pytest
 from result import Ok
 
-from quetzalrudder.gateway.leadership import (
-    PERMISSION_S,
-    LeaderRecord,
-    LeaderTable,
-    MemberTable,
-    Permission,
-)
+from quetzalrudder.gateway.leadership import LeaderRecord, LeaderTable
+from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.membership import Membership
 from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.permission import PERMISSION_S, Permission
 from quetzalrudder.gateway.records import MEMBER_PREFIX, decode_member, encode_leader
 from tests.clocks import ManualClock
 from tests.gateway_fakes import MemoryStore
