Do not wait twice for a cut instance whose lease has run its whole time

The wait is for stores that lose leases early; they lose all of them, so the holder's own lease, older than that and renewed afterwards, shows that it did not happen. Ruled out: detection (1.0 s), the acknowledgements (50 ms).

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import threading
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
 
@@ -13,7 +14,7 @@
 from quetzalrudder.gateway.leadership import LeaderRecord, LeaderTable
 from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.mirror import StoreContact
-from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S
+from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, LeaseSpan
 from quetzalrudder.gateway.promotion_rules import is_suspected, may_promote
 from quetzalrudder.gateway.records import (
     LEADER_PREFIX,
@@ -73,6 +74,8 @@
         This process.
     registry, leaders, members, contact
         What this instance has seen.
+    lease_span : Callable
+        Gives how long this instance's member lease has existed.
     rng : random.Random
         Spreads attempts to take the duty.
     clock : Clock
@@ -91,6 +94,7 @@
         leaders: LeaderTable,
         members: MemberTable,
         contact: StoreContact,
+        lease_span: Callable[[], LeaseSpan | None],
         rng: random.Random,
         clock: Clock,
     ) -> None:
@@ -102,6 +106,7 @@
         self._leaders = leaders
         self._members = members
         self._contact = contact
+        self._lease_span = lease_span
         self._clock = clock
         self.duty = Duty(
             store=store,
@@ -309,6 +314,7 @@
             self._members.members(),
             self._members.roster(),
             self._members.absences(),
+            self._lease_span(),
         )
 
     def _hand_log_over(self, record: LeaderRecord) -> None:
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -154,6 +154,7 @@
             leaders=self.leaders,
             members=self.members,
             contact=self.contact,
+            lease_span=self.membership.lease_span,
             rng=rng,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -41,6 +41,8 @@
     """An instance that has joined and has no member record now."""
 
     roster: RosterRecord
+    # Clock reading at which its record was seen gone, and seconds since then.
+    gone_at: float
     since_s: float
 
 
@@ -136,9 +138,10 @@
         now = self._clock.monotonic()
         with self._lock:
             return [
-                Absence(record, now - self._absent_since.get(name, now))
+                Absence(record, gone_at, now - gone_at)
                 for name, record in self._roster.items()
                 if name not in self._members
+                for gone_at in (self._absent_since.get(name, now),)
             ]
 
     def count(self) -> int:
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -10,7 +11,7 @@
 from quetzalrudder.gateway.leadership import LeaderTable
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
-from quetzalrudder.gateway.permission import PERMISSION_S, Permission
+from quetzalrudder.gateway.permission import PERMISSION_S, LeaseSpan, Permission
 from quetzalrudder.gateway.records import (
     LEADER_PREFIX,
     MEMBER_PREFIX,
@@ -92,6 +93,7 @@
         self._lease: LeaseId | None = None
         self._revision = 0
         self._written: MemberRecord | None = None
+        self._span: LeaseSpan | None = None
         self._next_renewal = 0.0
         self._next_try = 0.0
 
@@ -155,6 +157,7 @@
             return written
         # From here on a renewal of the lease keeps the record too.
         self._lease = lease
+        self._span = LeaseSpan(sent_at, sent_at)
         self._permission.renewed(sent_at)
         self._next_renewal = sent_at + RENEW_S
         log.info("joined", extra={"incarnation": self._incarnation, "lease": lease})
@@ -176,6 +179,10 @@
         self._known_entries = knows
         return Ok(None)
 
+    def lease_span(self) -> LeaseSpan | None:
+        """Give how long the own lease has existed; None without one."""
+        return self._span if self._lease is not None else None
+
     def known_views(self) -> list[list[RosterRecord]]:
         """Give the instances that the own roster entry names: two views if one is in doubt."""
         roster = self._members.roster()
@@ -206,6 +213,8 @@
                 log.warning("lease ended", extra={"lease": self._lease})
                 self._lease = None
             return result
+        if self._span is not None:
+            self._span = replace(self._span, renewed_at=sent_at)
         self._permission.renewed(sent_at)
         self._next_renewal = sent_at + RENEW_S
         return Ok(None)
--- a/src/quetzalrudder/gateway/permission.py
+++ b/src/quetzalrudder/gateway/permission.py
@@ -6,9 +6,11 @@
 until every instance has acknowledged the change or its permission has run out.
 """
 
+from dataclasses import dataclass
+
 from quetzalrudder.utils import Clock
 
-__all__ = ["OUTAGE_LIMIT_S", "PERMISSION_S", "VOUCH_S", "Permission"]
+__all__ = ["OUTAGE_LIMIT_S", "PERMISSION_S", "VOUCH_S", "LeaseSpan", "Permission"]
 
 # How long a renewal allows the use of primaries. An instance that is cut off from store and
 # peers delays a failover by as much; the brief asks for failovers within 7 s.
@@ -22,6 +24,23 @@
 PERMISSION_MARGIN_S = 0.2
 
 
+@dataclass(frozen=True)
+class LeaseSpan:
+    """How long a lease has certainly existed, in clock readings."""
+
+    opened_at: float
+    # When the last renewal that succeeded was sent.
+    renewed_at: float
+
+    def proves_expiry(self, gone_at: float) -> bool:
+        """Tell whether another lease, seen gone at a time, ran its whole time.
+
+        The store may lose leases before their time, but then all of them: a lease that
+        existed long before and was renewed afterwards shows that it has not.
+        """
+        return self.opened_at <= gone_at - PERMISSION_S and self.renewed_at >= gone_at
+
+
 class Permission:
     """The right to use primaries, which runs out by itself.
 
--- a/src/quetzalrudder/gateway/promotion_rules.py
+++ b/src/quetzalrudder/gateway/promotion_rules.py
@@ -1,7 +1,7 @@
 """When a primary counts as lost, and when another one may take over."""
 
 from quetzalrudder.gateway.members import Absence, MemberRecord, RosterRecord
-from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, VOUCH_S
+from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, VOUCH_S, LeaseSpan
 from quetzalrudder.models import GroupId, InstanceId, TargetId
 
 __all__ = ["is_majority", "is_suspected", "may_promote"]
@@ -28,6 +28,7 @@
     members: list[MemberRecord],
     roster: list[RosterRecord],
     absences: list[Absence],
+    lease: LeaseSpan | None,
 ) -> bool:
     """Tell whether no instance can use the primary of an earlier epoch any more.
 
@@ -43,6 +44,8 @@
         All instances that have joined.
     absences : list of Absence
         Those of the roster that are no members now.
+    lease : LeaseSpan, optional
+        The holder's own lease.
     """
     if holder not in {member.instance for member in members}:
         return False
@@ -50,11 +53,19 @@
         return False
     acknowledged = {member.instance for member in members}
     return all(
-        absence.since_s > PERMISSION_S + _outage_s(absence.roster, roster, acknowledged)
+        absence.since_s
+        > _lease_left_s(absence, lease) + _outage_s(absence.roster, roster, acknowledged)
         for absence in absences
     )
 
 
+def _lease_left_s(absence: Absence, lease: LeaseSpan | None) -> float:
+    """Seconds for which a lease may still be counted on after its record was seen gone."""
+    if lease is not None and lease.proves_expiry(absence.gone_at):
+        return 0.0
+    return PERMISSION_S
+
+
 def _outage_s(
     absent: RosterRecord, roster: list[RosterRecord], acknowledged: set[InstanceId]
 ) -> float:
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -176,3 +176,38 @@
     duty.step()
     assert other.gateway.failover.holds_duty
     assert not duty.held
+
+
+def test_a_cut_off_instance_delays_a_failover_by_one_permission_not_two():
+    """Its lease has run its whole time when its record goes, unless the store lost leases."""
+    fleet = GatewayFleet(("edge-1", "edge-2", "edge-3", "edge-4"))
+    fleet.run(3.0, fleet.settled)
+    fleet.run(PERMISSION_S + 1)
+    cut_off = next(i for i in fleet.instances if not i.gateway.failover.holds_duty)
+    cut_off.cut_from_store()
+    cut_off.cut_from_peers = True
+    for instance in fleet.instances:
+        if instance is not cut_off:
+            instance.unreachable.add("db-1")
+    took_s = fleet.run(10.0, lambda: bool(fleet.group.promotions))
+    assert took_s is not None
+    assert took_s <= PERMISSION_S + 1.0
+
+
+def test_leases_that_the_store_lost_are_waited_out():
+    """Then a record that is gone says nothing of the permission."""
+    fleet = GatewayFleet(("edge-1", "edge-2", "edge-3", "edge-4"))
+    fleet.run(3.0, fleet.settled)
+    fleet.run(PERMISSION_S + 1)
+    cut_off = next(i for i in fleet.instances if not i.gateway.failover.holds_duty)
+    cut_off.cut_from_store()
+    cut_off.cut_from_peers = True
+    for instance in fleet.instances:
+        if instance is not cut_off:
+            instance.unreachable.add("db-1")
+    for lease in list(fleet.store.leases):
+        fleet.store.drop_lease(lease)
+    took_s = fleet.run(10.0, lambda: bool(fleet.group.promotions))
+    assert took_s is not None
+    assert not cut_off.gateway.permission.valid
+    assert took_s >= PERMISSION_S
