--- a/tests/test_edge_program.py
+++ b/tests/test_edge_program.py
@@ -49,7 +49,7 @@
 class Edge:
     """One process of the program."""
 
-    def __init__(self, platform, folder):
+    def __init__(self, platform, folder, path=str(ROOT / "target/deps")):
         self.frontend, self.ready, self.peers, self.metrics = (free_port() for _ in range(4))
         self.settings = folder / "settings.conf"
         lines = {
@@ -71,7 +71,7 @@
             cwd=ROOT,
             env={
                 "PATH": os.environ["PATH"],
-                "PYTHONPATH": str(ROOT / "target/deps"),
+                "PYTHONPATH": path,
                 "QUETZALRUDDER_CONFIG": str(self.settings),
                 "QUETZALRUDDER_METRICS": f"{self.metrics}/metrics",
             },
@@ -234,3 +234,22 @@
     )
     assert done.returncode == 2
     assert "zone: missing" in done.stderr
+
+
+SIGHUP_WHILE_IMPORTING = """
+import importlib, os, signal, sys
+
+os.kill(os.getpid(), signal.SIGHUP)
+sys.path.remove(os.path.dirname(os.path.dirname(__file__)))
+del sys.modules["result"]
+sys.modules["result"] = importlib.import_module("result")
+"""
+
+
+def test_sighup_while_the_program_is_still_loading_does_not_end_it(built, platform, tmp_path):
+    package = tmp_path / "early" / "result"
+    package.mkdir(parents=True)
+    (package / "__init__.py").write_text(SIGHUP_WHILE_IMPORTING, encoding="utf-8")
+    edge = Edge(platform, tmp_path, path=f"{tmp_path / 'early'}:{ROOT / 'target/deps'}")
+    edge.wait_ready()
+    assert edge.stop() == 0
