--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -58,9 +58,8 @@
 class _Waiter:
     workspace: WorkspaceId
     ready: threading.Event = field(default_factory=threading.Event)
+    # None once ready means that a connection may be opened.
     granted: PooledLink | None = None
-    # Allowed to open a connection.
-    may_open: bool = False
 
 
 class Loan:
@@ -188,10 +187,8 @@
                 waiter.granted = pooled
             elif self._count < max(1, self._limit()):
                 self._count += 1
-                waiter.may_open = True
             elif self._idle:
                 closing.append(self._idle.pop(0))
-                waiter.may_open = True
             else:
                 break
             self._on_loan += 1
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -32,19 +32,9 @@
             ["fault"],
             registry=self.registry,
         )
-        self.opened = Counter(
-            "quetzalrudder_target_connections_opened",
-            "Connections opened to databases.",
-            registry=self.registry,
-        )
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
-        self.log_lines_dropped = Gauge(
-            "quetzalrudder_log_lines_dropped",
-            "Log lines left out to bound the volume.",
-            registry=self.registry,
-        )
 
     def render(self) -> bytes:
         """Write all values as text."""
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -45,7 +45,6 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._contact_since: float | None = None
-        self._history_since: float | None = None
 
     def reached(self) -> None:
         """Note an answer."""
@@ -64,11 +63,6 @@
             self._contact_since = None
         log.warning("store lost", extra={"reason": str(exc), "reached_for_s": round(since_s, 1)})
 
-    def history_began(self) -> None:
-        """Note that changes before now may not have been seen."""
-        with self._lock:
-            self._history_since = self._clock.monotonic()
-
     @property
     def contact_s(self) -> float:
         """Seconds of unbroken contact; 0 without contact."""
@@ -77,14 +71,6 @@
                 return 0.0
             return self._clock.monotonic() - self._contact_since
 
-    @property
-    def history_s(self) -> float:
-        """Seconds for which every change has been seen."""
-        with self._lock:
-            if self._history_since is None:
-                return 0.0
-            return self._clock.monotonic() - self._history_since
-
 
 class StoreMirror:
     """Keeps handlers up to date with the store.
@@ -148,7 +134,6 @@
             # Changes made while the prefixes are read are watched from the first answer.
             revision = changes.revision if revision is None else revision
             handler.replace(list(changes.items))
-        self._contact.history_began()
         self._contact.reached()
         self._revision = revision
         took_ms = round((self._clock.monotonic() - started) * MS_PER_S)
