A stuck reader of the log does not hold a planned stop up

Cause: at the end the process waited for the writing thread, which waits for the reader of standard output, so it ended only by SIGKILL. It now waits 0.5 s. Test: red before; it also shows that callers are served meanwhile.

--- a/src/quetzalrudder/logs.py
+++ b/src/quetzalrudder/logs.py
@@ -4,7 +4,9 @@
 import logging.handlers
 import queue
 import sys
+import threading
 import time
+from contextlib import suppress
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -17,6 +19,8 @@
 MAX_WAITING_LINES = 2000
 # Lines below warning in one second; a failure's line is never left out for volume.
 MAX_INFO_LINES_PER_S = 400
+# For what is queued at the end: 2,000 lines of 0.4 KB take a few ms, a stuck reader for ever.
+CLOSE_S = 0.5
 
 
 def _json_formatter(instance: str, defaults: dict[str, str]) -> JsonFormatter:
@@ -112,7 +116,14 @@
         self.close()
 
     def close(self) -> None:
-        """Write what is queued."""
+        """Write what is queued, unless the output's reader is stuck."""
         if not self._closed:
             self._closed = True
+            writer = threading.Thread(target=self._write_rest, daemon=True)
+            writer.start()
+            writer.join(CLOSE_S)
+
+    def _write_rest(self) -> None:
+        # With a full queue there is no room for the end mark, and nobody reads the output.
+        with suppress(queue.Full):
             self._listener.stop()
--- a/tests/test_edge_program.py
+++ b/tests/test_edge_program.py
@@ -49,7 +49,7 @@
 class Edge:
     """One process of the program."""
 
-    def __init__(self, platform, folder, path=str(ROOT / "target/deps")):
+    def __init__(self, platform, folder, path=str(ROOT / "target/deps"), output=None):
         self.frontend, self.ready, self.peers, self.metrics = (free_port() for _ in range(4))
         self.settings = folder / "settings.conf"
         lines = {
@@ -75,8 +75,8 @@
                 "QUETZALRUDDER_CONFIG": str(self.settings),
                 "QUETZALRUDDER_METRICS": f"{self.metrics}/metrics",
             },
-            stdout=self.output,
-            stderr=subprocess.STDOUT,
+            stdout=output or self.output,
+            stderr=self.output,
         )
 
     def wait_ready(self):
@@ -98,6 +98,8 @@
         self.process.send_signal(signal.SIGTERM)
         code = self.process.wait(20)
         self.output.close()
+        if self.process.stdout is not None:
+            self.process.stdout.close()
         return code
 
 
@@ -272,3 +274,14 @@
     edge = Edge(platform, tmp_path, path=f"{tmp_path / 'early'}:{ROOT / 'target/deps'}")
     edge.wait_ready()
     assert edge.stop() == 0
+
+
+def test_a_stuck_reader_of_the_log_blocks_neither_callers_nor_the_stop(built, platform, tmp_path):
+    edge = Edge(platform, tmp_path, output=subprocess.PIPE)
+    edge.wait_ready()
+    offers = Caller(edge.frontend, "offers")
+    # Far more lines than the pipe and the queue of the log hold.
+    for number in range(4000):
+        assert offers.ask(f"SET name{number % 100} value") == ["DONE -", "READY I -"]
+    assert offers.ask_until("PUT a 1", DONE) == DONE
+    assert edge.stop() == 0
