Drop an unused age and the pairing of peers with answers

Nothing read the age of the newest position, and nothing needed to know which peer gave an answer since records no longer remember who answered.

--- a/src/quetzalrudder/gateway/freshness.py
+++ b/src/quetzalrudder/gateway/freshness.py
@@ -62,10 +62,3 @@
                 if sample.asked_at >= oldest:
                     return sample.position
         return None
-
-    def age_s(self) -> float:
-        """Seconds since the newest question that was answered."""
-        with self._lock:
-            if not self._samples:
-                return float("inf")
-            return self._clock.monotonic() - self._samples[-1].asked_at
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -72,12 +72,6 @@
     address: str
 
 
-@dataclass(frozen=True)
-class _Asked:
-    peer: RosterRecord
-    result: Result[PeerReply, QuetzalrudderError]
-
-
 class Peering:
     """An instance's side of the exchange.
 
@@ -259,7 +253,7 @@
         """Ask every peer to answer for this instance."""
         asked_at = self._clock.monotonic()
         asked = self._call_all(executor, self._peers(), self._make_report(asks=True))
-        replies = [item.result.ok_value for item in asked if isinstance(item.result, Ok)]
+        replies = [result.ok_value for result in asked if isinstance(result, Ok)]
         self._asked, self._answered = len(asked), len(replies)
         vouched = [reply for reply in replies if reply.grant is PermissionGrant.VOUCHED]
         valid_s = max((reply.valid_ms / MS_PER_S for reply in vouched), default=0.0)
@@ -293,17 +287,17 @@
 
     def _call_all(
         self, executor: Executor, peers: list[RosterRecord], report: PeerReport
-    ) -> list[_Asked]:
+    ) -> list[Result[PeerReply, QuetzalrudderError]]:
         asked_at = self._clock.monotonic()
-        futs: list[tuple[RosterRecord, Future]] = [
-            (peer, executor.submit(self._caller.exchange, peer.address, report, CALL_TIMEOUT_S))
+        futs: list[Future] = [
+            executor.submit(self._caller.exchange, peer.address, report, CALL_TIMEOUT_S)
             for peer in peers
         ]
-        asked = [_Asked(peer, fut.result()) for peer, fut in futs]
-        for item in asked:
-            if isinstance(item.result, Ok):
-                self._take(item.result.ok_value, asked_at)
-        return asked
+        results = [fut.result() for fut in futs]
+        for result in results:
+            if isinstance(result, Ok):
+                self._take(result.ok_value, asked_at)
+        return results
 
     def _take(self, reply: PeerReply, asked_at: float) -> None:
         """Learn from an answer; its records come before the permission that it gives."""
