Watchers read a list of the platform only when it changed

Ruled out: reading less often (the list's age is what tells a departure). Change: a request for a list carries the tag of the known one; an unchanged list is answered without entries, as the users' store answers a watch.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -52,7 +52,7 @@
         *_with_slope("spread.in_force_outage", variant, after_outage, "s"),
         *_with_slope("spread.control", variant, control, "B/s", FULL_FAN_OUT),
         *_many_data_centres(variant, make),
-        *_with_slope("spread.watcher", variant, watchers, "B/s"),
+        *_with_slope("spread.watcher", variant, watchers, "B/s", FULL_FAN_OUT),
         *_with_slope("spread.platform_calls", variant, calls, "1/s"),
     ]
 
--- a/src/quetzalrudder/adapters.py
+++ b/src/quetzalrudder/adapters.py
@@ -145,11 +145,11 @@
     def revoke(self, lease_id: int) -> Result[Lease, QuetzalrudderError]:
         """Give a lease up."""
 
-    def list_groups(self) -> Result[Groups, QuetzalrudderError]:
-        """Read the database groups."""
+    def list_groups(self, known_tag: bytes = b"") -> Result[Groups, QuetzalrudderError]:
+        """Read the database groups; no entries come if their tag is the known one."""
 
-    def list_instances(self) -> Result[Instances, QuetzalrudderError]:
-        """Read the lagging list of live and leaving instances."""
+    def list_instances(self, known_tag: bytes = b"") -> Result[Instances, QuetzalrudderError]:
+        """Read the lagging list of instances; no entries come if its tag is the known one."""
 
 
 class GrpcTargetConn:
@@ -356,10 +356,10 @@
         """Give a lease up."""
         return self._call("revoke", LeaseRequest(lease_id=lease_id))
 
-    def list_groups(self) -> Result[Groups, QuetzalrudderError]:
-        """Read the database groups."""
-        return self._call("list_groups", GroupsRequest())
+    def list_groups(self, known_tag: bytes = b"") -> Result[Groups, QuetzalrudderError]:
+        """Read the database groups; no entries come if their tag is the known one."""
+        return self._call("list_groups", GroupsRequest(known_tag=known_tag))
 
-    def list_instances(self) -> Result[Instances, QuetzalrudderError]:
-        """Read the lagging list of live and leaving instances."""
-        return self._call("list_instances", InstancesRequest())
+    def list_instances(self, known_tag: bytes = b"") -> Result[Instances, QuetzalrudderError]:
+        """Read the lagging list of instances; no entries come if its tag is the known one."""
+        return self._call("list_instances", InstancesRequest(known_tag=known_tag))
--- a/src/quetzalrudder/schema/platform/__init__.py
+++ b/src/quetzalrudder/schema/platform/__init__.py
@@ -104,13 +104,24 @@
 class Groups(betterproto2.Message):
     groups: "list[Group]" = betterproto2.field(1, betterproto2.TYPE_MESSAGE, repeated=True)
 
+    tag: "bytes" = betterproto2.field(2, betterproto2.TYPE_BYTES)
+    """
+    Differs between lists that differ.
+    """
+
+    unchanged: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+
 
 default_message_pool.register_message("platform", "Groups", Groups)
 
 
 @dataclass(eq=False, repr=False)
 class GroupsRequest(betterproto2.Message):
-    pass
+    """
+    A list is answered without its entries if its tag is the known one.
+    """
+
+    known_tag: "bytes" = betterproto2.field(1, betterproto2.TYPE_BYTES)
 
 
 default_message_pool.register_message("platform", "GroupsRequest", GroupsRequest)
@@ -138,13 +149,17 @@
         1, betterproto2.TYPE_MESSAGE, repeated=True
     )
 
+    tag: "bytes" = betterproto2.field(2, betterproto2.TYPE_BYTES)
+
+    unchanged: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+
 
 default_message_pool.register_message("platform", "Instances", Instances)
 
 
 @dataclass(eq=False, repr=False)
 class InstancesRequest(betterproto2.Message):
-    pass
+    known_tag: "bytes" = betterproto2.field(1, betterproto2.TYPE_BYTES)
 
 
 default_message_pool.register_message("platform", "InstancesRequest", InstancesRequest)
@@ -370,16 +385,13 @@
 
     async def list_groups(
         self,
-        message: "GroupsRequest | None" = None,
+        message: "GroupsRequest",
         *,
         timeout: "float | None" = None,
         deadline: "Deadline | None" = None,
         metadata: "MetadataLike | None" = None,
     ) -> "Groups":
 
-        if message is None:
-            message = GroupsRequest()
-
         return await self._unary_unary(
             "/platform.Platform/ListGroups",
             message,
@@ -391,16 +403,13 @@
 
     async def list_instances(
         self,
-        message: "InstancesRequest | None" = None,
+        message: "InstancesRequest",
         *,
         timeout: "float | None" = None,
         deadline: "Deadline | None" = None,
         metadata: "MetadataLike | None" = None,
     ) -> "Instances":
 
-        if message is None:
-            message = InstancesRequest()
-
         return await self._unary_unary(
             "/platform.Platform/ListInstances",
             message,
--- a/src/quetzalrudder/watching.py
+++ b/src/quetzalrudder/watching.py
@@ -86,6 +86,9 @@
         self._next_try_at = float("-inf")
         self._lists_due_at = float("-inf")
         self._reload_at = float("-inf")
+        # The last answers, which stand while the platform calls them unchanged.
+        self._groups = Groups()
+        self._instances = Instances()
 
     @property
     def watching(self) -> bool:
@@ -154,24 +157,28 @@
     def read_lists(self) -> Result[None, QuetzalrudderError]:
         """Read the lists of groups and instances."""
         stamp = self._timeline.clock.now()
-        groups = self._platform.list_groups()
+        groups = self._platform.list_groups(self._groups.tag)
         if isinstance(groups, Err):
             return groups
-        instances = self._platform.list_instances()
+        instances = self._platform.list_instances(self._instances.tag)
         if isinstance(instances, Err):
             return instances
-        size = self._take_lists(groups.ok_value, instances.ok_value, stamp)
+        size = len(bytes(groups.ok_value)) + len(bytes(instances.ok_value))
+        if not groups.ok_value.unchanged:
+            self._groups = groups.ok_value
+        if not instances.ok_value.unchanged:
+            self._instances = instances.ok_value
+        self._take_lists(self._groups, self._instances, stamp)
         pause_s = max(LIST_INTERVAL_S, size / LIST_BYTES_PER_S)
         self._lists_due_at = self._clock.monotonic() + pause_s
         return Ok(None)
 
-    def _take_lists(self, groups: Groups, instances: Instances, stamp: tuple[int, int]) -> int:
+    def _take_lists(self, groups: Groups, instances: Instances, stamp: tuple[int, int]) -> None:
         lists = Lists(
             {entry.instance: entry for entry in instances.instances},
             {group.group: group for group in groups.groups},
         )
         self._lists.set(lists, stamp)
-        return len(bytes(groups)) + len(bytes(instances))
 
     def _log_failure(self, what: str, result: Result[object, QuetzalrudderError]) -> None:
         if isinstance(result, Err):
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -20,6 +20,7 @@
     WatchRequest,
 )
 from quetzalrudder.utils import MS_PER_S, Clock
+from standins.tagging import tagged
 
 __all__ = ["MemoryPlatform", "MemoryStore"]
 
@@ -170,10 +171,12 @@
             self.store.drop_lease(lease_id)
         return refusal or Ok(Lease(lease_id=lease_id))
 
-    def list_groups(self) -> Result[Groups, QuetzalrudderError]:
-        """Read the database groups."""
-        return self._refusal("list_groups") or self._counted(self.store.groups)
+    def list_groups(self, known_tag: bytes = b"") -> Result[Groups, QuetzalrudderError]:
+        """Read the database groups; no entries come if their tag is the known one."""
+        answer = tagged(self.store.groups, known_tag)
+        return self._refusal("list_groups") or self._counted(answer)
 
-    def list_instances(self) -> Result[Instances, QuetzalrudderError]:
-        """Read the list of live and leaving instances."""
-        return self._refusal("list_instances") or self._counted(self.store.instances)
+    def list_instances(self, known_tag: bytes = b"") -> Result[Instances, QuetzalrudderError]:
+        """Read the list of instances; no entries come if its tag is the known one."""
+        answer = tagged(self.store.instances, known_tag)
+        return self._refusal("list_instances") or self._counted(answer)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -32,6 +32,7 @@
     data_centre_of_call,
     serve,
 )
+from standins.tagging import tagged
 
 LEASE_CHECK_S = 0.05
 LOST_ANSWER_S = 3600
@@ -180,7 +181,7 @@
 
     async def list_groups(self, message: GroupsRequest) -> Groups:
         """Give the groups, as they were a lag ago."""
-        return self._lagging(self._groups)
+        return tagged(self._lagging(self._groups), message.known_tag)
 
     async def list_instances(self, message: InstancesRequest) -> Instances:
         """Give the instances, as they were a lag ago, each under the address of the view."""
@@ -191,7 +192,7 @@
             replace(entry, control_address=addresses.get(entry.instance, entry.control_address))
             for entry in listed.instances
         ]
-        return Instances(instances=entries)
+        return tagged(Instances(instances=entries), message.known_tag)
 
     def _lagging(self, versions: list) -> object:
         due = time.monotonic() - self._lag_s
--- /dev/null
+++ b/standins/tagging.py
@@ -0,0 +1,21 @@
+"""Lists of the platform that are answered without their entries if the caller knows them."""
+
+import hashlib
+from dataclasses import replace
+from typing import TypeVar
+
+from quetzalrudder.schema.platform import Groups, Instances
+
+__all__ = ["tagged"]
+
+TAG_BYTES = 8
+
+AnyList = TypeVar("AnyList", Groups, Instances)
+
+
+def tagged(answer: AnyList, known_tag: bytes) -> AnyList:
+    """Give a list with the tag of its content, or only the tag if it is the known one."""
+    tag = hashlib.blake2b(bytes(answer), digest_size=TAG_BYTES).digest()
+    if tag == known_tag:
+        return type(answer)(tag=tag, unchanged=True)
+    return replace(answer, tag=tag)
--- a/tests/test_settings_spread.py
+++ b/tests/test_settings_spread.py
@@ -225,3 +225,28 @@
     fleet.run_for(60)
     assert fleet.reverted == []
     assert len({node.store.tree.revision for node in fleet.nodes.values()}) == 1
+
+
+def watcher_bytes_per_s(per_data_centre):
+    fleet = settled(product(per_data_centre))
+    fleet.run_for(5.0)
+    before = fleet.control_bytes()
+    fleet.run_for(10.0)
+    spent = fleet.control_bytes()
+    watchers = [name for name, node in fleet.nodes.items() if node.duty.watching]
+    assert watchers
+    return max(spent[name] - before[name] for name in watchers) / 10.0
+
+
+def test_watching_costs_no_more_bytes_in_a_large_fleet_while_no_list_changes():
+    assert watcher_bytes_per_s(27) <= 1.1 * watcher_bytes_per_s(9)
+
+
+def test_a_watcher_takes_an_instance_that_is_added_and_one_that_goes():
+    fleet = settled(product())
+    fleet.set_instances(without="a-0")
+    fleet.run_for(5.0)
+    assert all(len(node.membership.instances()) == 8 for node in fleet.nodes.values())
+    fleet.set_instances()
+    fleet.run_for(5.0)
+    assert all(len(node.membership.instances()) == 9 for node in fleet.nodes.values())
