A planned stop hands over all its shares, to a peer that takes them

By reading: an offer that was not sent, or that a peer not yet in the fleet acknowledged without taking it, was lost as well; the check for "not sent" compared with the wrong ending and was never true. Ruled out: the census (it ran in the traces, 10 s too late), the pool's queue. Change: an offer carries the parts of undivided limits; a refused or unsent offer is taken back and made to another peer; a late answer ends the avoidance of its sender, and a refusal waits 0.3 s for answers under way. A census asks who holds the parts instead of reading it from the record.

--- a/src/quetzalrudder/schema/peers/__init__.py
+++ b/src/quetzalrudder/schema/peers/__init__.py
@@ -6,6 +6,7 @@
 __all__ = (
     "CensusAnswer",
     "CensusRequest",
+    "ClaimedPart",
     "Departure",
     "DepartureKind",
     "Digest",
@@ -84,6 +85,8 @@
 
     items: "list[ShareItem]" = betterproto2.field(3, betterproto2.TYPE_MESSAGE, repeated=True)
 
+    claims: "list[ClaimedPart]" = betterproto2.field(4, betterproto2.TYPE_MESSAGE, repeated=True)
+
 
 default_message_pool.register_message("peers", "CensusAnswer", CensusAnswer)
 
@@ -100,6 +103,20 @@
 default_message_pool.register_message("peers", "CensusRequest", CensusRequest)
 
 
+@dataclass(eq=False, repr=False)
+class ClaimedPart(betterproto2.Message):
+    """
+    One of the equal parts of every key that its holder has not divided yet.
+    """
+
+    rank: "int" = betterproto2.field(1, betterproto2.TYPE_UINT32)
+
+    parts: "int" = betterproto2.field(2, betterproto2.TYPE_UINT32)
+
+
+default_message_pool.register_message("peers", "ClaimedPart", ClaimedPart)
+
+
 @dataclass(eq=False, repr=False)
 class Departure(betterproto2.Message):
     kind: "DepartureKind" = betterproto2.field(
@@ -445,6 +462,11 @@
 
     epoch: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
 
+    refused: "bool" = betterproto2.field(4, betterproto2.TYPE_BOOL)
+    """
+    The receiver is in an earlier epoch or must not spend; it took nothing and never will.
+    """
+
 
 default_message_pool.register_message("peers", "ShareAck", ShareAck)
 
@@ -532,6 +554,14 @@
     epoch: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
 
     items: "list[ShareItem]" = betterproto2.field(4, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    With claims: every key that the sender has divided, also those it holds nothing of.
+    """
+
+    claims: "list[ClaimedPart]" = betterproto2.field(5, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    The sender's parts of all other keys.
+    """
 
 
 default_message_pool.register_message("peers", "ShareOffer", ShareOffer)
--- a/src/quetzalrudder/share_exchange.py
+++ b/src/quetzalrudder/share_exchange.py
@@ -18,6 +18,7 @@
 from quetzalrudder.membership import Membership
 from quetzalrudder.models import InstanceId, TargetId
 from quetzalrudder.peers import PeerLinks
+from quetzalrudder.schema.common import Ending
 from quetzalrudder.schema.peers import (
     CensusAnswer,
     CensusRequest,
@@ -39,6 +40,7 @@
     ShareLedger,
     lost_units,
     permit_key,
+    recorded_claims,
 )
 from quetzalrudder.utils import Clock
 
@@ -53,6 +55,8 @@
 EMPTY_SEEK_BOUND_S = 1.0
 EMPTY_SEEK_TURN_S = 0.02
 SEEK_ATTEMPTS = 3
+# An answer that is not there after this time is not waited for; several times that of a busy peer.
+LATE_ANSWER_S = 0.3
 ASK_TIMEOUT_S = 0.2
 AVOID_S = 1.0
 MAX_ASKS_PER_S = 40.0
@@ -62,6 +66,8 @@
 CENSUS_INTERVAL_S = 10.0
 CENSUS_TIMEOUT_S = 3.0
 HAND_OVER_ATTEMPTS = 3
+# A peer that refuses shares has just started or was paused; both are over within a second.
+HAND_OVER_ROUNDS = 10
 
 
 class AskBudget:
@@ -147,6 +153,8 @@
         self._leaving = False
         self._left: dict[ShareKey, dict[InstanceId, float]] = {}
         self._avoided: dict[InstanceId, float] = {}
+        # Peers that have not answered in time yet, and when they were asked.
+        self._late: dict[InstanceId, float] = {}
         self._incarnations: dict[InstanceId, str] = {}
         self._seen: set[InstanceId] = set()
         self._gone_at: dict[InstanceId, float] = {}
@@ -300,7 +308,10 @@
         match answer:
             case Ok(ShareGrant() as grant):
                 self._take(giver, grant)
-            case Err(OutcomeUnknown()) if timeout_s < ASK_TIMEOUT_S:
+            case Err(OutcomeUnknown()):
+                if timeout_s >= ASK_TIMEOUT_S:
+                    self._avoid(giver)
+                self._late[giver] = self._clock.monotonic()
                 fut.add_done_callback(lambda late: self._take_late(giver, late))
             case _:
                 self._avoid(giver)
@@ -310,8 +321,10 @@
 
     def _take_late(self, giver: InstanceId, fut: "Future[PeerFrame]") -> None:
         answer = self._links.answer_of(fut, 0)
+        self._late.pop(giver, None)
         if isinstance(answer, Ok) and isinstance(answer.ok_value, ShareGrant):
             self.ledger.accept(giver, answer.ok_value)
+            self._avoided.pop(giver, None)
 
     def _take(self, giver: InstanceId, grant: ShareGrant) -> None:
         self.ledger.accept(giver, grant)
@@ -339,14 +352,17 @@
 
         if self._seek_within(key, take, started + SEEK_BOUND_S):
             return True
-        while self._is_empty(key) and self._clock.monotonic() - started < EMPTY_SEEK_BOUND_S:
+        while self._may_come(key) and self._clock.monotonic() - started < EMPTY_SEEK_BOUND_S:
             self._stopping.wait(EMPTY_SEEK_TURN_S)
             if self._seek_within(key, take, self._clock.monotonic() + ASK_TIMEOUT_S):
                 return True
         return False
 
-    def _is_empty(self, key: ShareKey) -> bool:
-        return not self.ledger.epoch or self.ledger.units(key) == 0
+    def _may_come(self, key: ShareKey) -> bool:
+        """Tell whether tokens may be on their way, so that a refusal would be early."""
+        oldest = self._clock.monotonic() - LATE_ANSWER_S
+        late = any(asked_at > oldest for asked_at in list(self._late.values()))
+        return late or not self.ledger.epoch or self.ledger.units(key) == 0
 
     def _seek_within(self, key: ShareKey, take: Callable[[], bool], until: float) -> bool:
         seeking = self._seeking[PERMIT_PREFIX if key.startswith(PERMIT_PREFIX) else RATE_PREFIX]
@@ -383,17 +399,33 @@
             self._offer_all()
 
     def _offer_all(self) -> None:
-        for peer in self._rng.sample(self._candidates(), len(self._candidates())):
-            for _ in range(HAND_OVER_ATTEMPTS):
-                answer = self._links.ask(peer, self.ledger.offer(peer), ASK_TIMEOUT_S)
-                if isinstance(answer, Ok) and isinstance(answer.ok_value, ShareAck):
-                    self.ledger.acknowledged(peer, answer.ok_value)
+        for _ in range(HAND_OVER_ROUNDS):
+            candidates = self._candidates()
+            for peer in self._rng.sample(candidates, len(candidates)):
+                if self._offer_to(peer):
                     return
-                if self._sent_nothing(answer):
-                    break
-
-    def _sent_nothing(self, answer: Result[object, QuetzalrudderError]) -> bool:
-        return isinstance(answer, Err) and not answer.err_value.ending
+            self._stopping.wait(TICK_S)
+        log.warning("shares were not handed over", extra={"reason": "no peer took them"})
+
+    def _offer_to(self, peer: InstanceId) -> bool:
+        """Hand everything to a peer; false if it certainly took nothing."""
+        may_have_come = False
+        for _ in range(HAND_OVER_ATTEMPTS):
+            answer = self._links.ask(peer, self.ledger.offer(peer), ASK_TIMEOUT_S)
+            match answer:
+                case Ok(ShareAck() as ack):
+                    self.ledger.acknowledged(peer, ack)
+                    return not ack.refused
+                case Err(exc) if exc.ending is Ending.NOT_RUN and not may_have_come:
+                    self.ledger.withdraw(peer)
+                    return False
+                case _:
+                    may_have_come = True
+        log.warning(
+            "shares may be lost until the next census",
+            extra={"peer": peer, "reason": "no answer to the offer"},
+        )
+        return True
 
     # Census
 
@@ -478,13 +510,8 @@
         self, opened: ShareRecord, answers: list[CensusAnswer]
     ) -> Result[None, QuetzalrudderError]:
         counted = [answer.incarnation for answer in answers]
-        lost = lost_units(answers, opened.claims, self.ledger.limits)
-        claims = [
-            claim
-            if claim.incarnation in counted
-            else ShareClaim(data_centre=claim.data_centre, incarnation=opened.coordinator)
-            for claim in opened.claims
-        ]
+        lost = lost_units(answers, self.ledger.limits)
+        claims = recorded_claims(answers, opened.claims, opened.coordinator)
         closed = ShareRecord(
             epoch=opened.epoch,
             closed=True,
--- a/src/quetzalrudder/shares.py
+++ b/src/quetzalrudder/shares.py
@@ -14,13 +14,14 @@
 
 import math
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NewType
 
 from quetzalrudder.models import DataCentre, InstanceId, TargetId, WorkspaceId
 from quetzalrudder.schema.peers import (
     CensusAnswer,
+    ClaimedPart,
     EpochAnswer,
     ShareAck,
     ShareClaim,
@@ -40,6 +41,7 @@
     "lost_units",
     "permit_key",
     "rate_key",
+    "recorded_claims",
 ]
 
 RATE_UNITS = 1 << 20
@@ -161,13 +163,17 @@
     epoch: int = 0
     suspended: bool = False
     _holdings: dict[ShareKey, Holding] = field(default_factory=dict)
-    # Rank and count of the parts of each undivided key that this process holds.
-    _claims: list[tuple[int, int]] = field(default_factory=list)
+    # The parts of each undivided key that this process holds.
+    _claims: list[ClaimedPart] = field(default_factory=list)
+    # The epoch in which this process handed its claims over; the record may still name it.
+    _claims_given: int = 0
     _asked: dict[InstanceId, ShareRequest] = field(default_factory=dict)
     _sent: dict[InstanceId, Sent] = field(default_factory=dict)
     _offered: dict[InstanceId, ShareOffer] = field(default_factory=dict)
     # The last offer taken from each incarnation in this epoch.
     _received: dict[str, int] = field(default_factory=dict)
+    # Incarnation and number of each offer of this epoch or a later one that was refused.
+    _refused: dict[tuple[str, int], int] = field(default_factory=dict)
     _census: CensusAnswer | None = None
     # The last epoch that this process closed as its coordinator.
     _settled: int = 0
@@ -262,9 +268,9 @@
             self._holdings[key] = held
         return held
 
-    def _first_holding(self, limit: Limit, claims: list[tuple[int, int]]) -> Holding:
+    def _first_holding(self, limit: Limit, claims: list[ClaimedPart]) -> Holding:
         now = self.clock.monotonic()
-        units = sum(claimed_part(whole(limit), rank, parts) for rank, parts in claims)
+        units = claimed_units(whole(limit), claims)
         tokens = limit.burst * units / RATE_UNITS if isinstance(limit, RateLimit) else 0.0
         return Holding(units, tokens=tokens, refilled_at=now, demand_at=now)
 
@@ -357,20 +363,25 @@
     def _take_claims(self, record: ShareRecord) -> None:
         if record.coordinator == self.incarnation and self._settled < record.epoch:
             return
-        gained = [claim for claim in self._claims_in(record) if claim not in self._claims]
-        self._claims += gained
+        if self._claims_given == record.epoch:
+            return
+        self._gain([claim for claim in self._claims_in(record) if claim not in self._claims], ())
+
+    def _gain(self, claims: list[ClaimedPart], divided: Collection[ShareKey]) -> None:
+        """Take over parts of every key but those that their last holder had divided."""
         for key, held in self._holdings.items():
             limit = self.limits(key)
-            if limit is not None:
+            if limit is not None and key not in divided:
                 self._refilled(key)
-                first = self._first_holding(limit, gained)
+                first = self._first_holding(limit, claims)
                 held.units += first.units
                 held.tokens += first.tokens
+        self._claims = [*self._claims, *claims]
 
-    def _claims_in(self, record: ShareRecord) -> list[tuple[int, int]]:
+    def _claims_in(self, record: ShareRecord) -> list[ClaimedPart]:
         ranked = enumerate(ranked_claims(record.claims))
         own = [rank for rank, claim in ranked if claim.incarnation == self.incarnation]
-        return [(rank, len(record.claims)) for rank in own]
+        return [ClaimedPart(rank=rank, parts=len(record.claims)) for rank in own]
 
     def adopt(self, epoch: int) -> None:
         """Enter the fleet at a peer's epoch, holding nothing, while the platform is down."""
@@ -393,6 +404,7 @@
         self._sent.clear()
         self._offered.clear()
         self._received.clear()
+        self._refused = {key: at for key, at in self._refused.items() if at >= epoch}
 
     def turn(self, epoch: int) -> CensusAnswer:
         """Enter a census's epoch and tell what was held at that moment.
@@ -411,7 +423,12 @@
                     held.units = held.in_use
             self._enter(epoch)
             items = [ShareItem(key=k, units=h.units) for k, h in self._holdings.items()]
-            self._census = CensusAnswer(incarnation=self.incarnation, epoch=epoch, items=items)
+            self._census = CensusAnswer(
+                incarnation=self.incarnation,
+                epoch=epoch,
+                items=items,
+                claims=list(self._claims),
+            )
             return self._census
 
     def settle(self, record: ShareRecord, lost: dict[ShareKey, int]) -> None:
@@ -425,7 +442,8 @@
                 held = self._refilled(key)
                 if held is not None:
                     held.units += units
-            self._claims = self._claims_in(record)
+            told = self._census.claims if self._census is not None else []
+            self._claims += [claim for claim in self._claims_in(record) if claim not in told]
 
     # Transfers that the taker asks for
 
@@ -564,15 +582,20 @@
         with self._lock:
             if taker not in self._offered:
                 items = [self._take_free(key, held) for key, held in self._holdings.items()]
-                items = [item for item in items if item.units]
+                if not self._claims:
+                    items = [item for item in items if item.units]
                 transfer = self._next_transfer()
                 offer = ShareOffer(
                     incarnation=self.incarnation,
                     transfer=transfer,
                     epoch=self.epoch,
                     items=items,
+                    claims=list(self._claims),
                 )
                 self._offered[taker] = offer
+                if self._claims:
+                    self._claims = []
+                    self._claims_given = self.epoch
             return self._offered[taker]
 
     def _take_free(self, key: ShareKey, held: Holding) -> ShareItem:
@@ -585,20 +608,51 @@
     def accept_offer(self, offer: ShareOffer) -> ShareAck:
         """Take over what a leaving peer hands on, once."""
         with self._lock:
-            last = self._received.get(offer.incarnation, 0)
+            number = (offer.incarnation, offer.transfer)
+            taken = self._received.get(offer.incarnation, 0) >= offer.transfer
             current = offer.epoch == self.epoch and self._may_spend()
-            if current and offer.transfer > last:
+            if current and not taken and number not in self._refused:
                 self._received[offer.incarnation] = offer.transfer
-                self._add(offer.items)
-            return ShareAck(incarnation=self.incarnation, transfer=offer.transfer, epoch=self.epoch)
+                self._take_over(offer)
+                taken = True
+            # What an earlier epoch divided has been counted again since.
+            refused = not taken and offer.epoch >= self.epoch
+            if refused:
+                self._refused[number] = offer.epoch
+            return ShareAck(
+                incarnation=self.incarnation,
+                transfer=offer.transfer,
+                epoch=self.epoch,
+                refused=refused,
+            )
+
+    def _take_over(self, offer: ShareOffer) -> None:
+        divided = {ShareKey(item.key) for item in offer.items}
+        for key in divided:
+            if self._held(key) is None:
+                # Without a limit it would be divided later, the sender's part included.
+                self._holdings.setdefault(key, Holding(0))
+        self._add(offer.items)
+        self._gain(offer.claims, divided)
 
     def acknowledged(self, taker: InstanceId, ack: ShareAck) -> None:
-        """Forget an offer that has arrived."""
+        """Forget an offer that was taken; one that was refused is held here again."""
         with self._lock:
             offered = self._offered.get(taker)
-            if offered is not None and offered.transfer == ack.transfer:
+            if offered is None or offered.transfer != ack.transfer:
+                return
+            if ack.refused:
+                self.withdraw(taker)
+            else:
                 del self._offered[taker]
 
+    def withdraw(self, taker: InstanceId) -> None:
+        """Take back an offer that certainly was not and will not be taken."""
+        with self._lock:
+            offered = self._offered.pop(taker, None)
+            if offered is not None:
+                self._take_over(offered)
+
     def active_keys(self) -> list[ShareKey]:
         """Give the keys with demand of late, or something lacking."""
         with self._lock:
@@ -609,14 +663,30 @@
             ]
 
 
-def lost_units(
-    answers: list[CensusAnswer], claims: list[ShareClaim], limits: Limits
-) -> dict[ShareKey, int]:
+def claimed_units(total: int, claims: Iterable[ClaimedPart]) -> int:
+    """Give what some claimed parts of a whole come to."""
+    return sum(claimed_part(total, claim.rank, claim.parts) for claim in claims)
+
+
+def recorded_claims(
+    answers: Iterable[CensusAnswer], claims: Iterable[ShareClaim], coordinator: str
+) -> list[ShareClaim]:
+    """Write down who holds each part of the undivided keys, by a census's answers.
+
+    Parts that nobody told of go to the coordinator.
+    """
+    holders = {part.rank: answer.incarnation for answer in answers for part in answer.claims}
+    return [
+        ShareClaim(data_centre=claim.data_centre, incarnation=holders.get(rank, coordinator))
+        for rank, claim in enumerate(ranked_claims(claims))
+    ]
+
+
+def lost_units(answers: list[CensusAnswer], limits: Limits) -> dict[ShareKey, int]:
     """Work out what no counted process holds of each key that any of them knows.
 
-    A claimant that does not know a key holds its data centre's part of it all the same.
+    A claimant that does not know a key holds its parts of it all the same.
     """
-    ranked = ranked_claims(claims)
     lost = {}
     for key in {ShareKey(item.key) for answer in answers for item in answer.items}:
         limit = limits(key)
@@ -625,12 +695,7 @@
         left = whole(limit)
         for answer in answers:
             known = [item.units for item in answer.items if item.key == key]
-            parts = [
-                claimed_part(whole(limit), rank, len(ranked))
-                for rank, claim in enumerate(ranked)
-                if claim.incarnation == answer.incarnation
-            ]
-            left -= known[0] if known else sum(parts)
+            left -= known[0] if known else claimed_units(whole(limit), answer.claims)
         if left > 0:
             lost[key] = left
     return lost
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -4,16 +4,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from quetzalrudder.schema.peers import ShareClaim, ShareGrant, ShareRecord, ShareRequest
+from quetzalrudder.schema.peers import (
+    ShareAck,
+    ShareClaim,
+    ShareGrant,
+    ShareOffer,
+    ShareRecord,
+    ShareRequest,
+)
 from quetzalrudder.shares import (
     PAUSE_LIMIT_S,
     RATE_UNITS,
     PermitLimit,
     RateLimit,
     ShareLedger,
+    claimed_units,
     lost_units,
     permit_key,
     rate_key,
+    recorded_claims,
+    whole,
 )
 from tests.clocks import ManualClock
 from tests.naive.limits import EqualSplitBucket
@@ -124,9 +134,11 @@
             case ("turn", epoch):
                 answer = receiver.ledger.turn(epoch)
                 self.network.append((receiver, sender, answer))
-            case offer if hasattr(offer, "items") and hasattr(offer, "transfer"):
-                ack = receiver.ledger.accept_offer(offer)
-                sender.ledger.acknowledged(receiver.name, ack)
+            case ShareOffer():
+                ack = receiver.ledger.accept_offer(message)
+                self.network.append((receiver, sender, ack))
+            case ShareAck():
+                receiver.ledger.acknowledged(sender.name, message)
             case answer:
                 receiver.answers[(answer.epoch, sender.name)] = answer
 
@@ -211,13 +223,8 @@
                 return
         counted = list(answers.values())
         names = [answer.incarnation for answer in counted]
-        lost = lost_units(counted, record.claims, self.limits.get)
-        claims = [
-            claim
-            if claim.incarnation in names
-            else ShareClaim(data_centre=claim.data_centre, incarnation=record.coordinator)
-            for claim in record.claims
-        ]
+        lost = lost_units(counted, self.limits.get)
+        claims = recorded_claims(counted, record.claims, record.coordinator)
         self.record = ShareRecord(
             epoch=record.epoch,
             closed=True,
@@ -239,11 +246,22 @@
 
     def check(self):
         believed = [n.ledger for n in self.nodes if not n.dead and not n.ledger.state().suspended]
-        assert sum(ledger.units(RATE) for ledger in believed) <= RATE_UNITS
-        assert sum(ledger.tokens(RATE) for ledger in believed) <= self.largest.burst + 1e-6
-        assert sum(ledger.units(PERMITS) for ledger in believed) <= self.permits
+        assert sum(self.held(ledger, RATE) for ledger in believed) <= RATE_UNITS
+        assert sum(self.tokens(ledger) for ledger in believed) <= self.largest.burst + 1e-6
+        assert sum(self.held(ledger, PERMITS) for ledger in believed) <= self.permits
         assert all(h.units >= 0 for led in believed for h in led._holdings.values())
 
+    def held(self, ledger, key):
+        """Read the units without dividing the key, which asking the ledger would do."""
+        if key in ledger._holdings:
+            return ledger.units(key)
+        return claimed_units(whole(self.limits[key]), ledger._claims)
+
+    def tokens(self, ledger):
+        if RATE in ledger._holdings:
+            return ledger.tokens(RATE)
+        return self.limits[RATE].burst * self.held(ledger, RATE) / RATE_UNITS
+
     def check_windows(self):
         for start in range(len(self.admitted)):
             total = 0.0
@@ -453,3 +471,53 @@
             node.ledger.tick()
         admitted += sum(node.ledger.spend(RATE, 1) for node in fleet.nodes)
     assert admitted <= 100 * 2 + 30
+
+
+def hand_over(fleet, giver, taker):
+    fleet.leave(giver, taker)
+    fleet.deliver(-1, 1)
+    fleet.deliver(-1, 1)
+
+
+def test_a_stop_hands_over_the_parts_of_limits_that_were_never_used():
+    fleet = InMemoryFleet(3)
+    fleet.nodes[1].ledger.reserve(PERMITS)
+    for number in (0, 1):
+        hand_over(fleet, 0, 1)
+        fleet.nodes[number].dead = True
+    assert total(fleet, PERMITS) == 6
+    assert total(fleet, RATE) == RATE_UNITS
+
+
+def test_parts_handed_over_are_not_taken_from_the_record_again():
+    fleet = InMemoryFleet(3)
+    hand_over(fleet, 0, 1)
+    fleet.nodes[0].ledger.join(fleet.record)
+    assert total(fleet, PERMITS) == 7
+    run_census(fleet, 2)
+    assert total(fleet, PERMITS) == 7
+    assert total(fleet, RATE) == RATE_UNITS
+
+
+def test_shares_offered_to_a_peer_that_has_not_entered_the_fleet_go_to_another():
+    fleet = InMemoryFleet(3)
+    newcomer = Node("new", ShareLedger("new/1", CENTRES[0], fleet.limits.get, fleet.clock))
+    fleet.nodes.append(newcomer)
+    fleet.nodes[0].ledger.reserve(PERMITS)
+    fleet.nodes[0].ledger.release(PERMITS)
+    offer = fleet.nodes[0].ledger.offer("new")
+    hand_over(fleet, 0, 3)
+    newcomer.ledger.join(fleet.record)
+    newcomer.ledger.accept_offer(offer)
+    assert total(fleet, PERMITS) == 7
+    hand_over(fleet, 0, 1)
+    fleet.nodes[0].dead = True
+    assert total(fleet, PERMITS) == 7
+
+
+def test_an_offer_that_was_not_sent_is_held_again():
+    fleet = InMemoryFleet(3)
+    fleet.nodes[0].ledger.offer("n1")
+    fleet.nodes[0].ledger.withdraw("n1")
+    assert total(fleet, PERMITS) == 7
+    assert total(fleet, RATE) == RATE_UNITS
