Rates of a large fleet: one keeper for each workspace, asked at need

Ruled out: slots (13 of 60 in use by the work asked for) and connections (refusals were the rate's). Change: from 16 instances on, each workspace's rate lies in one bucket at an instance that all choose alike; it is asked for each operation. A new keeper starts with an empty bucket after 1 s, answers only under its own lease or with most of the fleet beside it, and for the part of the fleet that it sees, so that halves of a fleet together admit no more than the whole. Small fleets as before.

--- /dev/null
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -0,0 +1,68 @@
+"""Which instances answer for something, so that all instances choose alike without a word.
+
+Answers the load of a large fleet, where a part of a limit for each instance would be less
+than one. Every instance ranks the same names for the same subject; when an instance comes
+or goes, only the subjects that it answers for move.
+"""
+
+import hashlib
+from collections.abc import Iterable
+
+from quetzalrudder.gateway.members import MemberTable, RosterRecord
+from quetzalrudder.models import InstanceId
+
+__all__ = ["LARGE_FLEET", "FleetView", "rank"]
+
+# From here on an equal part of 21 to 40 connections, or of a small workspace's rate, is
+# about one.
+LARGE_FLEET = 16
+
+
+def rank(subject: str, names: Iterable[InstanceId]) -> list[InstanceId]:
+    """Order instances for a subject, the one that answers for it first.
+
+    Examples
+    --------
+    >>> rank("almaty", ["a", "b", "c"]) == rank("almaty", ["c", "b", "a"])
+    True
+    """
+
+    def weight(name: InstanceId) -> bytes:
+        return hashlib.blake2b(f"{subject}/{name}".encode(), digest_size=8).digest()
+
+    return sorted(names, key=weight)
+
+
+class FleetView:
+    """The fleet as this instance sees it in the store.
+
+    Parameters
+    ----------
+    members : MemberTable
+        The instances.
+    """
+
+    def __init__(self, members: MemberTable) -> None:
+        self._members = members
+
+    @property
+    def size(self) -> int:
+        """Instances that may admit requests, also those lost lately."""
+        return self._members.count()
+
+    @property
+    def is_large(self) -> bool:
+        """True if equal parts of the limits are too small to use."""
+        return self.size >= LARGE_FLEET
+
+    def present(self) -> dict[InstanceId, RosterRecord]:
+        """Give the instances that hold a lease."""
+        names = {member.instance for member in self._members.members()}
+        return {
+            record.instance: record for record in self._members.roster() if record.instance in names
+        }
+
+    @property
+    def present_part(self) -> float:
+        """Part of the fleet that holds a lease."""
+        return len(self._members.members()) / self.size
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from quetzalrudder.exceptions import MalformedMessage
+from quetzalrudder.gateway.assignments import FleetView
 from quetzalrudder.gateway.attempts import AttemptPlanner
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
 from quetzalrudder.gateway.connections import GatewayPool
@@ -25,6 +26,7 @@
 from quetzalrudder.gateway.probing import PooledProber, PrimaryWatch
 from quetzalrudder.gateway.quotas import QuotaRules, QuotaTable
 from quetzalrudder.gateway.rate_grants import RateKeeper
+from quetzalrudder.gateway.rate_tokens import RateGate
 from quetzalrudder.gateway.records import (
     DUTY_KEY,
     LEADER_PREFIX,
@@ -42,6 +44,7 @@
 from quetzalrudder.gateway.store import Item, Store
 from quetzalrudder.gateway.targets import Target, TargetRegistry
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId, WorkspaceId
+from quetzalrudder.schema.gateway import PeerReply, PeerReport, TokenReply, TokenRequest
 from quetzalrudder.utils import Clock
 
 __all__ = ["GatewayInstance", "InstanceIdentity"]
@@ -122,11 +125,21 @@
         )
         self.prober = PooledProber(self.pool, connector, self._any_workspace)
         quotas = QuotaTable(quota_rules, clock)
+        self.view = FleetView(self.members)
+        self.rates = RateGate(
+            own=identity.instance,
+            view=self.view,
+            rules=quota_rules,
+            quotas=quotas,
+            caller=caller,
+            limits=lambda: dict(self.catalogs.current.workspaces),
+            answering_part=lambda: self.peering.answering_part(),
+            clock=clock,
+        )
         self._gateway = Gateway(
             catalogs=self.catalogs,
             planner=self.planner,
-            quotas=quotas,
-            instances=self.members.count,
+            rates=self.rates,
             measurements=self.measurements,
             clock=clock,
             rng=rng,
@@ -183,6 +196,14 @@
         """Make a caller's session."""
         return ProxySession(self._gateway, database, key)
 
+    def answer_report(self, report: PeerReport) -> PeerReply:
+        """Answer a peer's report."""
+        return self.peering.answer(report)
+
+    def answer_token(self, req: TokenRequest) -> TokenReply:
+        """Answer a peer's request for a token."""
+        return self.rates.answer(req)
+
     @property
     def ready(self) -> bool:
         """True while callers can be served at least as well as by other instances."""
@@ -249,6 +270,7 @@
 
     def _care(self, executor: Executor, stopping: threading.Event) -> None:
         while not stopping.wait(CARE_S):
+            self.rates.refresh()
             targets = self.registry.all_targets()
             for group in {target.group for target in targets} - self._watches.keys():
                 watch = PrimaryWatch(
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -16,6 +16,7 @@
 from result import Ok, Result
 
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
+from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
 from quetzalrudder.gateway.leadership import LeaderTable
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
@@ -138,6 +139,9 @@
         # Of the last time that peers were asked for permission.
         self._asked = 0
         self._answered = 0
+        # While most instances go on without the store: how many, and until when that holds.
+        self._going_on = 0
+        self._going_on_until = -1.0
 
     @property
     def isolated(self) -> bool:
@@ -146,6 +150,18 @@
             return False
         return self._answered * 2 < self._asked
 
+    def answering_part(self) -> float:
+        """Give the part of the fleet that this instance may answer for alone; 0 if none.
+
+        An instance that only its peers vouch for is about to be replaced in the store.
+        """
+        size = self._members.count()
+        if self._permission.own_left_s > 0:
+            return len(self._members.members()) / size
+        if self._clock.monotonic() < self._going_on_until:
+            return min(self._going_on, size) / size
+        return 0.0
+
     # Answers.
 
     def answer(self, report: PeerReport) -> PeerReply:
@@ -232,6 +248,8 @@
         )
 
     def _report_demand(self) -> None:
+        if self._members.count() >= LARGE_FLEET:
+            return
         keeper = self._keeper_instance()
         demands = self._quotas.demands()
         self._keeper.keep(is_keeper=self._holds_duty())
@@ -264,6 +282,8 @@
         }
         if self._may_go_on_without_store(confirming):
             valid_s = VOUCH_S
+            self._going_on = len(confirming)
+            self._going_on_until = asked_at + VOUCH_S
         if valid_s > 0:
             self._permission.vouched(asked_at, valid_s)
         if (valid_s > 0) != self._has_word:
--- a/src/quetzalrudder/gateway/quotas.py
+++ b/src/quetzalrudder/gateway/quotas.py
@@ -10,6 +10,7 @@
 import threading
 from collections import deque
 from dataclasses import dataclass
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -59,6 +60,10 @@
         counted = limit.rate_per_s * self.window_s + limit.burst
         return (counted * (1 + self.excess) + self.margin) * SAFETY
 
+    def bucket_size(self, limit: Workspace) -> float:
+        """Count the operations that one bucket with the workspace's rate may hold."""
+        return max(1.0, self.allowed(limit) - limit.rate_per_s * self.window_s)
+
     def own_part(self, limit: Workspace, instances: int) -> float:
         """Count the requests that one instance may admit in one window without a grant."""
         return self.allowed(limit) * (1 - GRANTED_PART) / max(1, instances)
@@ -118,15 +123,23 @@
             self.saved = 0.0
 
 
-@dataclass(frozen=True)
-class Admission:
+class Admission(Protocol):
     """One operation that was counted."""
 
+    def give_back(self) -> None:
+        """Uncount it, as it reached no database."""
+
+
+@dataclass(frozen=True)
+class _CountedHere:
     table: "QuotaTable"
     workspace: WorkspaceId
     # When it was counted in the own part; None if a grant was spent.
     counted_at: float | None
 
+    def give_back(self) -> None:
+        self.table.give_back(self)
+
 
 class QuotaTable:
     """Admits operations by workspace.
@@ -146,7 +159,7 @@
         self._windows: dict[WorkspaceId, _Window] = {}
         self._started_at = clock.monotonic()
 
-    def admit(self, limit: Workspace, instances: int) -> Result["Admission", RateExceeded]:
+    def admit(self, limit: Workspace, instances: int) -> Result[Admission, RateExceeded]:
         """Count one operation, or refuse it with the time to come back.
 
         The operators count what reaches a database; give an admission back if that
@@ -166,13 +179,13 @@
             window = self._window(limit.workspace, even_rate)
             window.ask(now)
             if window.spend(now):
-                return Ok(Admission(self, limit.workspace, None))
+                return Ok(_CountedHere(self, limit.workspace, None))
             while window.admitted and window.admitted[0] <= now - self._rules.window_s:
                 window.admitted.popleft()
             wait_s = self._wait_s(window, part, even_rate, now)
             if wait_s <= 0:
                 window.admitted.append(now)
-                return Ok(Admission(self, limit.workspace, now))
+                return Ok(_CountedHere(self, limit.workspace, now))
         return Err(
             RateExceeded(
                 f"{len(window.admitted)} operations in {self._rules.window_s} s, part {part:.1f}",
@@ -181,7 +194,7 @@
             )
         )
 
-    def give_back(self, admission: "Admission") -> None:
+    def give_back(self, admission: _CountedHere) -> None:
         """Uncount an operation that reached no database."""
         with self._lock:
             window = self._windows[admission.workspace]
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -25,7 +24,8 @@
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
 from quetzalrudder.gateway.connections import PooledLink
 from quetzalrudder.gateway.measurements import Measurements
-from quetzalrudder.gateway.quotas import Admission, QuotaTable
+from quetzalrudder.gateway.quotas import Admission
+from quetzalrudder.gateway.rate_tokens import RateGate
 from quetzalrudder.gateway.statements import (
     Execute,
     Prepare,
@@ -54,8 +54,7 @@
 
     catalogs: CatalogHolder
     planner: AttemptPlanner
-    quotas: QuotaTable
-    instances: Callable[[], int]
+    rates: RateGate
     measurements: Measurements
     clock: Clock
     rng: random.Random
@@ -186,7 +185,7 @@
         limit = catalog.workspaces.get(req.workspace)
         if limit is None:
             return Ok(None)
-        admitted = self.gateway.quotas.admit(limit, self.gateway.instances())
+        admitted = self.gateway.rates.admit(limit)
         if isinstance(admitted, Err):
             return admitted
         self._admission = admitted.ok_value
@@ -200,7 +199,7 @@
         """Give the operation's admission back if no database was offered it."""
         admission, self._admission = self._admission, None
         if admission is not None:
-            self.gateway.quotas.give_back(admission)
+            admission.give_back()
 
     def run_single(self, req: Request) -> Result[TargetReply, QuetzalrudderError]:
         """Run a statement outside transactions, at another database if one fails."""
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -18,6 +18,8 @@
     "PermissionGrant",
     "RateGrant",
     "RosterValue",
+    "TokenReply",
+    "TokenRequest",
 )
 
 from dataclasses import dataclass
@@ -276,6 +278,38 @@
 default_message_pool.register_message("gateway", "RosterValue", RosterValue)
 
 
+@dataclass(eq=False, repr=False)
+class TokenReply(betterproto2.Message):
+    keeper: "bool" = betterproto2.field(1, betterproto2.TYPE_BOOL)
+    """
+    False if the answering instance does not keep this workspace's rate.
+    """
+
+    admitted: "bool" = betterproto2.field(2, betterproto2.TYPE_BOOL)
+
+    wait_ms: "int" = betterproto2.field(3, betterproto2.TYPE_UINT32)
+    """
+    When a token will be there.
+    """
+
+
+default_message_pool.register_message("gateway", "TokenReply", TokenReply)
+
+
+@dataclass(eq=False, repr=False)
+class TokenRequest(betterproto2.Message):
+    """
+    Asks the keeper of a workspace's rate for one operation, or gives one back.
+    """
+
+    workspace: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    gives_back: "bool" = betterproto2.field(2, betterproto2.TYPE_BOOL)
+
+
+default_message_pool.register_message("gateway", "TokenRequest", TokenRequest)
+
+
 class GatewayPeersStub(betterproto2_grpclib.ServiceStub):
     async def exchange(
         self,
@@ -295,18 +329,48 @@
             metadata=metadata,
         )
 
+    async def take_token(
+        self,
+        message: "TokenRequest",
+        *,
+        timeout: "float | None" = None,
+        deadline: "Deadline | None" = None,
+        metadata: "MetadataLike | None" = None,
+    ) -> "TokenReply":
+
+        return await self._unary_unary(
+            "/gateway.GatewayPeers/TakeToken",
+            message,
+            TokenReply,
+            timeout=timeout,
+            deadline=deadline,
+            metadata=metadata,
+        )
+
 
 class GatewayPeersBase(betterproto2_grpclib.ServiceBase):
     async def exchange(self, message: "PeerReport") -> "PeerReply":
 
         raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
 
+    async def take_token(self, message: "TokenRequest") -> "TokenReply":
+
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
     async def __rpc_exchange(self, stream: "grpclib.server.Stream[PeerReport, PeerReply]") -> None:
         request = await stream.recv_message()
         assert request is not None
         response = await self.exchange(request)
         await stream.send_message(response)
 
+    async def __rpc_take_token(
+        self, stream: "grpclib.server.Stream[TokenRequest, TokenReply]"
+    ) -> None:
+        request = await stream.recv_message()
+        assert request is not None
+        response = await self.take_token(request)
+        await stream.send_message(response)
+
     def __mapping__(self) -> "dict[str, grpclib.const.Handler]":
         return {
             "/gateway.GatewayPeers/Exchange": grpclib.const.Handler(
@@ -315,4 +379,10 @@
                 PeerReport,
                 PeerReply,
             ),
+            "/gateway.GatewayPeers/TakeToken": grpclib.const.Handler(
+                self.__rpc_take_token,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                TokenRequest,
+                TokenReply,
+            ),
         }
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -112,6 +112,12 @@
             return Err(LinkLost("no answer", place=address))
         return Ok(other.gateway.peering.answer(report))
 
+    def take_token(self, address, req, timeout_s):
+        other = self.fleet.by_name.get(address)
+        if other is None or other.frozen or self.cut_from_peers or other.cut_from_peers:
+            return Err(LinkLost("no answer", place=address))
+        return Ok(other.gateway.answer_token(req))
+
     def cut_from_store(self, cut=True):
         for handle in self.handles:
             handle.cut = cut
@@ -121,6 +127,7 @@
             return
         self.mirror.step()
         self.gateway.membership.step()
+        self.gateway.rates.refresh()
         self.gateway.peering.step(DIRECT)
         self.watch.step()
         self.gateway.failover.step()
