A stopping instance offers its shares for as long as the peer may take them

Cause: after three questions, 0.6 s, an offer without an answer was given up, and its shares were lost until the next census; a peer takes shares up to 2 s after it ran last. Change: 11 questions, 2.4 s. Test: a peer that answers after 1 s, red before.

--- a/src/quetzalrudder/share_exchange.py
+++ b/src/quetzalrudder/share_exchange.py
@@ -65,7 +65,8 @@
 LIST_LAG_S = 3.0
 CENSUS_INTERVAL_S = 10.0
 CENSUS_TIMEOUT_S = 3.0
-HAND_OVER_ATTEMPTS = 3
+# Together longer than the pause after which a peer takes nothing any more (PAUSE_LIMIT_S).
+HAND_OVER_ATTEMPTS = 11
 # A peer that refuses shares has just started or was paused; both are over within a second.
 HAND_OVER_ROUNDS = 10
 
@@ -421,6 +422,7 @@
                     return False
                 case _:
                     may_have_come = True
+                    self._stopping.wait(EMPTY_SEEK_TURN_S)
         log.warning(
             "shares may be lost until the next census",
             extra={"peer": peer, "reason": "no answer to the offer"},
--- a/tests/test_share_exchange.py
+++ b/tests/test_share_exchange.py
@@ -163,3 +163,21 @@
     while exchange.seek(RATE, 12):
         pass
     assert wire.clock.now - started <= 2 * LATE_ANSWER_S
+
+
+def test_a_peer_that_answers_after_a_second_still_takes_the_shares(wire):
+    wire.gone = {"c-1"}
+    wire.slow = {"b-1"}
+    exchange = wire.exchanges["a-1"]
+
+    def pass_time(seconds):
+        # Each question has taken its whole time before this pause.
+        wire.clock.advance(ASK_TIMEOUT_S + seconds)
+        if wire.clock.now - started > 1.0:
+            wire.slow = set()
+
+    started = wire.clock.now
+    exchange._stopping.wait = pass_time
+    exchange.hand_over()
+    del wire.ledgers["a-1"]
+    assert wire.total() == PERMITS
