quetzalrudderctl reads the logs of many processes and explains a request

Cause: from a failed request to its cause an engineer had to search the logs of every instance by hand; what the instance believed stands in other lines than the request's own. Change: `logs` merges files by time with filters; `explain ID` shows a request's lines and before each the newest belief of its instance on configuration, permission, store, leader, suspicion and holder. Text and JSON. A partly written or foreign line is counted, never an error.

--- a/src/quetzalrudder/ctl.py
+++ b/src/quetzalrudder/ctl.py
@@ -11,6 +11,7 @@
 from fire.core import FireExit
 
 from quetzalrudder.ctl_context import Context, Report
+from quetzalrudder.ctl_logs import explanation_report, logs_report
 from quetzalrudder.ctl_settings import SettingsCommands
 from quetzalrudder.ctl_timeline import read_time, timeline_report
 from quetzalrudder.exceptions import QuetzalrudderError
@@ -148,6 +149,51 @@
             )
         self._context.show(Report(lines, status))
 
+    def logs(
+        self,
+        *files: str,
+        instance: str = "",
+        message: str = "",
+        request: str = "",
+        target: str = "",
+        group: str = "",
+        since: str = "",
+        until: str = "",
+    ) -> None:
+        """Merge the structured logs of many processes by time; asks no instance.
+
+        Parameters
+        ----------
+        *files : str
+            Files with one JSON object a line; other lines are counted and left out.
+        instance, message, request, target, group : str
+            Show only the lines of this instance, with this message, request id, target or
+            group.
+        since, until : str
+            Show only the lines from and up to a time as the logs write it, or its beginning.
+        """
+        wanted = {
+            "instance": instance,
+            "message": message,
+            "request_id": request,
+            "target": target,
+            "group": group,
+        }
+        fields = {name: str(text) for name, text in wanted.items() if text != ""}
+        self._context.show(logs_report(files, fields, str(since), str(until)))
+
+    def explain(self, request_id: str, *files: str) -> None:
+        """Show what decided a request: its lines, and what its instance believed before.
+
+        Parameters
+        ----------
+        request_id : str
+            The request's id.
+        *files : str
+            The logs of all processes.
+        """
+        self._context.show(explanation_report(str(request_id), files))
+
     def timeline(
         self,
         controls: str = "",
--- /dev/null
+++ b/tests/test_log_reading.py
@@ -0,0 +1,84 @@
+"""The tool reads logs of many processes, whatever else stands in the files."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from quetzalrudder.exceptions import InvalidSettings
+from quetzalrudder.log_reading import explain, read_logs
+
+
+def line(at, instance, message, **fields):
+    found = {"time": at, "instance": instance, "level": "INFO", "logger": "x", "message": message}
+    return json.dumps({**found, **fields})
+
+
+EDGE_1 = [
+    line("10:00:01", "edge-1", "configuration in force", version=7),
+    line("10:00:02", "edge-1", "primary recorded", group="g", primary="db-1", epoch=1),
+    line("10:00:03", "edge-1", "primary recorded", group="h", primary="db-9", epoch=1),
+    line("10:00:04", "edge-1", "store lost", reason="reset"),
+    line("10:00:05", "edge-1", "primary suspected", group="g", target="db-1"),
+    line("10:00:06", "edge-1", "statement ended", request_id="r1", target="db-1", faults=[]),
+    line("10:00:07", "edge-1", "store reached"),
+]
+EDGE_2 = [
+    line("10:00:05.5", "edge-2", "store lost"),
+    line("10:00:06.5", "edge-2", "statement ended", request_id="r2", target="db-2", faults=[]),
+]
+
+
+@pytest.fixture
+def files(tmp_path):
+    first, second = tmp_path / "edge-1", tmp_path / "edge-2"
+    half = EDGE_2[0][:40]
+    foreign = ["Traceback (most recent call last):", "[1, 2]", '{"other": 1}', half, "{" * 5000]
+    first.write_text("\n".join(EDGE_1) + "\n")
+    second.write_text("\n".join([EDGE_2[0], *foreign, f"  6.500 edge-2 {EDGE_2[1]}", ""]))
+    return [str(first), str(second)]
+
+
+def test_lines_of_all_files_come_in_order_of_time_and_others_are_counted(files):
+    logs = read_logs(files)
+    assert [found.time for found in logs.lines] == sorted(found.time for found in logs.lines)
+    assert len(logs.lines) == len(EDGE_1) + len(EDGE_2)
+    assert logs.foreign == 5
+
+
+def test_a_request_is_explained_by_what_its_own_instance_believed_before(files):
+    found = explain(read_logs(files), "r1")
+    assert [(entry.message, own) for entry, own in found] == [
+        ("configuration in force", False),
+        ("primary recorded", False),
+        ("store lost", False),
+        ("primary suspected", False),
+        ("statement ended", True),
+    ]
+    assert {entry.instance for entry, _ in found} == {"edge-1"}
+    assert all(entry.fields.get("group") != "h" for entry, _ in found)
+
+
+def test_an_unknown_request_has_no_lines(files):
+    assert explain(read_logs(files), "r9") == []
+
+
+def test_a_file_that_cannot_be_read_is_named(tmp_path):
+    with pytest.raises(InvalidSettings, match="nowhere"):
+        read_logs([str(tmp_path / "nowhere")])
+
+
+def run_tool(*args):
+    command = [sys.executable, "-m", "quetzalrudder.ctl", *args]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+def test_the_tool_explains_filters_and_writes_json(files):
+    text = run_tool("explain", "r1", *files)
+    assert text.returncode == 0, text.stderr
+    assert text.stdout.count("\n> ") == 1
+    assert "# 5 lines left out" in text.stdout
+    found = run_tool("logs", *files, "--instance=edge-2", "--message=store lost", "--json")
+    assert found.returncode == 0, found.stderr
+    assert [entry["time"] for entry in json.loads(found.stdout)["lines"]] == ["10:00:05.5"]
