--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -181,6 +181,10 @@
     code = ErrorCode.TARGET_UNAVAILABLE
 
 
+class HolderLost(TargetUnavailable):
+    """The instance that holds a database's connections did not answer."""
+
+
 class ConnectionLimitReached(QuetzalrudderError):
     """No connection to the target may be opened within the limit."""
 
--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
-from quetzalrudder.models import InstanceId
+from quetzalrudder.models import DataCentre, InstanceId
 
 __all__ = ["LARGE_FLEET", "FleetView", "rank"]
 
@@ -44,6 +44,9 @@
 
     def __init__(self, members: MemberTable) -> None:
         self._members = members
+        self._present: tuple[int, dict[InstanceId, RosterRecord]] = (-1, {})
+        # Ranks of that version, by subject.
+        self._ranked: dict[tuple[str, DataCentre | None], list[InstanceId]] = {}
 
     @property
     def size(self) -> int:
@@ -57,12 +60,26 @@
 
     def present(self) -> dict[InstanceId, RosterRecord]:
         """Give the instances that hold a lease."""
-        names = {member.instance for member in self._members.members()}
-        return {
-            record.instance: record for record in self._members.roster() if record.instance in names
-        }
-
-    @property
-    def present_part(self) -> float:
-        """Part of the fleet that holds a lease."""
-        return len(self._members.members()) / self.size
+        version, found = self._present
+        if version != self._members.version:
+            # Read first: a change meanwhile makes this one be worked out again.
+            version = self._members.version
+            names = {member.instance for member in self._members.members()}
+            found = {
+                record.instance: record
+                for record in self._members.roster()
+                if record.instance in names
+            }
+            self._ranked = {}
+            self._present = (version, found)
+        return found
+
+    def ranked(self, subject: str, data_centre: DataCentre | None = None) -> list[InstanceId]:
+        """Rank the present instances for a subject, those of a data centre if it has any."""
+        present = self.present()
+        ranked = self._ranked
+        key = (subject, data_centre)
+        if key not in ranked:
+            near = [name for name, found in present.items() if found.data_centre == data_centre]
+            ranked[key] = rank(subject, near or present)
+        return ranked[key]
--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a statement at a database: which one, under which proof, and for how long."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -22,8 +23,9 @@
     TransactionAborted,
     TruncatedAnswer,
 )
+from quetzalrudder.gateway.borrowing import FleetPool
 from quetzalrudder.gateway.catalog import Consistency, Route
-from quetzalrudder.gateway.connections import GatewayPool, Loan, Urgency
+from quetzalrudder.gateway.connections import Loan, Urgency
 from quetzalrudder.gateway.freshness import PositionWindow
 from quetzalrudder.gateway.leadership import Lead, LeaderTable
 from quetzalrudder.gateway.placement import Placement
@@ -128,6 +130,8 @@
     ----------
     registry, leaders, placement, pool
         What is known of the databases, and connections to them.
+    refresh_position : Callable
+        Learns a recent position of a group's primary from other instances, if it can.
     clock : Clock
         Source of time.
     """
@@ -138,13 +142,15 @@
         registry: TargetRegistry,
         leaders: LeaderTable,
         placement: Placement,
-        pool: GatewayPool,
+        pool: FleetPool,
+        refresh_position: Callable[[GroupId], None],
         clock: Clock,
     ) -> None:
         self._registry = registry
         self._leaders = leaders
         self._placement = placement
         self._pool = pool
+        self._refresh_position = refresh_position
         self._clock = clock
         self._windows: dict[GroupId, PositionWindow] = {}
         self._monitors: dict[GroupId, PrimaryMonitor] = {}
@@ -168,7 +174,11 @@
         return self._plan_primary(req)
 
     def _needed(self, req: Request) -> LogPosition | None:
-        needed = self.window(req.route.group).needed(req.route.max_age_ms)
+        window = self.window(req.route.group)
+        needed = window.needed(req.route.max_age_ms)
+        if needed is None:
+            self._refresh_position(req.route.group)
+            needed = window.needed(req.route.max_age_ms)
         if needed is None or req.covers is None:
             return needed
         return max(needed, req.covers)
@@ -266,6 +276,11 @@
             case _:
                 self._answered(target, attempt.lead)
 
+    def note_not_offered(self, attempt: Attempt, exc: QuetzalrudderError) -> None:
+        """Learn from a holder that could not offer a statement to the database."""
+        if isinstance(exc, Overloaded):
+            self._placement.note_busy(attempt.loan.target.target)
+
     def begin_use(self, attempt: Attempt) -> None:
         """Count a transaction that a planned replacement waits for."""
         if attempt.lead is not None:
@@ -285,7 +300,7 @@
 
 def lost_answer(exc: QuetzalrudderError, *, writes: bool) -> QuetzalrudderError:
     """Give the ending of a request whose connection failed."""
-    if not writes or isinstance(exc, TargetUnavailable):
+    if not writes or exc.ending is Ending.NOT_RUN:
         return exc
     return OutcomeUnknown(f"no answer: {exc}", place=exc.place)
 
--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -11,16 +11,17 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import ConnectionLimitReached, Overloaded, QuetzalrudderError
 from quetzalrudder.gateway.statements import TargetConnector, TargetLink
 from quetzalrudder.gateway.targets import Target
-from quetzalrudder.models import TargetId, WorkspaceId
+from quetzalrudder.models import InstanceId, TargetId, WorkspaceId
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["GatewayPool", "Loan", "PooledLink", "Urgency"]
+__all__ = ["GatewayPool", "Loan", "PooledLink", "PooledLoan", "Urgency"]
 
 log = logging.getLogger(__name__)
 
@@ -64,12 +65,45 @@
     granted: PooledLink | None = None
 
 
-class Loan:
+class Loan(Protocol):
     """A connection on loan; use it as a context manager.
 
     It is closed at the end unless :meth:`keep` was called.
     """
 
+    # Another instance that holds the connection; None for the own one.
+    holder: InstanceId | None
+
+    @property
+    def target(self) -> Target:
+        """Where the connection leads."""
+
+    @property
+    def link(self) -> TargetLink:
+        """The connection."""
+
+    def forget_prepared(self) -> None:
+        """Count on no prepared statement of the connection."""
+
+    def forget_values(self) -> None:
+        """Have the connection reset, as its session values are not known any more."""
+
+    def keep(self) -> None:
+        """Return the connection at the end, as no transaction is open on it."""
+
+    def end(self) -> None:
+        """Return or close the connection."""
+
+    def __enter__(self) -> "Loan": ...
+
+    def __exit__(self, *exc_info: object) -> None: ...
+
+
+class PooledLoan:
+    """A loan of the own pool."""
+
+    holder: InstanceId | None = None
+
     def __init__(self, pool: "_TargetPool", pooled: PooledLink, since: float) -> None:
         self._pool = pool
         self.pooled = pooled
@@ -87,6 +121,14 @@
         """The connection."""
         return self.pooled.link
 
+    def forget_prepared(self) -> None:
+        """Count on no prepared statement of the connection."""
+        self.pooled.prepared.clear()
+
+    def forget_values(self) -> None:
+        """Have the connection reset: no session has a value without a name."""
+        self.pooled.values[""] = ""
+
     def keep(self) -> None:
         """Return the connection at the end, as no transaction is open on it."""
         self._keep = True
@@ -97,7 +139,7 @@
             self._ended = True
             self._pool.take_back(self, keep=self._keep and not self.link.broken)
 
-    def __enter__(self) -> "Loan":
+    def __enter__(self) -> "PooledLoan":
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -148,7 +190,7 @@
                     if not waiter.ready.is_set():
                         return Err(self._overloaded("no connection came free in time"))
             if waiter.granted is not None:
-                return Ok(Loan(self, waiter.granted, self._clock.monotonic()))
+                return Ok(PooledLoan(self, waiter.granted, self._clock.monotonic()))
             opened = self._open(workspace, deadline_at)
             if isinstance(opened, Ok):
                 return opened
@@ -216,7 +258,7 @@
         opened = self._connector.connect(self.info, workspace, min(CONNECT_TIMEOUT_S, left_s))
         if isinstance(opened, Ok):
             pooled = PooledLink(opened.ok_value, workspace)
-            return Ok(Loan(self, pooled, self._clock.monotonic()))
+            return Ok(PooledLoan(self, pooled, self._clock.monotonic()))
         with self._lock:
             self._count -= 1
             self._on_loan -= 1
@@ -224,7 +266,7 @@
         _close_all(closing)
         return opened
 
-    def take_back(self, loan: Loan, *, keep: bool) -> None:
+    def take_back(self, loan: PooledLoan, *, keep: bool) -> None:
         """Take a connection back from a session."""
         closing: list[PooledLink] = []
         with self._lock:
@@ -247,7 +289,7 @@
             if pooled is not None:
                 self._on_loan += 1
         _close_all(closing)
-        return None if pooled is None else Loan(self, pooled, self._clock.monotonic())
+        return None if pooled is None else PooledLoan(self, pooled, self._clock.monotonic())
 
     def drop_broken(self) -> bool:
         """Close idle connections whose other end is gone; true if there were any."""
@@ -258,6 +300,14 @@
         _close_all(broken)
         return bool(broken)
 
+    def trim(self) -> None:
+        """Close idle connections beyond the limit, as it may have sunk."""
+        with self._lock:
+            excess = max(0, min(len(self._idle), self._count - max(1, self._limit())))
+            surplus, self._idle = self._idle[:excess], self._idle[excess:]
+            self._count -= excess
+        _close_all(surplus)
+
     def close_idle(self) -> None:
         """Close what is idle."""
         with self._lock:
@@ -321,6 +371,13 @@
             pools = list(self._pools.values())
         return [pool.info.target for pool in pools if pool.drop_broken()]
 
+    def trim(self) -> None:
+        """Close idle connections beyond the limits."""
+        with self._lock:
+            pools = list(self._pools.values())
+        for pool in pools:
+            pool.trim()
+
     def forget_except(self, targets: set[TargetId]) -> None:
         """Close idle connections to databases that are gone."""
         with self._lock:
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -12,7 +12,7 @@
 from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
 from quetzalrudder.gateway.duty import Duty
 from quetzalrudder.gateway.leadership import LeaderRecord, LeaderTable
-from quetzalrudder.gateway.members import MemberTable
+from quetzalrudder.gateway.members import MemberRecord, MemberTable
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, LeaseSpan
 from quetzalrudder.gateway.promotion_rules import is_suspected, may_promote
@@ -96,6 +96,7 @@
         leaders: LeaderTable,
         members: MemberTable,
         contact: StoreContact,
+        watchers: Callable[[LeaderRecord], list[MemberRecord]],
         lease_span: Callable[[], LeaseSpan | None],
         rng: random.Random,
         clock: Clock,
@@ -108,6 +109,7 @@
         self._leaders = leaders
         self._members = members
         self._contact = contact
+        self._watchers = watchers
         self._lease_span = lease_span
         self._clock = clock
         self.duty = Duty(
@@ -183,7 +185,7 @@
     def _check(self, record: LeaderRecord) -> None:
         info = self._registry.get(record.primary)
         leaving = info is not None and info.draining
-        suspected = is_suspected(record.primary, record.group, self._members.members())
+        suspected = is_suspected(record.primary, record.group, self._watchers(record))
         if not leaving and not suspected:
             return
         successor = self._choose_successor(record.group, record.primary)
--- a/src/quetzalrudder/gateway/freshness.py
+++ b/src/quetzalrudder/gateway/freshness.py
@@ -54,6 +54,13 @@
             while self._samples[0].asked_at < oldest:
                 self._samples.popleft()
 
+    def newest(self) -> tuple[float, LogPosition] | None:
+        """Give the newest position and when it was asked for; None if none is kept."""
+        with self._lock:
+            if not self._samples:
+                return None
+            return self._samples[-1].asked_at, self._samples[-1].position
+
     def needed(self, max_age_ms: int) -> LogPosition | None:
         """Give the lowest position that proves the age; None if no answer is recent enough."""
         oldest = self._clock.monotonic() - max_age_ms / MS_PER_S + AGE_MARGIN_S
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -8,21 +8,25 @@
 from concurrent.futures import Executor, Future, wait
 from contextlib import ExitStack
 from dataclasses import dataclass
+from functools import partial
 
 from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway.assignments import FleetView
 from quetzalrudder.gateway.attempts import AttemptPlanner
+from quetzalrudder.gateway.borrowing import FleetPool, holders_of, watchers_of
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
 from quetzalrudder.gateway.connections import GatewayPool
 from quetzalrudder.gateway.failover import FailoverDuty, Promoter
-from quetzalrudder.gateway.leadership import LeaderTable
+from quetzalrudder.gateway.leadership import LeaderRecord, LeaderTable
+from quetzalrudder.gateway.lending import LoanDesk
 from quetzalrudder.gateway.measurements import Measurements
-from quetzalrudder.gateway.members import MemberTable
+from quetzalrudder.gateway.members import MemberRecord, MemberTable
 from quetzalrudder.gateway.membership import Membership
 from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
 from quetzalrudder.gateway.peering import PeerCaller, Peering, Self
 from quetzalrudder.gateway.permission import Permission
 from quetzalrudder.gateway.placement import Placement
+from quetzalrudder.gateway.positions import PositionExchange
 from quetzalrudder.gateway.probing import PooledProber, PrimaryWatch
 from quetzalrudder.gateway.quotas import QuotaRules, QuotaTable
 from quetzalrudder.gateway.rate_grants import RateKeeper
@@ -40,11 +44,22 @@
 )
 from quetzalrudder.gateway.running import Gateway
 from quetzalrudder.gateway.sessions import ProxySession
+from quetzalrudder.gateway.slots import GatedConnector, SlotGates
 from quetzalrudder.gateway.statements import TargetConnector
 from quetzalrudder.gateway.store import Item, Store
 from quetzalrudder.gateway.targets import Target, TargetRegistry
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId, WorkspaceId
-from quetzalrudder.schema.gateway import PeerReply, PeerReport, TokenReply, TokenRequest
+from quetzalrudder.schema.gateway import (
+    EndRequest,
+    PeerReply,
+    PeerReport,
+    PositionReply,
+    PositionRequest,
+    RunReply,
+    RunRequest,
+    TokenReply,
+    TokenRequest,
+)
 from quetzalrudder.utils import Clock
 
 __all__ = ["GatewayInstance", "InstanceIdentity"]
@@ -55,6 +70,11 @@
 CARE_S = 0.25
 # For a group whose limit is not configured.
 DEFAULT_CONNECTIONS = 8
+# The users' shortest bound.
+DEFAULT_IN_FORCE_S = 3.0
+# Part of a database's connections that its holders use; the rest is for questions of
+# watchers, and for holders that have just changed.
+HELD_PART = 0.8
 # Bound on the calls that end lease and roster entry; an exit without them is safe.
 LEAVE_S = 0.5
 
@@ -90,6 +110,8 @@
         Source of time; it must count suspensions.
     rng : random.Random
         Source of jitter.
+    in_force_s : float
+        Time in which a configuration must be in force, in seconds.
     """
 
     def __init__(
@@ -104,8 +126,10 @@
         quota_rules: QuotaRules,
         clock: Clock,
         rng: random.Random,
+        in_force_s: float = DEFAULT_IN_FORCE_S,
     ) -> None:
         self._identity = identity
+        self._in_force_s = in_force_s
         self._clock = clock
         self.catalogs = CatalogHolder()
         self.registry = TargetRegistry(clock)
@@ -114,18 +138,32 @@
         self.leaders = LeaderTable(self.permission, clock)
         self.members = MemberTable(clock)
         self.contact = StoreContact(clock)
-        self.pool = GatewayPool(connector, self._connection_limit, clock)
-        placement = Placement(self.registry, self.pool, identity.data_centre, rng, clock)
+        self.view = FleetView(self.members)
+        gates = SlotGates(self._slot_sharers, clock)
+        self.pool = GatewayPool(GatedConnector(connector, gates), self._connection_limit, clock)
+        fleet_pool = FleetPool(identity.instance, self.view, self.pool, caller, clock)
+        placement = Placement(self.registry, fleet_pool, identity.data_centre, rng, clock)
         self.planner = AttemptPlanner(
             registry=self.registry,
             leaders=self.leaders,
             placement=placement,
-            pool=self.pool,
+            pool=fleet_pool,
+            refresh_position=lambda group: self.positions.refresh(group),
+            clock=clock,
+        )
+        self.positions = PositionExchange(
+            own=identity.instance,
+            view=self.view,
+            leaders=self.leaders,
+            registry=self.registry,
+            window=self.planner.window,
+            ask_primary=self._ask_primary,
+            caller=caller,
             clock=clock,
         )
+        self.desk = LoanDesk(self.registry, self.pool, lambda: self._leaving, clock)
         self.prober = PooledProber(self.pool, connector, self._any_workspace)
         quotas = QuotaTable(quota_rules, clock)
-        self.view = FleetView(self.members)
         self.rates = RateGate(
             own=identity.instance,
             view=self.view,
@@ -151,6 +189,7 @@
             instance=identity.instance,
             incarnation=incarnation,
             address=identity.peer_address,
+            data_centre=identity.data_centre,
             permission=self.permission,
             leaders=self.leaders,
             members=self.members,
@@ -168,6 +207,7 @@
             leaders=self.leaders,
             members=self.members,
             contact=self.contact,
+            watchers=self._watchers,
             lease_span=self.membership.lease_span,
             rng=rng,
             clock=clock,
@@ -189,6 +229,7 @@
             clock=clock,
         )
         self._watches: dict[GroupId, PrimaryWatch] = {}
+        self._leaving = False
         self._stopping = threading.Event()
         self._tasks: dict[str, Future] = {}
 
@@ -200,6 +241,18 @@
         """Answer a peer's report."""
         return self.peering.answer(report)
 
+    def answer_position(self, req: PositionRequest) -> PositionReply:
+        """Answer a peer's question for a position."""
+        return self.positions.answer(req)
+
+    def run_lent(self, req: RunRequest) -> RunReply:
+        """Run a peer's statement on a connection of this instance."""
+        return self.desk.run(req)
+
+    def end_lent(self, req: EndRequest) -> None:
+        """Take a connection back from a peer."""
+        self.desk.end(req)
+
     def answer_token(self, req: TokenRequest) -> TokenReply:
         """Answer a peer's request for a token."""
         return self.rates.answer(req)
@@ -229,7 +282,14 @@
         """
         stack.enter_context(self.pool)
         own = PrefixHandler(PREFIX, self._replace_own, self._change_own)
-        mirror = StoreMirror(self._open_store(), [*handlers, own], self.contact, self._clock)
+        mirror = StoreMirror(
+            self._open_store(),
+            [*handlers, own],
+            self.contact,
+            self._clock,
+            self._in_force_s,
+            lambda: self.view.is_large,
+        )
         stack.callback(self._stop)
         for name, run in (
             ("mirror", mirror.run),
@@ -242,6 +302,7 @@
 
     def begin_stop(self) -> None:
         """Hand the duty on at the start of a planned stop."""
+        self._leaving = True
         self.failover.duty.resign()
 
     def leave(self) -> None:
@@ -271,6 +332,8 @@
     def _care(self, executor: Executor, stopping: threading.Event) -> None:
         while not stopping.wait(CARE_S):
             self.rates.refresh()
+            self.desk.expire()
+            self.pool.trim()
             targets = self.registry.all_targets()
             for group in {target.group for target in targets} - self._watches.keys():
                 watch = PrimaryWatch(
@@ -280,6 +343,7 @@
                     registry=self.registry,
                     planner=self.planner,
                     prober=self.prober,
+                    is_watcher=partial(self._is_watcher, group),
                     clock=self._clock,
                 )
                 self._watches[group] = watch
@@ -298,7 +362,32 @@
         settings = self.catalogs.current.groups.get(target.group)
         if settings is None or settings.max_connections <= 0:
             return DEFAULT_CONNECTIONS
-        return max(1, settings.max_connections // self.members.count())
+        if not self.view.is_large:
+            return max(1, settings.max_connections // self.members.count())
+        holders = holders_of(self.view, target)
+        if self._leaving or self._identity.instance not in holders:
+            # For questions of our own.
+            return 1
+        return max(1, int(settings.max_connections * HELD_PART) // len(holders))
+
+    def _slot_sharers(self, target: Target) -> int:
+        return len(holders_of(self.view, target)) if self.view.is_large else 0
+
+    def _is_watcher(self, group: GroupId, primary: Target | None) -> bool:
+        if not self.view.is_large:
+            return True
+        return self._identity.instance in watchers_of(self.view, group, primary)
+
+    def _watchers(self, record: LeaderRecord) -> list[MemberRecord]:
+        if not self.view.is_large:
+            return self.members.members()
+        primary = self.registry.get(record.primary)
+        return self.members.members_named(watchers_of(self.view, record.group, primary))
+
+    def _ask_primary(self, group: GroupId) -> None:
+        watch = self._watches.get(group)
+        if watch is not None:
+            watch.ask_now()
 
     def _any_workspace(self) -> WorkspaceId | None:
         return next(iter(self.catalogs.current.workspaces), None)
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -2,9 +2,10 @@
 
 import logging
 import threading
+from collections.abc import Collection
 from dataclasses import dataclass
 
-from quetzalrudder.models import GroupId, InstanceId, TargetId
+from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
 from quetzalrudder.utils import Clock
 
 __all__ = ["Absence", "MemberRecord", "MemberTable", "RosterRecord"]
@@ -29,6 +30,7 @@
     instance: InstanceId
     incarnation: str
     address: str
+    data_centre: DataCentre = DataCentre("")
     # Highest ``created`` of the entries that the instance has seen: it needs most of those
     # to go on without the store.
     knows: int = 0
@@ -61,6 +63,8 @@
         self._members: dict[InstanceId, MemberRecord] = {}
         self._roster: dict[InstanceId, RosterRecord] = {}
         self._absent_since: dict[InstanceId, float] = {}
+        # Grows with each change of who is in the table.
+        self.version = 0
 
     def put(self, record: MemberRecord) -> None:
         """Take a member's record."""
@@ -68,6 +72,7 @@
             known = self._members.get(record.instance)
             self._members[record.instance] = record
             self._absent_since.pop(record.instance, None)
+            self.version += known is None
         if known is None or known.incarnation != record.incarnation:
             log.info(
                 "instance joined",
@@ -80,6 +85,7 @@
             if self._members.pop(instance, None) is None:
                 return
             self._absent_since[instance] = self._clock.monotonic()
+            self.version += 1
         log.info("instance left", extra={"member": instance})
 
     def replace_all(self, records: list[MemberRecord]) -> None:
@@ -99,6 +105,7 @@
             if known is not None and known.revision >= record.revision:
                 return
             self._roster[record.instance] = record
+            self.version += 1
             if record.instance not in self._members:
                 self._absent_since[record.instance] = self._clock.monotonic()
 
@@ -106,6 +113,7 @@
         """Forget an instance that left for good."""
         with self._lock:
             self._roster.pop(instance, None)
+            self.version += 1
             self._absent_since.pop(instance, None)
 
     def replace_roster(self, records: list[RosterRecord]) -> None:
@@ -144,6 +152,11 @@
                 for gone_at in (self._absent_since.get(name, now),)
             ]
 
+    def members_named(self, names: Collection[InstanceId]) -> list[MemberRecord]:
+        """List some of the members that are in the store."""
+        with self._lock:
+            return [self._members[name] for name in names if name in self._members]
+
     def count(self) -> int:
         """Count the instances that may admit requests, also those lost lately."""
         with self._lock:
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -22,7 +22,7 @@
     encode_roster,
 )
 from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict
-from quetzalrudder.models import GroupId, InstanceId, TargetId
+from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
 from quetzalrudder.utils import Clock
 
 __all__ = ["Membership"]
@@ -43,7 +43,7 @@
     ----------
     store : Store
         The store.
-    instance, incarnation, address
+    instance, incarnation, address, data_centre
         This process, and where peers reach it.
     permission : Permission
         Renewed with the lease.
@@ -66,6 +66,7 @@
         instance: InstanceId,
         incarnation: str,
         address: str,
+        data_centre: DataCentre,
         permission: Permission,
         leaders: LeaderTable,
         members: MemberTable,
@@ -77,6 +78,7 @@
         self._instance = instance
         self._incarnation = incarnation
         self._address = address
+        self._data_centre = data_centre
         self._key = MEMBER_PREFIX + instance
         self._roster_key = ROSTER_PREFIX + instance
         self._roster_revision = 0
@@ -166,7 +168,9 @@
     def _enter_roster(self) -> Result[None, QuetzalrudderError]:
         knows = self._members.newest_entry()
         self._tried_entries = max(self._tried_entries, knows)
-        record = RosterRecord(self._instance, self._incarnation, self._address, knows)
+        record = RosterRecord(
+            self._instance, self._incarnation, self._address, self._data_centre, knows
+        )
         result = self._store.write(self._roster_key, encode_roster(record), self._roster_revision)
         if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
             self._roster_revision = _revision_of(self._roster_key, result.err_value)
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -15,9 +15,12 @@
 
 log = logging.getLogger(__name__)
 
-# A watch on a connection that went silent is noticed after this long and a little; the
-# users' bound for a configuration to be in force is 3 s.
-WATCH_WAIT_MS = 1200
+# Part of the time in which a configuration must be in force. A watch on a connection that
+# went silent is noticed after this long and a little, and the change is read then.
+WATCH_PART = 0.4
+# In a large fleet changes come together, as many instances write when one thing happens;
+# each watch that is answered is a call of every instance.
+GATHER_S = 0.25
 # After a failed call; 10 calls a second of each instance at most while the store is away.
 PAUSE_S = 0.1
 
@@ -86,15 +89,28 @@
         Takes note of answers and failures.
     clock : Clock
         Source of time.
+    in_force_s : float
+        Time in which a configuration must be in force, in seconds.
+    gathers : Callable
+        Tells whether to let changes come together.
     """
 
     def __init__(
-        self, store: Store, handlers: list[PrefixHandler], contact: StoreContact, clock: Clock
+        self,
+        store: Store,
+        handlers: list[PrefixHandler],
+        contact: StoreContact,
+        clock: Clock,
+        in_force_s: float,
+        gathers: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._handlers = handlers
         self._contact = contact
         self._clock = clock
+        self._wait_ms = round(WATCH_PART * in_force_s * MS_PER_S)
+        self._gathers = gathers
+        self._changed = False
         self._revision: int | None = None
 
     def run(self, stopping: threading.Event) -> None:
@@ -102,12 +118,15 @@
         while not stopping.is_set():
             if not self.step():
                 stopping.wait(PAUSE_S)
+            elif self._changed and self._gathers():
+                stopping.wait(GATHER_S)
 
     def step(self) -> bool:
         """Read or watch once; false after a failure."""
+        self._changed = False
         if self._revision is None:
             return self._read_all()
-        result = self._store.watch(self._revision, WATCH_WAIT_MS)
+        result = self._store.watch(self._revision, self._wait_ms)
         if isinstance(result, Err):
             if isinstance(result.err_value, HistoryGone):
                 log.info("history of the store is gone", extra={"revision": self._revision})
@@ -116,6 +135,7 @@
             self._contact.failed(result.err_value)
             return False
         self._contact.reached()
+        self._changed = bool(result.ok_value.items)
         for item in result.ok_value.items:
             for handler in self._handlers:
                 if item.key.startswith(handler.prefix):
--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -108,6 +108,8 @@
     leaders, members, registry, planner, prober
         Who leads, whom other instances suspect, where it is, who learns from the answers,
         and who asks.
+    is_watcher : Callable
+        Tells whether it is this instance's part to ask a primary.
     clock : Clock
         Source of time.
     """
@@ -121,6 +123,7 @@
         registry: TargetRegistry,
         planner: AttemptPlanner,
         prober: PooledProber,
+        is_watcher: Callable[[Target | None], bool],
         clock: Clock,
     ) -> None:
         self._group = group
@@ -129,6 +132,7 @@
         self._registry = registry
         self._planner = planner
         self._prober = prober
+        self._is_watcher = is_watcher
         self._clock = clock
         self._suspected: TargetId | None = None
 
@@ -142,6 +146,8 @@
         lead = self._leaders.lead(self._group)
         if lead is None:
             return
+        if not self._is_watcher(self._registry.get(lead.target)):
+            return
         monitor = self._planner.monitor(self._group)
         if any(
             member.suspects.get(self._group) == lead.target for member in self._members.members()
@@ -162,6 +168,12 @@
                 },
             )
 
+    def ask_now(self) -> None:
+        """Ask the primary for its position."""
+        lead = self._leaders.lead(self._group)
+        if lead is not None:
+            self._ask(lead)
+
     def _ask(self, lead: Lead) -> None:
         monitor = self._planner.monitor(self._group)
         target = self._registry.get(lead.target)
@@ -189,5 +201,7 @@
         record = self._leaders.record(self._group)
         if record is None or record.primary is None:
             return None
+        if not self._is_watcher(self._registry.get(record.primary)):
+            return None
         monitor = self._planner.monitor(self._group)
         return record.primary if monitor.is_suspect(record.primary) else None
--- a/src/quetzalrudder/gateway/promotion_rules.py
+++ b/src/quetzalrudder/gateway/promotion_rules.py
@@ -8,7 +8,7 @@
 
 
 def is_suspected(target: TargetId, group: GroupId, members: list[MemberRecord]) -> bool:
-    """Tell whether most members have lost a primary.
+    """Tell whether most of the members that watch a primary have lost it.
 
     Examples
     --------
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -16,7 +16,7 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError, RateExceeded
-from quetzalrudder.gateway.assignments import FleetView, rank
+from quetzalrudder.gateway.assignments import FleetView
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.quotas import Admission, QuotaRules, QuotaTable
 from quetzalrudder.models import InstanceId, WorkspaceId
@@ -174,7 +174,7 @@
         if not self._view.is_large:
             return self._quotas.admit(limit, self._view.size)
         present = self._view.present()
-        ranked = rank(limit.workspace, present)[:MAX_ASKED]
+        ranked = self._view.ranked(limit.workspace)[:MAX_ASKED]
         now = self._clock.monotonic()
         ranked.sort(key=lambda name: self._avoided.get(name, 0.0) > now)
         for name in ranked:
@@ -238,9 +238,8 @@
         if not self._view.is_large:
             self.keeper.assign(set())
             return
-        present = self._view.present()
         self.keeper.assign(
-            {name for name in self._limits() if rank(name, present)[:1] == [self._own]}
+            {name for name in self._limits() if self._view.ranked(name)[:1] == [self._own]}
         )
 
 
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -9,7 +9,7 @@
 from quetzalrudder.gateway.leadership import LeaderRecord
 from quetzalrudder.gateway.members import MemberRecord, RosterRecord
 from quetzalrudder.gateway.store import Item
-from quetzalrudder.models import GroupId, InstanceId, TargetId
+from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
 from quetzalrudder.schema.gateway import (
     DutyValue,
     GroupEpoch,
@@ -100,7 +100,12 @@
 def encode_roster(record: RosterRecord) -> bytes:
     """Write a roster entry."""
     return bytes(
-        RosterValue(incarnation=record.incarnation, address=record.address, knows=record.knows)
+        RosterValue(
+            incarnation=record.incarnation,
+            address=record.address,
+            data_centre=record.data_centre,
+            knows=record.knows,
+        )
     )
 
 
@@ -111,6 +116,7 @@
         instance=InstanceId(item.key.removeprefix(ROSTER_PREFIX)),
         incarnation=value.incarnation,
         address=value.address,
+        data_centre=DataCentre(value.data_centre),
         knows=value.knows,
         revision=item.revision,
         created=item.created,
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -7,8 +7,11 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import (
+    ConnectionLimitReached,
+    HolderLost,
     MalformedMessage,
     OutcomeUnknown,
+    Overloaded,
     QuetzalrudderError,
     StatementNotPrepared,
 )
@@ -21,8 +24,9 @@
     retry_pause_s,
     stale_answer,
 )
+from quetzalrudder.gateway.borrowing import BorrowedLoan
 from quetzalrudder.gateway.catalog import Catalog, CatalogHolder
-from quetzalrudder.gateway.connections import PooledLink
+from quetzalrudder.gateway.connections import Loan, PooledLink
 from quetzalrudder.gateway.measurements import Measurements
 from quetzalrudder.gateway.quotas import Admission
 from quetzalrudder.gateway.rate_tokens import RateGate
@@ -38,9 +42,10 @@
 )
 from quetzalrudder.gateway.targets import LogPosition
 from quetzalrudder.models import RequestId
+from quetzalrudder.schema.common import Ending
 from quetzalrudder.utils import Clock
 
-__all__ = ["OWN_REQUEST", "Gateway", "Outcome", "Runner", "SessionEntries"]
+__all__ = ["OWN_REQUEST", "Gateway", "Outcome", "Runner", "SessionEntries", "bring_to"]
 
 OWN_REQUEST = RequestId("-")
 # For a value or a prepared statement, which take no slot: many times a round trip.
@@ -66,6 +71,8 @@
 
     attempts: int = 0
     target: str = ""
+    # The instance that holds the connection; empty for this one.
+    holder: str = ""
     epoch: int = 0
     needed: LogPosition | None = None
     faults: list[str] = field(default_factory=list)
@@ -121,29 +128,41 @@
             case _:
                 return statement
 
-    def set_up(self, pooled: PooledLink, statement: Statement) -> Result[None, QuetzalrudderError]:
+    def set_up(self, loan: Loan, statement: Statement) -> Result[None, QuetzalrudderError]:
         """Bring a connection's values and prepared statements to the session's."""
-        if any(name not in self._values for name in pooled.values):
-            done = pooled.link.reset(SETUP_TIMEOUT_S)
+        prepare = None
+        if isinstance(statement, Execute):
+            prepare = _shared_name(self._prepared[statement.name])
+        match loan:
+            case BorrowedLoan():
+                loan.link.want(self._values, prepare)
+                return Ok(None)
+            case _:
+                return bring_to(loan.pooled, self._values, prepare)
+
+
+def bring_to(
+    pooled: PooledLink, values: dict[str, str], prepare: Prepare | None
+) -> Result[None, QuetzalrudderError]:
+    """Bring a connection to a session's values, and prepare what is executed next."""
+    if any(name not in values for name in pooled.values):
+        done = pooled.link.reset(SETUP_TIMEOUT_S)
+        if isinstance(done, Err):
+            return done
+        pooled.values.clear()
+        pooled.prepared.clear()
+    for name, value in values.items():
+        if pooled.values.get(name) != value:
+            done = _set_up_with(pooled, SetValue(name, value))
             if isinstance(done, Err):
                 return done
-            pooled.values.clear()
-            pooled.prepared.clear()
-        for name, value in self._values.items():
-            if pooled.values.get(name) != value:
-                done = _set_up_with(pooled, SetValue(name, value))
-                if isinstance(done, Err):
-                    return done
-                pooled.values[name] = value
-        match statement:
-            case Execute(name):
-                prepared = _shared_name(self._prepared[name])
-                if prepared.name not in pooled.prepared:
-                    done = _set_up_with(pooled, prepared)
-                    if isinstance(done, Err):
-                        return done
-                    pooled.prepared.add(prepared.name)
-        return Ok(None)
+            pooled.values[name] = value
+    if prepare is not None and prepare.name not in pooled.prepared:
+        done = _set_up_with(pooled, prepare)
+        if isinstance(done, Err):
+            return done
+        pooled.prepared.add(prepare.name)
+    return Ok(None)
 
 
 def _shared_name(prepared: Prepare) -> Prepare:
@@ -242,6 +261,7 @@
     def name_target(self, attempt: Attempt) -> None:
         """Let the log line name the database of an attempt."""
         self.outcome.target = attempt.loan.target.target
+        self.outcome.holder = attempt.loan.holder or ""
         self.outcome.epoch = attempt.lead.epoch if attempt.lead else 0
         self.outcome.needed = attempt.at_least
 
@@ -249,16 +269,17 @@
         self, req: Request, attempt: Attempt, writes: bool
     ) -> Result[TargetReply, QuetzalrudderError]:
         """Run a single statement once on a borrowed connection."""
-        setup = self.entries.set_up(attempt.loan.pooled, req.statement)
+        setup = self.entries.set_up(attempt.loan, req.statement)
         if isinstance(setup, Err):
             self.note_fault(attempt, setup.err_value)
             return setup
         statement = self.entries.as_shared(req.statement)
-        self.use_admission()
         asked_at = self.gateway.clock.monotonic()
         result = attempt.loan.link.run(
             req.request_id, statement, attempt.timeout_s(asked_at), attempt.at_least
         )
+        if isinstance(result, Ok) or result.err_value.ending is not Ending.NOT_RUN:
+            self.use_admission()
         if isinstance(result, Err):
             self.note_fault(attempt, result.err_value)
             return Err(lost_answer(result.err_value, writes=writes))
@@ -275,7 +296,7 @@
         """Learn from a database's refusal and give the failure."""
         exc = fault_error(reply, attempt.loan.target.target)
         if reply.fault is TargetFault.NOT_PREPARED:
-            attempt.loan.pooled.prepared.clear()
+            attempt.loan.forget_prepared()
         self.note_fault(attempt, exc, reply.fault)
         req.exclude(attempt.loan.target.target, reply.fault)
         return Err(exc)
@@ -307,4 +328,7 @@
         name = fault.value if fault is not None else type(exc).__name__
         self.outcome.faults.append(f"{attempt.loan.target.target}: {name}")
         self.gateway.measurements.faults.labels(name).inc()
-        self.gateway.planner.note_fault(attempt, fault)
+        if isinstance(exc, HolderLost | Overloaded | ConnectionLimitReached) and fault is None:
+            self.gateway.planner.note_not_offered(attempt, exc)
+        else:
+            self.gateway.planner.note_fault(attempt, fault)
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -258,6 +258,7 @@
                 "ending": ending,
                 "reason": "" if answer.error is None else str(answer.error),
                 "target": outcome.target,
+                "holder": outcome.holder,
                 "epoch": outcome.epoch,
                 "needed": "" if outcome.needed is None else str(outcome.needed),
                 "attempts": outcome.attempts,
--- a/src/quetzalrudder/gateway/transactions.py
+++ b/src/quetzalrudder/gateway/transactions.py
@@ -92,7 +92,7 @@
             last = begun.err_value
 
     def _begin_at(self, req: Request, attempt: Attempt) -> Result[None, QuetzalrudderError]:
-        setup = self._runner.entries.set_up(attempt.loan.pooled, req.statement)
+        setup = self._runner.entries.set_up(attempt.loan, req.statement)
         if isinstance(setup, Err):
             self._runner.note_fault(attempt, setup.err_value)
             return setup
@@ -119,7 +119,7 @@
         attempt = self.attempt
         self._runner.name_target(attempt)
         clock = self._gateway.clock
-        setup = self._runner.entries.set_up(attempt.loan.pooled, req.statement)
+        setup = self._runner.entries.set_up(attempt.loan, req.statement)
         if isinstance(setup, Err):
             self._runner.note_fault(attempt, setup.err_value)
             return Err(TransactionAborted(str(setup.err_value)))
@@ -206,7 +206,7 @@
         try:
             if self.changed_values and not commit:
                 # Whether the database undid the changes is not known: it is reset.
-                attempt.loan.pooled.values[""] = ""
+                attempt.loan.forget_values()
             if commit or self._roll_back(attempt.loan, request_id):
                 attempt.loan.keep()
         finally:
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -6,20 +6,31 @@
 __all__ = (
     "Demand",
     "DutyValue",
+    "EndReply",
+    "EndRequest",
     "GatewayPeersBase",
     "GatewayPeersStub",
     "GroupEpoch",
     "GroupLeader",
     "GroupSuspect",
     "LeaderValue",
+    "LentStatement",
+    "LogPlace",
     "MemberValue",
     "PeerReply",
     "PeerReport",
     "PermissionGrant",
+    "PositionReply",
+    "PositionRequest",
     "RateGrant",
     "RosterValue",
+    "RunReply",
+    "RunRequest",
+    "SessionEntry",
+    "StatementKind",
     "TokenReply",
     "TokenRequest",
+    "Wanted",
 )
 
 from dataclasses import dataclass
@@ -77,6 +88,58 @@
         }
 
 
+class StatementKind(betterproto2.Enum):
+    UNSPECIFIED = 0
+
+    BEGIN = 1
+
+    COMMIT = 2
+
+    ROLLBACK = 3
+
+    READ = 4
+
+    WRITE = 5
+
+    SET = 6
+
+    PREPARE = 7
+
+    EXECUTE = 8
+
+    RESET = 9
+
+    @classmethod
+    def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
+        return {
+            0: "STATEMENT_KIND_UNSPECIFIED",
+            1: "STATEMENT_KIND_BEGIN",
+            2: "STATEMENT_KIND_COMMIT",
+            3: "STATEMENT_KIND_ROLLBACK",
+            4: "STATEMENT_KIND_READ",
+            5: "STATEMENT_KIND_WRITE",
+            6: "STATEMENT_KIND_SET",
+            7: "STATEMENT_KIND_PREPARE",
+            8: "STATEMENT_KIND_EXECUTE",
+            9: "STATEMENT_KIND_RESET",
+        }
+
+    @classmethod
+    def betterproto_renamed_proto_names_to_value(cls) -> dict[str, int]:
+        return {
+            "STATEMENT_KIND_UNSPECIFIED": 0,
+            "STATEMENT_KIND_BEGIN": 1,
+            "STATEMENT_KIND_COMMIT": 2,
+            "STATEMENT_KIND_ROLLBACK": 3,
+            "STATEMENT_KIND_READ": 4,
+            "STATEMENT_KIND_WRITE": 5,
+            "STATEMENT_KIND_SET": 6,
+            "STATEMENT_KIND_PREPARE": 7,
+            "STATEMENT_KIND_EXECUTE": 8,
+            "STATEMENT_KIND_RESET": 9,
+        }
+
+
 @dataclass(eq=False, repr=False)
 class Demand(betterproto2.Message):
     """
@@ -105,6 +168,26 @@
 default_message_pool.register_message("gateway", "DutyValue", DutyValue)
 
 
+@dataclass(eq=False, repr=False)
+class EndReply(betterproto2.Message):
+    pass
+
+
+default_message_pool.register_message("gateway", "EndReply", EndReply)
+
+
+@dataclass(eq=False, repr=False)
+class EndRequest(betterproto2.Message):
+    """
+    Ends a loan whose transaction its borrower has left; the database rolls back.
+    """
+
+    loan: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("gateway", "EndRequest", EndRequest)
+
+
 @dataclass(eq=False, repr=False)
 class GroupEpoch(betterproto2.Message):
     """
@@ -170,6 +253,41 @@
 default_message_pool.register_message("gateway", "LeaderValue", LeaderValue)
 
 
+@dataclass(eq=False, repr=False)
+class LentStatement(betterproto2.Message):
+    kind: "StatementKind" = betterproto2.field(
+        1, betterproto2.TYPE_ENUM, default_factory=lambda: StatementKind(0)
+    )
+
+    name: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+    """
+    Item or name.
+    """
+
+    text: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+    """
+    Data, value, shape or arguments.
+    """
+
+    flag: "bool" = betterproto2.field(4, betterproto2.TYPE_BOOL)
+    """
+    BEGIN: reads only. PREPARE: writes.
+    """
+
+
+default_message_pool.register_message("gateway", "LentStatement", LentStatement)
+
+
+@dataclass(eq=False, repr=False)
+class LogPlace(betterproto2.Message):
+    term: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+    index: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("gateway", "LogPlace", LogPlace)
+
+
 @dataclass(eq=False, repr=False)
 class MemberValue(betterproto2.Message):
     """
@@ -245,6 +363,38 @@
 default_message_pool.register_message("gateway", "PeerReport", PeerReport)
 
 
+@dataclass(eq=False, repr=False)
+class PositionReply(betterproto2.Message):
+    known: "bool" = betterproto2.field(1, betterproto2.TYPE_BOOL)
+    """
+    False if none is recent enough.
+    """
+
+    term: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    index: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+
+    age_ms: "int" = betterproto2.field(4, betterproto2.TYPE_UINT32)
+    """
+    Since the primary was asked for it.
+    """
+
+
+default_message_pool.register_message("gateway", "PositionReply", PositionReply)
+
+
+@dataclass(eq=False, repr=False)
+class PositionRequest(betterproto2.Message):
+    """
+    The newest position of a group's primary that the answering instance knows.
+    """
+
+    group: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+
+default_message_pool.register_message("gateway", "PositionRequest", PositionRequest)
+
+
 @dataclass(eq=False, repr=False)
 class RateGrant(betterproto2.Message):
     """
@@ -269,6 +419,8 @@
 
     address: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
 
+    data_centre: "str" = betterproto2.field(4, betterproto2.TYPE_STRING)
+
     knows: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
     """
     Highest creation of the roster entries that the instance has seen.
@@ -278,6 +430,96 @@
 default_message_pool.register_message("gateway", "RosterValue", RosterValue)
 
 
+@dataclass(eq=False, repr=False)
+class RunReply(betterproto2.Message):
+    failure: "_common__.Failure | None" = betterproto2.field(
+        1, betterproto2.TYPE_MESSAGE, optional=True
+    )
+
+    state: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+    rows: "list[str]" = betterproto2.field(3, betterproto2.TYPE_STRING, repeated=True)
+
+    signature: "str" = betterproto2.field(4, betterproto2.TYPE_STRING)
+
+    fault: "str" = betterproto2.field(5, betterproto2.TYPE_STRING)
+    """
+    Empty if there is none.
+    """
+
+    detail: "str" = betterproto2.field(6, betterproto2.TYPE_STRING)
+
+    position: "LogPlace | None" = betterproto2.field(7, betterproto2.TYPE_MESSAGE, optional=True)
+
+    loan: "int" = betterproto2.field(8, betterproto2.TYPE_UINT64)
+    """
+    Set while a transaction is open.
+    """
+
+    use: "float" = betterproto2.field(9, betterproto2.TYPE_DOUBLE)
+    """
+    Connections on loan and waiters, as a part of those that the instance may hold.
+    """
+
+    not_holder: "bool" = betterproto2.field(10, betterproto2.TYPE_BOOL)
+    """
+    The answering instance lends no connection to this database; nothing has run.
+    """
+
+
+default_message_pool.register_message("gateway", "RunReply", RunReply)
+
+
+@dataclass(eq=False, repr=False)
+class RunRequest(betterproto2.Message):
+    """
+    Runs a statement on a connection that the answering instance holds for the fleet. The
+    connection is lent for as long as a transaction is open on it.
+    """
+
+    wanted: "Wanted | None" = betterproto2.field(1, betterproto2.TYPE_MESSAGE, optional=True)
+    """
+    Set for the first statement; the others name the loan.
+    """
+
+    loan: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+
+    request_id: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+
+    statement: "LentStatement | None" = betterproto2.field(
+        4, betterproto2.TYPE_MESSAGE, optional=True
+    )
+
+    timeout_ms: "int" = betterproto2.field(5, betterproto2.TYPE_UINT32)
+
+    at_least: "LogPlace | None" = betterproto2.field(6, betterproto2.TYPE_MESSAGE, optional=True)
+
+    values: "list[SessionEntry]" = betterproto2.field(7, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    What the session holds.
+    """
+
+    prepare: "LentStatement | None" = betterproto2.field(
+        8, betterproto2.TYPE_MESSAGE, optional=True
+    )
+    """
+    What the statement executes.
+    """
+
+
+default_message_pool.register_message("gateway", "RunRequest", RunRequest)
+
+
+@dataclass(eq=False, repr=False)
+class SessionEntry(betterproto2.Message):
+    name: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    value: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+
+default_message_pool.register_message("gateway", "SessionEntry", SessionEntry)
+
+
 @dataclass(eq=False, repr=False)
 class TokenReply(betterproto2.Message):
     keeper: "bool" = betterproto2.field(1, betterproto2.TYPE_BOOL)
@@ -310,6 +552,36 @@
 default_message_pool.register_message("gateway", "TokenRequest", TokenRequest)
 
 
+@dataclass(eq=False, repr=False)
+class Wanted(betterproto2.Message):
+    """
+    Whose connection is wanted, and how urgently.
+    """
+
+    instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    target: "str" = betterproto2.field(2, betterproto2.TYPE_STRING)
+
+    workspace: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+
+    rank: "int" = betterproto2.field(4, betterproto2.TYPE_UINT32)
+
+    priority: "int" = betterproto2.field(5, betterproto2.TYPE_INT32)
+
+    wanted_ms: "int" = betterproto2.field(6, betterproto2.TYPE_INT32)
+    """
+    Until the answer is wanted; negative if it is late already.
+    """
+
+    wait_ms: "int" = betterproto2.field(7, betterproto2.TYPE_UINT32)
+    """
+    How long to wait for a connection.
+    """
+
+
+default_message_pool.register_message("gateway", "Wanted", Wanted)
+
+
 class GatewayPeersStub(betterproto2_grpclib.ServiceStub):
     async def exchange(
         self,
@@ -347,6 +619,63 @@
             metadata=metadata,
         )
 
+    async def tell_position(
+        self,
+        message: "PositionRequest",
+        *,
+        timeout: "float | None" = None,
+        deadline: "Deadline | None" = None,
+        metadata: "MetadataLike | None" = None,
+    ) -> "PositionReply":
+
+        return await self._unary_unary(
+            "/gateway.GatewayPeers/TellPosition",
+            message,
+            PositionReply,
+            timeout=timeout,
+            deadline=deadline,
+            metadata=metadata,
+        )
+
+    async def run(
+        self,
+        message: "RunRequest",
+        *,
+        timeout: "float | None" = None,
+        deadline: "Deadline | None" = None,
+        metadata: "MetadataLike | None" = None,
+    ) -> "RunReply":
+
+        return await self._unary_unary(
+            "/gateway.GatewayPeers/Run",
+            message,
+            RunReply,
+            timeout=timeout,
+            deadline=deadline,
+            metadata=metadata,
+        )
+
+    async def end(
+        self,
+        message: "EndRequest",
+        *,
+        timeout: "float | None" = None,
+        deadline: "Deadline | None" = None,
+        metadata: "MetadataLike | None" = None,
+    ) -> "EndReply":
+
+        return await self._unary_unary(
+            "/gateway.GatewayPeers/End",
+            message,
+            EndReply,
+            timeout=timeout,
+            deadline=deadline,
+            metadata=metadata,
+        )
+
+
+from .. import common as _common__
+
 
 class GatewayPeersBase(betterproto2_grpclib.ServiceBase):
     async def exchange(self, message: "PeerReport") -> "PeerReply":
@@ -357,6 +686,18 @@
 
         raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
 
+    async def tell_position(self, message: "PositionRequest") -> "PositionReply":
+
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
+    async def run(self, message: "RunRequest") -> "RunReply":
+
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
+    async def end(self, message: "EndRequest") -> "EndReply":
+
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
     async def __rpc_exchange(self, stream: "grpclib.server.Stream[PeerReport, PeerReply]") -> None:
         request = await stream.recv_message()
         assert request is not None
@@ -371,6 +712,26 @@
         response = await self.take_token(request)
         await stream.send_message(response)
 
+    async def __rpc_tell_position(
+        self, stream: "grpclib.server.Stream[PositionRequest, PositionReply]"
+    ) -> None:
+        request = await stream.recv_message()
+        assert request is not None
+        response = await self.tell_position(request)
+        await stream.send_message(response)
+
+    async def __rpc_run(self, stream: "grpclib.server.Stream[RunRequest, RunReply]") -> None:
+        request = await stream.recv_message()
+        assert request is not None
+        response = await self.run(request)
+        await stream.send_message(response)
+
+    async def __rpc_end(self, stream: "grpclib.server.Stream[EndRequest, EndReply]") -> None:
+        request = await stream.recv_message()
+        assert request is not None
+        response = await self.end(request)
+        await stream.send_message(response)
+
     def __mapping__(self) -> "dict[str, grpclib.const.Handler]":
         return {
             "/gateway.GatewayPeers/Exchange": grpclib.const.Handler(
@@ -385,4 +746,22 @@
                 TokenRequest,
                 TokenReply,
             ),
+            "/gateway.GatewayPeers/TellPosition": grpclib.const.Handler(
+                self.__rpc_tell_position,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                PositionRequest,
+                PositionReply,
+            ),
+            "/gateway.GatewayPeers/Run": grpclib.const.Handler(
+                self.__rpc_run,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                RunRequest,
+                RunReply,
+            ),
+            "/gateway.GatewayPeers/End": grpclib.const.Handler(
+                self.__rpc_end,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                EndRequest,
+                EndReply,
+            ),
         }
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 from concurrent.futures import Executor, Future
+from functools import partial
 
 from result import Err, Ok
 
@@ -75,7 +76,7 @@
             rng=random.Random(seed),
         )
         own = PrefixHandler(PREFIX, self.gateway._replace_own, self.gateway._change_own)
-        self.mirror = StoreMirror(self.open_store(), [own], self.gateway.contact, fleet.clock)
+        self.mirror = StoreMirror(self.open_store(), [own], self.gateway.contact, fleet.clock, 3.0)
         self.gateway.catalogs.offer(catalog(), b"1")
         self.gateway.registry.replace_all(fleet.group.infos())
         self.watch = PrimaryWatch(
@@ -85,6 +86,7 @@
             registry=self.gateway.registry,
             planner=self.gateway.planner,
             prober=self.gateway.prober,
+            is_watcher=partial(self.gateway._is_watcher, "g"),
             clock=fleet.clock,
         )
         self.gateway._watches["g"] = self.watch
@@ -112,11 +114,27 @@
             return Err(LinkLost("no answer", place=address))
         return Ok(other.gateway.peering.answer(report))
 
-    def take_token(self, address, req, timeout_s):
+    def _peer(self, address, ask, message):
+        """Carry a message and its answer as they arrive over the network."""
         other = self.fleet.by_name.get(address)
-        if other is None or other.frozen or self.cut_from_peers or other.cut_from_peers:
+        if other is None:
+            return Err(TargetUnavailable("no connection", place=address))
+        if other.frozen or self.cut_from_peers or other.cut_from_peers:
             return Err(LinkLost("no answer", place=address))
-        return Ok(other.gateway.answer_token(req))
+        answer = ask(other.gateway, type(message).parse(bytes(message)))
+        return Ok(answer if answer is None else type(answer).parse(bytes(answer)))
+
+    def take_token(self, address, req, timeout_s):
+        return self._peer(address, GatewayInstance.answer_token, req)
+
+    def tell_position(self, address, req, timeout_s):
+        return self._peer(address, GatewayInstance.answer_position, req)
+
+    def run(self, address, req, timeout_s):
+        return self._peer(address, GatewayInstance.run_lent, req)
+
+    def end(self, address, req):
+        self._peer(address, GatewayInstance.end_lent, req)
 
     def cut_from_store(self, cut=True):
         for handle in self.handles:
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -4,9 +4,10 @@
 from quetzalrudder.gateway.leadership import LeaderRecord, LeaderTable
 from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.membership import Membership
-from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.mirror import GATHER_S, StoreContact, StoreMirror
 from quetzalrudder.gateway.permission import PERMISSION_S, Permission
 from quetzalrudder.gateway.records import MEMBER_PREFIX, decode_member, encode_leader
+from quetzalrudder.gateway.store import Changes, Item
 from tests.clocks import ManualClock
 from tests.gateway_fakes import MemoryStore
 
@@ -22,6 +23,7 @@
             instance=name,
             incarnation=incarnation,
             address=name,
+            data_centre="dc-0",
             permission=self.permission,
             leaders=self.leaders,
             members=MemberTable(self.clock),
@@ -134,3 +136,54 @@
             instance.membership.step()
         assert not instance.permission.valid
         store.clock.advance(0.3)
+
+
+class CountingStore:
+    """A store that answers each watch with one more change, or with none."""
+
+    def __init__(self, changes):
+        self.changes = changes
+        self.watches = []
+
+    def read_prefix(self, prefix):
+        return Ok(Changes((), 1))
+
+    def watch(self, after, wait_ms):
+        self.watches.append(wait_ms)
+        items = (Item("qr/x", b"", after + 1),) if self.changes else ()
+        return Ok(Changes(items, after + 1))
+
+
+class Turns:
+    """Stands in for the event that ends a task; it notes the pauses."""
+
+    def __init__(self, turns):
+        self.left = turns
+        self.pauses = []
+
+    def is_set(self):
+        self.left -= 1
+        return self.left < 0
+
+    def wait(self, seconds):
+        self.pauses.append(seconds)
+
+
+def follow(*, changes, large):
+    store, turns = CountingStore(changes), Turns(6)
+    clock = ManualClock()
+    mirror = StoreMirror(store, [], StoreContact(clock), clock, 5.0, lambda: large)
+    mirror._revision = 1
+    mirror.run(turns)
+    return store, turns
+
+
+def test_a_large_fleet_lets_changes_of_the_store_come_together():
+    assert follow(changes=True, large=True)[1].pauses == [GATHER_S] * 6
+    assert follow(changes=True, large=False)[1].pauses == []
+    assert follow(changes=False, large=True)[1].pauses == []
+
+
+def test_a_watch_that_went_silent_leaves_time_to_read_the_configuration():
+    store, _ = follow(changes=False, large=False)
+    assert store.watches == [2000] * 6
--- /dev/null
+++ b/tests/test_gateway_peer_calls.py
@@ -0,0 +1,97 @@
+"""Calls between instances over real connections."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+
+import pytest
+from result import Ok
+
+from quetzalrudder.bridge import Loop
+from quetzalrudder.exceptions import LinkLost, TargetUnavailable
+from quetzalrudder.gateway.peer_calls import GrpcPeerCaller, serve_peers
+from quetzalrudder.schema.gateway import (
+    EndRequest,
+    LentStatement,
+    PositionReply,
+    PositionRequest,
+    RunReply,
+    RunRequest,
+    StatementKind,
+    TokenReply,
+    TokenRequest,
+    Wanted,
+)
+from quetzalrudder.utils import parse_address
+from standins.fleet import free_addresses
+from tests.helpers import wait_for
+
+TIMEOUT_S = 5.0
+
+
+class Peer:
+    """Answers each call with something that shows what came."""
+
+    def __init__(self):
+        self.ended = []
+        self.slow = threading.Event()
+
+    def answer_token(self, req):
+        return TokenReply(keeper=True, admitted=req.workspace == "almaty", wait_ms=7)
+
+    def answer_position(self, req):
+        return PositionReply(known=True, term=3, index=9, age_ms=1)
+
+    def run_lent(self, req):
+        if req.request_id == "slow":
+            self.slow.wait(TIMEOUT_S)
+        return RunReply(state="idle", rows=[req.statement.name], loan=req.loan + 1, use=0.5)
+
+    def end_lent(self, req):
+        self.ended.append(req.loan)
+
+
+@pytest.fixture
+def calls():
+    peer = Peer()
+    with ExitStack() as stack:
+        executor = stack.enter_context(ThreadPoolExecutor(20))
+        loop = stack.enter_context(Loop())
+        stack.callback(peer.slow.set)
+        address = free_addresses(1)[0]
+        serve_peers(loop, parse_address(address), peer, executor, stack)
+        yield GrpcPeerCaller(loop), address, peer, executor
+
+
+def read(item, request_id="r"):
+    statement = LentStatement(kind=StatementKind.READ, name=item)
+    wanted = Wanted(target="db-1", wanted_ms=-20, wait_ms=300)
+    return RunRequest(wanted=wanted, request_id=request_id, statement=statement)
+
+
+def test_each_call_arrives_and_is_answered(calls):
+    caller, address, peer, _ = calls
+    token = caller.take_token(address, TokenRequest(workspace="almaty"), TIMEOUT_S)
+    assert token.ok_value.admitted
+    position = caller.tell_position(address, PositionRequest(group="g"), TIMEOUT_S)
+    assert (position.ok_value.term, position.ok_value.index) == (3, 9)
+    reply = caller.run(address, read("\xe9 a"), TIMEOUT_S).ok_value
+    assert (reply.rows, reply.loan, reply.use) == (["\xe9 a"], 1, 0.5)
+    caller.end(address, EndRequest(loan=5))
+    wait_for(lambda: peer.ended == [5], "the connection is given back")
+
+
+def test_a_peer_that_is_not_there_was_sent_nothing(calls):
+    caller, _, _, _ = calls
+    result = caller.run(free_addresses(1)[0], read("a"), TIMEOUT_S)
+    assert isinstance(result.err_value, TargetUnavailable)
+
+
+def test_an_answer_that_does_not_come_in_time_is_lost_and_spoils_no_other_call(calls):
+    caller, address, peer, executor = calls
+    caller.run(address, read("a"), TIMEOUT_S)
+    others = [executor.submit(caller.run, address, read("b", "slow"), TIMEOUT_S) for _ in range(4)]
+    lost = caller.run(address, read("a", "slow"), 0.05)
+    assert isinstance(lost.err_value, LinkLost)
+    peer.slow.set()
+    assert all(isinstance(fut.result(TIMEOUT_S), Ok) for fut in others)
