One avoidance of silent instances, and the fleet's size counted once a change

Holders of connections and keepers of rates each kept their own table of instances that did not answer; assignments.Avoidance serves both. The size of the fleet is asked several times for each statement and was counted anew each time; it is kept until the table of members changes. A kind of statement that nobody sends has left the schema.

--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -10,12 +10,15 @@
 
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
 from quetzalrudder.models import DataCentre, InstanceId
+from quetzalrudder.utils import Clock
 
-__all__ = ["LARGE_FLEET", "FleetView", "rank"]
+__all__ = ["LARGE_FLEET", "Avoidance", "FleetView", "rank"]
 
 # From here on an equal part of 21 to 40 connections, or of a small workspace's rate, is
 # about one.
 LARGE_FLEET = 16
+# For an instance that did not answer; its record lapses within 2 s.
+AVOID_S = 1.0
 
 
 def rank(subject: str, names: Iterable[InstanceId]) -> list[InstanceId]:
@@ -33,6 +36,33 @@
     return sorted(names, key=weight)
 
 
+class Avoidance:
+    """Instances that did not serve a call, and are asked last for a while.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until: dict[InstanceId, float] = {}
+
+    def note(self, instance: InstanceId) -> None:
+        """Ask an instance last from now on."""
+        self._until[instance] = self._clock.monotonic() + AVOID_S
+
+    def end(self, instance: InstanceId) -> None:
+        """Ask an instance in its turn again."""
+        self._until.pop(instance, None)
+
+    def put_last(self, records: Iterable[RosterRecord]) -> list[RosterRecord]:
+        """Order instances: those to be asked last at the end, each part as it was."""
+        now = self._clock.monotonic()
+        return sorted(records, key=lambda record: self._until.get(record.instance, 0.0) > now)
+
+
 class FleetView:
     """The fleet as this instance sees it in the store.
 
--- a/src/quetzalrudder/gateway/borrowing.py
+++ b/src/quetzalrudder/gateway/borrowing.py
@@ -19,7 +19,7 @@
     TargetUnavailable,
     from_failure,
 )
-from quetzalrudder.gateway.assignments import FleetView, rank
+from quetzalrudder.gateway.assignments import Avoidance, FleetView, rank
 from quetzalrudder.gateway.connections import GatewayPool, Loan, Urgency
 from quetzalrudder.gateway.lent_messages import (
     decode_reply,
@@ -47,8 +47,6 @@
 # By which a holder gives up earlier than its borrower, so that its answer still comes and
 # a silent database is not taken for a silent holder.
 MARGIN_S = 0.03
-# A holder that did not answer is asked last for this long; its record lapses within 2 s.
-AVOID_S = 1.0
 # How long a holder's word on a database's use counts; several reads come in that time.
 LOAD_MEMORY_S = 0.3
 
@@ -233,7 +231,7 @@
         self._pool = pool
         self._caller = caller
         self._clock = clock
-        self._avoided: dict[InstanceId, float] = {}
+        self._avoided = Avoidance(clock)
         # What a holder said of the use of a database, and when.
         self._uses: dict[TargetId, tuple[float, float]] = {}
 
@@ -253,9 +251,7 @@
     def _order(self, target: Target, workspace: WorkspaceId) -> list[RosterRecord]:
         holders = {record.instance: record for record in holders_of(self._view, target)}
         ranked = rank(f"{workspace}@{target.target}", holders)
-        now = self._clock.monotonic()
-        ranked.sort(key=lambda name: self._avoided.get(name, 0.0) > now)
-        return [holders[name] for name in ranked]
+        return self._avoided.put_last(holders[name] for name in ranked)
 
     def _borrow(
         self,
@@ -291,7 +287,7 @@
 
     def _avoid(self, name: InstanceId, target: Target, reason: str) -> HolderLost:
         """Ask a holder last for a while."""
-        self._avoided[name] = self._clock.monotonic() + AVOID_S
+        self._avoided.note(name)
         log.warning(
             "holder of connections not used",
             extra={"peer": name, "target": target.target, "reason": reason},
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -65,6 +65,8 @@
         self._absent_since: dict[InstanceId, float] = {}
         # Grows with each change of who is in the table.
         self.version = 0
+        # How many there are, and the version for which that was counted.
+        self._counted = (0, 0)
 
     def put(self, record: MemberRecord) -> None:
         """Take a member's record."""
@@ -160,4 +162,8 @@
     def count(self) -> int:
         """Count the instances that may admit requests, also those lost lately."""
         with self._lock:
-            return max(1, len(self._roster.keys() | self._members.keys()))
+            # Asked several times for each statement; the table seldom changes.
+            if self._counted[1] != self.version:
+                found = len(self._roster.keys() | self._members.keys())
+                self._counted = (found, self.version)
+            return max(1, self._counted[0])
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -16,7 +16,7 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError, RateExceeded
-from quetzalrudder.gateway.assignments import FleetView
+from quetzalrudder.gateway.assignments import Avoidance, FleetView
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.members import RosterRecord
 from quetzalrudder.gateway.quotas import Admission, QuotaRules, QuotaTable
@@ -35,8 +35,6 @@
 ASK_TIMEOUT_S = 0.3
 # Instances to ask: the views of two may differ while one joins or leaves.
 MAX_ASKED = 3
-# An instance that did not answer is asked last for this long; its record lapses within 2 s.
-AVOID_S = 1.0
 # A rate of almost nothing has no useful time to come back.
 LONGEST_WAIT_S = 60.0
 # When to come back if no keeper answered: by then another one may have taken over.
@@ -166,19 +164,14 @@
         self._caller = caller
         self._limits = limits
         self._answering_part = answering_part
-        self._clock = clock
         self.keeper = TokenKeeper(rules, clock)
-        self._avoided: dict[InstanceId, float] = {}
+        self._avoided = Avoidance(clock)
 
     def admit(self, limit: Workspace) -> Result[Admission, RateExceeded]:
         """Count one operation, or refuse it with the time to come back."""
         if not self._view.is_large:
             return self._quotas.admit(limit, self._view.size)
-        now = self._clock.monotonic()
-        keepers = sorted(
-            self._view.ranked(limit.workspace)[:MAX_ASKED],
-            key=lambda record: self._avoided.get(record.instance, 0.0) > now,
-        )
+        keepers = self._avoided.put_last(self._view.ranked(limit.workspace)[:MAX_ASKED])
         for keeper in keepers:
             reply = self._ask(keeper, limit.workspace)
             if reply is None or not reply.keeper:
@@ -204,9 +197,9 @@
             return self.answer(req)
         result = self._caller.take_token(keeper.address, req, ASK_TIMEOUT_S)
         if isinstance(result, Ok):
-            self._avoided.pop(keeper.instance, None)
+            self._avoided.end(keeper.instance)
             return result.ok_value
-        self._avoided[keeper.instance] = self._clock.monotonic() + AVOID_S
+        self._avoided.note(keeper.instance)
         log.warning(
             "keeper of a rate not reached",
             extra={
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -107,8 +107,6 @@
 
     EXECUTE = 8
 
-    RESET = 9
-
     @classmethod
     def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
         return {
@@ -121,7 +119,6 @@
             6: "STATEMENT_KIND_SET",
             7: "STATEMENT_KIND_PREPARE",
             8: "STATEMENT_KIND_EXECUTE",
-            9: "STATEMENT_KIND_RESET",
         }
 
     @classmethod
@@ -136,7 +133,6 @@
             "STATEMENT_KIND_SET": 6,
             "STATEMENT_KIND_PREPARE": 7,
             "STATEMENT_KIND_EXECUTE": 8,
-            "STATEMENT_KIND_RESET": 9,
         }
 
 
