--- a/src/quetzalrudder/callers.py
+++ b/src/quetzalrudder/callers.py
@@ -112,7 +112,11 @@
             The instance reported a failure, did not answer in time, or the connection
             was lost.
         """
-        self._stream.send(frame)
+        try:
+            self._stream.send(frame)
+        except LinkLost as exc:
+            # The instance may have refused the connection before the first frame was sent.
+            raise self.closing_failure() or exc from exc
         while True:
             answer = self._next_answer(timeout_s)
             if answer.request_id not in (frame.request_id, ""):
--- a/src/quetzalrudder/daemon.py
+++ b/src/quetzalrudder/daemon.py
@@ -3,7 +3,6 @@
 import logging
 import signal
 import sys
-import threading
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -12,6 +11,7 @@
 from quetzalrudder.exceptions import BindFailed, InvalidSettings
 from quetzalrudder.instance import Instance
 from quetzalrudder.logs import configure_logging
+from quetzalrudder.signals import SignalReceiver
 
 __all__ = ["main"]
 
@@ -29,28 +29,26 @@
 
     A second signal ends the wait for open work.
     """
-    signals = threading.Semaphore(0)
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: signals.release())
-    with instance:
-        log.info("serving")
-        signals.acquire()
-        drain_result = _drain(instance, signals)
-    log.info(
-        "stopped",
-        extra={
-            "connections_cut": drain_result.connections_cut,
-            "requests_cut": drain_result.requests_cut,
-        },
-    )
+    with SignalReceiver([signal.SIGTERM, signal.SIGINT]) as signals:
+        with instance:
+            log.info("serving")
+            signals.wait()
+            drain_result = _drain(instance, signals)
+        log.info(
+            "stopped",
+            extra={
+                "connections_cut": drain_result.connections_cut,
+                "requests_cut": drain_result.requests_cut,
+            },
+        )
     return EXIT_OK
 
 
-def _drain(instance: Instance, signals: threading.Semaphore) -> DrainResult:
+def _drain(instance: Instance, signals: SignalReceiver) -> DrainResult:
     with ThreadPoolExecutor(1, "drain") as executor:
         fut = executor.submit(instance.drain)
         while not fut.done():
-            if signals.acquire(timeout=SIGNAL_POLL_INTERVAL_S):
+            if signals.wait(SIGNAL_POLL_INTERVAL_S) is not None:
                 instance.cut_drain_short()
         return fut.result()
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from quetzalrudder.exceptions import Draining, QuetzalrudderError
+from quetzalrudder.callers import GrpcCallerAdapter
+from quetzalrudder.exceptions import Draining, LinkLost, QuetzalrudderError, to_failure
+from quetzalrudder.schema.caller import AnswerFrame
+from quetzalrudder.schema.common import Ending
+from quetzalrudder.utils import Address
 from standins.demo import STEPPE_SETTINGS
 from standins.fleet import Fleet
 from tests.conftest import SMALL_DEPLOYMENT
@@ -149,3 +153,28 @@
     ]
     assert ("drain-cut", "the-cut-one") in kinds
     assert errors
+
+
+class RefusedStream:
+    """Replaces ``ClientStream``; the instance refuses it before anything is sent."""
+
+    ended = True
+
+    def __init__(self, loop, address, call, on_message, on_end):
+        refusal = Draining("the instance is shutting down", retry_after_ms=1)
+        on_message(AnswerFrame(failure=to_failure(refusal)))
+        on_end(LinkLost("the peer ended the stream"))
+
+    def send(self, frame):
+        raise LinkLost("the stream has ended")
+
+    def close(self):
+        """Do nothing: the stream has ended."""
+
+
+def test_refusal_that_arrives_before_the_first_frame_is_sent_is_reported(monkeypatch):
+    monkeypatch.setattr("quetzalrudder.callers.ClientStream", RefusedStream)
+    with pytest.raises(Draining) as raised:
+        GrpcCallerAdapter(None, Address("127.0.0.1", 1), WORKSPACE, "key", 1.0)
+    assert raised.value.ending is Ending.NOT_RUN
+    assert raised.value.retry_after_ms == 1
