Large fleets: longer watches, fewer writes of roster entries and attempts at the coordinator lease

A roster entry covers new instances after 1 s, so that instances that join together cause one write. No instance tries to acquire the coordinator lease before it has read the store, and the random delay grows with the fleet. Large fleets pause 1 s, not 0.25 s, after changes of membership only.

Tests: the check that a hanging watch leaves time to read the configuration now states the time (adapter's time-out and three slow answers) for each required time, in place of the former wait of 2 s of 5 s, which left more than that.

--- a/src/quetzalrudder/gateway/coordinator_lease.py
+++ b/src/quetzalrudder/gateway/coordinator_lease.py
@@ -1,7 +1,9 @@
 """The lease in the store that makes one instance at a time the failover coordinator."""
 
 import logging
+import math
 import random
+from collections.abc import Callable
 
 from result import Err, Ok
 
@@ -23,9 +25,10 @@
 # timed out before the lease expires. Longer than the platform adapter's time-out for that
 # call.
 COORDINATOR_LEASE_MARGIN_S = 1.0
-# Upper bound of a random delay, so that instances do not all try to acquire a released
-# lease at once.
-ACQUIRE_JITTER_S = 0.1
+# Random delay before an instance tries to acquire a free lease, so that not all try at once:
+# at most this for each instance of the fleet. The first one then tries after about this time,
+# and the others mostly see its record before their turn.
+ACQUIRE_JITTER_PER_INSTANCE_S = 0.02
 
 
 class CoordinatorLease:
@@ -39,6 +42,8 @@
         This process.
     contact : StoreContact
         Records failed calls to the store.
+    fleet_size : Callable
+        Returns the number of instances.
     rng : random.Random
         Delays attempts to acquire the lease.
     clock : Clock
@@ -52,6 +57,7 @@
         instance: InstanceId,
         incarnation: str,
         contact: StoreContact,
+        fleet_size: Callable[[], int],
         rng: random.Random,
         clock: Clock,
     ) -> None:
@@ -59,21 +65,27 @@
         self._instance = instance
         self._incarnation = incarnation
         self._contact = contact
+        self._fleet_size = fleet_size
         self._rng = rng
         self._clock = clock
         self._observed: CoordinatorRecord | None = None
         self._lease: LeaseId | None = None
         self._valid_until = -1.0
         self._next_renewal = 0.0
-        self._next_attempt = 0.0
+        # No attempt is made before the store has been read.
+        self._next_attempt = math.inf
         self._resigned = False
         # Increases with each acquisition of the lease by any instance.
         self.fencing_token = 0
 
     def observe(self, record: CoordinatorRecord | None) -> None:
         """Process the coordinator record read from the store; None if there is none."""
+        now = self._clock.monotonic()
         if record is None:
-            self._next_attempt = self._clock.monotonic() + self._rng.random() * ACQUIRE_JITTER_S
+            jitter_s = ACQUIRE_JITTER_PER_INSTANCE_S * self._fleet_size()
+            self._next_attempt = now + self._rng.random() * jitter_s
+        elif math.isinf(self._next_attempt):
+            self._next_attempt = now
         if record != self._observed:
             log.info(
                 "failover coordinator observed",
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -125,6 +125,7 @@
             instance=instance,
             incarnation=incarnation,
             contact=contact,
+            fleet_size=members.count,
             rng=rng,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -13,6 +13,7 @@
 from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway.assignments import FleetView
 from quetzalrudder.gateway.attempts import AttemptPlanner
+from quetzalrudder.gateway.batching import batch_delay_s
 from quetzalrudder.gateway.borrowing import FleetConnectionPool, owners_of, watchers_of
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
 from quetzalrudder.gateway.connections import GatewayPool
@@ -293,7 +294,7 @@
             self.contact,
             self._clock,
             self._convergence_s,
-            lambda: self.view.is_large,
+            self._batch_delay_s,
         )
         stack.callback(self._stop)
         for name, run in (
@@ -373,6 +374,16 @@
         self.membership.wake_up.set()
         self.planner.primary_monitor(record.group).wake_up.set()
 
+    def _batch_delay_s(self, changed: list[str]) -> float:
+        changing = any(record.primary is None for record in self.primaries.records())
+        suspected = any(member.suspects for member in self.members.members())
+        return batch_delay_s(
+            changed,
+            is_large=self.view.is_large,
+            is_urgent=changing or suspected or self.failover.is_coordinator,
+            membership_prefixes=(MEMBER_PREFIX, ROSTER_PREFIX),
+        )
+
     def _suspects(self) -> dict[GroupId, TargetId]:
         suspects = {
             group: health_check.suspected_primary()
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -33,6 +33,9 @@
 # Three renewals fit into the time for which the lease grants permission.
 RENEW_INTERVAL_S = 0.5
 RETRY_DELAY_S = 0.2
+# Delay before the roster entry covers an instance that has joined. Instances that join
+# together then cause one write by each of the others.
+ROSTER_ENTRY_DELAY_S = 1.0
 # Shortest interval at which the member record is compared with the current state: while a
 # change of primary is not acknowledged yet. Otherwise the comparison waits for a change.
 STEP_INTERVAL_S = 0.03
@@ -91,6 +94,7 @@
         # highest one of any attempt, as a write without an answer may have succeeded.
         self._written_known_up_to = 0
         self._attempted_known_up_to = 0
+        self._roster_entry_due_at: float | None = None
         self._suspects = suspects
         self._contact = contact
         self._clock = clock
@@ -116,6 +120,8 @@
             due_at = self._next_attempt
         else:
             due_at = max(self._next_renewal, self._next_attempt)
+        if self._roster_entry_due_at is not None:
+            due_at = min(due_at, max(self._roster_entry_due_at, self._next_attempt))
         return max(STEP_INTERVAL_S, due_at - now)
 
     def leave(self) -> None:
@@ -246,7 +252,7 @@
 
     def _update_records(self) -> Result[None, QuetzalrudderError]:
         """Write the roster entry and the member record if their content has changed."""
-        if self._members.newest_created() > self._written_known_up_to:
+        if self._is_roster_entry_due():
             entered = self._write_roster_entry()
             if isinstance(entered, Err):
                 return entered
@@ -260,6 +266,16 @@
             return Ok(None)
         return self._write_member_record(record, self._lease)
 
+    def _is_roster_entry_due(self) -> bool:
+        """Return whether the entry is to be written again, as other instances have joined."""
+        now = self._clock.monotonic()
+        if self._members.newest_created() <= self._written_known_up_to:
+            self._roster_entry_due_at = None
+            return False
+        if self._roster_entry_due_at is None:
+            self._roster_entry_due_at = now + ROSTER_ENTRY_DELAY_S
+        return now >= self._roster_entry_due_at
+
     def _write_member_record(
         self, record: MemberRecord, lease: LeaseId
     ) -> Result[None, QuetzalrudderError]:
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -19,13 +19,10 @@
 
 log = logging.getLogger(__name__)
 
-# Duration of a watch as a fraction of the time within which a configuration must be in
-# force. A watch on a connection that hangs fails soon after this time, which leaves time to
-# read the changes by another call.
-WATCH_WAIT_FRACTION = 0.4
-# Pause after a change in a large fleet, so that one watch returns several changes. A single
-# event can make many instances write, and each answered watch costs a call by every instance.
-BATCH_DELAY_S = 0.25
+# A watch ends this long before a configuration must be in force. One on a connection that
+# hangs fails soon afterwards, which leaves time to read the changes by another call.
+WATCH_MARGIN_S = 1.5
+MIN_WATCH_WAIT_S = 0.5
 # Pause after a failed call: at most 10 calls a second of each instance while the store is
 # unavailable.
 RETRY_DELAY_S = 0.1
@@ -97,8 +94,9 @@
         Source of time.
     convergence_limit_s : float
         Time within which a configuration must be in force, in seconds.
-    batches_changes : Callable
-        Returns whether to pause after changes, so that one watch returns several.
+    batch_delay_s : Callable
+        Receives the keys that have changed; returns for how many seconds to pause, so that
+        the next watch returns several changes.
     """
 
     def __init__(
@@ -108,15 +106,17 @@
         contact: StoreContact,
         clock: Clock,
         convergence_limit_s: float,
-        batches_changes: Callable[[], bool] = lambda: False,
+        batch_delay_s: Callable[[list[str]], float] = lambda keys: 0.0,
     ) -> None:
         self._store = store
         self._handlers = handlers
         self._contact = contact
         self._clock = clock
-        self._wait_ms = round(WATCH_WAIT_FRACTION * convergence_limit_s * MS_PER_S)
-        self._batches_changes = batches_changes
-        self._changed = False
+        wait_s = max(MIN_WATCH_WAIT_S, convergence_limit_s - WATCH_MARGIN_S)
+        self._wait_ms = round(wait_s * MS_PER_S)
+        self._batch_delay_s = batch_delay_s
+        # Keys that the last watch returned.
+        self._changed: list[str] = []
         self._revision: int | None = None
 
     def run(self, stopping: threading.Event) -> None:
@@ -124,12 +124,12 @@
         while not stopping.is_set():
             if not self.step():
                 stopping.wait(RETRY_DELAY_S)
-            elif self._changed and self._batches_changes():
-                stopping.wait(BATCH_DELAY_S)
+            elif self._changed and (delay_s := self._batch_delay_s(self._changed)) > 0:
+                stopping.wait(delay_s)
 
     def step(self) -> bool:
         """Read or watch the store once; return whether the call succeeded."""
-        self._changed = False
+        self._changed = []
         if self._revision is None:
             return self._read_all()
         result = self._store.watch(self._revision, self._wait_ms)
@@ -144,7 +144,7 @@
             self._contact.record_failure(result.err_value)
             return False
         self._contact.record_success()
-        self._changed = bool(result.ok_value.items)
+        self._changed = [item.key for item in result.ok_value.items]
         for item in result.ok_value.items:
             for handler in self._handlers:
                 if item.key.startswith(handler.prefix):
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -1,9 +1,10 @@
 import pytest
 from result import Ok
 
+from quetzalrudder.gateway.batching import LONG_DELAY_S, SHORT_DELAY_S, batch_delay_s
 from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.membership import MembershipLease
-from quetzalrudder.gateway.mirror import BATCH_DELAY_S, StoreContact, StoreMirror
+from quetzalrudder.gateway.mirror import StoreContact, StoreMirror
 from quetzalrudder.gateway.permission import PERMISSION_S, Permission
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
 from quetzalrudder.gateway.records import MEMBER_PREFIX, decode_member, encode_primary
@@ -169,21 +170,46 @@
         self.pauses.append(seconds)
 
 
-def run_mirror(*, changes, large):
+def batch_delay(keys, *, large=True, urgent=False):
+    return batch_delay_s(
+        keys, is_large=large, is_urgent=urgent, membership_prefixes=("qr/members/", "qr/roster/")
+    )
+
+
+def run_mirror(*, changes, large, convergence_s=5.0):
     store, steps = CountingStore(changes), LimitedSteps(6)
     clock = ManualClock()
-    mirror = StoreMirror(store, [], StoreContact(clock), clock, 5.0, lambda: large)
+    mirror = StoreMirror(
+        store,
+        [],
+        StoreContact(clock),
+        clock,
+        convergence_s,
+        lambda keys: batch_delay(keys, large=large),
+    )
     mirror._revision = 1
     mirror.run(steps)
     return store, steps
 
 
 def test_a_large_fleet_pauses_after_changes_of_the_store():
-    assert run_mirror(changes=True, large=True)[1].pauses == [BATCH_DELAY_S] * 6
+    assert run_mirror(changes=True, large=True)[1].pauses == [SHORT_DELAY_S] * 6
     assert run_mirror(changes=True, large=False)[1].pauses == []
     assert run_mirror(changes=False, large=True)[1].pauses == []
 
 
-def test_a_watch_that_hangs_leaves_time_to_read_the_configuration():
-    store, _ = run_mirror(changes=False, large=False)
-    assert store.watches == [2000] * 6
+def test_a_large_fleet_pauses_longer_after_changes_of_membership_only():
+    joined = ["qr/members/a", "qr/roster/b"]
+    assert batch_delay(joined) == LONG_DELAY_S
+    assert batch_delay(joined, urgent=True) == SHORT_DELAY_S
+    assert batch_delay([*joined, "qr/leaders/g"]) == SHORT_DELAY_S
+    assert batch_delay([*joined, "op/config"]) == SHORT_DELAY_S
+    assert batch_delay(joined, large=False) == 0
+
+
+@pytest.mark.parametrize("convergence_s", [3.0, 5.0, 6.0])
+def test_a_watch_that_hangs_leaves_time_to_read_the_configuration(convergence_s):
+    """The adapter gives up a watch 0.5 s after its end; a slow store answers in 0.25 s."""
+    store, _ = run_mirror(changes=False, large=False, convergence_s=convergence_s)
+    for wait_ms in store.watches:
+        assert wait_ms / 1000 + 0.5 + 3 * 0.25 <= convergence_s
