Calls between instances share one stream for each pair of instances

Ruled out: opening connections (a tenth of the calls), the time until the loop takes a call (traced).

All calls from one instance to another run on one bidirectional stream, matched by a sequence number (streams.RequestStream, as the product's own fleet does), with the compiled codec. Whether a call was sent is told by the stream: a stream that never opened sent nothing, and is closed when a call on it times out.

Instances of this build and earlier ones cannot call each other.

--- a/src/quetzalrudder/codec.py
+++ b/src/quetzalrudder/codec.py
@@ -11,13 +11,16 @@
 from quetzalrudder import wire
 from quetzalrudder.exceptions import MalformedMessage, MessageTooLarge
 from quetzalrudder.schema.caller import AnswerFrame, CallerFrame
+from quetzalrudder.schema.gateway import PeerAnswer, PeerCall
 from quetzalrudder.schema.target import TargetAnswer, TargetFrame
 
 __all__ = ["MAX_MESSAGE_BYTES", "CheckedCodec", "limit_message_size"]
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Message types on the path of every statement; they use the compiled codec, for speed.
-STATEMENT_FRAMES = frozenset({AnswerFrame, CallerFrame, TargetAnswer, TargetFrame})
+STATEMENT_FRAMES = frozenset(
+    {AnswerFrame, CallerFrame, PeerAnswer, PeerCall, TargetAnswer, TargetFrame}
+)
 TYPE_BY_NAME = {"string": str, "bytes": bytes, "bool": bool, "double": float}
 
 
--- a/src/quetzalrudder/gateway/peer_calls.py
+++ b/src/quetzalrudder/gateway/peer_calls.py
@@ -1,26 +1,26 @@
-"""gRPC calls between instances."""
+"""Calls between instances, on one gRPC stream from each instance to each peer that it calls."""
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+import threading
+from collections.abc import AsyncIterator, Callable
 from concurrent.futures import Executor, Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import ExitStack
 from typing import Any, Protocol
 
-from grpclib import GRPCError
-from grpclib.client import Channel
-from grpclib.exceptions import StreamTerminatedError
+import betterproto2
 from result import Err, Ok, Result
 
-from quetzalrudder.bridge import Listener, Loop
-from quetzalrudder.codec import CheckedCodec
+from quetzalrudder.bridge import END_OF_STREAM, EndOfStream, Listener, Loop
 from quetzalrudder.exceptions import LinkLost, QuetzalrudderError, TargetUnavailable
 from quetzalrudder.schema.gateway import (
     EndReply,
     EndRequest,
     GatewayPeersBase,
     GatewayPeersStub,
+    PeerAnswer,
+    PeerCall,
     PeerReply,
     PeerReport,
     PositionReply,
@@ -32,22 +32,20 @@
     TokenReply,
     TokenRequest,
 )
+from quetzalrudder.streams import RequestStream
 from quetzalrudder.utils import Address, parse_address
 
 __all__ = ["GrpcPeerCaller", "PeerRequestHandler", "serve_peers"]
 
 log = logging.getLogger(__name__)
 
-# Added to a call's time-out when waiting for its result from the loop's thread.
-LOOP_HANDOFF_S = 0.5
-# Delay before a failed connection is closed; longer than any call that may still use it.
-CHANNEL_CLOSE_DELAY_S = 15.0
-# Time-out for returning a lent connection, which nothing waits for.
-RETURN_TIMEOUT_S = 1.0
+# Delay before a stream on which a call timed out is closed; longer than any call that may
+# still be answered on it.
+STREAM_CLOSE_DELAY_S = 15.0
 
 
 class GrpcPeerCaller:
-    """Calls peers, on one connection per peer that is replaced after a failure.
+    """Calls peers, on one stream per peer that is replaced after a failure.
 
     Parameters
     ----------
@@ -57,79 +55,105 @@
 
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
-        # Accessed only on the event loop.
-        self._channels: dict[str, Channel] = {}
+        self._lock = threading.Lock()
+        self._streams: dict[str, RequestStream[PeerCall, PeerAnswer]] = {}
 
     def exchange(
         self, address: str, report: PeerReport, timeout_s: float
     ) -> Result[PeerReply, QuetzalrudderError]:
         """Send a report and return the reply."""
-        return self._run(address, lambda stub: stub.exchange(report), timeout_s)
+        return self._call(address, PeerCall(report=report), timeout_s)
 
     def take_token(
         self, address: str, req: TokenRequest, timeout_s: float
     ) -> Result[TokenReply, QuetzalrudderError]:
         """Request a rate token and return the reply."""
-        return self._run(address, lambda stub: stub.take_token(req), timeout_s)
+        return self._call(address, PeerCall(token=req), timeout_s)
 
     def take_over_rates(
         self, address: str, req: TakeOverRequest, timeout_s: float
     ) -> Result[TakeOverReply, QuetzalrudderError]:
         """Ask a peer to hand out no more tokens of some workspaces and return the reply."""
-        return self._run(address, lambda stub: stub.take_over_rates(req), timeout_s)
+        return self._call(address, PeerCall(take_over=req), timeout_s)
 
     def tell_position(
         self, address: str, req: PositionRequest, timeout_s: float
     ) -> Result[PositionReply, QuetzalrudderError]:
         """Request a primary's log position and return the reply."""
-        return self._run(address, lambda stub: stub.tell_position(req), timeout_s)
+        return self._call(address, PeerCall(position=req), timeout_s)
 
     def run(
         self, address: str, req: RunRequest, timeout_s: float
     ) -> Result[RunReply, QuetzalrudderError]:
         """Run a statement on a borrowed connection and return the reply."""
-        return self._run(address, lambda stub: stub.run(req), timeout_s)
+        return self._call(address, PeerCall(run=req), timeout_s)
 
     def end(self, address: str, req: EndRequest) -> None:
         """Return a borrowed connection, without waiting for a reply.
 
         If the call is lost, the connection owner reclaims the connection by itself.
         """
-        fut = self._loop.start(self._call(address, lambda stub: stub.end(req), RETURN_TIMEOUT_S))
-        fut.add_done_callback(lambda completed: _log_return_failure(address, completed))
+        _, started = self._start(address, PeerCall(end=req))
+        if isinstance(started, Ok):
+            started.ok_value.add_done_callback(lambda fut: _log_return_failure(address, fut))
 
-    def _run(
-        self, address: str, send: Callable[[GatewayPeersStub], Awaitable[Any]], timeout_s: float
+    def _call(
+        self, address: str, call: PeerCall, timeout_s: float
     ) -> Result[Any, QuetzalrudderError]:
-        call = self._call(address, send, timeout_s)
+        stream, started = self._start(address, call)
+        if isinstance(started, Err):
+            return started
+        fut = started.ok_value
         try:
-            return Ok(self._loop.run(call, timeout_s=timeout_s + LOOP_HANDOFF_S))
-        except (TimeoutError, FutureTimeoutError, asyncio.CancelledError):
+            _, reply = betterproto2.which_one_of(fut.result(timeout_s), "reply")
+        except FutureTimeoutError:
+            stream.discard(fut)
+            self._retire(address, stream)
             return Err(LinkLost(f"no answer from the peer within {timeout_s} s", place=address))
-        except OSError as exc:
-            return Err(TargetUnavailable(f"cannot connect to the peer: {exc!r}", place=address))
-        except (GRPCError, StreamTerminatedError) as exc:
-            return Err(LinkLost(f"the call to the peer failed: {exc!r}", place=address))
         except QuetzalrudderError as exc:
+            self._retire(address, stream)
+            if not stream.connected:
+                return Err(TargetUnavailable(f"cannot connect to the peer: {exc}", place=address))
             return Err(exc)
-
-    async def _call(
-        self, address: str, send: Callable[[GatewayPeersStub], Awaitable[Any]], timeout_s: float
-    ) -> Any:
-        channel = self._channels.get(address)
-        if channel is None:
-            parsed = parse_address(address)
-            channel = Channel(parsed.host, parsed.port, codec=CheckedCodec())
-            self._channels[address] = channel
+        if reply is None:
+            return Err(LinkLost("the peer failed to answer the call", place=address))
+        return Ok(reply)
+
+    def _start(
+        self, address: str, call: PeerCall
+    ) -> tuple[RequestStream[PeerCall, PeerAnswer], Result[Future, QuetzalrudderError]]:
+        """Send a call on the peer's stream, or on a new one if that has ended."""
+        with self._lock:
+            stream = self._streams.get(address)
+            if stream is None or stream.ended:
+                stream = RequestStream(
+                    self._loop,
+                    parse_address(address),
+                    lambda channel, calls: GatewayPeersStub(channel).call(calls),
+                )
+                self._streams[address] = stream
         try:
-            return await asyncio.wait_for(send(GatewayPeersStub(channel)), timeout_s)
-        except BaseException:
-            # Other calls may still be answered on this connection; the next call opens
-            # another one.
-            if self._channels.get(address) is channel:
-                del self._channels[address]
-            asyncio.get_running_loop().call_later(CHANNEL_CLOSE_DELAY_S, channel.close)
-            raise
+            return stream, Ok(stream.start(call))
+        except TargetUnavailable as exc:
+            return stream, Err(exc)
+
+    def _retire(self, address: str, stream: RequestStream[PeerCall, PeerAnswer]) -> None:
+        """Open another stream for the next call; calls on this one may still be answered.
+
+        A stream that was not opened in time is closed at once, so that its calls are not sent
+        after the callers have given up.
+        """
+        with self._lock:
+            if self._streams.get(address) is stream:
+                del self._streams[address]
+        if stream.connected:
+            self._loop.call_soon(_call_later, STREAM_CLOSE_DELAY_S, stream.close)
+        else:
+            stream.close()
+
+
+def _call_later(delay_s: float, func: Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_later(delay_s, func)
 
 
 def _log_return_failure(address: str, fut: Future) -> None:
@@ -167,30 +191,52 @@
         self._handler = handler
         self._executor = executor
 
-    async def exchange(self, message: PeerReport) -> PeerReply:
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._executor, self._handler.answer_report, message)
-
-    async def take_token(self, message: TokenRequest) -> TokenReply:
-        # Runs on the event loop, as it takes microseconds and never blocks.
-        return self._handler.answer_token(message)
-
-    async def take_over_rates(self, message: TakeOverRequest) -> TakeOverReply:
-        # Runs on the event loop, as it takes microseconds and never blocks.
-        return self._handler.answer_take_over(message)
-
-    async def tell_position(self, message: PositionRequest) -> PositionReply:
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._executor, self._handler.answer_position, message)
-
-    async def run(self, message: RunRequest) -> RunReply:
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._executor, self._handler.run_lent_statement, message)
-
-    async def end(self, message: EndRequest) -> EndReply:
+    async def call(self, messages: AsyncIterator[PeerCall]) -> AsyncIterator[PeerAnswer]:
+        answers: asyncio.Queue[PeerAnswer | EndOfStream] = asyncio.Queue()
+        reader = asyncio.ensure_future(self._read_calls(messages, answers))
+        try:
+            while not isinstance(answer := await answers.get(), EndOfStream):
+                yield answer
+        finally:
+            reader.cancel()
+
+    async def _read_calls(
+        self,
+        calls: AsyncIterator[PeerCall],
+        answers: "asyncio.Queue[PeerAnswer | EndOfStream]",
+    ) -> None:
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._executor, self._handler.return_lent_connection, message)
-        return EndReply()
+        try:
+            async for call in calls:
+                if call.token is not None or call.take_over is not None:
+                    # Takes microseconds and never blocks.
+                    answers.put_nowait(self._answer(call))
+                else:
+                    fut = loop.run_in_executor(self._executor, self._answer, call)
+                    fut.add_done_callback(lambda done: answers.put_nowait(done.result()))
+        finally:
+            answers.put_nowait(END_OF_STREAM)
+
+    def _answer(self, call: PeerCall) -> PeerAnswer:
+        answer = PeerAnswer(sequence=call.sequence)
+        try:
+            match call:
+                case PeerCall(report=PeerReport() as report):
+                    answer.report = self._handler.answer_report(report)
+                case PeerCall(token=TokenRequest() as req):
+                    answer.token = self._handler.answer_token(req)
+                case PeerCall(take_over=TakeOverRequest() as req):
+                    answer.take_over = self._handler.answer_take_over(req)
+                case PeerCall(position=PositionRequest() as req):
+                    answer.position = self._handler.answer_position(req)
+                case PeerCall(run=RunRequest() as req):
+                    answer.run = self._handler.run_lent_statement(req)
+                case PeerCall(end=EndRequest() as req):
+                    self._handler.return_lent_connection(req)
+                    answer.end = EndReply()
+        except Exception:
+            log.exception("a peer's call failed with an unexpected error")
+        return answer
 
 
 def serve_peers(
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -16,6 +16,8 @@
     "LentStatement",
     "LogPlace",
     "MemberValue",
+    "PeerAnswer",
+    "PeerCall",
     "PeerReply",
     "PeerReport",
     "PermissionGrant",
@@ -34,6 +36,7 @@
     "WorkspaceTokens",
 )
 
+from collections.abc import AsyncIterable, AsyncIterator, Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -295,6 +298,84 @@
 default_message_pool.register_message("gateway", "MemberValue", MemberValue)
 
 
+@dataclass(eq=False, repr=False)
+class PeerAnswer(betterproto2.Message):
+    """
+    The answer to the call with the same sequence; without a reply if the call failed.
+
+    Oneofs:
+        - reply:
+    """
+
+    sequence: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+    report: "PeerReply | None" = betterproto2.field(
+        2, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
+    )
+
+    token: "TokenReply | None" = betterproto2.field(
+        3, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
+    )
+
+    take_over: "TakeOverReply | None" = betterproto2.field(
+        4, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
+    )
+
+    position: "PositionReply | None" = betterproto2.field(
+        5, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
+    )
+
+    run: "RunReply | None" = betterproto2.field(
+        6, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
+    )
+
+    end: "EndReply | None" = betterproto2.field(
+        7, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
+    )
+
+
+default_message_pool.register_message("gateway", "PeerAnswer", PeerAnswer)
+
+
+@dataclass(eq=False, repr=False)
+class PeerCall(betterproto2.Message):
+    """
+    One call to a peer. All calls between two instances share one stream in each direction.
+
+    Oneofs:
+        - request:
+    """
+
+    sequence: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+    report: "PeerReport | None" = betterproto2.field(
+        2, betterproto2.TYPE_MESSAGE, optional=True, group="request"
+    )
+
+    token: "TokenRequest | None" = betterproto2.field(
+        3, betterproto2.TYPE_MESSAGE, optional=True, group="request"
+    )
+
+    take_over: "TakeOverRequest | None" = betterproto2.field(
+        4, betterproto2.TYPE_MESSAGE, optional=True, group="request"
+    )
+
+    position: "PositionRequest | None" = betterproto2.field(
+        5, betterproto2.TYPE_MESSAGE, optional=True, group="request"
+    )
+
+    run: "RunRequest | None" = betterproto2.field(
+        6, betterproto2.TYPE_MESSAGE, optional=True, group="request"
+    )
+
+    end: "EndRequest | None" = betterproto2.field(
+        7, betterproto2.TYPE_MESSAGE, optional=True, group="request"
+    )
+
+
+default_message_pool.register_message("gateway", "PeerCall", PeerCall)
+
+
 @dataclass(eq=False, repr=False)
 class PeerReply(betterproto2.Message):
     instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
@@ -580,221 +661,50 @@
 
 
 class GatewayPeersStub(betterproto2_grpclib.ServiceStub):
-    async def exchange(
-        self,
-        message: "PeerReport",
-        *,
-        timeout: "float | None" = None,
-        deadline: "Deadline | None" = None,
-        metadata: "MetadataLike | None" = None,
-    ) -> "PeerReply":
-
-        return await self._unary_unary(
-            "/gateway.GatewayPeers/Exchange",
-            message,
-            PeerReply,
-            timeout=timeout,
-            deadline=deadline,
-            metadata=metadata,
-        )
-
-    async def take_token(
-        self,
-        message: "TokenRequest",
-        *,
-        timeout: "float | None" = None,
-        deadline: "Deadline | None" = None,
-        metadata: "MetadataLike | None" = None,
-    ) -> "TokenReply":
-
-        return await self._unary_unary(
-            "/gateway.GatewayPeers/TakeToken",
-            message,
-            TokenReply,
-            timeout=timeout,
-            deadline=deadline,
-            metadata=metadata,
-        )
-
-    async def take_over_rates(
-        self,
-        message: "TakeOverRequest",
-        *,
-        timeout: "float | None" = None,
-        deadline: "Deadline | None" = None,
-        metadata: "MetadataLike | None" = None,
-    ) -> "TakeOverReply":
-
-        return await self._unary_unary(
-            "/gateway.GatewayPeers/TakeOverRates",
-            message,
-            TakeOverReply,
-            timeout=timeout,
-            deadline=deadline,
-            metadata=metadata,
-        )
-
-    async def tell_position(
-        self,
-        message: "PositionRequest",
-        *,
-        timeout: "float | None" = None,
-        deadline: "Deadline | None" = None,
-        metadata: "MetadataLike | None" = None,
-    ) -> "PositionReply":
-
-        return await self._unary_unary(
-            "/gateway.GatewayPeers/TellPosition",
-            message,
-            PositionReply,
-            timeout=timeout,
-            deadline=deadline,
-            metadata=metadata,
-        )
-
-    async def run(
-        self,
-        message: "RunRequest",
-        *,
-        timeout: "float | None" = None,
-        deadline: "Deadline | None" = None,
-        metadata: "MetadataLike | None" = None,
-    ) -> "RunReply":
-
-        return await self._unary_unary(
-            "/gateway.GatewayPeers/Run",
-            message,
-            RunReply,
-            timeout=timeout,
-            deadline=deadline,
-            metadata=metadata,
-        )
-
-    async def end(
+    async def call(
         self,
-        message: "EndRequest",
+        messages: "AsyncIterable[PeerCall] | Iterable[PeerCall]",
         *,
         timeout: "float | None" = None,
         deadline: "Deadline | None" = None,
         metadata: "MetadataLike | None" = None,
-    ) -> "EndReply":
+    ) -> "AsyncIterator[PeerAnswer]":
 
-        return await self._unary_unary(
-            "/gateway.GatewayPeers/End",
-            message,
-            EndReply,
+        async for response in self._stream_stream(
+            "/gateway.GatewayPeers/Call",
+            messages,
+            PeerCall,
+            PeerAnswer,
             timeout=timeout,
             deadline=deadline,
             metadata=metadata,
-        )
+        ):
+            yield response
 
 
 from .. import common as _common__
 
 
 class GatewayPeersBase(betterproto2_grpclib.ServiceBase):
-    async def exchange(self, message: "PeerReport") -> "PeerReply":
-
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
-
-    async def take_token(self, message: "TokenRequest") -> "TokenReply":
-
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
-
-    async def take_over_rates(self, message: "TakeOverRequest") -> "TakeOverReply":
-
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
-
-    async def tell_position(self, message: "PositionRequest") -> "PositionReply":
-
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
-
-    async def run(self, message: "RunRequest") -> "RunReply":
-
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
-
-    async def end(self, message: "EndRequest") -> "EndReply":
+    async def call(self, messages: "AsyncIterator[PeerCall]") -> "AsyncIterator[PeerAnswer]":
 
         raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
-
-    async def __rpc_exchange(self, stream: "grpclib.server.Stream[PeerReport, PeerReply]") -> None:
-        request = await stream.recv_message()
-        assert request is not None
-        response = await self.exchange(request)
-        await stream.send_message(response)
-
-    async def __rpc_take_token(
-        self, stream: "grpclib.server.Stream[TokenRequest, TokenReply]"
-    ) -> None:
-        request = await stream.recv_message()
-        assert request is not None
-        response = await self.take_token(request)
-        await stream.send_message(response)
-
-    async def __rpc_take_over_rates(
-        self, stream: "grpclib.server.Stream[TakeOverRequest, TakeOverReply]"
-    ) -> None:
-        request = await stream.recv_message()
-        assert request is not None
-        response = await self.take_over_rates(request)
-        await stream.send_message(response)
-
-    async def __rpc_tell_position(
-        self, stream: "grpclib.server.Stream[PositionRequest, PositionReply]"
-    ) -> None:
-        request = await stream.recv_message()
-        assert request is not None
-        response = await self.tell_position(request)
-        await stream.send_message(response)
-
-    async def __rpc_run(self, stream: "grpclib.server.Stream[RunRequest, RunReply]") -> None:
-        request = await stream.recv_message()
-        assert request is not None
-        response = await self.run(request)
-        await stream.send_message(response)
-
-    async def __rpc_end(self, stream: "grpclib.server.Stream[EndRequest, EndReply]") -> None:
-        request = await stream.recv_message()
-        assert request is not None
-        response = await self.end(request)
-        await stream.send_message(response)
+        yield PeerAnswer()
+
+    async def __rpc_call(self, stream: "grpclib.server.Stream[PeerCall, PeerAnswer]") -> None:
+        request = stream.__aiter__()
+        await self._call_rpc_handler_server_stream(
+            self.call,
+            stream,
+            request,
+        )
 
     def __mapping__(self) -> "dict[str, grpclib.const.Handler]":
         return {
-            "/gateway.GatewayPeers/Exchange": grpclib.const.Handler(
-                self.__rpc_exchange,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                PeerReport,
-                PeerReply,
-            ),
-            "/gateway.GatewayPeers/TakeToken": grpclib.const.Handler(
-                self.__rpc_take_token,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                TokenRequest,
-                TokenReply,
-            ),
-            "/gateway.GatewayPeers/TakeOverRates": grpclib.const.Handler(
-                self.__rpc_take_over_rates,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                TakeOverRequest,
-                TakeOverReply,
-            ),
-            "/gateway.GatewayPeers/TellPosition": grpclib.const.Handler(
-                self.__rpc_tell_position,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                PositionRequest,
-                PositionReply,
-            ),
-            "/gateway.GatewayPeers/Run": grpclib.const.Handler(
-                self.__rpc_run,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                RunRequest,
-                RunReply,
-            ),
-            "/gateway.GatewayPeers/End": grpclib.const.Handler(
-                self.__rpc_end,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                EndRequest,
-                EndReply,
+            "/gateway.GatewayPeers/Call": grpclib.const.Handler(
+                self.__rpc_call,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                PeerCall,
+                PeerAnswer,
             ),
         }
--- a/src/quetzalrudder/streams.py
+++ b/src/quetzalrudder/streams.py
@@ -53,10 +53,16 @@
         self._on_message = on_message
         self._on_end = on_end
         self._outbox: asyncio.Queue[S | EndOfStream] = asyncio.Queue()
+        self._connected = threading.Event()
         self._ended = threading.Event()
         self._ended_by_peer = threading.Event()
         self._task = loop.start(self._serve())
 
+    @property
+    def connected(self) -> bool:
+        """Whether the TCP connection was opened; until then no message has been sent."""
+        return self._connected.is_set()
+
     @property
     def ended(self) -> bool:
         """Whether the stream has ended: closed here, ended by the peer or lost."""
@@ -73,6 +79,8 @@
         end: QuetzalrudderError = LinkLost("the peer ended the stream", place=str(self._address))
         channel = Channel(self._address.host, self._address.port, codec=CheckedCodec())
         try:
+            await channel.__connect__()
+            self._connected.set()
             async for message in self._call(channel, self._outgoing()):
                 self._on_message(message)
             self._ended_by_peer.set()
@@ -141,6 +149,11 @@
             loop, address, call, self._resolve, self._fail_all
         )
 
+    @property
+    def connected(self) -> bool:
+        """Whether the TCP connection was opened; until then no frame has been sent."""
+        return self._stream.connected
+
     @property
     def ended(self) -> bool:
         """Whether the stream has ended: closed here, ended by the peer or lost."""
--- a/tests/test_gateway_peer_calls.py
+++ b/tests/test_gateway_peer_calls.py
@@ -1,5 +1,6 @@
 """Calls between instances over real connections."""
 
+import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
@@ -87,6 +88,47 @@
     assert isinstance(result.err_value, TargetUnavailable)
 
 
+def test_a_peer_that_restarts_is_called_on_a_new_stream(calls):
+    caller, address, peer, executor = calls
+    with ExitStack() as stack:
+        loop = stack.enter_context(Loop())
+        other = free_addresses(1)[0]
+        with ExitStack() as first:
+            serve_peers(loop, parse_address(other), peer, executor, first)
+            assert caller.run(other, read_request("a"), TIMEOUT_S).is_ok()
+        # The listener and its connections are closed.
+        wait_for(lambda: caller.run(other, read_request("a"), 0.5).is_err(), "the peer is lost")
+        serve_peers(loop, parse_address(other), peer, executor, stack)
+        wait_for(lambda: caller.run(other, read_request("a"), TIMEOUT_S).is_ok(), "an answer")
+
+
+def test_a_call_on_a_stream_that_never_opened_is_not_sent_later(calls):
+    caller, _, peer, executor = calls
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        # Fills the queue of connections, so that further ones are not accepted.
+        waiting = [socket.socket() for _ in range(4)]
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        host, port = full.getsockname()
+        result = caller.run(f"{host}:{port}", read_request("a"), 0.1)
+        assert isinstance(result.err_value, LinkLost)
+        assert caller._streams == {}
+        for sock in waiting:
+            sock.close()
+
+
+def test_a_call_that_fails_at_the_peer_is_reported_as_lost(calls):
+    caller, address, peer, _ = calls
+    peer.answer_position = lambda req: 1 / 0
+    result = caller.tell_position(address, PositionRequest(group="g"), TIMEOUT_S)
+    assert isinstance(result.err_value, LinkLost)
+    token = caller.take_token(address, TokenRequest(workspace="almaty"), TIMEOUT_S)
+    assert token.ok_value.admitted
+
+
 def test_a_call_that_times_out_does_not_affect_other_calls(calls):
     caller, address, peer, executor = calls
     caller.run(address, read_request("a"), TIMEOUT_S)
