--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -51,7 +51,9 @@
 CATALOG_CHECK_INTERVAL_S = 0.35
 # Interval between requests for permission while the lease is not renewed.
 PERMISSION_REQUEST_INTERVAL_S = 0.2
-# The same in a large fleet, after a request that had to go to all peers.
+# Delay of the first request, as a process that has just started is about to open its lease.
+FIRST_PERMISSION_REQUEST_S = 0.5
+# Interval in a large fleet after a request that had to go to all peers.
 REQUEST_TO_ALL_INTERVAL_S = 0.4
 # Number of peers that a request in a large fleet goes to first; one with a valid lease is
 # enough. If a third of the fleet lacks the store, all of these peers lack it about once in
@@ -149,7 +151,7 @@
         # Instances that called this one; they may be missing from the known roster.
         self._callers: dict[InstanceId, RosterRecord] = {}
         self._next_catalog_check = 0.0
-        self._next_request = 0.0
+        self._next_request = clock.monotonic() + FIRST_PERMISSION_REQUEST_S
         self._granted_by_peers = False
         # Numbers of requests and replies when all peers were last requested to grant
         # permission; 0 if a few of them sufficed afterwards.
--- a/src/quetzalrudder/gateway/permission.py
+++ b/src/quetzalrudder/gateway/permission.py
@@ -58,15 +58,19 @@
         self._lease_valid_until = -1.0
         self._granted_by_peers_until = -1.0
         self._revoked = False
+        # True once primaries may have been used.
+        self.was_granted = False
 
     def extend_by_lease(self, sent_at: float) -> None:
         """Extend the permission after the store answered a renewal sent at ``sent_at``."""
+        self.was_granted = True
         self._lease_valid_until = max(
             self._lease_valid_until, sent_at + PERMISSION_S - CLOCK_RATE_MARGIN_S
         )
 
     def extend_by_peers(self, sent_at: float, valid_s: float) -> None:
         """Extend the permission after peers granted it on a request sent at ``sent_at``."""
+        self.was_granted = True
         self._granted_by_peers_until = max(self._granted_by_peers_until, sent_at + valid_s)
 
     def revoke(self) -> None:
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -1,5 +1,6 @@
 import pytest
 
+from quetzalrudder.exceptions import PrimaryChanging
 from quetzalrudder.gateway.permission import PERMISSION_S
 from quetzalrudder.gateway.statements import Read, SessionState, Write
 from tests.gateway_fleet import GatewayFleet
@@ -212,3 +213,32 @@
     assert took_s is not None
     assert not isolated.gateway.permission.valid
     assert took_s >= PERMISSION_S
+
+
+def test_statements_wait_while_the_instance_joins_the_fleet():
+    """After a restart of all instances, callers return before their leases are open."""
+    fleet = GatewayFleet()
+    fleet.run(3.0, fleet.all_know_primary)
+    started = fleet.start("edge-1")
+    sleep = fleet.clock.advance
+
+    def advance(seconds):
+        sleep(seconds)
+        started.step()
+
+    fleet.clock.advance = advance
+    answer = started.session("offers").execute("w1", Write("a", "1"))
+    assert answer.error is None
+
+
+def test_statements_are_refused_at_once_if_the_instance_cannot_join():
+    fleet = GatewayFleet()
+    fleet.run(3.0, fleet.all_know_primary)
+    started = fleet.start("edge-1")
+    started.cut_from_store()
+    started.cut_from_peers = True
+    fleet.run(1.0)
+    before = fleet.clock.now
+    answer = started.session("offers").execute("w1", Write("a", "1"))
+    assert isinstance(answer.error, PrimaryChanging)
+    assert fleet.clock.now == before
