Ownership of rates follows a change of membership at once; rankings keep their weights

The maintenance now runs when an instance joins or leaves. Rankings are then computed more often, so the weights of the instances are kept from one version of the fleet to the next.

--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -7,7 +7,7 @@
 """
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
 from quetzalrudder.models import DataCentre, InstanceId
@@ -18,6 +18,8 @@
 # Number of instances from which a fleet is large: an equal part of a target's 21 to 40
 # connections, or of a small workspace's rate, is then about one.
 LARGE_FLEET = 16
+# Weights kept for a subject; those of instances that no longer exist are dropped beyond it.
+MAX_KNOWN_WEIGHTS = 512
 # Time for which an instance that did not answer a call is tried last. A failed instance
 # leaves the rankings when its member record expires, within 2 s.
 AVOIDANCE_S = 1.0
@@ -31,11 +33,11 @@
     >>> rank("almaty", ["a", "b", "c"]) == rank("almaty", ["c", "b", "a"])
     True
     """
+    return sorted(names, key=lambda name: _hash_weight(subject, name))
 
-    def hash_weight(name: InstanceId) -> bytes:
-        return hashlib.blake2b(f"{subject}/{name}".encode(), digest_size=8).digest()
 
-    return sorted(names, key=hash_weight)
+def _hash_weight(subject: str, name: InstanceId) -> bytes:
+    return hashlib.blake2b(f"{subject}/{name}".encode(), digest_size=8).digest()
 
 
 class AvoidedInstances:
@@ -82,6 +84,9 @@
         self._live: tuple[int, dict[InstanceId, RosterRecord]] = (-1, {})
         # Rankings at that version, by subject and data centre.
         self._rankings: dict[tuple[str, DataCentre | None], list[RosterRecord]] = {}
+        # Kept from version to version, as one instance that joins or leaves changes every
+        # ranking, but only its own weights.
+        self._weights: dict[str, dict[InstanceId, bytes]] = {}
 
     @property
     def size(self) -> int:
@@ -119,5 +124,13 @@
         key = (subject, data_centre)
         if key not in rankings:
             local = [name for name, record in live.items() if record.data_centre == data_centre]
-            rankings[key] = [live[name] for name in rank(subject, local or live)]
+            rankings[key] = [live[name] for name in self._rank(subject, local or live)]
         return rankings[key]
+
+    def _rank(self, subject: str, names: Collection[InstanceId]) -> list[InstanceId]:
+        """Return the same as :func:`rank`, computing each weight once."""
+        known = self._weights.get(subject, {})
+        weights = {name: known.get(name) or _hash_weight(subject, name) for name in names}
+        # Replaced as a whole, so that other threads see the old or the new weights.
+        self._weights[subject] = known | weights if len(known) < MAX_KNOWN_WEIGHTS else weights
+        return sorted(names, key=weights.__getitem__)
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -49,6 +49,7 @@
 from quetzalrudder.gateway.statements import TargetConnector
 from quetzalrudder.gateway.store import Item, Store
 from quetzalrudder.gateway.targets import Target, TargetRegistry
+from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId, WorkspaceId
 from quetzalrudder.schema.gateway import (
     EndRequest,
@@ -230,6 +231,8 @@
             rng=rng,
             clock=clock,
         )
+        # Ends the wait of the maintenance when ownership of rates may have moved.
+        self._maintenance_wake_up = WakeUp()
         self._health_checks: dict[GroupId, PrimaryHealthCheck] = {}
         self._leaving = False
         self._stopping = threading.Event()
@@ -344,7 +347,8 @@
             task.result()
 
     def _maintain(self, executor: Executor, stopping: threading.Event) -> None:
-        while not stopping.wait(MAINTENANCE_INTERVAL_S):
+        while not stopping.is_set():
+            self._maintenance_wake_up.wait(MAINTENANCE_INTERVAL_S)
             self.rates.refresh_ownership(executor)
             self.lender.reclaim_idle()
             self.pool.trim()
@@ -476,6 +480,7 @@
             self.membership.wake_up.set()
 
     def _change_member(self, item: Item) -> None:
+        version = self.members.version
         if item.value is None:
             self.members.remove(InstanceId(item.key.removeprefix(MEMBER_PREFIX)))
         else:
@@ -483,3 +488,5 @@
             self.members.update(record)
             for group in record.suspects:
                 self.planner.primary_monitor(group).wake_up.set()
+        if self.members.version != version:
+            self._maintenance_wake_up.set()
--- a/tests/test_gateway_rate_tokens.py
+++ b/tests/test_gateway_rate_tokens.py
@@ -2,10 +2,12 @@
 
 import pytest
 
-from quetzalrudder.gateway.assignments import LARGE_FLEET, rank
+from quetzalrudder.gateway.assignments import LARGE_FLEET, FleetView, rank
 from quetzalrudder.gateway.catalog import Workspace
+from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.quotas import QuotaRules
 from quetzalrudder.gateway.rate_tokens import CEDED_S, HANDOVER_DELAY_S, TokenBuckets
+from quetzalrudder.models import InstanceId
 from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet, catalog
 
@@ -209,3 +211,19 @@
         batch, _ = request_operations(fleet, rng.uniform(0.5, 4.0), 80.0, live, rng)
         admitted += batch
     assert busiest_window(admitted) <= max_per_window(SMALL)
+
+
+def test_the_rankings_of_a_fleet_view_are_those_of_rendezvous_hashing():
+    members = MemberTable(ManualClock())
+    view = FleetView(members)
+    rng = random.Random(5)
+    names = []
+    for number in range(40):
+        names.append(InstanceId(f"edge-{number}"))
+        if rng.random() < 0.3:
+            names.remove(rng.choice(names))
+        records = [RosterRecord(name, "1", name) for name in names]
+        members.replace_roster(records)
+        members.replace_all([MemberRecord(name, "1", {}, {}) for name in names])
+        for subject in ("almaty", "astana"):
+            assert [record.instance for record in view.ranked(subject)] == rank(subject, names)
