A takeover of rates is repeated until every former owner has answered

They are now repeated with each pass of the maintenance, and tokens that some of the former owners have passed on are kept meanwhile.

--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -80,7 +80,13 @@
         self._ceded_until: dict[WorkspaceId, float] = {}
 
     def set_owned_workspaces(self, workspaces: set[WorkspaceId]) -> set[WorkspaceId]:
-        """Set the workspaces whose rates this instance owns now; return the new ones."""
+        """Set the workspaces whose rates this instance owns now.
+
+        Returns
+        -------
+        set of WorkspaceId
+            Those of which it does not hand out tokens yet.
+        """
         now = self._clock.monotonic()
         with self._lock:
             for name in [name for name, until in self._ceded_until.items() if until <= now]:
@@ -89,10 +95,9 @@
             for name in self._usable_from.keys() - owned:
                 del self._usable_from[name]
                 self._buckets.pop(name, None)
-            added = owned - self._usable_from.keys()
-            for name in added:
+            for name in owned - self._usable_from.keys():
                 self._usable_from[name] = now + HANDOVER_DELAY_S
-            return added
+            return {name for name, usable_from in self._usable_from.items() if usable_from > now}
 
     def take_over(self, workspace: WorkspaceId, tokens: float) -> None:
         """Hand out tokens from now on, as no other instance does; add those it had left."""
@@ -208,6 +213,8 @@
         self._avoided = AvoidedInstances(clock, TOKEN_TIMEOUT_S)
         # Until when a rate owner has no token of a workspace.
         self._refused_until: dict[WorkspaceId, float] = {}
+        # Tokens that former owners have passed on, until all of them have answered.
+        self._received_tokens: dict[WorkspaceId, float] = {}
         self._started_at = clock.monotonic()
 
     def admit(self, limit: Workspace) -> Result[QuotaCharge, RateExceeded]:
@@ -314,11 +321,12 @@
             Runs the calls to the instances that may have owned them until now.
         """
         self._drop_rates_of_earlier_lease()
-        added = self.buckets.set_owned_workspaces(
+        unconfirmed = self.buckets.set_owned_workspaces(
             {name for name in self._workspaces() if self._owns_rate(name)}
         )
-        if added:
-            self._take_over(added, executor)
+        if unconfirmed:
+            # Repeated until all have answered, as a peer may be about to start.
+            self._take_over(unconfirmed, executor)
 
     def _drop_rates_of_earlier_lease(self) -> None:
         opened_at = self._lease_opened_at()
@@ -354,17 +362,19 @@
             for name, fut in futs.items()
             if isinstance(result := fut.result(), Ok)
         }
-        ceded: dict[str, float] = {}
         for reply in replies.values():
             for item in reply.tokens:
-                ceded[item.workspace] = ceded.get(item.workspace, 0.0) + item.tokens
+                received = self._received_tokens.get(item.workspace, 0.0)
+                self._received_tokens[WorkspaceId(item.workspace)] = received + item.tokens
         confirmed = [
             workspace
             for workspace, ranked in former_owners.items()
             if all(record.instance in replies for record in ranked)
         ]
         for workspace in confirmed:
-            self.buckets.take_over(workspace, ceded.get(workspace, self._initial_tokens(workspace)))
+            received = self._received_tokens.pop(workspace, None)
+            tokens = self._initial_tokens(workspace) if received is None else received
+            self.buckets.take_over(workspace, tokens)
         log.info(
             "rates taken over",
             extra={
--- a/tests/test_gateway_rate_tokens.py
+++ b/tests/test_gateway_rate_tokens.py
@@ -227,3 +227,22 @@
         members.replace_all([MemberRecord(name, "1", {}, {}) for name in names])
         for subject in ("almaty", "astana"):
             assert [record.instance for record in view.ranked(subject)] == rank(subject, names)
+
+
+def test_a_takeover_is_repeated_until_a_peer_that_starts_later_has_answered():
+    fleet = small_fleet()
+    fleet.run(5)
+    names = [instance.name for instance in fleet.instances]
+    late = names[-1]
+    for name in names:
+        fleet.start(name)
+    fleet.by_name[late].frozen = True
+    fleet.clock.advance(0.5)
+    configure(fleet)
+    fleet.run(0.2)
+    fleet.by_name[late].frozen = False
+    fleet.run(0.3)
+    assert HANDOVER_DELAY_S > 0.5
+    owners = [instance.gateway.rates.buckets for instance in fleet.instances]
+    for workspace in ("almaty", "astana"):
+        assert [owner for owner in owners if owner.take(workspace, RATE) is not None]
