One operation at a time tries a rate owner that did not answer; the others are refused at once

Test: an operation that arrives while another one waits for such an owner does not call it; failed before.

--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -60,6 +60,23 @@
         """Avoid an instance from now on."""
         self._avoided_until[instance] = self._clock.monotonic() + self._avoidance_s
 
+    def discard(self, instance: InstanceId) -> None:
+        """Avoid an instance no longer, as it served a call."""
+        self._avoided_until.pop(instance, None)
+
+    def claim_trial(self, instance: InstanceId) -> bool:
+        """Return whether a call to an instance may be made now.
+
+        An instance that failed gets one call after each ``avoidance_s`` until it serves one,
+        so that other callers do not wait for it too.
+        """
+        if instance not in self._avoided_until:
+            return True
+        if self.is_avoided(instance):
+            return False
+        self.add(instance)
+        return True
+
     def is_avoided(self, instance: InstanceId) -> bool:
         """Return whether an instance is avoided now."""
         return self._avoided_until.get(instance, 0.0) > self._clock.monotonic()
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -237,7 +237,7 @@
     def _take_token(self, workspace: WorkspaceId) -> Result[QuotaCharge, RateExceeded]:
         rate_owners = self._view.ranked(workspace)[:MAX_RATE_OWNERS_TRIED]
         for rate_owner in rate_owners:
-            if self._avoided.is_avoided(rate_owner.instance):
+            if not self._avoided.claim_trial(rate_owner.instance):
                 continue
             requested = self._request_token(rate_owner, TokenRequest(workspace=workspace))
             if isinstance(requested, Err):
@@ -264,7 +264,9 @@
         if rate_owner.instance == self._instance:
             return Ok(self.answer(req))
         result = self._caller.take_token(rate_owner.address, req, TOKEN_TIMEOUT_S)
-        if isinstance(result, Err):
+        if isinstance(result, Ok):
+            self._avoided.discard(rate_owner.instance)
+        else:
             self._avoided.add(rate_owner.instance)
             log.warning(
                 "rate owner not reached",
--- a/tests/test_gateway_rate_tokens.py
+++ b/tests/test_gateway_rate_tokens.py
@@ -246,3 +246,30 @@
     owners = [instance.gateway.rates.buckets for instance in fleet.instances]
     for workspace in ("almaty", "astana"):
         assert [owner for owner in owners if owner.take(workspace, RATE) is not None]
+
+
+def test_operations_do_not_wait_one_after_the_other_for_a_rate_owner_that_does_not_answer():
+    fleet = small_fleet()
+    fleet.run(5)
+    owner = fleet.by_name[rank("almaty", fleet[0].gateway.view.live_instances())[0]]
+    other = next(instance for instance in fleet.instances if instance is not owner)
+    owner.cut_from_peers = True
+    assert other.gateway.rates.admit(SMALL).is_err()
+    fleet.run(1.0)
+    take_token, waiting = other.take_token, []
+
+    def admit_another_meanwhile(address, req, timeout_s):
+        if address == owner.name:
+            waiting.append(address)
+            assert len(waiting) == 1
+            assert other.gateway.rates.admit(SMALL).is_err()
+        return take_token(address, req, timeout_s)
+
+    other.take_token = admit_another_meanwhile
+    assert other.gateway.rates.admit(SMALL).is_err()
+    assert waiting == [owner.name]
+    other.take_token = take_token
+    owner.cut_from_peers = False
+    fleet.run(0.5)
+    assert other.gateway.rates.admit(SMALL).is_ok()
+    assert other.gateway.rates.admit(SMALL).is_ok()
