--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -279,8 +279,9 @@
         return result
 
     def refund(self, rate_owner: RosterRecord, workspace: WorkspaceId) -> None:
-        """Return a token to the rate owner that issued it."""
-        self._request_token(rate_owner, TokenRequest(workspace=workspace, gives_back=True))
+        """Return a token to the rate owner that issued it, unless that does not answer."""
+        if not self._avoided.is_avoided(rate_owner.instance):
+            self._request_token(rate_owner, TokenRequest(workspace=workspace, gives_back=True))
 
     def answer(self, req: TokenRequest) -> TokenReply:
         """Answer another instance's request for a token, or take one back from it."""
