--- a/src/quetzalrudder/log_reading.py
+++ b/src/quetzalrudder/log_reading.py
@@ -25,6 +25,7 @@
     "joined": "membership",
     "joined the fleet": "membership",
     "lease ended": "membership",
+    "rates taken over": "rates",
 }
 # The same for messages about one group or target, which the log line names; the newest message
 # of each kind and group counts.
