Callers may connect while an instance loads its modules, and are served before it calls peers

Cause: after a restart of all instances the first answer came 0.5 s after the machines were back; imports took 0.45 to 0.5 s of that, and callers who connected meanwhile were refused. Loading the client of peers (gRPC, asyncio, protobuf) is about a third of it, and no statement within the local part of its rate needs it. Ruled out: the store (joining takes 0.04 s).

--- a/src/quetzalrudder/codec.py
+++ b/src/quetzalrudder/codec.py
@@ -11,7 +11,7 @@
 from quetzalrudder import wire
 from quetzalrudder.exceptions import MalformedMessage, MessageTooLarge
 from quetzalrudder.schema.caller import AnswerFrame, CallerFrame
-from quetzalrudder.schema.gateway import PeerAnswer, PeerCall
+from quetzalrudder.schema.gateway_service import PeerAnswer, PeerCall
 from quetzalrudder.schema.target import TargetAnswer, TargetFrame
 
 __all__ = ["MAX_MESSAGE_BYTES", "CheckedCodec", "limit_message_size"]
--- /dev/null
+++ b/src/quetzalrudder/gateway/deferred_peers.py
@@ -0,0 +1,95 @@
+"""Calls to peers that wait until the client for them has been loaded.
+
+An instance serves its first callers before it has loaded gRPC and the event loop, which take
+longer than everything else at its start. Statements that need no peer do not wait for that.
+"""
+
+import threading
+from typing import Any
+
+from result import Err, Result
+
+from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
+from quetzalrudder.schema.gateway import (
+    EndRequest,
+    PeerReply,
+    PeerReport,
+    PositionReply,
+    PositionRequest,
+    RunReply,
+    RunRequest,
+    TakeOverReply,
+    TakeOverRequest,
+    TokenReply,
+    TokenRequest,
+)
+from quetzalrudder.utils import Clock
+
+__all__ = ["DeferredPeerCaller"]
+
+
+class DeferredPeerCaller:
+    """Passes calls on to a client of the peers, and waits for that client at first.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._loaded = threading.Event()
+        self._caller: Any = None
+
+    def provide(self, caller: Any) -> None:
+        """Make the client available; it has the methods of this class."""
+        self._caller = caller
+        self._loaded.set()
+
+    def exchange(
+        self, address: str, report: PeerReport, timeout_s: float
+    ) -> Result[PeerReply, QuetzalrudderError]:
+        """Send a report and return the reply."""
+        return self._call("exchange", address, report, timeout_s)
+
+    def take_token(
+        self, address: str, req: TokenRequest, timeout_s: float
+    ) -> Result[TokenReply, QuetzalrudderError]:
+        """Request a rate token and return the reply."""
+        return self._call("take_token", address, req, timeout_s)
+
+    def take_over_rates(
+        self, address: str, req: TakeOverRequest, timeout_s: float
+    ) -> Result[TakeOverReply, QuetzalrudderError]:
+        """Ask a peer to hand out no more tokens of some workspaces and return the reply."""
+        return self._call("take_over_rates", address, req, timeout_s)
+
+    def tell_position(
+        self, address: str, req: PositionRequest, timeout_s: float
+    ) -> Result[PositionReply, QuetzalrudderError]:
+        """Request a primary's log position and return the reply."""
+        return self._call("tell_position", address, req, timeout_s)
+
+    def run(
+        self, address: str, req: RunRequest, timeout_s: float
+    ) -> Result[RunReply, QuetzalrudderError]:
+        """Run a statement on a borrowed connection and return the reply."""
+        return self._call("run", address, req, timeout_s)
+
+    def end(self, address: str, req: EndRequest) -> None:
+        """Return a borrowed connection, which the client has lent before."""
+        if self._loaded.is_set():
+            self._caller.end(address, req)
+
+    def _call(
+        self, method: str, address: str, message: Any, timeout_s: float
+    ) -> Result[Any, QuetzalrudderError]:
+        """Call the client once it is loaded, within the same time limit."""
+        if not self._loaded.is_set():
+            started_at = self._clock.monotonic()
+            if not self._clock.wait(self._loaded, timeout_s):
+                reason = "the client of the peers is not loaded yet"
+                return Err(TargetUnavailable(reason, place=address))
+            timeout_s = max(0.0, timeout_s - (self._clock.monotonic() - started_at))
+        return getattr(self._caller, method)(address, message, timeout_s)
--- a/src/quetzalrudder/gateway/peer_calls.py
+++ b/src/quetzalrudder/gateway/peer_calls.py
@@ -17,10 +17,6 @@
 from quetzalrudder.schema.gateway import (
     EndReply,
     EndRequest,
-    GatewayPeersBase,
-    GatewayPeersStub,
-    PeerAnswer,
-    PeerCall,
     PeerReply,
     PeerReport,
     PositionReply,
@@ -32,6 +28,12 @@
     TokenReply,
     TokenRequest,
 )
+from quetzalrudder.schema.gateway_service import (
+    GatewayPeersBase,
+    GatewayPeersStub,
+    PeerAnswer,
+    PeerCall,
+)
 from quetzalrudder.streams import RequestStream
 from quetzalrudder.utils import Address, parse_address
 
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -7,8 +7,6 @@
     "DutyValue",
     "EndReply",
     "EndRequest",
-    "GatewayPeersBase",
-    "GatewayPeersStub",
     "GroupEpoch",
     "GroupLeader",
     "GroupSuspect",
@@ -16,8 +14,6 @@
     "LentStatement",
     "LogPlace",
     "MemberValue",
-    "PeerAnswer",
-    "PeerCall",
     "PeerReply",
     "PeerReport",
     "PermissionGrant",
@@ -36,21 +32,12 @@
     "WorkspaceTokens",
 )
 
-from collections.abc import AsyncIterable, AsyncIterator, Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import betterproto2
-import grpclib
-from betterproto2 import grpclib as betterproto2_grpclib
 
 from ..message_pool import default_message_pool
 
-if TYPE_CHECKING:
-    import grpclib.server
-    from betterproto2.grpclib.grpclib_client import MetadataLike
-    from grpclib.metadata import Deadline
-
 _COMPILER_VERSION = "0.10.1"
 betterproto2.check_compiler_version(_COMPILER_VERSION)
 
@@ -298,84 +285,6 @@
 default_message_pool.register_message("gateway", "MemberValue", MemberValue)
 
 
-@dataclass(eq=False, repr=False)
-class PeerAnswer(betterproto2.Message):
-    """
-    The answer to the call with the same sequence; without a reply if the call failed.
-
-    Oneofs:
-        - reply:
-    """
-
-    sequence: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
-
-    report: "PeerReply | None" = betterproto2.field(
-        2, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
-    )
-
-    token: "TokenReply | None" = betterproto2.field(
-        3, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
-    )
-
-    take_over: "TakeOverReply | None" = betterproto2.field(
-        4, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
-    )
-
-    position: "PositionReply | None" = betterproto2.field(
-        5, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
-    )
-
-    run: "RunReply | None" = betterproto2.field(
-        6, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
-    )
-
-    end: "EndReply | None" = betterproto2.field(
-        7, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
-    )
-
-
-default_message_pool.register_message("gateway", "PeerAnswer", PeerAnswer)
-
-
-@dataclass(eq=False, repr=False)
-class PeerCall(betterproto2.Message):
-    """
-    One call to a peer. All calls between two instances share one stream in each direction.
-
-    Oneofs:
-        - request:
-    """
-
-    sequence: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
-
-    report: "PeerReport | None" = betterproto2.field(
-        2, betterproto2.TYPE_MESSAGE, optional=True, group="request"
-    )
-
-    token: "TokenRequest | None" = betterproto2.field(
-        3, betterproto2.TYPE_MESSAGE, optional=True, group="request"
-    )
-
-    take_over: "TakeOverRequest | None" = betterproto2.field(
-        4, betterproto2.TYPE_MESSAGE, optional=True, group="request"
-    )
-
-    position: "PositionRequest | None" = betterproto2.field(
-        5, betterproto2.TYPE_MESSAGE, optional=True, group="request"
-    )
-
-    run: "RunRequest | None" = betterproto2.field(
-        6, betterproto2.TYPE_MESSAGE, optional=True, group="request"
-    )
-
-    end: "EndRequest | None" = betterproto2.field(
-        7, betterproto2.TYPE_MESSAGE, optional=True, group="request"
-    )
-
-
-default_message_pool.register_message("gateway", "PeerCall", PeerCall)
-
-
 @dataclass(eq=False, repr=False)
 class PeerReply(betterproto2.Message):
     instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
@@ -660,51 +569,4 @@
 default_message_pool.register_message("gateway", "WorkspaceTokens", WorkspaceTokens)
 
 
-class GatewayPeersStub(betterproto2_grpclib.ServiceStub):
-    async def call(
-        self,
-        messages: "AsyncIterable[PeerCall] | Iterable[PeerCall]",
-        *,
-        timeout: "float | None" = None,
-        deadline: "Deadline | None" = None,
-        metadata: "MetadataLike | None" = None,
-    ) -> "AsyncIterator[PeerAnswer]":
-
-        async for response in self._stream_stream(
-            "/gateway.GatewayPeers/Call",
-            messages,
-            PeerCall,
-            PeerAnswer,
-            timeout=timeout,
-            deadline=deadline,
-            metadata=metadata,
-        ):
-            yield response
-
-
 from .. import common as _common__
-
-
-class GatewayPeersBase(betterproto2_grpclib.ServiceBase):
-    async def call(self, messages: "AsyncIterator[PeerCall]") -> "AsyncIterator[PeerAnswer]":
-
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
-        yield PeerAnswer()
-
-    async def __rpc_call(self, stream: "grpclib.server.Stream[PeerCall, PeerAnswer]") -> None:
-        request = stream.__aiter__()
-        await self._call_rpc_handler_server_stream(
-            self.call,
-            stream,
-            request,
-        )
-
-    def __mapping__(self) -> "dict[str, grpclib.const.Handler]":
-        return {
-            "/gateway.GatewayPeers/Call": grpclib.const.Handler(
-                self.__rpc_call,
-                grpclib.const.Cardinality.STREAM_STREAM,
-                PeerCall,
-                PeerAnswer,
-            ),
-        }
--- a/tests/test_edge_program.py
+++ b/tests/test_edge_program.py
@@ -282,6 +282,65 @@
     assert edge.stop() == 0
 
 
+# Replaces a package: says that it is being imported, waits until it may go on, then loads the
+# real package.
+BLOCKED_IMPORT = """
+import importlib, os, sys, time
+
+directory = os.path.dirname(__file__)
+open(os.path.join(directory, "importing"), "w").close()
+while not os.path.exists(os.path.join(directory, "may_go_on")):
+    time.sleep(0.01)
+sys.path.remove(os.path.dirname(directory))
+del sys.modules[__name__]
+sys.modules[__name__] = importlib.import_module(__name__)
+"""
+
+
+class BlockedImport:
+    """A package whose import blocks until the test lets it go on."""
+
+    def __init__(self, directory, name):
+        self.directory = directory / "early" / name
+        self.directory.mkdir(parents=True)
+        (self.directory / "__init__.py").write_text(BLOCKED_IMPORT, encoding="utf-8")
+        self.python_path = f"{directory / 'early'}:{ROOT / 'target/deps'}"
+
+    def wait_begun(self):
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while not (self.directory / "importing").exists():
+            assert time.monotonic() < deadline
+            time.sleep(0.01)
+
+    def let_go_on(self):
+        (self.directory / "may_go_on").touch()
+
+
+def test_callers_that_connect_during_imports_are_served(deployment_build, platform, tmp_path):
+    blocked = BlockedImport(tmp_path, "result")
+    edge = EdgeProcess(platform, tmp_path, python_path=blocked.python_path)
+    blocked.wait_begun()
+    with socket.create_connection(("127.0.0.1", edge.frontend), 10) as sock:
+        sock.sendall(b"CONNECT offers k1\r\n")
+        blocked.let_go_on()
+        assert sock.makefile("r").readline().strip() == "READY I -"
+    edge.wait_ready()
+    assert edge.stop() == 0
+
+
+def test_statements_are_served_before_the_client_of_peers_is_loaded(
+    deployment_build, platform, tmp_path
+):
+    blocked = BlockedImport(tmp_path, "grpclib")
+    edge = EdgeProcess(platform, tmp_path, python_path=blocked.python_path)
+    blocked.wait_begun()
+    offers = Caller(edge.frontend, "offers")
+    assert offers.query_until("PUT a 1", DONE) == DONE
+    blocked.let_go_on()
+    edge.wait_ready()
+    assert edge.stop() == 0
+
+
 def test_blocked_log_reader_blocks_neither_callers_nor_the_stop(
     deployment_build, platform, tmp_path
 ):
