At most half of a pool's connections stay idle

Cause: after a loss of power a database keeps the 12 connections of 6 lost machines for 3 s, of 16 that it accepts; the instances that return share 4. Their statements ended with Overloaded and ConnectionLimitReached for 1.3 s. Change: a pool closes idle connections beyond half of its limit.

--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -40,6 +40,9 @@
 # drops the connections of an unreachable peer.
 FIRST_LIMIT_DELAY_S = 0.04
 MAX_LIMIT_DELAY_S = 0.32
+# Fraction of the limit that may be idle. A database keeps the connections of machines that lost
+# their power for a while; the rest of its connections then serves the machines that return.
+IDLE_FRACTION = 0.5
 
 
 @dataclass
@@ -297,8 +300,17 @@
                 self._open_count -= 1
                 closing.append(checkout.pooled)
             closing += self._dispatch()
+            closing += self._remove_excess_idle()
         _close_all(closing)
 
+    def _remove_excess_idle(self) -> list[PooledLink]:
+        """Remove the idle connections that were not used for longest, beyond the allowed number."""
+        allowed = max(1, int(self._limit() * IDLE_FRACTION))
+        excess = max(0, len(self._idle) - allowed)
+        removed, self._idle = self._idle[:excess], self._idle[excess:]
+        self._open_count -= excess
+        return removed
+
     def checkout_any_idle(self) -> Checkout | None:
         """Return an idle connection of any workspace; None if there is none or others wait."""
         closing: list[PooledLink] = []
