--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -31,6 +31,7 @@
     "PrimaryChanging",
     "QuetzalrudderError",
     "RateExceeded",
+    "RateOwnerUnknown",
     "RequestCancelled",
     "RequestChanged",
     "RouteNotFound",
@@ -158,6 +159,13 @@
     code = ErrorCode.RATE_EXCEEDED
 
 
+class RateOwnerUnknown(RateExceeded):
+    """No instance is known that hands out tokens of the workspace's rate."""
+
+    # For callers and operators' tools the same as a rate that is used up.
+    log_name = "RateExceeded"
+
+
 class Overloaded(QuetzalrudderError):
     """The request could not have been served in time and was refused immediately."""
 
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -18,7 +18,12 @@
 
 from result import Err, Ok, Result
 
-from quetzalrudder.exceptions import QuetzalrudderError, RateExceeded, TargetUnavailable
+from quetzalrudder.exceptions import (
+    QuetzalrudderError,
+    RateExceeded,
+    RateOwnerUnknown,
+    TargetUnavailable,
+)
 from quetzalrudder.gateway.assignments import AvoidedInstances, FleetView
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.members import RosterRecord
@@ -59,6 +64,8 @@
 MAX_RETRY_AFTER_S = 60.0
 # Retry delay if no rate owner answered; by then another one may have taken over.
 NO_RATE_OWNER_RETRY_MS = 500
+# Interval between two searches for a workspace's rate owner that find none.
+OWNER_SEARCH_INTERVAL_S = 0.03
 
 
 class TokenBuckets:
@@ -213,12 +220,35 @@
         self._avoided = AvoidedInstances(clock, TOKEN_TIMEOUT_S)
         # Until when a rate owner has no token of a workspace.
         self._refused_until: dict[WorkspaceId, float] = {}
+        # Until when the owner of a rate is not looked for again after a search without result.
+        self._next_search: dict[WorkspaceId, float] = {}
         # Tokens that former owners have passed on, until all of them have answered.
         self._received_tokens: dict[WorkspaceId, float] = {}
         self._started_at = clock.monotonic()
 
-    def admit(self, limit: Workspace) -> Result[QuotaCharge, RateExceeded]:
-        """Charge one operation, or return an error with the delay before a retry."""
+    def admit(self, limit: Workspace, wait_until: float = 0.0) -> Result[QuotaCharge, RateExceeded]:
+        """Charge one operation, or return an error with the delay before a retry.
+
+        Right after its start, when all rates may be changing their owners, this instance waits
+        for the owner. It is known soon, and callers within their rate need not return.
+
+        Parameters
+        ----------
+        limit : Workspace
+            The workspace and its rate.
+        wait_until : float, optional
+            Clock reading until which the operation may wait.
+        """
+        wait_until = min(wait_until, self._started_at + HANDOVER_DELAY_S)
+        while True:
+            admitted = self._admit_now(limit)
+            if isinstance(admitted, Ok) or not isinstance(admitted.err_value, RateOwnerUnknown):
+                return admitted
+            if self._clock.monotonic() + OWNER_SEARCH_INTERVAL_S >= wait_until:
+                return admitted
+            self._clock.sleep(OWNER_SEARCH_INTERVAL_S)
+
+    def _admit_now(self, limit: Workspace) -> Result[QuotaCharge, RateExceeded]:
         local = self._local.admit(limit, self._view.size)
         if isinstance(local, Ok):
             return local
@@ -226,7 +256,7 @@
         pooled = (
             Err(_rate_exceeded(limit.workspace, remaining_s))
             if remaining_s > 0
-            else self._take_token(limit.workspace)
+            else self._find_token(limit.workspace)
         )
         if isinstance(pooled, Err) and local.err_value.retry_after_ms:
             pooled.err_value.retry_after_ms = min(
@@ -234,6 +264,15 @@
             )
         return pooled
 
+    def _find_token(self, workspace: WorkspaceId) -> Result[QuotaCharge, RateExceeded]:
+        """Take a token, unless another operation has just found no owner of the rate."""
+        if self._clock.monotonic() < self._next_search.get(workspace, 0.0):
+            return Err(_rate_owner_unknown(workspace, "no instance, as a search has just failed"))
+        result = self._take_token(workspace)
+        if isinstance(result, Err) and isinstance(result.err_value, RateOwnerUnknown):
+            self._next_search[workspace] = self._clock.monotonic() + OWNER_SEARCH_INTERVAL_S
+        return result
+
     def _take_token(self, workspace: WorkspaceId) -> Result[QuotaCharge, RateExceeded]:
         rate_owners = self._view.ranked(workspace)[:MAX_RATE_OWNERS_TRIED]
         for rate_owner in rate_owners:
@@ -255,8 +294,7 @@
             self._refused_until[workspace] = self._clock.monotonic() + wait_s
             return Err(_rate_exceeded(workspace, wait_s))
         tried = ", ".join(record.instance for record in rate_owners) or "no instance"
-        reason = f"no owner of the workspace's rate answered; tried {tried}"
-        return Err(RateExceeded(reason, place=workspace, retry_after_ms=NO_RATE_OWNER_RETRY_MS))
+        return Err(_rate_owner_unknown(workspace, tried))
 
     def _request_token(
         self, rate_owner: RosterRecord, req: TokenRequest
@@ -333,9 +371,12 @@
 
     def _drop_rates_of_earlier_lease(self) -> None:
         opened_at = self._lease_opened_at()
-        if opened_at is not None and opened_at != self._owned_under:
-            self._owned_under = opened_at
+        if opened_at is None or opened_at == self._owned_under:
+            return
+        if self._owned_under is not None:
             self.buckets.set_owned_workspaces(set())
+        # Before the first lease, this instance was in no ranking and owned nothing but under it.
+        self._owned_under = opened_at
 
     def _owns_rate(self, workspace: WorkspaceId) -> bool:
         ranked = self._view.ranked(workspace)
@@ -405,6 +446,11 @@
     )
 
 
+def _rate_owner_unknown(workspace: WorkspaceId, tried: str) -> RateOwnerUnknown:
+    reason = f"no owner of the workspace's rate answered; tried {tried}"
+    return RateOwnerUnknown(reason, place=workspace, retry_after_ms=NO_RATE_OWNER_RETRY_MS)
+
+
 @dataclass(frozen=True)
 class _TokenCharge:
     """A token that a rate owner issued."""
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -218,7 +218,7 @@
         workspace = catalog.workspaces.get(req.workspace)
         if workspace is None:
             return Ok(None)
-        admitted = self.services.rates.admit(workspace)
+        admitted = self.services.rates.admit(workspace, req.queue_until)
         if isinstance(admitted, Err):
             return admitted
         self._charge = admitted.ok_value
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -41,6 +41,9 @@
         self._schedule: list[tuple[float, int, str, Callable[[], None]]] = []
         self._deferred: list[tuple[str, Callable[[], None]]] = []
         self._paused: set[str] = set()
+        self._killed: set[str] = set()
+        # Threads that wait for an event of the standard library, and the number of the wait.
+        self._event_waits: dict[VirtualThread, tuple[threading.Event, int]] = {}
         # Released each time the running thread begins to wait or ends.
         self._thread_suspended = threading.Semaphore(0)
         self._local = threading.local()
@@ -90,6 +93,9 @@
         self.suspend(thread)
 
     def _begin_wait(self) -> VirtualThread:
+        if self._closed:
+            # Clean-up code that waits while the thread is being ended.
+            raise VirtualTimeClosed
         thread = self._local.thread
         thread.wait_count += 1
         return thread
@@ -126,6 +132,28 @@
         for name, action in deferred:
             self.call_at(self.now, name, action)
 
+    def kill(self, owner: str) -> None:
+        """Never run an owner's threads and actions again, as SIGKILL does to a process."""
+        self._killed.add(owner)
+        for thread in [thread for thread in self._event_waits if thread.owner == owner]:
+            del self._event_waits[thread]
+
+    def wait(self, event: threading.Event, seconds: float) -> bool:
+        """Wait for an event that another virtual thread sets; return whether it was set."""
+        if not event.is_set() and seconds > 0:
+            thread = self._begin_wait()
+            self._event_waits[thread] = (event, thread.wait_count)
+            self.wake_at(self.now + seconds, thread, thread.wait_count)
+            self.suspend(thread)
+            self._event_waits.pop(thread, None)
+        return event.is_set()
+
+    def _wake_waiters_of_set_events(self) -> None:
+        for thread, (event, wait_number) in list(self._event_waits.items()):
+            if event.is_set():
+                del self._event_waits[thread]
+                self.wake_at(self.now, thread, wait_number)
+
     def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> bool:
         """Run for a time or until a condition holds; return whether it holds."""
         end = self.now + seconds
@@ -134,10 +162,13 @@
                 return True
             at, _, owner, action = heapq.heappop(self._schedule)
             self.now = max(self.now, at)
+            if owner in self._killed:
+                continue
             if owner in self._paused:
                 self._deferred.append((owner, action))
-            else:
-                action()
+                continue
+            action()
+            self._wake_waiters_of_set_events()
         if until():
             return True
         self.now = end
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -1,4 +1,4 @@
-"""The platform's store and a group of databases in this process, on the test's clock."""
+"""A group of databases in this process, on the test's clock."""
 
 from dataclasses import dataclass, field
 
@@ -7,7 +7,6 @@
 from quetzalrudder.exceptions import (
     ConnectionLimitReached,
     LinkLost,
-    PlatformUnavailable,
     TargetUnavailable,
 )
 from quetzalrudder.gateway.statements import (
@@ -24,158 +23,11 @@
     TargetStatus,
     Write,
 )
-from quetzalrudder.gateway.store import (
-    Changes,
-    HistoryGone,
-    Item,
-    LeaseEnded,
-    LeaseId,
-    WriteConflict,
-)
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRole
 from quetzalrudder.utils import Address
+from standins.gateway_store import MemoryStore, StoreClient
 
-
-class MemoryStore:
-    """Keys with revisions and leases; one store is shared by all instances of a test."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.revision = 1
-        self.items = {}
-        self.leases = {}
-        self.lease_of_key = {}
-        self.history = []
-        self.oldest_watchable_revision = 0
-        self.written_keys = []
-
-    def client(self):
-        return StoreClient(self)
-
-    def expire(self):
-        now = self.clock.monotonic()
-        for lease in [lease for lease, expires_at in self.leases.items() if expires_at <= now]:
-            self.drop_lease(lease)
-
-    def drop_lease(self, lease):
-        self.leases.pop(lease, None)
-        for key in [key for key, key_lease in self.lease_of_key.items() if key_lease == lease]:
-            self.put(key, None, None)
-
-    def put(self, key, value, lease):
-        self.revision += 1
-        self.lease_of_key.pop(key, None)
-        if value is None:
-            self.items.pop(key, None)
-        else:
-            existing = self.items.get(key)
-            created = self.revision if existing is None else existing.created
-            self.items[key] = Item(key, value, self.revision, created)
-            if lease:
-                self.lease_of_key[key] = lease
-        self.history.append(self.items.get(key, Item(key, None, self.revision)))
-        return self.revision
-
-    def compact(self):
-        self.history.clear()
-        self.oldest_watchable_revision = self.revision
-
-
-class StoreClient:
-    """A client of the store; it can be disconnected, lose an answer, or delay a write."""
-
-    def __init__(self, store):
-        self.store = store
-        self.disconnected = False
-        self.lose_next_answer = False
-        self.delayed_writes = []
-        self.delay_next_write = False
-
-    def _connection_error(self):
-        if self.disconnected:
-            return Err(PlatformUnavailable("the client is disconnected"))
-        self.store.expire()
-        return None
-
-    def _answer(self, result):
-        if self.lose_next_answer:
-            self.lose_next_answer = False
-            return Err(PlatformUnavailable("the answer was lost"))
-        return result
-
-    def run_delayed_writes(self):
-        delayed, self.delayed_writes = self.delayed_writes, []
-        return [self._write(*args) for args in delayed]
-
-    def read_prefix(self, prefix):
-        error = self._connection_error()
-        if error:
-            return error
-        items = [item for key, item in sorted(self.store.items.items()) if key.startswith(prefix)]
-        return self._answer(Ok(Changes(tuple(items), self.store.revision)))
-
-    def watch(self, after, wait_ms):
-        error = self._connection_error()
-        if error:
-            return error
-        if after < self.store.oldest_watchable_revision:
-            return Err(HistoryGone("the changes after this revision are compacted"))
-        items = tuple(item for item in self.store.history if item.revision > after)
-        return self._answer(Ok(Changes(items, self.store.revision)))
-
-    def write(self, key, value, expected, lease=None):
-        error = self._connection_error()
-        if error:
-            return error
-        if self.delay_next_write:
-            self.delay_next_write = False
-            self.delayed_writes.append((key, value, expected, lease))
-            return Err(PlatformUnavailable("the store did not answer"))
-        return self._answer(self._write(key, value, expected, lease))
-
-    def _write(self, key, value, expected, lease):
-        self.store.written_keys.append(key)
-        current = self.store.items.get(key, Item(key, None, 0))
-        if current.revision != expected:
-            return Err(WriteConflict("the key has another revision", current=(current,)))
-        if lease and lease not in self.store.leases:
-            return Err(LeaseEnded("the lease does not exist"))
-        return Ok(self.store.put(key, value, lease))
-
-    def delete(self, key, expected):
-        error = self._connection_error()
-        if error:
-            return error
-        current = self.store.items.get(key, Item(key, None, 0))
-        if current.revision != expected:
-            return Err(WriteConflict("the key has another revision", current=(current,)))
-        return self._answer(Ok(self.store.put(key, None, None)))
-
-    def open_lease(self, ttl_s):
-        error = self._connection_error()
-        if error:
-            return error
-        lease = LeaseId(self.store.revision * 1000 + len(self.store.leases) + 1)
-        self.store.revision += 1
-        self.store.leases[lease] = self.store.clock.monotonic() + ttl_s
-        self.ttl_s = ttl_s
-        return self._answer(Ok(lease))
-
-    def renew_lease(self, lease):
-        error = self._connection_error()
-        if error:
-            return error
-        if lease not in self.store.leases:
-            return Err(LeaseEnded("the lease does not exist"))
-        self.store.leases[lease] = self.store.clock.monotonic() + self.ttl_s
-        return self._answer(Ok(None))
-
-    def end_lease(self, lease):
-        error = self._connection_error()
-        if error:
-            return error
-        self.store.drop_lease(lease)
-        return self._answer(Ok(None))
+__all__ = ["FakeDatabase", "FakeGroup", "FakeLink", "MemoryStore", "StoreClient"]
 
 
 @dataclass
