Idle connections are kept by the demand of their workspaces

Hypothesis: with fewer idle connections, the one of a workspace that asks seldom is worth least. Change: a pool counts the requests of each workspace, older ones by half, and closes the idle connection with the least demand first.

--- a/bench/model/groups.py
+++ b/bench/model/groups.py
@@ -84,6 +84,7 @@
         self.position = LogPosition(1, 0)
         self.up = True
         self.links: set[ModelLink] = set()
+        self.opened_count = 0
         # Connections of machines without power that are not dropped yet.
         self.dark_links = 0
         self._running: dict[object, InstanceId] = {}
@@ -262,6 +263,7 @@
             return Err(ConnectionLimitReached("too many connections", place=target))
         link = cls(group, database, user, one_way_s)
         database.links.add(link)
+        database.opened_count += 1
         slot = database.acquire_slot(user, timeout_s)
         if slot is None:
             link.close()
--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -43,6 +43,8 @@
 # Fraction of the limit that may be idle. A database keeps the connections of machines that lost
 # their power for a while; the rest of its connections then serves the machines that return.
 IDLE_FRACTION = 0.5
+# Requests of a pool after which the older ones count half.
+DEMAND_MEMORY = 64
 
 
 @dataclass
@@ -145,6 +147,26 @@
         self.release()
 
 
+class _Demand:
+    """How often each workspace has recently asked for a connection."""
+
+    def __init__(self) -> None:
+        self._counts: dict[WorkspaceId, float] = {}
+        self._total = 0.0
+
+    def record(self, workspace: WorkspaceId) -> None:
+        """Count a request; earlier ones lose weight as newer ones come."""
+        self._counts[workspace] = self._counts.get(workspace, 0.0) + 1
+        self._total += 1
+        if self._total >= DEMAND_MEMORY:
+            self._total /= 2
+            self._counts = {name: n / 2 for name, n in self._counts.items() if n >= 1}
+
+    def of(self, pooled: PooledLink) -> float:
+        """Return the demand for a connection: that of its workspace."""
+        return self._counts.get(pooled.workspace, 0.0)
+
+
 class _TargetPool:
     def __init__(
         self, target: Target, connector: TargetConnector, limit: Callable[[], int], clock: Clock
@@ -155,6 +177,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._idle: list[PooledLink] = []
+        self._demand = _Demand()
         # Connections that are open or being opened.
         self._open_count = 0
         self._waiters: WaitQueue[_Waiter] = WaitQueue()
@@ -177,6 +200,8 @@
     def checkout(
         self, workspace: WorkspaceId, urgency: Urgency, deadline_at: float
     ) -> Result[Checkout, QuetzalrudderError]:
+        with self._lock:
+            self._demand.record(workspace)
         while True:
             waiter = _Waiter(workspace)
             with self._lock:
@@ -244,7 +269,7 @@
             elif self._open_count < limit:
                 self._open_count += 1
             else:
-                closing.append(self._idle.pop(0))
+                closing.append(self._pop_least_wanted())
             self._checked_out_count += 1
             waiter.ready.set()
         return closing
@@ -304,13 +329,17 @@
         _close_all(closing)
 
     def _remove_excess_idle(self) -> list[PooledLink]:
-        """Remove the idle connections that were not used for longest, beyond the allowed number."""
+        """Remove and return the idle connections beyond the allowed number."""
         allowed = max(1, int(self._limit() * IDLE_FRACTION))
-        excess = max(0, len(self._idle) - allowed)
-        removed, self._idle = self._idle[:excess], self._idle[excess:]
-        self._open_count -= excess
+        removed = [self._pop_least_wanted() for _ in range(len(self._idle) - allowed)]
+        self._open_count -= len(removed)
         return removed
 
+    def _pop_least_wanted(self) -> PooledLink:
+        """Remove and return the idle connection whose workspace asks least often."""
+        index = min(range(len(self._idle)), key=lambda index: self._demand.of(self._idle[index]))
+        return self._idle.pop(index)
+
     def checkout_any_idle(self) -> Checkout | None:
         """Return an idle connection of any workspace; None if there is none or others wait."""
         closing: list[PooledLink] = []
