A rate owner that most other instances cannot reach loses the rate

Change: member records name the instances that do not answer (two failed calls in a row to the same incarnation); an instance that more than half of the others name owns no rate. The new owner waits 1 s as for any owner that does not answer; the old one sees the same records and hands out no more. Tests: test_gateway_rate_tokens.py: the rate moves (red before: with the ranking of before it stays), the limit holds through cuts and returns, one instance that reaches nobody takes nothing.

--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -99,6 +99,8 @@
         self._members = members
         # The version of the members table, and the live instances at that version.
         self._live: tuple[int, dict[InstanceId, RosterRecord]] = (-1, {})
+        # The instances separated from most others, at a version of the members table.
+        self._separated: tuple[int, set[InstanceId]] = (-1, set())
         # Rankings at that version, by subject and data centre.
         self._rankings: dict[tuple[str, DataCentre | None], list[RosterRecord]] = {}
         # Kept from version to version, as one instance that joins or leaves changes every
@@ -115,6 +117,19 @@
         """True if an equal part of a limit for each instance would be too small to use."""
         return self.size >= LARGE_FLEET
 
+    def ranked_owners(self, subject: str) -> list[RosterRecord]:
+        """Return the live instances that can own a subject for the fleet, in their order.
+
+        Instances that are separated from most others are left out: they may have a lease, but
+        the others could not use what they own.
+        """
+        ranked = self.ranked(subject)
+        version, separated = self._separated
+        if version != self._members.version:
+            version, separated = self._members.version, self._members.separated()
+            self._separated = (version, separated)
+        return [record for record in ranked if record.instance not in separated] or ranked
+
     def live_instances(self) -> dict[InstanceId, RosterRecord]:
         """Return the instances that hold a lease."""
         version, live = self._live
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -200,6 +200,7 @@
             primaries=self.primaries,
             members=self.members,
             suspects=self._suspects,
+            unreached=self.rates.unreached,
             contact=self.contact,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass
 
@@ -21,6 +22,8 @@
     incarnation: str
     acknowledged: dict[GroupId, int]
     suspects: dict[GroupId, TargetId]
+    # Instances that do not answer its calls.
+    unreached: frozenset[InstanceId] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -63,7 +66,8 @@
         self._members: dict[InstanceId, MemberRecord] = {}
         self._roster: dict[InstanceId, RosterRecord] = {}
         self._absent_since: dict[InstanceId, float] = {}
-        # Increases whenever an instance is added or removed, or a roster entry changes.
+        # Increases whenever an instance is added or removed, a roster entry changes, or another
+        # set of instances is reported as unreached.
         self.version = 0
         # The number of instances, and the version at which they were counted.
         self._cached_count = (0, 0)
@@ -74,7 +78,7 @@
             known = self._members.get(record.instance)
             self._members[record.instance] = record
             self._absent_since.pop(record.instance, None)
-            self.version += known is None
+            self.version += known is None or known.unreached != record.unreached
         if known is None or known.incarnation != record.incarnation:
             log.info(
                 "instance joined",
@@ -158,6 +162,17 @@
                 for absent_since in (self._absent_since.get(name, now),)
             ]
 
+    def separated(self) -> set[InstanceId]:
+        """Return the members that more than half of the other members report as unreached.
+
+        They may have a lease and be cut off from the rest of the fleet nevertheless.
+        """
+        members = self.members()
+        reports = Counter(
+            name for member in members for name in member.unreached if name != member.instance
+        )
+        return {name for name, count in reports.items() if count * 2 > len(members) - 1}
+
     def members_named(self, names: Collection[InstanceId]) -> list[MemberRecord]:
         """Return the members among the named instances."""
         with self._lock:
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -58,6 +58,8 @@
         The roster as this instance has read it.
     suspects : Callable
         Returns the primaries that this instance suspects, by group.
+    unreached : Callable
+        Returns the instances that do not answer this one's calls.
     contact : StoreContact
         Records successful and failed calls to the store.
     clock : Clock
@@ -76,6 +78,7 @@
         primaries: PrimaryTable,
         members: MemberTable,
         suspects: Callable[[], dict[GroupId, TargetId]],
+        unreached: Callable[[], frozenset[InstanceId]],
         contact: StoreContact,
         clock: Clock,
     ) -> None:
@@ -96,6 +99,7 @@
         self._attempted_known_up_to = 0
         self._roster_entry_due_at: float | None = None
         self._suspects = suspects
+        self._unreached = unreached
         self._contact = contact
         self._clock = clock
         self._lease: LeaseId | None = None
@@ -264,6 +268,7 @@
             self._incarnation,
             self._primaries.acknowledged_epochs(),
             self._suspects(),
+            self._unreached(),
         )
         if record == self._written_record:
             return Ok(None)
@@ -299,6 +304,7 @@
             extra={
                 "acknowledged": record.acknowledged,
                 "suspects": record.suspects,
+                "unreached": sorted(record.unreached),
                 "revision": self._revision,
             },
         )
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -35,6 +35,7 @@
     TokenBucket,
     TokenRate,
 )
+from quetzalrudder.gateway.reachability import UnreachedPeers
 from quetzalrudder.models import InstanceId, WorkspaceId
 from quetzalrudder.schema.gateway import (
     TakeOverReply,
@@ -218,6 +219,7 @@
         self._local = QuotaTable(rules, clock)
         self.buckets = TokenBuckets(clock)
         self._avoided = AvoidedInstances(clock, TOKEN_TIMEOUT_S)
+        self._unreached = UnreachedPeers()
         # Until when a rate owner has no token of a workspace.
         self._refused_until: dict[WorkspaceId, float] = {}
         # Until when the owner of a rate is not looked for again after a search without result.
@@ -274,7 +276,7 @@
         return result
 
     def _take_token(self, workspace: WorkspaceId) -> Result[QuotaCharge, RateExceeded]:
-        rate_owners = self._view.ranked(workspace)[:MAX_RATE_OWNERS_TRIED]
+        rate_owners = self._view.ranked_owners(workspace)[:MAX_RATE_OWNERS_TRIED]
         for rate_owner in rate_owners:
             if not self._avoided.claim_trial(rate_owner.instance):
                 continue
@@ -302,10 +304,8 @@
         if rate_owner.instance == self._instance:
             return Ok(self.answer(req))
         result = self._caller.take_token(rate_owner.address, req, TOKEN_TIMEOUT_S)
-        if isinstance(result, Ok):
-            self._avoided.discard(rate_owner.instance)
-        else:
-            self._avoided.add(rate_owner.instance)
+        self._record_call(rate_owner, answered=isinstance(result, Ok))
+        if isinstance(result, Err):
             log.warning(
                 "rate owner not reached",
                 extra={
@@ -361,6 +361,7 @@
         executor : Executor
             Runs the calls to the instances that may have owned them until now.
         """
+        self._try_unreached(executor)
         self._drop_rates_of_earlier_lease()
         unconfirmed = self.buckets.set_owned_workspaces(
             {name for name in self._workspaces() if self._owns_rate(name)}
@@ -379,14 +380,36 @@
         self._owned_under = opened_at
 
     def _owns_rate(self, workspace: WorkspaceId) -> bool:
-        ranked = self._view.ranked(workspace)
+        ranked = self._view.ranked_owners(workspace)
         return bool(ranked) and ranked[0].instance == self._instance
 
+    def unreached(self) -> frozenset[InstanceId]:
+        """Return the live instances that do not answer this one's calls."""
+        return self._unreached.among(self._view.live_instances())
+
+    def _try_unreached(self, executor: Executor) -> None:
+        """Call the instances that did not answer, as they may answer again."""
+        live = self._view.live_instances()
+        for name in self.unreached():
+            if name != self._instance and self._avoided.claim_trial(name):
+                executor.submit(self._try_peer, live[name])
+
+    def _try_peer(self, record: RosterRecord) -> None:
+        # Asks for nothing, so that only the answer matters.
+        result = self._caller.take_over_rates(record.address, TakeOverRequest(), TOKEN_TIMEOUT_S)
+        self._record_call(record, answered=isinstance(result, Ok))
+
+    def _record_call(self, record: RosterRecord, *, answered: bool) -> None:
+        if answered:
+            self._avoided.discard(record.instance)
+            self._unreached.record_answer(record.instance)
+        else:
+            self._avoided.add(record.instance)
+            self._unreached.record_failure(record)
+
     def _take_over(self, workspaces: set[WorkspaceId], executor: Executor) -> None:
         """Take over rates at once where all instances that may have owned them agree."""
-        former_owners = {
-            name: self._view.ranked(name)[1 : 1 + MAX_RATE_OWNERS_TRIED] for name in workspaces
-        }
+        former_owners = {name: self._former_owners(name) for name in workspaces}
         peers = {record.instance: record for ranked in former_owners.values() for record in ranked}
         futs = {
             name: executor.submit(
@@ -429,6 +452,13 @@
             },
         )
 
+    def _former_owners(self, workspace: WorkspaceId) -> list[RosterRecord]:
+        """Return the instances that may have owned a rate before this one."""
+        others = [
+            record for record in self._view.ranked(workspace) if record.instance != self._instance
+        ]
+        return others[:MAX_RATE_OWNERS_TRIED]
+
     def _initial_tokens(self, workspace: WorkspaceId) -> float:
         """Return the tokens of a rate that no instance owned when this one took it over."""
         limit = self._workspaces().get(workspace)
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -84,6 +84,7 @@
                 GroupSuspect(group=group, target=target)
                 for group, target in sorted(record.suspects.items())
             ],
+            unreached=sorted(record.unreached),
         )
     )
 
@@ -96,6 +97,7 @@
         incarnation=value.incarnation,
         acknowledged={GroupId(entry.group): entry.epoch for entry in value.acknowledged},
         suspects={GroupId(entry.group): TargetId(entry.target) for entry in value.suspects},
+        unreached=frozenset(InstanceId(name) for name in value.unreached),
     )
 
 
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -281,6 +281,11 @@
     Primaries that the instance cannot reach.
     """
 
+    unreached: "list[str]" = betterproto2.field(4, betterproto2.TYPE_STRING, repeated=True)
+    """
+    Instances that do not answer this one's calls.
+    """
+
 
 default_message_pool.register_message("gateway", "MemberValue", MemberValue)
 
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -29,6 +29,7 @@
             primaries=self.primaries,
             members=MemberTable(self.clock),
             suspects=dict,
+            unreached=frozenset,
             contact=StoreContact(self.clock),
             clock=self.clock,
         )
--- a/tests/test_gateway_rate_tokens.py
+++ b/tests/test_gateway_rate_tokens.py
@@ -14,6 +14,8 @@
 RULES = QuotaRules()
 SMALL = Workspace("almaty", 6.0, 6.0)
 RATE = RULES.fleet_rate(SMALL)
+# As in the configuration of a fleet that sets none.
+CONFIGURED = catalog().workspaces["almaty"]
 NAMES = tuple(f"edge-{number}" for number in range(LARGE_FLEET + 4))
 
 
@@ -273,3 +275,92 @@
     fleet.run(0.5)
     assert other.gateway.rates.admit(SMALL).is_ok()
     assert other.gateway.rates.admit(SMALL).is_ok()
+
+
+def fleet_of_six():
+    fleet = GatewayFleet(NAMES[:6])
+    fleet.run(5)
+    return fleet
+
+
+def drain_local_part(instance, limit):
+    """Use up what the instance admits without a call."""
+    while instance.gateway.rates._local.admit(limit, 6).is_ok():
+        pass
+
+
+def flood(fleet, seconds, limit, times):
+    """Request far more operations than the rate at all instances; record the admission times."""
+    for _ in range(int(seconds / 0.05)):
+        for instance in fleet.instances:
+            for _ in range(8):
+                if instance.gateway.rates.admit(limit).is_ok():
+                    times.append(fleet.clock.now)
+        fleet.run(0.05)
+
+
+def test_a_rate_owner_that_only_the_store_reaches_loses_the_rate_to_another_one():
+    """Cut off from its peers, it keeps its lease for as long as the cut lasts."""
+    fleet = fleet_of_six()
+    limit = CONFIGURED
+    owner = fleet.by_name[fleet[0].gateway.view.ranked("almaty")[0].instance]
+    owner.cut_from_peers = True
+    others = [instance for instance in fleet.instances if instance is not owner]
+    flood(fleet, 4.0, limit, [])
+    for instance in others:
+        drain_local_part(instance, limit)
+    assert any(instance.gateway.rates._take_token("almaty").is_ok() for instance in others)
+    assert owner.gateway.rates.buckets.take("almaty", RATE) is None
+
+
+def test_the_limit_holds_while_a_separated_rate_owner_is_replaced_and_returns():
+    fleet = fleet_of_six()
+    limit = CONFIGURED
+    owner = fleet.by_name[fleet[0].gateway.view.ranked("almaty")[0].instance]
+    times = []
+    for _ in range(3):
+        flood(fleet, 3.0, limit, times)
+        owner.cut_from_peers = True
+        flood(fleet, 4.0, limit, times)
+        owner.cut_from_peers = False
+    assert busiest_window(times) <= max_per_window(limit)
+
+
+def test_a_rate_owner_that_answers_again_owns_its_rates_again():
+    fleet = fleet_of_six()
+    owner = fleet.by_name[fleet[0].gateway.view.ranked("almaty")[0].instance]
+    owner.cut_from_peers = True
+    flood(fleet, 3.0, CONFIGURED, [])
+    assert fleet[0].gateway.members.separated() == {owner.name}
+    owner.cut_from_peers = False
+    fleet.run(2.0)
+    assert fleet[0].gateway.members.separated() == set()
+    assert owner.gateway.rates.buckets.take("almaty", RATE) is not None
+
+
+def test_one_instance_that_reaches_nobody_takes_no_rates_from_the_others():
+    fleet = fleet_of_six()
+    fleet[0].cut_from_peers = True
+    flood(fleet, 3.0, CONFIGURED, [])
+    assert fleet[1].gateway.members.separated() <= {fleet[0].name}
+
+
+def test_operations_of_a_starting_fleet_wait_for_the_owner_of_their_rate():
+    """All callers return at once after a restart of all instances."""
+    fleet = GatewayFleet(NAMES[:6])
+    fleet.clock.sleep = fleet.run
+    limit = CONFIGURED
+    instance = fleet[0]
+    drain_local_part(instance, limit)
+    wait_until = fleet.clock.now + 0.5
+    assert instance.gateway.rates.admit(limit, wait_until).is_ok()
+    assert fleet.clock.now <= wait_until
+
+
+def test_an_operation_that_may_not_wait_is_refused_at_once_without_a_rate_owner():
+    fleet = GatewayFleet(NAMES[:6])
+    limit = CONFIGURED
+    drain_local_part(fleet[0], limit)
+    started = fleet.clock.now
+    assert fleet[0].gateway.rates.admit(limit).is_err()
+    assert fleet.clock.now == started
