--- a/bench/model/clock.py
+++ b/bench/model/clock.py
@@ -8,7 +8,7 @@
 
 from standins.virtual import VirtualTime
 
-__all__ = ["ModelClock", "ModelExecutor"]
+__all__ = ["FOREVER_S", "ModelClock", "ModelExecutor"]
 
 FOREVER_S = 1e9
 
--- a/bench/model/load.py
+++ b/bench/model/load.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from bench.model.clock import FOREVER_S
 from bench.model.fleet import ModelFleet, ModelInstance
 from bench.model.groups import work_item
 from bench.model.results import Ending, Operation, Results
@@ -285,15 +286,22 @@
         session = instance.gateway.open_session(
             f"{plan.kind.name}-{plan.group}", f"key-{plan.workspace}"
         )
-        outcome = _Outcome()
+        call, outcome = _Call(), _Outcome()
         for statement in self._statements(plan):
-            outcome = self._run_statement(instance, session, statement, plan, deadline_at)
+            call = _Call()
+            outcome = self._run_statement(instance, session, statement, call, plan, deadline_at)
             if not outcome.served:
                 break
             if plan.transaction:
                 clock.sleep(self._cfg.pause_ms / MS_PER_S)
+
+        def close() -> None:
+            # The instance notices that the caller has left when its statement ends.
+            clock.wait(call.ended, FOREVER_S)
+            session.close()
+
         if instance.up:
-            self._fleet.time.spawn(instance.owner, session.close)
+            self._fleet.time.spawn(instance.owner, close)
         return outcome
 
     def _statements(self, plan: _Plan) -> Iterator[Statement]:
@@ -315,11 +323,12 @@
         instance: ModelInstance,
         session: object,
         statement: Statement,
+        call: _Call,
         plan: _Plan,
         deadline_at: float,
     ) -> _Outcome:
         """Run a statement at an instance; the caller leaves at its deadline."""
-        clock, call = self._fleet.clock, _Call()
+        clock = self._fleet.clock
         instance.calls.add(call)
         request_id = RequestId(f"r{next(self._numbers)}")
 
--- a/src/quetzalrudder/gateway/quotas.py
+++ b/src/quetzalrudder/gateway/quotas.py
@@ -33,7 +33,7 @@
 # Tokens of a bucket whose process was replaced, in seconds of its rate. The former process may
 # have emptied the bucket; it takes 0.25 s or more until the next one serves, and the rest is
 # less than what SAFETY_FACTOR leaves of a window.
-START_CREDIT_S = 0.65
+START_CREDIT_S = 0.8
 # Fraction of each rate that is divided among the instances; the rate owner has the rest.
 LOCAL_FRACTION = 0.5
 # Smallest useful capacity of an instance's bucket. If the parts would be smaller, the rate
--- a/tests/test_rig_compare.py
+++ b/tests/test_rig_compare.py
@@ -5,7 +5,9 @@
 
 import compare
 import pytest
-from compare import Commands, ComparisonError, Run, compare_reports, read_reports, render_table
+from compare import Commands, ComparisonError, Run, compare_reports, read_reports
+
+from bench.paired import render_table
 
 
 def write_report(directory, day, seed, worth, window, price=0.0, breaks=None):
