Statements wait for a primary only if it is expected in time, and are refused at once otherwise

Cause: every statement for a lost primary tried it up to 18 times over half a second, though the refusal of the first connection told all, and waited although no replacement could end, or begin (store away), before its deadline. The time to return was a constant 500 ms. Change: gateway/outlook expects the primary by the median of the replacements seen and the time that the present one has taken. One that refuses connections is tried by probes only. Where nobody knows, callers are told to return after as long again as it has lasted (0.1 to 5 s). Times are spread.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -27,6 +27,9 @@
 from quetzalrudder.gateway.catalog import Consistency, Route
 from quetzalrudder.gateway.connections import Checkout, Urgency
 from quetzalrudder.gateway.freshness import PositionWindow
+from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.outlook import PrimaryOutlook
+from quetzalrudder.gateway.permission import Permission
 from quetzalrudder.gateway.placement import Placement
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.statements import Commit, Statement, TargetFault, TargetReply
@@ -57,8 +60,7 @@
 # Fraction of a statement's timeout that it may spend waiting for slots, connections and
 # primaries. The caller keeps the rest for a retry at another instance.
 QUEUE_FRACTION = 0.6
-# Retry delay for callers while a primary is replaced. The platform states 300 to 1,000 ms
-# for a promotion.
+# Retry delay for callers whose primary turned out to be replaced; its successor is recorded soon.
 PRIMARY_RETRY_AFTER_MS = 500
 
 
@@ -135,6 +137,10 @@
         Databases, their primaries, their order for reads, and connections to them.
     refresh_position : Callable
         Fetches a recent position of a group's primary from other instances, if possible.
+    permission, contact
+        This instance's right to use primaries, and its contact with the store.
+    rng : random.Random
+        Spreads the delays that callers are told.
     clock : Clock
         Source of time.
     """
@@ -147,6 +153,9 @@
         placement: Placement,
         pool: FleetConnectionPool,
         refresh_position: Callable[[GroupId], None],
+        permission: Permission,
+        contact: StoreContact,
+        rng: random.Random,
         clock: Clock,
     ) -> None:
         self._registry = registry
@@ -157,6 +166,14 @@
         self._clock = clock
         self._windows: dict[GroupId, PositionWindow] = {}
         self._monitors: dict[GroupId, PrimaryMonitor] = {}
+        self.outlook = PrimaryOutlook(
+            primaries=primaries,
+            permission=permission,
+            contact=contact,
+            monitor=self.primary_monitor,
+            rng=rng,
+            clock=clock,
+        )
 
     def position_window(self, group: GroupId) -> PositionWindow:
         """Return the recent log positions of a group's primary."""
@@ -204,17 +221,25 @@
 
     def _plan_primary(self, req: Request) -> Result[Attempt, QuetzalrudderError]:
         group = req.route.group
-        now = self._clock.monotonic()
-        primary = self._primaries.usable_primary(group)
+        primary = self.outlook.available_primary(group)
         if primary is None:
-            wait_s = min(self._primaries.expected_wait_s(group), req.queue_until - now)
-            primary = self._primaries.wait_for_primary(group, wait_s)
-        target = self._registry.get(primary.target) if primary is not None else None
+            expected_s = self.outlook.expected_s(group)
+            remaining_s = req.queue_until - self._clock.monotonic()
+            if expected_s is not None and expected_s < remaining_s:
+                primary = self.outlook.wait_for_primary(group, remaining_s)
+            if primary is None:
+                return Err(self._primary_changing(group, expected_s))
+        target = self._registry.get(primary.target)
         if target is None:
-            reason = "the group has no usable primary at present"
-            return Err(PrimaryChanging(reason, place=group, retry_after_ms=PRIMARY_RETRY_AFTER_MS))
+            return Err(self._primary_changing(group, None))
         return self._check_out(req, target, primary, None, req.deadline_at)
 
+    def _primary_changing(self, group: GroupId, expected_s: float | None) -> PrimaryChanging:
+        when = "an unknown time" if expected_s is None else f"{expected_s:.2f} s"
+        reason = f"the group has no usable primary at present; expected after {when}"
+        retry_after_ms = self.outlook.retry_after_ms(group, expected_s)
+        return PrimaryChanging(reason, place=group, retry_after_ms=retry_after_ms)
+
     def _check_out(
         self,
         req: Request,
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -156,6 +156,9 @@
             placement=placement,
             pool=fleet_pool,
             refresh_position=lambda group: self.positions.refresh(group),
+            permission=self.permission,
+            contact=self.contact,
+            rng=rng,
             clock=clock,
         )
         self.positions = PositionExchange(
@@ -382,6 +385,7 @@
 
     def _primary_changed(self, record: PrimaryRecord) -> None:
         """Wake the tasks that acknowledge a change of primary and check the new one."""
+        self.planner.outlook.observe(record)
         self.membership.wake_up.set()
         self.planner.primary_monitor(record.group).wake_up.set()
 
--- a/src/quetzalrudder/gateway/primaries.py
+++ b/src/quetzalrudder/gateway/primaries.py
@@ -15,12 +15,6 @@
 
 # Longest time for which open operations at a primary delay its planned replacement.
 PLANNED_CHANGE_WAIT_S = 1.5
-# Usual time from the record of a change until the new primary can be used: a promotion
-# takes 300 to 1,000 ms, and the instances acknowledge the change first.
-EXPECTED_CHANGE_S = 1.3
-# Usual time from the start of a process until it has joined the fleet and may use primaries,
-# beside the return of all callers after a restart.
-EXPECTED_JOIN_S = 0.5
 # Interval at which a request that waits for a new primary checks the permission, which may
 # return without a new record.
 PERMISSION_POLL_INTERVAL_S = 0.05
@@ -75,7 +69,6 @@
         self._permission = permission
         self._clock = clock
         self._on_change = on_change
-        self._started_at = clock.monotonic()
         # Set and replaced at each change.
         self._changed = threading.Event()
         self._lock = threading.Lock()
@@ -145,24 +138,14 @@
         """
         return self.usable_primary(primary.group) == primary
 
-    def expected_wait_s(self, group: GroupId) -> float:
-        """Return the seconds until a primary can probably be used; 0 if it is not known when.
-
-        It is known while a primary changes and while this instance joins the fleet.
-        """
-        if not self._permission.was_granted:
-            return max(0.0, self._started_at + EXPECTED_JOIN_S - self._clock.monotonic())
-        record = self._records.get(group)
-        if record is None or record.primary is not None or not self._permission.valid:
-            return 0.0
-        return max(0.0, self._observed_at[group] + EXPECTED_CHANGE_S - self._clock.monotonic())
-
-    def wait_for_primary(self, group: GroupId, timeout_s: float) -> UsablePrimary | None:
-        """Wait for a usable primary of the group and return it; None if the wait times out."""
+    def wait_for(
+        self, find: Callable[[], UsablePrimary | None], timeout_s: float
+    ) -> UsablePrimary | None:
+        """Wait until a primary is found and return it; None if the wait times out."""
         until = self._clock.monotonic() + timeout_s
         while True:
             changed = self._changed
-            primary = self.usable_primary(group)
+            primary = find()
             remaining_s = until - self._clock.monotonic()
             if primary is not None or remaining_s <= 0:
                 return primary
--- a/src/quetzalrudder/gateway/suspicion.py
+++ b/src/quetzalrudder/gateway/suspicion.py
@@ -13,6 +13,9 @@
 # failures. A failover should take at most 2 s plus the time that the platform needs.
 SUSPECT_AFTER_S = 0.5
 SUSPECT_FAILURES = 2
+# A primary that answered later than this is used in spite of failed connections: a busy one
+# answers some and lets others wait.
+DOWN_AFTER_SILENCE_S = 0.1
 # A primary is probed after this long without an answer. This also bounds the age of its
 # newest known position, as there are routes whose reads accept an age of 1,500 ms.
 PROBE_AFTER_SILENCE_S = 0.8
@@ -28,6 +31,8 @@
     target: TargetId
     last_answer_at: float
     failures: int = 0
+    # When the first of these failures was noticed.
+    failing_since: float | None = None
     read_only_since: float | None = None
     # True if the primary has not answered yet, a connection to it failed or another
     # instance suspects it. Only a probe shows whether it is still available.
@@ -61,6 +66,7 @@
             contact = self._contact_with(target)
             contact.last_answer_at = self._clock.monotonic()
             contact.failures = 0
+            contact.failing_since = None
             contact.read_only_since = None
             contact.doubtful = False
 
@@ -92,6 +98,7 @@
             contact = self._contact_with(target)
             contact.last_answer_at = self._clock.monotonic()
             contact.failures = 0
+            contact.failing_since = None
             if contact.read_only_since is None:
                 contact.read_only_since = contact.last_answer_at
 
@@ -103,9 +110,33 @@
         with self._lock:
             contact = self._contact_with(target)
             contact.failures += 1
+            if contact.failing_since is None:
+                contact.failing_since = self._clock.monotonic()
             contact.doubtful = True
         self.wake_up.set()
 
+    def failing_since(self, target: TargetId) -> float | None:
+        """Return the clock reading since which connections to the primary fail; else None."""
+        with self._lock:
+            contact = self._contact
+            if contact is None or contact.target != target:
+                return None
+            return contact.failing_since
+
+    def is_down(self, target: TargetId) -> bool:
+        """Return whether statements need not try the primary, as only probes do.
+
+        Several new connections have failed and nothing has answered since.
+        """
+        with self._lock:
+            contact = self._contact
+            return (
+                contact is not None
+                and contact.target == target
+                and contact.failures >= SUSPECT_FAILURES
+                and self._clock.monotonic() - contact.last_answer_at >= DOWN_AFTER_SILENCE_S
+            )
+
     def silent_s(self, target: TargetId) -> float:
         """Return the seconds since the last answer."""
         with self._lock:
