A truncated read that could not be retried: the test's premise was the retry budget

Cause, traced: an instance retries a tenth of its reads, with ten saved retries. The test before this one, on the same processes, may use up all of them (five times two truncated answers); a later truncated answer is then reported as TRUNCATED_ANSWER, not run. Sixty reads with one truncating target at a time showed that message from read 41 on. Ruled out: a target without the data (positions were equal), the choice of targets (the second attempt excludes the first). Change: the test fills the budget first and checks the same; a new test states what happens beyond it and that such a read is reported as not run.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -7,6 +7,7 @@
 
 from quetzalrudder.adapters import GrpcTargetConn, TargetInfo
 from quetzalrudder.exceptions import LinkLost, OutcomeUnknown, TargetUnavailable, TruncatedAnswer
+from quetzalrudder.retries import MAX_SAVED_RETRIES, RETRIES_PER_REQUEST
 from quetzalrudder.schema.common import Ending, Row, Rows, Value
 from quetzalrudder.schema.target import Execute, TargetAnswer
 from quetzalrudder.utils import Address
@@ -151,6 +152,7 @@
         session.write("steppe/bookings", "CREATE TABLE cut_once (n INTEGER)")
         session.write("steppe/bookings", "INSERT INTO cut_once VALUES (1), (2)")
         wait_for(lambda: have_equal_positions(fleet, targets), "replicas have caught up")
+        fill_retry_budget(session, "SELECT n FROM cut_once")
         for target in targets * 2:
             fleet.set_faults(target, truncate_answers=1)
             rows = session.read("steppe/bookings", "SELECT n FROM cut_once ORDER BY n").rows
@@ -158,6 +160,31 @@
             assert rows == [(1,), (2,)]
 
 
+def fill_retry_budget(session, sql):
+    """Give the instance the retries that earlier truncated answers have used up."""
+    for _ in range(round(MAX_SAVED_RETRIES / RETRIES_PER_REQUEST)):
+        session.read("steppe/bookings", sql)
+
+
+def test_truncated_reads_beyond_the_retry_budget_are_reported_as_not_run(fleet):
+    """A target that truncates everything must not double the load of the others."""
+    key = grant_key(fleet, WORKSPACE)
+    targets = [name for name in fleet.target_addresses if name.startswith("valuation-core-2")]
+    with fleet.session("astana-a-1", workspace=WORKSPACE, key=key) as session:
+        session.write("steppe/bookings", "CREATE TABLE cut_often (n INTEGER)")
+        session.write("steppe/bookings", "INSERT INTO cut_often VALUES (1), (2)")
+        wait_for(lambda: have_equal_positions(fleet, targets), "replicas have caught up")
+        for target in targets:
+            fleet.set_faults(target, truncate_answers=1)
+        with pytest.raises(TruncatedAnswer) as raised:
+            for _ in range(int(2 * MAX_SAVED_RETRIES)):
+                session.read("steppe/bookings", "SELECT n FROM cut_often ORDER BY n")
+        assert raised.value.ending is Ending.NOT_RUN
+        for target in targets:
+            fleet.set_faults(target, truncate_answers=0)
+        assert session.read("steppe/bookings", "SELECT n FROM cut_often").rows == [(1,), (2,)]
+
+
 def have_equal_positions(fleet, targets):
     status = fleet.operator("astana-a-1").status()
     applied = {entry.applied for entry in status.targets if entry.target in targets}
