The tool counts failed statements by time and first cause

quetzalrudderctl losses: what failed when, of what first, how long it was held; adds up over all logs.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,17 @@
 import bench
 from bench.measures import Measurement, find_violations, read_bounds
 
-HELPER_MODULES = {"__main__", "measures", "plot", "processes", "relay"}
+HELPER_MODULES = {
+    "__main__",
+    "experiment",
+    "measures",
+    "model",
+    "paired",
+    "plot",
+    "policies",
+    "processes",
+    "relay",
+}
 
 
 def benchmark_names() -> list[str]:
--- a/src/quetzalrudder/ctl.py
+++ b/src/quetzalrudder/ctl.py
@@ -11,7 +11,7 @@
 from fire.core import FireExit
 
 from quetzalrudder.ctl_context import Context, Report
-from quetzalrudder.ctl_logs import explanation_report, logs_report
+from quetzalrudder.ctl_logs import explanation_report, logs_report, losses_report
 from quetzalrudder.ctl_settings import SettingsCommands
 from quetzalrudder.ctl_timeline import parse_time, timeline_report
 from quetzalrudder.exceptions import QuetzalrudderError
@@ -199,6 +199,18 @@
         """
         self._context.print_report(explanation_report(str(request_id), files))
 
+    def losses(self, *files: str, width_s: float = 2.0) -> None:
+        """Count statements by span of time, and those that failed by their first cause.
+
+        Parameters
+        ----------
+        *files : str
+            Log files of all processes.
+        width_s : float
+            Width of a span, in seconds.
+        """
+        self._context.print_report(losses_report(files, width_s))
+
     def timeline(
         self,
         controls: str = "",
