--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -229,7 +229,8 @@
     for path, text in variant.replacements:
         module, attribute = _find_attribute(section, path)
         if isinstance(getattr(module, attribute), int | float):
-            setattr(module, attribute, _number(section, path, text))
+            number = _number(section, path, text)
+            setattr(module, attribute, type(getattr(module, attribute))(number))
         else:
             source, name = _find_attribute(section, text)
             setattr(module, attribute, getattr(source, name))
