--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -10,7 +10,6 @@
 
 import logging
 import math
-import threading
 from collections.abc import Callable
 from concurrent.futures import Executor
 from dataclasses import dataclass
@@ -32,10 +31,9 @@
     QuotaCharge,
     QuotaRules,
     QuotaTable,
-    TokenBucket,
-    TokenRate,
 )
 from quetzalrudder.gateway.reachability import UnreachedPeers
+from quetzalrudder.gateway.token_buckets import HANDOVER_DELAY_S, TokenBuckets
 from quetzalrudder.models import InstanceId, WorkspaceId
 from quetzalrudder.schema.gateway import (
     TakeOverReply,
@@ -46,17 +44,10 @@
 )
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["RateLimiter", "TokenCaller", "TokenBuckets"]
+__all__ = ["RateLimiter", "TokenCaller"]
 
 log = logging.getLogger(__name__)
 
-# A new rate owner hands out nothing until the others have seen the change too, unless they
-# confirm it. A watch of the store reports it within milliseconds, and is repeated after at
-# most 0.3 s.
-HANDOVER_DELAY_S = 1.0
-# How long an instance does not own a rate that it gave to another instance, whose record it
-# may not have read yet.
-CEDED_S = 2.0
 # Many times the duration of a call within a region.
 TOKEN_TIMEOUT_S = 0.3
 # Instances tried for one token: while one joins or leaves, two may see different rate owners.
@@ -69,93 +60,6 @@
 OWNER_SEARCH_INTERVAL_S = 0.03
 
 
-class TokenBuckets:
-    """The token buckets of the workspaces whose rates this instance owns.
-
-    Parameters
-    ----------
-    clock : Clock
-        Source of time; it must advance while the machine is suspended.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._lock = threading.Lock()
-        # When this instance may start to hand out tokens of a workspace.
-        self._usable_from: dict[WorkspaceId, float] = {}
-        self._buckets: dict[WorkspaceId, TokenBucket] = {}
-        # Until when this instance does not own a workspace's rate again.
-        self._ceded_until: dict[WorkspaceId, float] = {}
-
-    def set_owned_workspaces(self, workspaces: set[WorkspaceId]) -> set[WorkspaceId]:
-        """Set the workspaces whose rates this instance owns now.
-
-        Returns
-        -------
-        set of WorkspaceId
-            Those of which it does not hand out tokens yet.
-        """
-        now = self._clock.monotonic()
-        with self._lock:
-            for name in [name for name, until in self._ceded_until.items() if until <= now]:
-                del self._ceded_until[name]
-            owned = workspaces - self._ceded_until.keys()
-            for name in self._usable_from.keys() - owned:
-                del self._usable_from[name]
-                self._buckets.pop(name, None)
-            for name in owned - self._usable_from.keys():
-                self._usable_from[name] = now + HANDOVER_DELAY_S
-            return {name for name, usable_from in self._usable_from.items() if usable_from > now}
-
-    def take_over(self, workspace: WorkspaceId, tokens: float) -> None:
-        """Hand out tokens from now on, as no other instance does; add those it had left."""
-        now = self._clock.monotonic()
-        with self._lock:
-            if workspace in self._usable_from:
-                self._usable_from[workspace] = now
-                self._buckets[workspace] = TokenBucket(tokens, now)
-
-    def cede(self, workspace: WorkspaceId) -> float | None:
-        """Stop handing out tokens of a workspace.
-
-        Returns
-        -------
-        float or None
-            The tokens that are left; None if this instance did not own the rate.
-        """
-        with self._lock:
-            self._ceded_until[workspace] = self._clock.monotonic() + CEDED_S
-            usable_from = self._usable_from.pop(workspace, None)
-            bucket = self._buckets.pop(workspace, None)
-            if usable_from is None:
-                return None
-            return bucket.tokens if bucket is not None else 0.0
-
-    def take(self, workspace: WorkspaceId, rate: TokenRate) -> float | None:
-        """Take a token if there is one.
-
-        Returns
-        -------
-        float or None
-            Seconds until the next token, 0 if one was taken; None if this instance does not
-            hand out tokens of the workspace.
-        """
-        now = self._clock.monotonic()
-        with self._lock:
-            usable_from = self._usable_from.get(workspace)
-            if usable_from is None or now < usable_from:
-                return None
-            bucket = self._buckets.setdefault(workspace, TokenBucket(0.0, usable_from))
-            return bucket.take(rate, now)
-
-    def refund(self, workspace: WorkspaceId) -> None:
-        """Put back a token that was not used."""
-        with self._lock:
-            bucket = self._buckets.get(workspace)
-            if bucket is not None:
-                bucket.put_back()
-
-
 class TokenCaller(Protocol):
     """Requests tokens from other instances."""
 
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -5,8 +5,8 @@
 
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.quotas import START_CREDIT_S, QuotaRules, QuotaTable
-from quetzalrudder.gateway.rate_tokens import TokenBuckets
 from quetzalrudder.gateway.statements import Begin, Read, Rollback, Write
+from quetzalrudder.gateway.token_buckets import TokenBuckets
 from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet
 
--- a/tests/test_gateway_rate_tokens.py
+++ b/tests/test_gateway_rate_tokens.py
@@ -6,7 +6,7 @@
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.quotas import QuotaRules
-from quetzalrudder.gateway.rate_tokens import CEDED_S, HANDOVER_DELAY_S, TokenBuckets
+from quetzalrudder.gateway.token_buckets import CEDED_S, HANDOVER_DELAY_S, TokenBuckets
 from quetzalrudder.models import InstanceId
 from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet, catalog
