A primary whose connections are all taken is not suspected

Cause: a health check on a new connection that the database refuses because of its limit counted as a failed connection. Ruled out: a crash (no entry of the database went; other instances were answered meanwhile). Change: such a refusal shows that the database runs, as a busy slot does. Test: test_gateway_failover.py::test_a_primary_whose_connections_are_all_taken_is_not_replaced, red before.

--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -7,7 +7,11 @@
 
 from result import Err, Ok, Result
 
-from quetzalrudder.exceptions import Overloaded, QuetzalrudderError
+from quetzalrudder.exceptions import (
+    ConnectionLimitReached,
+    Overloaded,
+    QuetzalrudderError,
+)
 from quetzalrudder.gateway.attempts import AttemptPlanner
 from quetzalrudder.gateway.connections import GatewayPool
 from quetzalrudder.gateway.members import MemberTable
@@ -214,7 +218,8 @@
         sent_at = self._clock.monotonic()
         result = self._prober.status(target)
         if isinstance(result, Err):
-            if isinstance(result.err_value, Overloaded):
+            if isinstance(result.err_value, Overloaded | ConnectionLimitReached):
+                # The database refused the probe, so it is running.
                 monitor.record_answer(primary.target)
             else:
                 monitor.record_failure(primary.target)
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -255,3 +255,18 @@
     assert took_s is not None
     # The users require that a failover ends within 7 s.
     assert took_s <= 7.0
+
+
+def test_a_primary_whose_connections_are_all_taken_is_not_replaced(fleet):
+    """After a loss of power, a database keeps the connections of the lost machines for a while."""
+    assert fleet.run(10, fleet.all_know_primary) is not None
+    for instance in fleet.instances:
+        instance.gateway.pool.retain_targets(set())
+    fleet.group["db-1"].open_links = fleet.group.max_connections
+    fleet.run(4.0)
+    assert not any(
+        instance.gateway.planner.primary_monitor("g").is_suspect("db-1")
+        for instance in fleet.instances
+    )
+    assert fleet.group.promotions == []
+    assert all(instance.gateway.primaries.record("g").epoch == 1 for instance in fleet.instances)
