--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -2,7 +2,7 @@
 
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -179,7 +179,7 @@
             (mirror.step, 0.001),
             (gateway.membership.step, 0.03),
             (gateway.failover.step, TASK_INTERVAL_S),
-            (lambda: gateway.peering.step(self._executor), 0.1),
+            (gateway.peering.step, 0.1),
             (self._maintain, MAINTENANCE_INTERVAL_S),
             *((check.step, TASK_INTERVAL_S) for check in gateway._health_checks.values()),
         ]
@@ -243,6 +243,20 @@
         """Send a report to a peer."""
         return self._call_peer(address, timeout_s, lambda peer: peer.answer_report(report))
 
+    def exchange_all(self, reports: list, timeout_s: float) -> Iterator[tuple[int, Result]]:
+        """Send reports to several peers at the same time."""
+        return self._call_all(self.exchange, reports, timeout_s)
+
+    def take_over_all(self, requests: list, timeout_s: float) -> Iterator[tuple[int, Result]]:
+        """Ask several peers at the same time to hand out no more tokens."""
+        return self._call_all(self.take_over_rates, requests, timeout_s)
+
+    def _call_all(
+        self, call: Callable[..., Result], messages: list, timeout_s: float
+    ) -> Iterator[tuple[int, Result]]:
+        futs = [self._executor.submit(call, *message, timeout_s) for message in messages]
+        return ((index, fut.result()) for index, fut in enumerate(futs))
+
     def take_token(self, address: str, req: Any, timeout_s: float) -> Result:
         """Request a rate token."""
         return self._call_peer(address, timeout_s, lambda peer: peer.answer_token(req))
--- a/src/quetzalrudder/gateway/deferred_peers.py
+++ b/src/quetzalrudder/gateway/deferred_peers.py
@@ -5,9 +5,10 @@
 """
 
 import threading
+from collections.abc import Iterator
 from typing import Any
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
 from quetzalrudder.schema.gateway import (
@@ -53,6 +54,18 @@
         """Send a report and return the reply."""
         return self._call("exchange", address, report, timeout_s)
 
+    def exchange_all(
+        self, reports: list[tuple[str, PeerReport]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[PeerReply, QuetzalrudderError]]]:
+        """Send reports to addresses; yield the index and the reply of each as it arrives."""
+        return self._call_all("exchange_all", reports, timeout_s)
+
+    def take_over_all(
+        self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[TakeOverReply, QuetzalrudderError]]]:
+        """Ask peers to hand out no more tokens; yield the index and the reply of each."""
+        return self._call_all("take_over_all", requests, timeout_s)
+
     def take_token(
         self, address: str, req: TokenRequest, timeout_s: float
     ) -> Result[TokenReply, QuetzalrudderError]:
@@ -82,14 +95,32 @@
         if self._loaded.is_set():
             self._caller.end(address, req)
 
+    def _call_all(
+        self, method: str, calls: list[tuple[str, Any]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[Any, QuetzalrudderError]]]:
+        """Make several calls once the client is loaded, within the same time limit."""
+        loaded = self._wait_until_loaded(timeout_s)
+        if isinstance(loaded, Err):
+            return iter([(index, loaded) for index in range(len(calls))])
+        return getattr(self._caller, method)(calls, loaded.ok_value)
+
     def _call(
         self, method: str, address: str, message: Any, timeout_s: float
     ) -> Result[Any, QuetzalrudderError]:
         """Call the client once it is loaded, within the same time limit."""
-        if not self._loaded.is_set():
-            started_at = self._clock.monotonic()
-            if not self._clock.wait(self._loaded, timeout_s):
-                reason = "the client of the peers is not loaded yet"
-                return Err(TargetUnavailable(reason, place=address))
-            timeout_s = max(0.0, timeout_s - (self._clock.monotonic() - started_at))
-        return getattr(self._caller, method)(address, message, timeout_s)
+        loaded = self._wait_until_loaded(timeout_s, address)
+        if isinstance(loaded, Err):
+            return loaded
+        return getattr(self._caller, method)(address, message, loaded.ok_value)
+
+    def _wait_until_loaded(
+        self, timeout_s: float, address: str = ""
+    ) -> Result[float, QuetzalrudderError]:
+        """Wait for the client; return the seconds that are left for the calls."""
+        if self._loaded.is_set():
+            return Ok(timeout_s)
+        started_at = self._clock.monotonic()
+        if not self._clock.wait(self._loaded, timeout_s):
+            reason = "the client of the peers is not loaded yet"
+            return Err(TargetUnavailable(reason, place=address))
+        return Ok(max(0.0, timeout_s - (self._clock.monotonic() - started_at)))
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -314,7 +314,7 @@
             ("mirror", mirror.run),
             ("membership", self.membership.run),
             ("failover", self.failover.run),
-            ("peering", lambda stopping: self.peering.run(executor, stopping)),
+            ("peering", self.peering.run),
             ("maintenance", lambda stopping: self._maintain(executor, stopping)),
         ):
             self._start_task(executor, name, run)
--- a/src/quetzalrudder/gateway/peer_calls.py
+++ b/src/quetzalrudder/gateway/peer_calls.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import logging
+import queue
 import threading
-from collections.abc import AsyncIterator, Callable
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
 from concurrent.futures import Executor, Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 import betterproto2
@@ -46,6 +49,15 @@
 STREAM_CLOSE_DELAY_S = 15.0
 
 
+@dataclass(frozen=True)
+class _OpenCall:
+    """One of several calls made at the same time, while it is not answered."""
+
+    index: int
+    address: str
+    stream: RequestStream[PeerCall, PeerAnswer]
+
+
 class GrpcPeerCaller:
     """Calls peers, on one stream per peer that is replaced after a failure.
 
@@ -66,6 +78,20 @@
         """Send a report and return the reply."""
         return self._call(address, PeerCall(report=report), timeout_s)
 
+    def exchange_all(
+        self, reports: list[tuple[str, PeerReport]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[PeerReply, QuetzalrudderError]]]:
+        """Send reports to addresses; yield the index and the reply of each as it arrives."""
+        calls = [(address, PeerCall(report=report)) for address, report in reports]
+        return self._call_all(calls, timeout_s)
+
+    def take_over_all(
+        self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[TakeOverReply, QuetzalrudderError]]]:
+        """Ask peers to hand out no more tokens; yield the index and the reply of each."""
+        calls = [(address, PeerCall(take_over=req)) for address, req in requests]
+        return self._call_all(calls, timeout_s)
+
     def take_token(
         self, address: str, req: TokenRequest, timeout_s: float
     ) -> Result[TokenReply, QuetzalrudderError]:
@@ -106,8 +132,62 @@
         if isinstance(started, Err):
             return started
         fut = started.ok_value
+        with suppress(FutureTimeoutError, QuetzalrudderError):
+            fut.result(timeout_s)
+        return self._finish(address, stream, fut, timeout_s)
+
+    def _call_all(
+        self, calls: list[tuple[str, PeerCall]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[Any, QuetzalrudderError]]]:
+        """Make calls at the same time, and wait for the answers in the caller's thread.
+
+        If the caller stops iterating, the calls that are still open are given up when their
+        time is over.
+        """
+        answered: queue.SimpleQueue[Future] = queue.SimpleQueue()
+        deadline = time.monotonic() + timeout_s
+        pending: dict[Future, _OpenCall] = {}
+        failed = []
+        for index, (address, call) in enumerate(calls):
+            stream, started = self._start(address, call)
+            if isinstance(started, Err):
+                failed.append((index, started))
+                continue
+            pending[started.ok_value] = _OpenCall(index, address, stream)
+            started.ok_value.add_done_callback(answered.put)
+        try:
+            yield from failed
+            while pending:
+                try:
+                    fut = answered.get(timeout=max(0.0, deadline - time.monotonic()))
+                except queue.Empty:
+                    break
+                opened = pending.pop(fut)
+                yield opened.index, self._finish(opened.address, opened.stream, fut, timeout_s)
+            while pending:
+                fut, opened = pending.popitem()
+                yield opened.index, self._finish(opened.address, opened.stream, fut, timeout_s)
+        finally:
+            if pending:
+                delay_s = max(0.0, deadline - time.monotonic())
+                self._loop.call_soon(_call_later, delay_s, lambda: self._give_up(pending))
+
+    def _give_up(self, pending: dict[Future, _OpenCall]) -> None:
+        for fut, opened in pending.items():
+            if not fut.done():
+                opened.stream.discard(fut)
+                self._retire(opened.address, opened.stream)
+
+    def _finish(
+        self,
+        address: str,
+        stream: RequestStream[PeerCall, PeerAnswer],
+        fut: Future,
+        timeout_s: float,
+    ) -> Result[Any, QuetzalrudderError]:
+        """Return the result of a call; without an answer by now, the call has timed out."""
         try:
-            _, reply = betterproto2.which_one_of(fut.result(timeout_s), "reply")
+            _, reply = betterproto2.which_one_of(fut.result(0), "reply")
         except FutureTimeoutError:
             stream.discard(fut)
             self._retire(address, stream)
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -9,8 +9,7 @@
 import logging
 import random
 import threading
-from collections.abc import Callable
-from concurrent.futures import Executor, Future
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -74,6 +73,11 @@
     ) -> Result[PeerReply, QuetzalrudderError]:
         """Send a report and return the reply."""
 
+    def exchange_all(
+        self, reports: list[tuple[str, PeerReport]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[PeerReply, QuetzalrudderError]]]:
+        """Send reports at the same time; yield the index and the reply of each as it arrives."""
+
 
 @dataclass(frozen=True)
 class LocalInstance:
@@ -224,10 +228,10 @@
 
     # Calls to peers.
 
-    def run(self, executor: Executor, stopping: threading.Event) -> None:
+    def run(self, stopping: threading.Event) -> None:
         """Make the calls that are due until ``stopping`` is set."""
         while not stopping.wait(self._next_step_s()):
-            self.step(executor)
+            self.step()
 
     def _next_step_s(self) -> float:
         """Return the seconds until a call may be due."""
@@ -235,13 +239,13 @@
         check_s = self._next_catalog_check - self._clock.monotonic()
         return max(STEP_INTERVAL_S, min(overdue_s, check_s, CATALOG_CHECK_INTERVAL_S))
 
-    def step(self, executor: Executor) -> None:
+    def step(self) -> None:
         """Make the calls that are due."""
         now = self._clock.monotonic()
         if self._permission.lease_remaining_s < RENEWAL_OVERDUE_BELOW_S:
             if now >= self._next_request:
                 self._next_request = now + PERMISSION_REQUEST_INTERVAL_S
-                self._request_permission(executor)
+                self._request_permission()
             return
         if self._granted_by_peers:
             self._granted_by_peers = False
@@ -278,24 +282,24 @@
             if isinstance(result, Ok):
                 self._apply_reply(result.ok_value)
 
-    def _request_permission(self, executor: Executor) -> None:
+    def _request_permission(self) -> None:
         """Request permission from all peers, or in a large fleet from a few of them first."""
         peers = self._peers()
         if len(peers) >= LARGE_FLEET:
-            summary = self._request_from(executor, self._rng.sample(peers, FIRST_REQUESTED_PEERS))
+            summary = self._request_from(self._rng.sample(peers, FIRST_REQUESTED_PEERS))
             if summary.valid_s > 0:
                 self._request_count = self._reply_count = 0
                 self._log_permission(summary)
                 return
             self._next_request = self._clock.monotonic() + REQUEST_TO_ALL_INTERVAL_S
-        summary = self._request_from(executor, peers)
+        summary = self._request_from(peers)
         self._request_count, self._reply_count = summary.requests, summary.replies
         self._log_permission(summary)
 
-    def _request_from(self, executor: Executor, peers: list[RosterRecord]) -> "_PermissionReplies":
+    def _request_from(self, peers: list[RosterRecord]) -> "_PermissionReplies":
         """Request permission from the given peers, and extend this instance's permission."""
         sent_at = self._clock.monotonic()
-        results = self._call_all(executor, peers, self._make_report(asks_permission=True))
+        results = self._call_all(peers, self._make_report(asks_permission=True))
         replies = [result.ok_value for result in results if isinstance(result, Ok)]
         granted = [reply for reply in replies if reply.grant is PermissionGrant.VOUCHED]
         valid_s = max((reply.valid_ms / MS_PER_S for reply in granted), default=0.0)
@@ -339,16 +343,15 @@
         return all(view and is_majority(len(view & confirming), len(view)) for view in views)
 
     def _call_all(
-        self, executor: Executor, peers: list[RosterRecord], report: PeerReport
+        self, peers: list[RosterRecord], report: PeerReport
     ) -> list[Result[PeerReply, QuetzalrudderError]]:
-        futs: list[Future] = [
-            executor.submit(self._caller.exchange, peer.address, report, CALL_TIMEOUT_S)
-            for peer in peers
-        ]
-        results = [fut.result() for fut in futs]
-        for result in results:
+        """Send a report to peers and apply each reply as it arrives."""
+        results = []
+        reports = [(peer.address, report) for peer in peers]
+        for _, result in self._caller.exchange_all(reports, CALL_TIMEOUT_S):
             if isinstance(result, Ok):
                 self._apply_reply(result.ok_value)
+            results.append(result)
         return results
 
     def _apply_reply(self, reply: PeerReply) -> None:
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -10,7 +10,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import Executor
 from dataclasses import dataclass
 from typing import Protocol
@@ -73,6 +73,11 @@
     ) -> Result[TakeOverReply, QuetzalrudderError]:
         """Ask an instance to hand out no more tokens of some workspaces."""
 
+    def take_over_all(
+        self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
+    ) -> Iterator[tuple[int, Result[TakeOverReply, QuetzalrudderError]]]:
+        """Ask several instances at the same time; yield the index and the answer of each."""
+
 
 class RateLimiter:
     """Admits operations from this instance's part of a rate, then with the rate owner's tokens.
@@ -263,7 +268,7 @@
         Parameters
         ----------
         executor : Executor
-            Runs the calls to the instances that may have owned them until now.
+            Runs the calls to the instances that have not answered earlier ones.
         """
         self._try_unreached(executor)
         self._drop_rates_of_earlier_lease()
@@ -272,7 +277,7 @@
         )
         if unconfirmed:
             # Repeated until all have answered, as a peer may be about to start.
-            self._take_over(unconfirmed, executor)
+            self._take_over(unconfirmed)
 
     def _drop_rates_of_earlier_lease(self) -> None:
         opened_at = self._lease_opened_at()
@@ -311,27 +316,26 @@
             self._avoided.add(record.instance)
             self._unreached.record_failure(record)
 
-    def _take_over(self, workspaces: set[WorkspaceId], executor: Executor) -> None:
+    def _take_over(self, workspaces: set[WorkspaceId]) -> None:
         """Take over rates at once where all instances that may have owned them agree."""
         former_owners = {name: self._former_owners(name) for name in workspaces}
         peers = {record.instance: record for ranked in former_owners.values() for record in ranked}
-        futs = {
-            name: executor.submit(
-                self._caller.take_over_rates,
+        requests = [
+            (
                 record.address,
                 TakeOverRequest(
                     workspaces=sorted(
                         workspace for workspace, ranked in former_owners.items() if record in ranked
                     )
                 ),
-                TOKEN_TIMEOUT_S,
             )
-            for name, record in peers.items()
-        }
+            for record in peers.values()
+        ]
+        names = list(peers)
         replies = {
-            name: result.ok_value
-            for name, fut in futs.items()
-            if isinstance(result := fut.result(), Ok)
+            names[index]: result.ok_value
+            for index, result in self._caller.take_over_all(requests, TOKEN_TIMEOUT_S)
+            if isinstance(result, Ok)
         }
         for reply in replies.values():
             for item in reply.tokens:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -118,6 +118,14 @@
             return Err(LinkLost("the peer did not answer", place=address))
         return Ok(other.gateway.peering.answer(report))
 
+    def exchange_all(self, reports, timeout_s):
+        for index, (address, report) in enumerate(reports):
+            yield index, self.exchange(address, report, timeout_s)
+
+    def take_over_all(self, requests, timeout_s):
+        for index, (address, req) in enumerate(requests):
+            yield index, self.take_over_rates(address, req, timeout_s)
+
     def _call_peer(self, address, handler, message):
         """Call a peer with a message; message and answer are encoded as over the network."""
         other = self.fleet.by_name.get(address)
@@ -153,7 +161,7 @@
         self.mirror.step()
         self.gateway.membership.step()
         self.gateway.rates.refresh_ownership(DIRECT_EXECUTOR)
-        self.gateway.peering.step(DIRECT_EXECUTOR)
+        self.gateway.peering.step()
         self.health_check.step()
         self.gateway.failover.step()
 
--- a/tests/test_gateway_peer_calls.py
+++ b/tests/test_gateway_peer_calls.py
@@ -14,6 +14,8 @@
 from quetzalrudder.schema.gateway import (
     EndRequest,
     LentStatement,
+    PeerReply,
+    PeerReport,
     PositionReply,
     PositionRequest,
     RunReply,
@@ -33,6 +35,9 @@
 class Peer:
     """Answers each call with values that depend on the request."""
 
+    def answer_report(self, report):
+        return PeerReply(instance=report.instance)
+
     def __init__(self):
         self.returned = []
         self.release_slow_calls = threading.Event()
@@ -139,3 +144,52 @@
     assert isinstance(timed_out.err_value, LinkLost)
     peer.release_slow_calls.set()
     assert all(isinstance(fut.result(TIMEOUT_S), Ok) for fut in others)
+
+
+def test_calls_to_many_peers_take_no_thread_each(calls):
+    caller, address, _, _ = calls
+    caller.exchange(address, PeerReport(), TIMEOUT_S)
+    threads = threading.active_count()
+    reports = [(address, PeerReport(instance=f"edge-{number}")) for number in range(90)]
+    replies = {}
+    for index, result in caller.exchange_all(reports, TIMEOUT_S):
+        replies[index] = result.ok_value.instance
+        # The peer of this test runs in the same process, on an executor of 20 threads.
+        assert threading.active_count() <= threads + 20
+    assert replies == {number: f"edge-{number}" for number in range(90)}
+
+
+def test_one_of_many_calls_that_fails_or_times_out_does_not_affect_the_others(calls):
+    caller, address, peer, _ = calls
+    answer = peer.answer_report
+    peer.answer_report = lambda report: (
+        peer.release_slow_calls.wait(TIMEOUT_S) if report.instance == "slow" else answer(report)
+    )
+    unreachable = free_addresses(1)[0]
+    reports = [
+        (address, PeerReport(instance="slow")),
+        (unreachable, PeerReport(instance="dead")),
+        (address, PeerReport(instance="edge-1")),
+    ]
+    caller.exchange(address, PeerReport(), TIMEOUT_S)
+    results = dict(caller.exchange_all(reports, 0.3))
+    assert isinstance(results[0].err_value, LinkLost)
+    assert isinstance(results[1].err_value, TargetUnavailable | LinkLost)
+    assert results[2].ok_value.instance == "edge-1"
+
+
+def test_calls_that_are_not_waited_for_are_given_up_when_their_time_is_over(calls):
+    caller, address, peer, _ = calls
+    caller.exchange(address, PeerReport(), TIMEOUT_S)
+    stream = caller._streams[address]
+    answer = peer.answer_report
+    peer.answer_report = lambda report: (
+        peer.release_slow_calls.wait(TIMEOUT_S) if report.instance == "slow" else answer(report)
+    )
+    reports = [(address, PeerReport(instance=name)) for name in ("slow", "edge-1")]
+    results = caller.exchange_all(reports, 0.1)
+    assert next(results)[0] == 1
+    results.close()
+    assert caller._streams[address] is stream
+    wait_for(lambda: address not in caller._streams, "the stream is replaced")
+    assert stream._pending == {}
