Evacuation of a data centre at an operator's request

Change: EvacuationTable keeps the newest state of each data centre by the store's revision, from the watch, a full read or a peer's reply. TargetRegistry.usable_targets_in_group leaves the databases out of placement and of the choice of a successor; the failover coordinator replaces a primary there as it replaces a draining one. From half of the bound on, EvacuationGuard refuses each statement, probe and setup right before it is sent, also at an owner that lends its connections; transactions there end as aborted, idle connections are closed. News that may be old (start, outage, lost history, peer) is in force at once. A primary without a replacement is refused with PrimaryEvacuated and a time to return. Settings: bounds.evacuateMs. Not there: a sum over all instances of who has followed.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -26,6 +26,11 @@
 from quetzalrudder.gateway.borrowing import FleetConnectionPool
 from quetzalrudder.gateway.catalog import Consistency, Route
 from quetzalrudder.gateway.connections import Checkout, Urgency
+from quetzalrudder.gateway.evacuation import (
+    EvacuationTable,
+    PrimaryEvacuated,
+    TargetEvacuated,
+)
 from quetzalrudder.gateway.freshness import PositionWindow
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.outlook import PrimaryOutlook
@@ -62,6 +67,8 @@
 QUEUE_FRACTION = 0.6
 # Retry delay for callers whose primary turned out to be replaced; its successor is recorded soon.
 PRIMARY_RETRY_AFTER_MS = 500
+# The same if the primary's data centre is evacuated: as long as a replacement usually takes.
+EVACUATED_RETRY_S = 1.0
 
 
 @dataclass
@@ -133,8 +140,9 @@
 
     Parameters
     ----------
-    registry, primaries, placement, pool
-        Databases, their primaries, their order for reads, and connections to them.
+    registry, evacuations, primaries, placement, pool
+        Databases, the data centres to leave, the databases' primaries, their order for reads,
+        and connections to them.
     refresh_position : Callable
         Fetches a recent position of a group's primary from other instances, if possible.
     permission, contact
@@ -149,6 +157,7 @@
         self,
         *,
         registry: TargetRegistry,
+        evacuations: EvacuationTable,
         primaries: PrimaryTable,
         placement: Placement,
         pool: FleetConnectionPool,
@@ -159,6 +168,7 @@
         clock: Clock,
     ) -> None:
         self._registry = registry
+        self._evacuations = evacuations
         self._primaries = primaries
         self._placement = placement
         self._pool = pool
@@ -232,6 +242,10 @@
         target = self._registry.get(primary.target)
         if target is None:
             return Err(self._primary_changing(group, None))
+        if self._evacuations.is_closed(target.data_centre):
+            retry_after_ms = self.outlook.retry_after_ms(group, EVACUATED_RETRY_S)
+            reason = "the primary's data centre is evacuated"
+            return Err(PrimaryEvacuated(reason, place=group, retry_after_ms=retry_after_ms))
         return self._check_out(req, target, primary, None, req.deadline_at)
 
     def _primary_changing(self, group: GroupId, expected_s: float | None) -> PrimaryChanging:
@@ -259,7 +273,7 @@
     def _record_unreachable(
         self, target: Target, primary: UsablePrimary | None, exc: QuetzalrudderError
     ) -> None:
-        if isinstance(exc, Overloaded | ConnectionLimitReached):
+        if isinstance(exc, Overloaded | ConnectionLimitReached | TargetEvacuated):
             return
         self._placement.record_failure(target.target)
         if primary is not None:
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -200,7 +200,7 @@
 
     def _check_primary(self, record: PrimaryRecord) -> None:
         target = self._registry.get(record.primary)
-        draining = target is not None and target.draining
+        draining = target is not None and (target.draining or self._must_move(target))
         suspected = is_suspected(record.primary, record.group, self._watchers(record))
         if not draining and not suspected:
             return
@@ -218,21 +218,21 @@
             )
         )
 
+    def _must_move(self, primary: Target) -> bool:
+        """Return whether a primary's data centre is evacuated and the group has another one."""
+        usable = self._registry.usable_targets_in_group(primary.group)
+        return self._registry.is_evacuated(primary) and bool(usable)
+
     def _choose_successor(self, group: GroupId, excluded: TargetId | None) -> TargetId | None:
         """Return the replica that has received most of the log; None if there is none.
 
-        Draining databases, and those that failed as a successor within SUCCESSOR_TIMEOUT_S,
-        are left out.
+        Those that accept no new work or failed recently as a successor are left out.
         """
         best: tuple[LogPosition, TargetId] | None = None
         now = self._clock.monotonic()
-        for target in self._registry.targets_in_group(group):
+        for target in self._registry.usable_targets_in_group(group):
             failed_at = self._failed_at.get(target.target, -1e9)
-            if (
-                target.target == excluded
-                or target.draining
-                or now - failed_at < SUCCESSOR_TIMEOUT_S
-            ):
+            if target.target == excluded or now - failed_at < SUCCESSOR_TIMEOUT_S:
                 continue
             status = self._prober.status(target)
             if isinstance(status, Err):
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -17,6 +17,11 @@
 from quetzalrudder.gateway.borrowing import FleetConnectionPool, owners_of, watchers_of
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
 from quetzalrudder.gateway.connections import GatewayPool
+from quetzalrudder.gateway.evacuation import (
+    DEFAULT_EVACUATION_LIMIT_S,
+    EvacuationGuard,
+    EvacuationTable,
+)
 from quetzalrudder.gateway.failover import FailoverCoordinator, PromotionClient
 from quetzalrudder.gateway.lending import ConnectionLender
 from quetzalrudder.gateway.measurements import Metrics
@@ -117,6 +122,8 @@
         Source of jitter.
     convergence_s : float
         Time within which a configuration must be in force, in seconds.
+    evacuation_limit_s : float
+        Time after which no request may reach an evacuated data centre, in seconds.
     """
 
     def __init__(
@@ -132,17 +139,22 @@
         clock: Clock,
         rng: random.Random,
         convergence_s: float = DEFAULT_CONVERGENCE_S,
+        evacuation_limit_s: float = DEFAULT_EVACUATION_LIMIT_S,
     ) -> None:
         self._identity = identity
         self._convergence_s = convergence_s
         self._clock = clock
         self.catalogs = CurrentCatalog()
-        self.registry = TargetRegistry(clock)
         self.metrics = Metrics()
+        self.contact = StoreContact(clock)
+        self.evacuations = EvacuationTable(
+            self.contact, clock, evacuation_limit_s, self.metrics.set_evacuated
+        )
+        self.registry = TargetRegistry(clock, self.evacuations.is_evacuated)
+        connector = EvacuationGuard(connector, self.evacuations)
         self.permission = Permission(clock)
         self.primaries = PrimaryTable(self.permission, clock, self._primary_changed)
         self.members = MemberTable(clock)
-        self.contact = StoreContact(clock)
         self.view = FleetView(self.members)
         limiters = SlotLimiters(self._slot_sharers, clock)
         self.pool = GatewayPool(
@@ -152,6 +164,7 @@
         placement = Placement(self.registry, fleet_pool, identity.data_centre, rng, clock)
         self.planner = AttemptPlanner(
             registry=self.registry,
+            evacuations=self.evacuations,
             primaries=self.primaries,
             placement=placement,
             pool=fleet_pool,
@@ -229,6 +242,7 @@
             primaries=self.primaries,
             members=self.members,
             catalogs=self.catalogs,
+            evacuations=self.evacuations,
             contact=self.contact,
             coordinator=lambda: self.failover.coordinator_lease.observed_coordinator,
             roster_views=self.membership.roster_views,
@@ -377,7 +391,13 @@
                 )
                 self._health_checks[group] = health_check
                 self._start_task(executor, f"health check of {group}", health_check.run)
-            self.pool.retain_targets({target.target for target in targets})
+            self.pool.retain_targets(
+                {
+                    target.target
+                    for target in targets
+                    if not self.evacuations.is_closed(target.data_centre)
+                }
+            )
             broken = set(self.pool.close_broken())
             for record in self.primaries.records():
                 if record.primary in broken:
@@ -411,6 +431,11 @@
         return span.opened_at if span is not None else None
 
     def _connection_limit(self, target: Target) -> int:
+        """Return how many connections to hold; those to an evacuated one decrease by degrees."""
+        open_fraction = self.evacuations.open_fraction(target.data_centre)
+        return max(1, int(self._connection_share(target) * open_fraction))
+
+    def _connection_share(self, target: Target) -> int:
         settings = self.catalogs.current.groups.get(target.group)
         if settings is None or settings.max_connections <= 0:
             return DEFAULT_CONNECTION_LIMIT
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -43,6 +43,11 @@
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
+        self.evacuated = Gauge(
+            "quetzalrudder_evacuated_data_centres",
+            "Data centres that this instance sends nothing to, at an operator's request.",
+            registry=self.registry,
+        )
 
 
 class Metrics:
@@ -94,6 +99,10 @@
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
 
+    def set_evacuated(self, count: int) -> None:
+        """Record the number of evacuated data centres."""
+        self._observe(lambda found: found.evacuated.set(count))
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         from prometheus_client import generate_latest
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -37,6 +37,8 @@
     replace_all: Callable[[list[Item]], None]
     # Receives one changed item.
     apply_change: Callable[[Item], None]
+    # Receives the store's revision at a full read, before the items.
+    note_revision: Callable[[int], None] = lambda revision: None
 
 
 class StoreContact:
@@ -164,6 +166,7 @@
             # The watch starts at the revision of the first answer, so that changes made
             # while the other prefixes are read are not missed.
             revision = changes.revision if revision is None else revision
+            handler.note_revision(changes.revision)
             handler.replace_all(list(changes.items))
         self._contact.record_success()
         self._revision = revision
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -19,6 +19,7 @@
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
+from quetzalrudder.gateway.evacuation import Evacuation, EvacuationTable
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import (
@@ -31,8 +32,9 @@
 from quetzalrudder.gateway.promotion_rules import is_majority
 from quetzalrudder.gateway.records import PRIMARY_PREFIX, decode_primary, encode_primary
 from quetzalrudder.gateway.store import Item
-from quetzalrudder.models import InstanceId
+from quetzalrudder.models import DataCentre, InstanceId
 from quetzalrudder.schema.gateway import (
+    EvacuationState,
     GroupLeader,
     PeerReply,
     PeerReport,
@@ -105,7 +107,7 @@
         This process.
     caller : PeerCaller
         Calls other instances.
-    permission, primaries, members, catalogs, contact
+    permission, primaries, members, catalogs, evacuations, contact
         The state of this instance and its view of the fleet and of the store.
     coordinator : Callable
         Returns the failover coordinator; None if it is not known.
@@ -128,6 +130,7 @@
         primaries: PrimaryTable,
         members: MemberTable,
         catalogs: CurrentCatalog,
+        evacuations: EvacuationTable,
         contact: StoreContact,
         coordinator: Callable[[], InstanceId | None],
         roster_views: Callable[[], list[list[RosterRecord]]],
@@ -142,6 +145,7 @@
         self._primaries = primaries
         self._members = members
         self._catalogs = catalogs
+        self._evacuations = evacuations
         self._contact = contact
         self._coordinator = coordinator
         self._roster_views = roster_views
@@ -202,6 +206,13 @@
             self._grant_permission(reply)
         if report.catalog_version < self._catalogs.current.version:
             reply.catalog = self._catalogs.encoded
+        if report.evacuation_revision < self._evacuations.revision:
+            reply.evacuations = [
+                EvacuationState(
+                    data_centre=known.data_centre, revision=known.revision, active=known.active
+                )
+                for known in self._evacuations.records()
+            ]
         return reply
 
     def _grant_permission(self, reply: PeerReply) -> None:
@@ -264,6 +275,7 @@
             address=self._local.address,
             asks_permission=asks_permission,
             catalog_version=self._catalogs.current.version,
+            evacuation_revision=self._evacuations.revision,
         )
 
     def _check_catalog(self) -> None:
@@ -362,6 +374,10 @@
                 self._primaries.observe(decode_primary(item))
             if reply.catalog:
                 self._catalogs.update_if_newer(self._decode_catalog(reply.catalog), reply.catalog)
+            self._evacuations.observe_peer(
+                Evacuation(DataCentre(state.data_centre), state.revision, state.active)
+                for state in reply.evacuations
+            )
         except MalformedMessage as exc:
             log.error(
                 "record of a peer cannot be decoded",
--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -87,8 +87,8 @@
         """
         candidates = [
             target
-            for target in self._registry.targets_in_group(group)
-            if not target.draining and target.target not in excluded
+            for target in self._registry.usable_targets_in_group(group)
+            if target.target not in excluded
         ]
         now = self._clock.monotonic()
         usable = [target for target in candidates if not self._is_held_off(target.target, now)]
--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -14,6 +14,7 @@
 )
 from quetzalrudder.gateway.attempts import AttemptPlanner
 from quetzalrudder.gateway.connections import GatewayPool
+from quetzalrudder.gateway.evacuation import TargetEvacuated
 from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.statements import (
@@ -180,7 +181,8 @@
         primary = self._primaries.usable_primary(self._group)
         if primary is None:
             return
-        if not self._is_watcher(self._registry.get(primary.target)):
+        target = self._registry.get(primary.target)
+        if not self._is_watcher(target) or (target and self._registry.is_evacuated(target)):
             return
         monitor = self._planner.primary_monitor(self._group)
         if any(
@@ -218,6 +220,8 @@
         sent_at = self._clock.monotonic()
         result = self._prober.status(target)
         if isinstance(result, Err):
+            if isinstance(result.err_value, TargetEvacuated):
+                return
             if isinstance(result.err_value, Overloaded | ConnectionLimitReached):
                 # The database refused the probe, so it is running.
                 monitor.record_answer(primary.target)
@@ -237,7 +241,8 @@
         record = self._primaries.record(self._group)
         if record is None or record.primary is None:
             return None
-        if not self._is_watcher(self._registry.get(record.primary)):
+        target = self._registry.get(record.primary)
+        if not self._is_watcher(target) or (target and self._registry.is_evacuated(target)):
             return None
         monitor = self._planner.primary_monitor(self._group)
         return record.primary if monitor.is_suspect(record.primary) else None
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
@@ -66,10 +66,15 @@
     ----------
     clock : Clock
         Source of time.
+    is_evacuated : Callable, optional
+        Returns whether a data centre is to be left.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False
+    ) -> None:
         self._clock = clock
+        self._is_evacuated = is_evacuated
         self._lock = threading.Lock()
         self._entries: dict[TargetId, _Entry] = {}
 
@@ -128,6 +133,18 @@
             self._drop_expired()
             return [entry.target for entry in self._entries.values() if entry.target.group == group]
 
+    def usable_targets_in_group(self, group: GroupId) -> list[Target]:
+        """Return the databases of a group that accept new work."""
+        return [
+            target
+            for target in self.targets_in_group(group)
+            if not target.draining and not self._is_evacuated(target.data_centre)
+        ]
+
+    def is_evacuated(self, target: Target) -> bool:
+        """Return whether a database is in an evacuated data centre."""
+        return self._is_evacuated(target.data_centre)
+
     def all_targets(self) -> list[Target]:
         """Return all registered databases."""
         with self._lock:
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -7,6 +7,7 @@
     "DutyValue",
     "EndReply",
     "EndRequest",
+    "EvacuationState",
     "GroupEpoch",
     "GroupLeader",
     "GroupSuspect",
@@ -161,6 +162,25 @@
 default_message_pool.register_message("gateway", "EndRequest", EndRequest)
 
 
+@dataclass(eq=False, repr=False)
+class EvacuationState(betterproto2.Message):
+    """
+    Whether a data centre is evacuated, as the sender read it in the store.
+    """
+
+    data_centre: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    revision: "int" = betterproto2.field(2, betterproto2.TYPE_UINT64)
+    """
+    Revision of the store at which the state began.
+    """
+
+    active: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+
+
+default_message_pool.register_message("gateway", "EvacuationState", EvacuationState)
+
+
 @dataclass(eq=False, repr=False)
 class GroupEpoch(betterproto2.Message):
     """
@@ -309,6 +329,13 @@
     A newer configuration, encoded as in the store.
     """
 
+    evacuations: "list[EvacuationState]" = betterproto2.field(
+        9, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+    """
+    All known evacuations, if some are newer than those of the sender of the report.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReply", PeerReply)
 
@@ -328,6 +355,11 @@
 
     catalog_version: "int" = betterproto2.field(5, betterproto2.TYPE_UINT64)
 
+    evacuation_revision: "int" = betterproto2.field(7, betterproto2.TYPE_UINT64)
+    """
+    Newest revision of any evacuation that the sender knows.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReport", PeerReport)
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from result import Err, Ok
+from rig.configuration import evacuation_handler
 
 from quetzalrudder.exceptions import LinkLost, TargetUnavailable
 from quetzalrudder.gateway import (
@@ -78,8 +79,9 @@
         prefix_handler = PrefixHandler(
             KEY_PREFIX, self.gateway._replace_records, self.gateway._change_record
         )
+        handlers = [evacuation_handler(self.gateway.evacuations), prefix_handler]
         self.mirror = StoreMirror(
-            self.open_store(), [prefix_handler], self.gateway.contact, fleet.clock, 3.0
+            self.open_store(), handlers, self.gateway.contact, fleet.clock, 3.0
         )
         self.gateway.catalogs.update_if_newer(catalog(), b"1")
         self.gateway.registry.replace_all(fleet.group.infos())
--- a/tests/test_rig_settings.py
+++ b/tests/test_rig_settings.py
@@ -5,11 +5,19 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from rig.configuration import catalog_handler, decode_catalog, decode_target, target_handler
+from rig.configuration import (
+    catalog_handler,
+    decode_catalog,
+    decode_target,
+    evacuation_handler,
+    target_handler,
+)
 from rig.settings import parse_settings
 
 from quetzalrudder.exceptions import InvalidSettings, MalformedMessage
 from quetzalrudder.gateway import Consistency, CurrentCatalog, TargetRole
+from quetzalrudder.gateway.evacuation import EvacuationTable
+from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.gateway.targets import TargetRegistry
 from quetzalrudder.utils import Address
@@ -67,6 +75,8 @@
     assert cfg.identity.peer_address == "10.1.0.26:7560"
     assert cfg.store == Address("10.200.1.7", 8466)
     assert cfg.quota_rules.margin == 20
+    assert cfg.evacuation_limit_s == 5.0
+    assert parse_settings(SETTINGS + "bounds.evacuateMs=8000").evacuation_limit_s == 8.0
 
 
 @pytest.mark.parametrize(
@@ -162,3 +172,15 @@
     assert [target.target for target in registry.all_targets()] == ["a"]
     clock.advance(2.6)
     assert registry.all_targets() == []
+
+
+def test_each_key_of_an_evacuation_counts_until_it_is_deleted():
+    evacuations = EvacuationTable(StoreContact(ManualClock()), ManualClock())
+    handler = evacuation_handler(evacuations)
+    handler.note_revision(4)
+    handler.replace_all([Item("op/evacuate/a", b"{}", 2), Item("op/evacuate/b", b"?", 3)])
+    handler.apply_change(Item("op/evacuate/a", None, 5))
+    assert [evacuations.is_evacuated(name) for name in ("a", "b", "c")] == [False, True, False]
+    handler.note_revision(6)
+    handler.replace_all([])
+    assert not evacuations.is_evacuated("b")
