Reads are placed by the expected time to answer where databases differ

Cause: placement knew this instance's own use, refusals and failures only. A database five times slower, or one that fails 40 % of its statements with good checks, got its part of the reads; a hold-off was all or nothing, alike for one lost answer in ten and for a dead database; a lagging replica was avoided for 0.1 s and tried again, whatever the read required.

Change, in fleets of 16 instances or more (a smaller one orders as before, which a test compares with the old placement): target_estimates keeps the times of answers, shares of errors and refusals and the lag of each database; read_shares shrinks and grows its part of the reads; placement orders by the expected time, with the constants of before as priors in units of the usual read. A dead database is tried by one read at a time. An attempt of a read ends after three times the longest recent one while there is room, at most 0.4 s as before. A second attempt beside the first is not built, see docs/design/uneven-databases.md. The old placement is kept in tests/naive.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
 
@@ -30,7 +30,7 @@
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.outlook import PrimaryOutlook
 from quetzalrudder.gateway.permission import Permission
-from quetzalrudder.gateway.placement import Placement
+from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.statements import Commit, Statement, TargetFault, TargetReply
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
@@ -54,9 +54,6 @@
 # one for 8 to 40 ms on average.
 FIRST_RETRY_DELAY_S = 0.003
 MAX_RETRY_DELAY_S = 0.04
-# A read that takes longer is retried at another database, as the connection may have
-# stopped responding.
-READ_ATTEMPT_TIMEOUT_S = 0.4
 # Fraction of a statement's timeout that it may spend waiting for slots, connections and
 # primaries. The caller keeps the rest for a retry at another instance.
 QUEUE_FRACTION = 0.6
@@ -210,14 +207,21 @@
         group = req.route.group
         record = self._primaries.record(group)
         primary = record.primary if record is not None else None
-        candidates = self._placement.rank(group, req.workspace, req.excluded)
+        required_age_s = self.position_window(group).age_s(required)
+        candidates = self._placement.rank(group, req.workspace, req.excluded, required_age_s)
         replicas = [target for target in candidates if target.target != primary]
         if not replicas:
             # No replica is left; later attempts may use the excluded ones again.
             req.excluded.clear()
             return None
+        timeout_s = self._placement.begin_read(replicas[0])
         deadline_at = min(req.deadline_at, self._clock.monotonic() + READ_ATTEMPT_TIMEOUT_S)
-        return self._check_out(req, replicas[0], None, required, deadline_at)
+        planned = self._check_out(req, replicas[0], None, required, deadline_at)
+        # The wait for the connection does not count as lateness of the answer.
+        answer_by = self._clock.monotonic() + timeout_s
+        return planned.map(
+            lambda attempt: replace(attempt, deadline_at=min(attempt.deadline_at, answer_by))
+        )
 
     def _plan_primary(self, req: Request) -> Result[Attempt, QuetzalrudderError]:
         group = req.route.group
@@ -265,17 +269,25 @@
         if primary is not None:
             self.primary_monitor(primary.group).record_failure(target.target)
 
-    def _record_answer(self, target: TargetId, primary: UsablePrimary | None) -> None:
-        self._placement.record_answer(target)
+    def _record_answer(
+        self, target: TargetId, primary: UsablePrimary | None, took_s: float | None = None
+    ) -> None:
+        self._placement.record_answer(target, took_s)
         if primary is not None:
             self.primary_monitor(primary.group).record_answer(target)
 
-    def accept_reply(self, attempt: Attempt, reply: TargetReply, sent_at: float) -> bool:
+    def accept_reply(
+        self, attempt: Attempt, reply: TargetReply, sent_at: float, *, is_timed: bool = False
+    ) -> bool:
         """Return whether a reply counts, and record what it shows.
 
-        A primary's reply counts only if the primary cannot have been replaced by now.
+        A primary's reply counts only if the primary cannot have been replaced by now. The
+        time of a timed reply is compared with that of other databases.
         """
-        self._record_answer(attempt.checkout.target.target, attempt.primary)
+        took_s = None
+        if is_timed and attempt.primary is None:
+            took_s = self._clock.monotonic() - sent_at
+        self._record_answer(attempt.checkout.target.target, attempt.primary, took_s)
         if attempt.primary is None:
             return True
         if not self._primaries.is_usable(attempt.primary):
@@ -300,7 +312,16 @@
                 self._placement.record_busy(target)
                 self._record_answer(target, attempt.primary)
             case TargetFault.LAGGING:
-                self._placement.record_lagging(target)
+                lag_s = None
+                if attempt.at_least is not None:
+                    lag_s = self.position_window(attempt.checkout.target.group).age_s(
+                        attempt.at_least
+                    )
+                self._placement.record_lagging(target, lag_s)
+            case TargetFault.FAILED | TargetFault.TIMED_OUT | TargetFault.OTHER:
+                self._placement.record_error(target)
+                if attempt.primary is not None:
+                    self.primary_monitor(attempt.primary.group).record_answer(target)
             case TargetFault.READ_ONLY if attempt.primary is not None:
                 self.primary_monitor(attempt.primary.group).record_not_primary(target)
             case _:
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -149,7 +149,15 @@
             SlotLimitedConnector(connector, limiters), self._connection_limit, clock
         )
         fleet_pool = FleetConnectionPool(identity.instance, self.view, self.pool, caller, clock)
-        placement = Placement(self.registry, fleet_pool, identity.data_centre, rng, clock)
+        placement = Placement(
+            self.registry,
+            fleet_pool,
+            identity.data_centre,
+            rng,
+            clock,
+            is_large=lambda: self.view.is_large,
+            count_change=self.metrics.count_share_change,
+        )
         self.planner = AttemptPlanner(
             registry=self.registry,
             primaries=self.primaries,
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -40,6 +40,12 @@
             ["fault"],
             registry=self.registry,
         )
+        self.share_changes = Counter(
+            "quetzalrudder_read_share_changes",
+            "Databases whose share of this instance's reads was reduced or restored.",
+            ["change"],
+            registry=self.registry,
+        )
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
@@ -90,6 +96,10 @@
         """Count an attempt that a database refused or failed."""
         self._observe(lambda found: found.faults.labels(fault).inc())
 
+    def count_share_change(self, change: str) -> None:
+        """Count a database whose share of reads was reduced or restored."""
+        self._observe(lambda found: found.share_changes.labels(change).inc())
+
     def set_sessions(self, count: int) -> None:
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -323,7 +323,7 @@
         sent_at: float,
         writes: bool,
     ) -> Result[TargetReply, QuetzalrudderError]:
-        if not self.services.planner.accept_reply(attempt, reply, sent_at):
+        if not self.services.planner.accept_reply(attempt, reply, sent_at, is_timed=True):
             exc = stale_answer_error(attempt.checkout.target.target)
             return Err(OutcomeUnknown(exc.message, place=exc.place) if writes else exc)
         if writes:
