--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -42,6 +42,8 @@
 
 # Time of a read of which nothing is observed.
 PRIOR_SERVICE_S = 0.024
+# Least unit of the costs; answers may take less than the clock can tell.
+MIN_UNIT_S = 0.001
 
 # Opening a connection occupies a slot for 12 ms, half the time of a usual read.
 CONNECT_COST = 0.5
@@ -185,7 +187,8 @@
         unit_s = PRIOR_SERVICE_S
         if services:
             # A lower middle one: if half of the databases are slow, the others are the usual.
-            unit_s = statistics.median_low(service.median_s for service in services.values())
+            usual_s = statistics.median_low(service.median_s for service in services.values())
+            unit_s = max(MIN_UNIT_S, usual_s)
         least_error_share = min(
             (self._estimates.error_share(target.target) for target in candidates), default=0.0
         )
