--- a/bench/policies.py
+++ b/bench/policies.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
-from quetzalrudder.gateway.wait_queue import Urgency
+from quetzalrudder.gateway.wait_queue import Urgency, WorkAhead
 
 __all__ = ["DueOrderQueue", "NoDemand"]
 
@@ -15,14 +15,14 @@
 class DueOrderQueue(Generic[T]):
     """Serves waiting statements in the order of their due times."""
 
-    def __init__(self) -> None:
+    def __init__(self, get_shares: Callable[[], Any] = lambda: None) -> None:
         self._entries: list[tuple[Urgency, int, T]] = []
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def add(self, urgency: Urgency, item: T) -> int:
+    def add(self, urgency: Urgency, item: T, **claim: Any) -> int:
         """Add an item; return how many are ahead of it."""
         heapq.heappush(self._entries, (urgency, next(self._sequence), item))
         return sum(1 for entry in self._entries if entry[0] < urgency)
@@ -32,6 +32,13 @@
         self._entries = [entry for entry in self._entries if entry[2] is not item]
         heapq.heapify(self._entries)
 
+    def displace(self, claim: Any, service_s: float) -> None:
+        """Return None, as no item makes room for a new one."""
+
+    def work_ahead(self, claim: Any, now: float, service_of: Callable[[int], float]) -> WorkAhead:
+        """Return no work, so that nothing is refused on arrival."""
+        return WorkAhead()
+
     def pop(
         self, *, now: float, service_s: float, is_cheap: Callable[[T], bool] = lambda item: True
     ) -> T:
@@ -45,6 +52,6 @@
     def record(self, workspace: Any) -> None:
         """Do nothing."""
 
-    def of(self, pooled: Any) -> float:
-        """Return the same demand for all connections."""
+    def of(self, workspace: Any) -> float:
+        """Return the same demand for all workspaces."""
         return 0.0
--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -30,6 +30,7 @@
     "PositionLost",
     "PrimaryChanging",
     "QuetzalrudderError",
+    "QueueTooLong",
     "RateExceeded",
     "RateOwnerUnknown",
     "RequestCancelled",
@@ -172,6 +173,13 @@
     code = ErrorCode.OVERLOADED
 
 
+class QueueTooLong(Overloaded):
+    """No slot of the database would become free before the request stops waiting."""
+
+    # For callers and operators' tools the same as any other overload.
+    log_name = "Overloaded"
+
+
 class NoPrimary(QuetzalrudderError):
     """No primary of the group is known to be current."""
 
--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -16,6 +16,7 @@
     Overloaded,
     PrimaryChanging,
     QuetzalrudderError,
+    QueueTooLong,
     StaleTerm,
     StatementFailed,
     StatementNotPrepared,
@@ -96,7 +97,7 @@
 
     def is_retryable(self, exc: QuetzalrudderError) -> bool:
         """Return whether another attempt can succeed after this failure."""
-        return isinstance(exc, RETRYABLE_ERRORS) and not isinstance(exc, PrimaryChanging)
+        return isinstance(exc, RETRYABLE_ERRORS) and not isinstance(exc, FINAL_ERRORS)
 
 
 RETRYABLE_ERRORS = (
@@ -110,6 +111,8 @@
     TargetUnavailable,
     TruncatedAnswer,
 )
+# Failures that would be the same until the request stops waiting.
+FINAL_ERRORS = (PrimaryChanging, QueueTooLong)
 
 
 @dataclass(frozen=True)
@@ -212,12 +215,14 @@
         primary = record.primary if record is not None else None
         candidates = self._placement.rank(group, req.workspace, req.excluded)
         replicas = [target for target in candidates if target.target != primary]
-        if not replicas:
-            # No replica is left; later attempts may use the excluded ones again.
-            req.excluded.clear()
-            return None
         deadline_at = min(req.deadline_at, self._clock.monotonic() + READ_ATTEMPT_TIMEOUT_S)
-        return self._check_out(req, replicas[0], None, required, deadline_at)
+        for replica in replicas:
+            planned = self._check_out(req, replica, None, required, deadline_at)
+            if isinstance(planned, Ok) or not isinstance(planned.err_value, QueueTooLong):
+                return planned
+        # No replica is left; later attempts may use the excluded ones again.
+        req.excluded.clear()
+        return None
 
     def _plan_primary(self, req: Request) -> Result[Attempt, QuetzalrudderError]:
         group = req.route.group
--- a/src/quetzalrudder/gateway/borrowing.py
+++ b/src/quetzalrudder/gateway/borrowing.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,6 +18,7 @@
     ConnectionOwnerLost,
     LinkLost,
     QuetzalrudderError,
+    QueueTooLong,
     TargetUnavailable,
     from_failure,
 )
@@ -28,8 +30,11 @@
     encode_statement,
 )
 from quetzalrudder.gateway.members import RosterRecord
+from quetzalrudder.gateway.owner_delays import OwnerDelays, QueueKey
+from quetzalrudder.gateway.queue_delay import retry_after_ms
 from quetzalrudder.gateway.statements import Prepare, Statement, TargetReply
 from quetzalrudder.gateway.targets import LogPosition, Target
+from quetzalrudder.gateway.wait_queue import Claim
 from quetzalrudder.models import GroupId, InstanceId, RequestId, TargetId, WorkspaceId
 from quetzalrudder.schema.gateway import EndRequest, RunReply, RunRequest, SessionEntry, Wanted
 from quetzalrudder.utils import MS_PER_S, Clock
@@ -51,14 +56,15 @@
 # Instances that watch a primary in addition to its connection owners. A primary counts as
 # lost if most of all its watchers cannot reach it.
 EXTRA_WATCHERS = 3
-# How long a connection owner lets a borrower wait; then the statement is planned again.
-MAX_OWNER_WAIT_S = 0.3
 # The connection owner times out this much earlier than the borrower, so that its answer
 # still arrives and an unresponsive database is not taken for an unresponsive owner.
 OWNER_TIMEOUT_MARGIN_S = 0.03
 # Age at which a connection owner's report of a database's load no longer counts; several
 # reads come in that time.
 LOAD_REPORT_LIFETIME_S = 0.3
+# Fraction of the time until a statement is due that it may wait at its workspace's preferred
+# owner while another one has a shorter queue, but perhaps no open connection.
+PREFERENCE_FRACTION = 0.1
 
 
 class ConnectionOwnerCaller(Protocol):
@@ -95,8 +101,8 @@
     instance: InstanceId
     address: str
     wanted: Wanted
-    # Called with the load that the owner reports.
-    record_load: Callable[[float], None]
+    # Called with the load and the delay in seconds that the owner reports.
+    record_load: Callable[[float, float], None]
     # Called with the reason if the owner lends nothing; returns the error to pass on.
     avoid: Callable[[str], ConnectionOwnerLost]
 
@@ -166,7 +172,7 @@
         if reply.not_holder:
             self._checkout_id = 0
             return Err(self._owner.avoid(reply.failure.message))
-        self._owner.record_load(reply.use)
+        self._owner.record_load(reply.use, reply.queue_delay_ms / MS_PER_S)
         self._checkout_id = reply.loan
         if reply.failure is not None:
             return Err(from_failure(reply.failure))
@@ -234,6 +240,8 @@
         Connections of this instance.
     caller : ConnectionOwnerCaller
         Reaches other instances.
+    rng : random.Random
+        Spreads the delays that callers are told.
     clock : Clock
         Source of time.
     """
@@ -244,13 +252,16 @@
         view: FleetView,
         pool: GatewayPool,
         caller: ConnectionOwnerCaller,
+        rng: random.Random,
         clock: Clock,
     ) -> None:
         self._instance = instance
         self._view = view
         self._pool = pool
         self._caller = caller
+        self._rng = rng
         self._clock = clock
+        self._delays = OwnerDelays(clock)
         self._avoided = AvoidedInstances(clock)
         # Load of a database as a connection owner reported it, and the time of the report.
         self._loads: dict[TargetId, tuple[float, float]] = {}
@@ -264,15 +275,57 @@
         owners = self._order_owners(target, workspace)
         if not owners:
             return Err(TargetUnavailable("no connection owner is known", place=target.target))
-        if owners[0].instance == self._instance:
+        claim = Claim(urgency, workspace, deadline_at)
+        chosen = self._choose_owner(owners, target, claim)
+        if isinstance(chosen, Err):
+            return chosen
+        if chosen.ok_value.instance == self._instance:
             return self._pool.checkout(target, workspace, urgency, deadline_at)
-        return Ok(self._borrow(owners[0], target, workspace, urgency, deadline_at))
+        return Ok(self._borrow(chosen.ok_value, target, workspace, urgency, deadline_at))
 
     def _order_owners(self, target: Target, workspace: WorkspaceId) -> list[RosterRecord]:
         owners = {record.instance: record for record in owners_of(self._view, target)}
         ranked = rank(f"{workspace}@{target.target}", owners)
         return self._avoided.order_last(owners[name] for name in ranked)
 
+    def _choose_owner(
+        self, owners: list[RosterRecord], target: Target, claim: Claim
+    ) -> Result[RosterRecord, QueueTooLong]:
+        """Return the owner to use, the workspace's preferred one unless its queue is long."""
+        if claim.urgency.rank == 0:
+            return Ok(owners[0])
+        usable = [record for record in owners if not self._avoided.is_avoided(record.instance)]
+        usable = usable or owners
+        delays = [self._owner_delay_s(record, target, claim) for record in usable]
+        now = self._clock.monotonic()
+        if delays[0] <= PREFERENCE_FRACTION * max(0.0, claim.urgency.due_at - now):
+            return Ok(usable[0])
+        least_s = min(delays)
+        excess_s = least_s - max(0.0, claim.until - now)
+        if excess_s > 0:
+            return Err(
+                QueueTooLong(
+                    "the queue for slots is too long for the deadline at every owner",
+                    place=target.target,
+                    retry_after_ms=retry_after_ms(excess_s, self._rng),
+                )
+            )
+        return Ok(usable[0 if delays[0] <= 2 * least_s else delays.index(least_s)])
+
+    def _owner_delay_s(self, record: RosterRecord, target: Target, claim: Claim) -> float:
+        if record.instance == self._instance:
+            return self._pool.expected_delay_s(target, claim)
+        key = QueueKey(record.instance, target.target, claim.workspace, claim.urgency.priority)
+        return self._delays.of_queue(key)
+
+    def expected_delay_s(self, target: Target) -> float:
+        """Return how long statements at a database wait for a slot, as far as is known.
+
+        The value is the latest that one of the database's owners reported; 0 without a recent
+        report, in a small fleet, and for a database that this instance owns connections to.
+        """
+        return self._delays.of_target(target.target) if self._view.is_large else 0.0
+
     def _borrow(
         self,
         record: RosterRecord,
@@ -282,7 +335,7 @@
         deadline_at: float,
     ) -> BorrowedCheckout:
         now = self._clock.monotonic()
-        wait_s = max(0.0, min(MAX_OWNER_WAIT_S, deadline_at - now))
+        wait_s = max(0.0, deadline_at - now)
         wanted = Wanted(
             instance=self._instance,
             target=target.target,
@@ -293,8 +346,11 @@
             wait_ms=round(wait_s * MS_PER_S),
         )
 
-        def record_load(load: float) -> None:
+        key = QueueKey(record.instance, target.target, workspace, urgency.priority)
+
+        def record_load(load: float, delay_s: float) -> None:
             self._loads[target.target] = (load, self._clock.monotonic())
+            self._delays.record(key, delay_s)
 
         owner = _Owner(
             instance=record.instance,
--- a/src/quetzalrudder/gateway/catalog.py
+++ b/src/quetzalrudder/gateway/catalog.py
@@ -107,6 +107,18 @@
         """The current catalog."""
         return self._current
 
+    def weight_of(self, workspace: WorkspaceId) -> float:
+        """Return the weight of a workspace under contention: its rate.
+
+        One without a rate weighs as much as the mean.
+        """
+        workspaces = self._current.workspaces
+        found = workspaces.get(workspace)
+        if found is not None and found.rate_per_s > 0:
+            return found.rate_per_s
+        rates = [other.rate_per_s for other in workspaces.values() if other.rate_per_s > 0]
+        return sum(rates) / len(rates) if rates else 1.0
+
     def update_if_newer(self, catalog: Catalog, encoded: bytes = b"") -> bool:
         """Replace the current catalog if the given one has a later version.
 
--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -6,55 +6,39 @@
 one more.
 """
 
-import logging
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import ConnectionLimitReached, Overloaded, QuetzalrudderError
-from quetzalrudder.gateway.statements import TargetConnector, TargetLink
+from quetzalrudder.gateway.checkouts import Checkout, PooledCheckout, PooledLink, close_links
+from quetzalrudder.gateway.demand import ConnectionDemand
+from quetzalrudder.gateway.fair_shares import FairShares
+from quetzalrudder.gateway.limit_backoff import LimitBackoff
+from quetzalrudder.gateway.slot_links import SlotLimitedLink
+from quetzalrudder.gateway.slots import SlotLimiter, SlotLimiters
+from quetzalrudder.gateway.statements import TargetConnector
 from quetzalrudder.gateway.targets import Target
-from quetzalrudder.gateway.wait_queue import Urgency, WaitQueue
-from quetzalrudder.models import InstanceId, TargetId, WorkspaceId
+from quetzalrudder.gateway.wait_queue import Claim, Urgency, WaitQueue, WorkAhead
+from quetzalrudder.models import TargetId, WorkspaceId
 from quetzalrudder.utils import MS_PER_S, Clock
 
 __all__ = ["GatewayPool", "Checkout", "PooledLink", "PooledCheckout", "Urgency"]
 
-log = logging.getLogger(__name__)
-
 # Waiters for one database. With 3 connections and checkouts of 30 ms, the last of them
 # waits 0.6 s.
 MAX_WAITERS = 64
 # Assumed duration of a checkout until one has been measured.
 INITIAL_CHECKOUT_TIME_S = 0.03
-# Weight of the newest checkout in the moving average of their duration; the average
-# follows a change of load within about 20 checkouts.
+# Weight of the newest checkout in their moving average, which follows about 20 of them.
 CHECKOUT_TIME_SMOOTHING = 0.05
 # Longer than the platform's 12 ms for opening a connection plus two round trips.
 CONNECT_TIMEOUT_S = 0.6
-# Delay before a pool opens the next connection after the database refused one because of its
-# limit; it doubles with each refusal in a row. The refusals may last for 3 s, until the database
-# drops the connections of an unreachable peer.
-FIRST_LIMIT_DELAY_S = 0.04
-MAX_LIMIT_DELAY_S = 0.32
 # Fraction of the limit that may be idle. A database keeps the connections of machines that lost
 # their power for a while; the rest of its connections then serves the machines that return.
 IDLE_FRACTION = 0.5
-# Requests of a pool after which the older ones count half.
-DEMAND_MEMORY = 64
-
-
-@dataclass
-class PooledLink:
-    """A connection with the session state that its last user left on it."""
-
-    link: TargetLink
-    workspace: WorkspaceId
-    values: dict[str, str] = field(default_factory=dict)
-    prepared: set[str] = field(default_factory=set)
 
 
 @dataclass
@@ -63,129 +47,34 @@
     ready: threading.Event = field(default_factory=threading.Event)
     # If None when ready is set, the waiter may open a connection.
     assigned: PooledLink | None = None
-
-
-class Checkout(Protocol):
-    """A connection checked out of a pool; use it as a context manager.
-
-    It is closed on release unless :meth:`mark_reusable` was called.
-    """
-
-    # The other instance that owns the connection; None if this instance does.
-    owner: InstanceId | None
-
-    @property
-    def target(self) -> Target:
-        """The database that the connection leads to."""
-
-    @property
-    def link(self) -> TargetLink:
-        """The connection."""
-
-    def invalidate_prepared(self) -> None:
-        """Assume that no statement is prepared on the connection."""
-
-    def invalidate_values(self) -> None:
-        """Have the connection reset before its next use, as its session values are unknown."""
-
-    def mark_reusable(self) -> None:
-        """Return the connection to the pool on release, as no transaction is open on it."""
-
-    def release(self) -> None:
-        """Return the connection to the pool, or close it."""
-
-    def __enter__(self) -> "Checkout": ...
-
-    def __exit__(self, *exc_info: object) -> None: ...
-
-
-class PooledCheckout:
-    """A connection checked out of this instance's pool."""
-
-    owner: InstanceId | None = None
-
-    def __init__(self, pool: "_TargetPool", pooled: PooledLink, checked_out_at: float) -> None:
-        self._pool = pool
-        self.pooled = pooled
-        self.checked_out_at = checked_out_at
-        self._reusable = False
-        self._released = False
-
-    @property
-    def target(self) -> Target:
-        """The database that the connection leads to."""
-        return self._pool.target
-
-    @property
-    def link(self) -> TargetLink:
-        """The connection."""
-        return self.pooled.link
-
-    def invalidate_prepared(self) -> None:
-        """Assume that no statement is prepared on the connection."""
-        self.pooled.prepared.clear()
-
-    def invalidate_values(self) -> None:
-        """Have the connection reset before its next use, as its session values are unknown."""
-        # No session has a value with an empty name, so the next one to use it resets it.
-        self.pooled.values[""] = ""
-
-    def mark_reusable(self) -> None:
-        """Return the connection to the pool on release, as no transaction is open on it."""
-        self._reusable = True
-
-    def release(self) -> None:
-        """Return the connection to the pool, or close it."""
-        if not self._released:
-            self._released = True
-            self._pool.check_in(self, reusable=self._reusable and not self.link.broken)
-
-    def __enter__(self) -> "PooledCheckout":
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        self.release()
-
-
-class _Demand:
-    """How often each workspace has recently asked for a connection."""
-
-    def __init__(self) -> None:
-        self._counts: dict[WorkspaceId, float] = {}
-        self._total = 0.0
-
-    def record(self, workspace: WorkspaceId) -> None:
-        """Count a request; earlier ones lose weight as newer ones come."""
-        self._counts[workspace] = self._counts.get(workspace, 0.0) + 1
-        self._total += 1
-        if self._total >= DEMAND_MEMORY:
-            self._total /= 2
-            self._counts = {name: n / 2 for name, n in self._counts.items() if n >= 1}
-
-    def of(self, pooled: PooledLink) -> float:
-        """Return the demand for a connection: that of its workspace."""
-        return self._counts.get(pooled.workspace, 0.0)
+    # Set if a more urgent waiter took its place in a full queue.
+    displaced: bool = False
 
 
 class _TargetPool:
     def __init__(
-        self, target: Target, connector: TargetConnector, limit: Callable[[], int], clock: Clock
+        self,
+        target: Target,
+        connector: TargetConnector,
+        limit: Callable[[], int],
+        limiters: SlotLimiters | None,
+        clock: Clock,
     ) -> None:
         self.target = target
+        self._limiters = limiters
+        self._shares = limiters.create_shares() if limiters is not None else None
         self._connector = connector
         self._limit = limit
         self._clock = clock
         self._lock = threading.Lock()
         self._idle: list[PooledLink] = []
-        self._demand = _Demand()
+        self._demand = ConnectionDemand()
         # Connections that are open or being opened.
         self._open_count = 0
-        self._waiters: WaitQueue[_Waiter] = WaitQueue()
+        self._waiters: WaitQueue[_Waiter] = WaitQueue(self._current_shares)
         self._checkout_time_s = INITIAL_CHECKOUT_TIME_S
         self._checked_out_count = 0
-        # Until when no connection is opened, and the delay after the next refusal.
-        self._no_open_until = 0.0
-        self._limit_delay_s = FIRST_LIMIT_DELAY_S
+        self._limit_backoff = LimitBackoff(clock)
 
     @property
     def load(self) -> float:
@@ -197,64 +86,99 @@
         with self._lock:
             return any(pooled.workspace == workspace for pooled in self._idle)
 
+    def _current_shares(self) -> FairShares | None:
+        """Return the workspaces' shares; None in a fleet whose instances own no slots."""
+        return self._shares if self._limiter() is not None else None
+
+    def _limiter(self) -> SlotLimiter | None:
+        return self._limiters.for_target(self.target) if self._limiters is not None else None
+
     def checkout(
         self, workspace: WorkspaceId, urgency: Urgency, deadline_at: float
     ) -> Result[Checkout, QuetzalrudderError]:
+        claim = Claim(urgency, workspace, deadline_at)
+        if self._limiters is not None and (
+            refusal := self._limiters.refuse(self.target, claim, self._work_ahead)
+        ):
+            return Err(refusal)
+        result = self._wait_for_link(claim)
+        if isinstance(result, Ok) and isinstance(result.ok_value.link, SlotLimitedLink):
+            result.ok_value.link.claim = claim
+        return result
+
+    def expected_delay_s(self, claim: Claim) -> float:
+        """Return how long a new request would wait for a slot, as far as is known."""
+        limiter = self._limiter()
+        return 0.0 if limiter is None else limiter.expected_delay_s(claim, self._work_ahead)
+
+    def _work_ahead(
+        self, claim: Claim, now: float, service_of: Callable[[int], float]
+    ) -> WorkAhead:
+        with self._lock:
+            return self._waiters.work_ahead(claim, now, service_of)
+
+    def _wait_for_link(self, claim: Claim) -> Result[Checkout, QuetzalrudderError]:
+        workspace, deadline_at = claim.workspace, claim.until
         with self._lock:
             self._demand.record(workspace)
         while True:
             waiter = _Waiter(workspace)
             with self._lock:
-                refusal = self._enqueue(waiter, urgency, deadline_at)
+                refusal = self._enqueue(waiter, claim)
                 if refusal is not None:
                     return Err(refusal)
                 closing = self._dispatch()
-            _close_all(closing)
+            close_links(closing)
             remaining_s = max(0.0, deadline_at - self._clock.monotonic())
             if not self._clock.wait(waiter.ready, remaining_s):
                 with self._lock:
                     self._waiters.remove(waiter)
                     if not waiter.ready.is_set():
-                        return Err(
-                            self._overloaded("no connection became free before the deadline")
-                        )
+                        reason = "no connection became free before the deadline"
+                        return Err(self._overloaded(reason))
+            if waiter.displaced:
+                with self._lock:
+                    return Err(self._overloaded("a more urgent request took its place"))
             if waiter.assigned is not None:
                 return Ok(PooledCheckout(self, waiter.assigned, self._clock.monotonic()))
             opened = self._open(workspace, deadline_at)
             if isinstance(opened, Ok):
                 return opened
-            if not isinstance(opened.err_value, ConnectionLimitReached):
-                return opened
-            delay_s = max(0.0, self._no_open_until - self._clock.monotonic())
-            if self._clock.monotonic() + delay_s >= deadline_at:
+            delay_s = self._limit_backoff.remaining_s
+            is_at_limit = isinstance(opened.err_value, ConnectionLimitReached)
+            if not is_at_limit or self._clock.monotonic() + delay_s >= deadline_at:
                 return opened
             self._clock.sleep(delay_s)
 
-    def _enqueue(
-        self, waiter: _Waiter, urgency: Urgency, deadline_at: float
-    ) -> QuetzalrudderError | None:
+    def _enqueue(self, waiter: _Waiter, claim: Claim) -> QuetzalrudderError | None:
         """Add a waiter to the queue, or return an error if it cannot be served in time."""
         if len(self._waiters) >= MAX_WAITERS:
-            return self._overloaded("the queue for connections is full")
-        index = self._waiters.add(urgency, waiter)
+            displaced = self._waiters.displace(claim, self._checkout_time_s)
+            if displaced is None:
+                return self._overloaded("the queue for connections is full")
+            displaced.displaced = True
+            displaced.ready.set()
+        now = self._clock.monotonic()
+        index = self._waiters.add(
+            claim.urgency, waiter, workspace=claim.workspace, now=now, until=claim.until
+        )
         expected_s = index * self._checkout_time_s / max(1, self._limit())
-        if self._clock.monotonic() + expected_s > deadline_at:
+        if now + expected_s > claim.until:
             self._waiters.remove(waiter)
             return self._overloaded("the queue for connections is too long for the deadline")
         return None
 
     def _overloaded(self, reason: str) -> Overloaded:
         wait_s = (len(self._waiters) + 1) * self._checkout_time_s / max(1, self._limit())
-        return Overloaded(
-            reason, place=self.target.target, retry_after_ms=max(1, round(wait_s * MS_PER_S))
-        )
+        retry_after_ms = max(1, round(wait_s * MS_PER_S))
+        return Overloaded(reason, place=self.target.target, retry_after_ms=retry_after_ms)
 
     def _dispatch(self) -> list[PooledLink]:
         """Serve waiters in order; return the connections that the caller must close."""
         closing: list[PooledLink] = []
         now = self._clock.monotonic()
         limit = max(1, self._limit())
-        if now < self._no_open_until:
+        if self._limit_backoff.remaining_s > 0:
             # Statements use the connections that are open until the database accepts more.
             limit = min(limit, self._open_count)
 
@@ -299,17 +223,16 @@
             self.target, workspace, min(CONNECT_TIMEOUT_S, remaining_s)
         )
         if isinstance(opened, Ok):
-            self._limit_delay_s = FIRST_LIMIT_DELAY_S
+            self._limit_backoff.record_opened()
             pooled = PooledLink(opened.ok_value, workspace)
             return Ok(PooledCheckout(self, pooled, self._clock.monotonic()))
         with self._lock:
             self._open_count -= 1
             self._checked_out_count -= 1
             if isinstance(opened.err_value, ConnectionLimitReached):
-                self._no_open_until = self._clock.monotonic() + self._limit_delay_s
-                self._limit_delay_s = min(MAX_LIMIT_DELAY_S, 2 * self._limit_delay_s)
+                self._limit_backoff.record_refused()
             closing = self._dispatch()
-        _close_all(closing)
+        close_links(closing)
         return opened
 
     def check_in(self, checkout: PooledCheckout, *, reusable: bool) -> None:
@@ -326,7 +249,7 @@
                 closing.append(checkout.pooled)
             closing += self._dispatch()
             closing += self._remove_excess_idle()
-        _close_all(closing)
+        close_links(closing)
 
     def _remove_excess_idle(self) -> list[PooledLink]:
         """Remove and return the idle connections beyond the allowed number."""
@@ -337,7 +260,9 @@
 
     def _pop_least_wanted(self) -> PooledLink:
         """Remove and return the idle connection whose workspace asks least often."""
-        index = min(range(len(self._idle)), key=lambda index: self._demand.of(self._idle[index]))
+        index = min(
+            range(len(self._idle)), key=lambda index: self._demand.of(self._idle[index].workspace)
+        )
         return self._idle.pop(index)
 
     def checkout_any_idle(self) -> Checkout | None:
@@ -347,7 +272,7 @@
             pooled = None if self._waiters else self._pop_idle(None, closing)
             if pooled is not None:
                 self._checked_out_count += 1
-        _close_all(closing)
+        close_links(closing)
         return None if pooled is None else PooledCheckout(self, pooled, self._clock.monotonic())
 
     def close_broken(self) -> bool:
@@ -356,7 +281,7 @@
             broken = [pooled for pooled in self._idle if pooled.link.broken]
             self._idle = [pooled for pooled in self._idle if not pooled.link.broken]
             self._open_count -= len(broken)
-        _close_all(broken)
+        close_links(broken)
         return bool(broken)
 
     def trim(self) -> None:
@@ -366,19 +291,14 @@
             closing, self._idle = self._idle[:excess], self._idle[excess:]
             self._open_count -= excess
             closing += self._dispatch()
-        _close_all(closing)
+        close_links(closing)
 
     def close_idle(self) -> None:
         """Close all idle connections."""
         with self._lock:
             idle, self._idle = self._idle, []
             self._open_count -= len(idle)
-        _close_all(idle)
-
-
-def _close_all(closing: list[PooledLink]) -> None:
-    for pooled in closing:
-        pooled.link.close()
+        close_links(idle)
 
 
 class GatewayPool:
@@ -392,13 +312,20 @@
         Returns the number of connections to a database that this instance may hold.
     clock : Clock
         Source of time.
+    limiters : SlotLimiters, optional
+        Slots of the databases, by which requests are refused on arrival.
     """
 
     def __init__(
-        self, connector: TargetConnector, limit: Callable[[Target], int], clock: Clock
+        self,
+        connector: TargetConnector,
+        limit: Callable[[Target], int],
+        clock: Clock,
+        limiters: SlotLimiters | None = None,
     ) -> None:
         self._connector = connector
         self._limit = limit
+        self._limiters = limiters
         self._clock = clock
         self._lock = threading.Lock()
         self._pools: dict[TargetId, _TargetPool] = {}
@@ -417,6 +344,10 @@
         """Return this instance's load on a database; at 1.0 all connections are checked out."""
         return self._pool_of(target).load
 
+    def expected_delay_s(self, target: Target, claim: Claim) -> float:
+        """Return how long a new request would wait for a slot; 0 if slots are not waited for."""
+        return self._pool_of(target).expected_delay_s(claim)
+
     def has_idle(self, target: Target, workspace: WorkspaceId) -> bool:
         """Return whether an idle connection of the workspace exists."""
         return self._pool_of(target).has_idle(workspace)
@@ -449,7 +380,11 @@
                 if pool is not None:
                     pool.close_idle()
                 pool = _TargetPool(
-                    target, self._connector, lambda: self._limit(target), self._clock
+                    target,
+                    self._connector,
+                    lambda: self._limit(target),
+                    self._limiters,
+                    self._clock,
                 )
                 self._pools[target.target] = pool
             return pool
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -29,6 +29,7 @@
 from quetzalrudder.gateway.positions import PositionExchange
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
 from quetzalrudder.gateway.probing import PooledProber, PrimaryHealthCheck
+from quetzalrudder.gateway.queue_refusals import QueueRefusals
 from quetzalrudder.gateway.quotas import QuotaRules
 from quetzalrudder.gateway.rate_tokens import RateLimiter
 from quetzalrudder.gateway.records import (
@@ -45,7 +46,9 @@
 )
 from quetzalrudder.gateway.running import GatewayServices
 from quetzalrudder.gateway.sessions import ProxySession
-from quetzalrudder.gateway.slots import SlotLimitedConnector, SlotLimiters
+from quetzalrudder.gateway.slot_links import SlotLimitedConnector
+from quetzalrudder.gateway.slot_share import slot_parts
+from quetzalrudder.gateway.slots import SlotLimiters
 from quetzalrudder.gateway.statements import TargetConnector
 from quetzalrudder.gateway.store import Item, Store
 from quetzalrudder.gateway.targets import Target, TargetRegistry
@@ -144,11 +147,19 @@
         self.members = MemberTable(clock)
         self.contact = StoreContact(clock)
         self.view = FleetView(self.members)
-        limiters = SlotLimiters(self._slot_sharers, clock)
+        refusals = QueueRefusals(self.metrics.count_queue_refusal, clock)
+        self.limiters = SlotLimiters(
+            self._slot_part, self.catalogs.weight_of, refusals.record, rng, clock
+        )
         self.pool = GatewayPool(
-            SlotLimitedConnector(connector, limiters), self._connection_limit, clock
+            SlotLimitedConnector(connector, self.limiters, clock),
+            self._connection_limit,
+            clock,
+            self.limiters,
+        )
+        fleet_pool = FleetConnectionPool(
+            identity.instance, self.view, self.pool, caller, rng, clock
         )
-        fleet_pool = FleetConnectionPool(identity.instance, self.view, self.pool, caller, clock)
         placement = Placement(self.registry, fleet_pool, identity.data_centre, rng, clock)
         self.planner = AttemptPlanner(
             registry=self.registry,
@@ -422,8 +433,14 @@
             return 1
         return max(1, int(settings.max_connections * OWNER_CONNECTION_FRACTION) // len(owners))
 
-    def _slot_sharers(self, target: Target) -> int:
-        return len(owners_of(self.view, target)) if self.view.is_large else 0
+    def _slot_part(self, target: Target) -> int:
+        """Return this instance's slots at a database; 0 if statements do not wait for them."""
+        if not self.view.is_large:
+            return 0
+        owners = [record.instance for record in owners_of(self.view, target)]
+        parts = dict(zip(owners, slot_parts(target.slots, len(owners)), strict=True))
+        # Instances that are not or no longer owners send their health checks, and what was begun.
+        return parts.get(self._identity.instance, 1)
 
     def _is_watcher(self, group: GroupId, primary: Target | None) -> bool:
         if not self.view.is_large:
--- a/src/quetzalrudder/gateway/lending.py
+++ b/src/quetzalrudder/gateway/lending.py
@@ -17,6 +17,7 @@
 from quetzalrudder.gateway.connections import GatewayPool, PooledCheckout, Urgency
 from quetzalrudder.gateway.lent_messages import decode_position, decode_statement, encode_reply
 from quetzalrudder.gateway.running import set_up_link
+from quetzalrudder.gateway.slot_links import MAX_WAIT_FRACTION
 from quetzalrudder.gateway.statements import (
     Commit,
     Rollback,
@@ -24,7 +25,8 @@
     TargetFault,
     TargetReply,
 )
-from quetzalrudder.gateway.targets import TargetRegistry
+from quetzalrudder.gateway.targets import Target, TargetRegistry
+from quetzalrudder.gateway.wait_queue import Claim
 from quetzalrudder.models import RequestId, TargetId, WorkspaceId
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.schema.gateway import EndRequest, RunReply, RunRequest, StatementKind, Wanted
@@ -46,6 +48,8 @@
 class _LentConnection:
     checkout: PooledCheckout
     borrower: str
+    # The claim of the request that it was lent for.
+    claim: Claim
     last_used_at: float
     # Session values before its transaction.
     values_before: dict[str, str] = field(default_factory=dict)
@@ -120,7 +124,17 @@
                 lent.values_before = dict(lent.checkout.pooled.values)
             lent.last_used_at = self._clock.monotonic()
         reply = self._make_reply(checkout_id, lent, req, result)
-        reply.use = self._pool.load(lent.checkout.target)
+        return self._add_load(reply, lent.checkout.target, lent.claim)
+
+    def _add_load(self, reply: RunReply, target: Target, claim: Claim) -> RunReply:
+        """Add what the borrower needs to know before it sends its next statement."""
+        now = self._clock.monotonic()
+        # The claim of another statement like this one that arrives now.
+        due_at = now + claim.urgency.due_at - claim.arrived_at
+        urgency = Urgency(1, claim.urgency.priority, due_at)
+        another = Claim(urgency, claim.workspace, claim.until, now)
+        reply.use = self._pool.load(target)
+        reply.queue_delay_ms = round(self._pool.expected_delay_s(target, another) * MS_PER_S)
         return reply
 
     def _lend(self, wanted: Wanted, deadline_at: float) -> "tuple[int, _LentConnection] | RunReply":
@@ -136,16 +150,18 @@
             return RunReply(failure=failure, not_holder=True)
         now = self._clock.monotonic()
         urgency = Urgency(wanted.rank, wanted.priority, now + wanted.wanted_ms / MS_PER_S)
-        wait_until = min(deadline_at, now + wanted.wait_ms / MS_PER_S)
+        longest_wait_s = MAX_WAIT_FRACTION * max(0.0, deadline_at - now)
+        wait_until = now + min(longest_wait_s, wanted.wait_ms / MS_PER_S)
         workspace = WorkspaceId(wanted.workspace)
+        claim = Claim(urgency, workspace, wait_until, now)
         result = self._pool.checkout(target, workspace, urgency, wait_until)
         if isinstance(result, Err):
             failure = to_failure(result.err_value)
             # Whatever happened to the connection, the statement was not sent.
             failure.ending = Ending.NOT_RUN
-            return RunReply(failure=failure, use=self._pool.load(target))
+            return self._add_load(RunReply(failure=failure), target, claim)
         checkout = result.ok_value
-        lent = _LentConnection(checkout, wanted.instance, now)
+        lent = _LentConnection(checkout, wanted.instance, claim, now)
         with self._lock:
             checkout_id = next(self._ids)
             self._lent[checkout_id] = lent
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -40,13 +40,19 @@
             ["fault"],
             registry=self.registry,
         )
+        self.queue_refusals = Counter(
+            "quetzalrudder_queue_refusals",
+            "Statements refused on arrival, as the queue was too long for their deadline.",
+            ["priority", "workspace"],
+            registry=self.registry,
+        )
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
 
 
 class Metrics:
-    """Metrics of the gateway. Label values come from the code, so their number is bounded.
+    """Metrics of the gateway. The number of label values is bounded.
 
     Observations made before :meth:`load` are counted by it.
     """
@@ -90,6 +96,10 @@
         """Count an attempt that a database refused or failed."""
         self._observe(lambda found: found.faults.labels(fault).inc())
 
+    def count_queue_refusal(self, priority: int, workspace: str) -> None:
+        """Count a statement that a queue refused on arrival; the caller bounds the workspaces."""
+        self._observe(lambda found: found.queue_refusals.labels(priority, workspace).inc())
+
     def set_sessions(self, count: int) -> None:
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
--- a/src/quetzalrudder/gateway/slots.py
+++ b/src/quetzalrudder/gateway/slots.py
@@ -1,45 +1,44 @@
 """Limits the statements that this instance runs at a database to its share of the slots.
 
 Serves a large fleet, where a few instances own many more connections to a database than the
-database runs statements at once. Statements that it would refuse wait here in order, those
-in open transactions first.
+database runs statements at once. Statements that it would refuse wait here in the order of
+:class:`~quetzalrudder.gateway.wait_queue.WaitQueue`, those in open transactions first. A new
+statement that the queue could not serve before it stops waiting is refused on arrival.
 """
 
-import bisect
-import itertools
-import math
+import random
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from result import Ok, Result
-
-from quetzalrudder.exceptions import QuetzalrudderError
-from quetzalrudder.gateway.statements import (
-    Commit,
-    Execute,
-    Read,
-    SessionState,
-    Statement,
-    TargetConnector,
-    TargetFault,
-    TargetLink,
-    TargetReply,
-    TargetStatus,
-    Write,
+from quetzalrudder.exceptions import QueueTooLong
+from quetzalrudder.gateway.fair_shares import FairShares
+from quetzalrudder.gateway.queue_delay import ServiceTimes, retry_after_ms
+from quetzalrudder.gateway.statements import TargetFault
+from quetzalrudder.gateway.targets import Target
+from quetzalrudder.gateway.wait_queue import (
+    RESERVED_FRACTION,
+    Claim,
+    Urgency,
+    WaitQueue,
+    WorkAhead,
 )
-from quetzalrudder.gateway.targets import LogPosition, Target
-from quetzalrudder.models import RequestId, TargetId, WorkspaceId
+from quetzalrudder.models import TargetId, WorkspaceId
 from quetzalrudder.utils import Clock
 
-__all__ = ["SlotLimitedConnector", "SlotLimiter", "SlotLimiters"]
+__all__ = ["SlotLimiter", "SlotLimiters"]
 
-# Statements take 24 ms on average; one that has waited this long is planned again.
-MAX_SLOT_WAIT_S = 0.3
+# Fraction of the time until a statement is due that its expected delay may take if it is to be
+# served among those in time. Without a reserve, half of the last ones admitted turn late, which
+# then wait for what is left to late statements.
+IN_TIME_FRACTION = 0.5
+# The same of the time that a statement can wait if it is to be served late.
+LATE_FRACTION = 0.7
 
 
-@dataclass
+@dataclass(eq=False)
 class _Waiter:
+    urgency: Urgency
     granted: threading.Event = field(default_factory=threading.Event)
 
 
@@ -50,52 +49,134 @@
     ----------
     slot_count : Callable
         Returns the number of these slots.
+    get_shares : Callable
+        Returns the shares of the workspaces; None if workspaces are not told apart.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, slot_count: Callable[[], int], clock: Clock) -> None:
+    def __init__(
+        self,
+        slot_count: Callable[[], int],
+        get_shares: Callable[[], FairShares | None],
+        clock: Clock,
+    ) -> None:
         self._slot_count = slot_count
         self._clock = clock
         self._lock = threading.Lock()
         self._in_use = 0
-        self._waiters: list[tuple[int, int, _Waiter]] = []
-        self._sequence = itertools.count()
+        self._times = ServiceTimes()
+        self._waiters: WaitQueue[_Waiter] = WaitQueue(get_shares)
 
-    def acquire(self, rank: int, timeout_s: float) -> bool:
-        """Wait for a slot; lower ranks go first, then earlier calls.
+    def acquire(self, claim: Claim) -> bool:
+        """Wait for a slot.
 
         Returns
         -------
         bool
-            False if no slot became free within the timeout.
+            False if no slot became free in time.
         """
-        waiter = _Waiter()
-        with self._lock:
-            bisect.insort(self._waiters, (rank, next(self._sequence), waiter), key=_sort_key)
-            self._grant_slots()
-        if self._clock.wait(waiter.granted, timeout_s):
+        waiter = self.enqueue(claim)
+        remaining_s = max(0.0, claim.until - self._clock.monotonic())
+        if self._clock.wait(waiter.granted, remaining_s):
             return True
+        return not self.withdraw(waiter)
+
+    def enqueue(self, claim: Claim) -> _Waiter:
+        """Add a claim to the queue; its event is set once a slot is granted."""
+        waiter = _Waiter(claim.urgency)
+        with self._lock:
+            self._waiters.add(
+                claim.urgency,
+                waiter,
+                workspace=claim.workspace,
+                now=self._clock.monotonic(),
+                until=claim.until,
+            )
+            self._grant_slots(is_arrival=True)
+        return waiter
+
+    def withdraw(self, waiter: _Waiter) -> bool:
+        """Remove a claim from the queue; return False if it has been granted."""
         with self._lock:
             if waiter.granted.is_set():
-                return True
-            self._waiters = [entry for entry in self._waiters if entry[2] is not waiter]
-            return False
+                return False
+            self._waiters.remove(waiter)
+            return True
 
-    def release(self) -> None:
-        """Release a slot."""
+    def release(self, priority: int, used_s: float, fault: TargetFault | None = None) -> None:
+        """Release a slot that an answered statement used.
+
+        Parameters
+        ----------
+        priority : int
+            Priority of the statement.
+        used_s : float
+            How long it used the slot, in seconds.
+        fault : TargetFault, optional
+            The database's fault.
+        """
         with self._lock:
-            self._in_use -= 1
-            self._grant_slots()
+            if fault is None:
+                self._times.record(priority, used_s)
+            self._release()
 
-    def _grant_slots(self) -> None:
-        while self._waiters and self._in_use < self._slot_count():
+    def release_unanswered(self) -> None:
+        """Release a slot whose statement got no answer; its duration says nothing."""
+        with self._lock:
+            self._release()
+
+    def _release(self) -> None:
+        self._in_use -= 1
+        self._grant_slots()
+
+    def expected_delay_s(
+        self, claim: Claim, also_ahead: Callable[..., WorkAhead] | None = None
+    ) -> float:
+        """Return how long a new claim would wait; 0 while there is room or nothing is known.
+
+        Parameters
+        ----------
+        claim : Claim
+            The new claim.
+        also_ahead : Callable, optional
+            Returns the work that waits elsewhere and goes before it; called like
+            :meth:`WaitQueue.work_ahead`.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            slots = self._slot_count()
+            if self._in_use < slots or not self._times.is_known:
+                return 0.0
+            ahead = self._waiters.work_ahead(claim, now, self._times.of)
+            if also_ahead is not None:
+                ahead += also_ahead(claim, now, self._times.of)
+            priority = claim.urgency.priority
+            # The statements in the slots are half done on average.
+            in_service_s = slots * self._times.mean_s / 2
+            above = self._times.share_above(priority, late=False)
+            share = max(RESERVED_FRACTION, 1 - RESERVED_FRACTION - above)
+            in_time_s = (ahead.if_in_time_s + in_service_s) / slots / share
+            remaining_s = claim.urgency.due_at - now - self._times.of(priority)
+            if in_time_s <= IN_TIME_FRACTION * remaining_s:
+                return in_time_s
+            above = self._times.share_above(priority, late=True)
+            share = max(RESERVED_FRACTION, 1 - above) * LATE_FRACTION
+            return (ahead.if_late_s + in_service_s) / slots / share
+
+    def _grant_slots(self, *, is_arrival: bool = False) -> None:
+        slots = self._slot_count()
+        now = self._clock.monotonic()
+        while len(self._waiters) and self._in_use < slots:
+            waiter = self._waiters.pop(
+                now=now, service_s=self._times.mean_s, service_of=self._times.of
+            )
+            if not is_arrival:
+                self._times.record_contended(
+                    waiter.urgency.priority, late=now > waiter.urgency.due_at
+                )
             self._in_use += 1
-            self._waiters.pop(0)[2].granted.set()
-
-
-def _sort_key(entry: tuple[int, int, _Waiter]) -> tuple[int, int]:
-    return entry[0], entry[1]
+            waiter.granted.set()
 
 
 class SlotLimiters:
@@ -103,102 +184,82 @@
 
     Parameters
     ----------
-    owner_count : Callable
-        Returns the number of instances that share a database's slots; 0 if its statements
-        need not wait here.
+    slot_count : Callable
+        Returns this instance's part of a database's slots; 0 if its statements need not wait
+        here.
+    weight_of : Callable
+        Returns the weight of a workspace's share, greater than 0.
+    record_refusal : Callable
+        Called with a database, a claim that was refused, and the expected delay.
+    rng : random.Random
+        Spreads the delays that callers are told.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, owner_count: Callable[[Target], int], clock: Clock) -> None:
-        self._owner_count = owner_count
+    def __init__(
+        self,
+        slot_count: Callable[[Target], int],
+        weight_of: Callable[[WorkspaceId], float],
+        record_refusal: Callable[[TargetId, Claim, float], None],
+        rng: random.Random,
+        clock: Clock,
+    ) -> None:
+        self._slot_count = slot_count
+        self._weight_of = weight_of
+        self._record_refusal = record_refusal
+        self._rng = rng
         self._clock = clock
         self._lock = threading.Lock()
         self._limiters: dict[TargetId, SlotLimiter] = {}
 
     def for_target(self, target: Target) -> SlotLimiter | None:
         """Return a database's slot limiter; None if its statements need not wait here."""
-        if not self._owner_count(target):
+        if not self._slot_count(target):
             return None
-
-        def slot_count() -> int:
-            return max(1, math.ceil(target.slots / max(1, self._owner_count(target))))
-
+        limiter = self._limiters.get(target.target)
+        if limiter is not None:
+            return limiter
+        shares = self.create_shares()
         with self._lock:
-            return self._limiters.setdefault(target.target, SlotLimiter(slot_count, self._clock))
-
-
-class SlotLimitedConnector:
-    """Opens connections whose statements wait for a slot of the database.
-
-    Parameters
-    ----------
-    connector : TargetConnector
-        Opens the connections.
-    limiters : SlotLimiters
-        The slot limiters of the databases.
-    """
-
-    def __init__(self, connector: TargetConnector, limiters: SlotLimiters) -> None:
-        self._connector = connector
-        self._limiters = limiters
-
-    def connect(
-        self, target: Target, workspace: WorkspaceId, timeout_s: float
-    ) -> Result[TargetLink, QuetzalrudderError]:
-        """Open a connection on behalf of a workspace."""
-        opened = self._connector.connect(target, workspace, timeout_s)
-        return opened.map(
-            lambda link: _SlotLimitedLink(link, lambda: self._limiters.for_target(target))
-        )
-
-
-class _SlotLimitedLink:
-    def __init__(self, link: TargetLink, get_limiter: Callable[[], SlotLimiter | None]) -> None:
-        self._link = link
-        self._get_limiter = get_limiter
-        self._state = SessionState.IDLE
-
-    @property
-    def broken(self) -> bool:
-        return self._link.broken
-
-    def close(self) -> None:
-        self._link.close()
-
-    def run(
-        self,
-        request_id: RequestId,
-        statement: Statement,
-        timeout_s: float,
-        at_least: LogPosition | None = None,
-    ) -> Result[TargetReply, QuetzalrudderError]:
-        limiter = (
-            self._get_limiter() if isinstance(statement, Read | Write | Execute | Commit) else None
+            return self._limiters.setdefault(
+                target.target,
+                SlotLimiter(lambda: max(1, self._slot_count(target)), lambda: shares, self._clock),
+            )
+
+    def create_shares(self) -> FairShares:
+        """Return the shares of all workspaces in another queue."""
+        return FairShares(self._weight_of)
+
+    def expected_delay_s(self, target: Target, claim: Claim) -> float:
+        """Return how long a new statement would wait for a slot of a database."""
+        limiter = self.for_target(target)
+        return 0.0 if limiter is None else limiter.expected_delay_s(claim)
+
+    def refuse(
+        self, target: Target, claim: Claim, also_ahead: Callable[..., WorkAhead]
+    ) -> QueueTooLong | None:
+        """Return the error for a new statement that cannot get a slot in time, or None.
+
+        Parameters
+        ----------
+        target : Target
+            The database.
+        claim : Claim
+            The statement's claim to a slot.
+        also_ahead : Callable
+            Returns the work that waits for a connection and goes before it.
+        """
+        limiter = self.for_target(target)
+        if limiter is None or claim.urgency.rank == 0:
+            return None
+        delay_s = limiter.expected_delay_s(claim, also_ahead)
+        remaining_s = max(0.0, claim.until - self._clock.monotonic())
+        if delay_s <= remaining_s:
+            return None
+        self._record_refusal(target.target, claim, delay_s)
+        return QueueTooLong(
+            "the queue for slots is too long for the deadline",
+            place=target.target,
+            retry_after_ms=retry_after_ms(delay_s - remaining_s, self._rng),
         )
-        if limiter is None:
-            return self._track_state(self._link.run(request_id, statement, timeout_s, at_least))
-        rank = 0 if self._state is SessionState.IN_TRANSACTION else 1
-        if not limiter.acquire(rank, min(MAX_SLOT_WAIT_S, timeout_s)):
-            detail = "no slot became free at the connection owner"
-            return Ok(TargetReply(self._state, fault=TargetFault.BUSY, detail=detail))
-        try:
-            return self._track_state(self._link.run(request_id, statement, timeout_s, at_least))
-        finally:
-            limiter.release()
-
-    def _track_state(
-        self, result: Result[TargetReply, QuetzalrudderError]
-    ) -> Result[TargetReply, QuetzalrudderError]:
-        if isinstance(result, Ok):
-            self._state = result.ok_value.state
-        return result
-
-    def reset(self, timeout_s: float) -> Result[TargetReply, QuetzalrudderError]:
-        return self._link.reset(timeout_s)
-
-    def status(self, timeout_s: float) -> Result[TargetStatus | TargetFault, QuetzalrudderError]:
-        return self._link.status(timeout_s)
-
-    def step_down(self, term: int, timeout_s: float) -> Result[None, QuetzalrudderError]:
-        return self._link.step_down(term, timeout_s)
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -422,6 +422,11 @@
     The answering instance owns no connections to this database; nothing has run.
     """
 
+    queue_delay_ms: "int" = betterproto2.field(11, betterproto2.TYPE_UINT32)
+    """
+    How long another request of the same workspace and priority would wait for a slot.
+    """
+
 
 default_message_pool.register_message("gateway", "RunReply", RunReply)
 
--- a/tests/test_gateway_lending.py
+++ b/tests/test_gateway_lending.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from quetzalrudder.exceptions import LinkLost, OutcomeUnknown, TransactionAborted
-from quetzalrudder.gateway.assignments import LARGE_FLEET
+from quetzalrudder.exceptions import LinkLost, OutcomeUnknown, Overloaded, TransactionAborted
+from quetzalrudder.gateway.assignments import LARGE_FLEET, rank
 from quetzalrudder.gateway.borrowing import CONNECTION_OWNERS, owners_of, watchers_of
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.lending import FIRST_STATEMENT_TIMEOUT_S, LENT_IDLE_TIMEOUT_S
@@ -20,6 +20,7 @@
     encode_reply,
     encode_statement,
 )
+from quetzalrudder.gateway.slot_links import SlotLimitedLink
 from quetzalrudder.gateway.slots import SlotLimiter
 from quetzalrudder.gateway.statements import (
     Begin,
@@ -35,6 +36,7 @@
     Write,
 )
 from quetzalrudder.gateway.targets import LogPosition
+from quetzalrudder.gateway.wait_queue import Claim, Urgency
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.schema.gateway import LentStatement, PositionRequest, RunReply
 from tests.clocks import ManualClock
@@ -42,6 +44,7 @@
 
 NAMES = tuple(f"edge-{number}" for number in range(LARGE_FLEET + 2))
 MAX_CONNECTIONS = 12
+REFUSED = "statements refused on arrival"
 
 
 @pytest.fixture
@@ -249,19 +252,81 @@
 
 def test_a_slot_limiter_serves_open_transactions_first():
     clock = ManualClock()
-    limiter = SlotLimiter(lambda: 1, clock)
-    assert limiter.acquire(1, 1.0)
+    limiter = SlotLimiter(lambda: 1, lambda: None, clock)
+
+    def claim(rank):
+        return Claim(Urgency(rank, 1, clock.now + 1.0), "almaty", clock.now + 1.0)
+
+    assert limiter.acquire(claim(1))
     waits = []
 
     def wait(event, timeout_s):
         waits.append(len(waits))
         if len(waits) == 2:
-            limiter.release()
+            limiter.release_unanswered()
         return event.is_set()
 
     clock.wait = wait
-    assert not limiter.acquire(1, 1.0)
-    assert limiter.acquire(0, 1.0)
+    assert not limiter.acquire(claim(1))
+    assert limiter.acquire(claim(0))
+
+
+def fill_queue(gateway, target, clock, *, statements=60, service_s=0.5):
+    """Let a queue know a service time, and fill its slots and the queue."""
+    limiter = gateway.limiters.for_target(target)
+    due_at = clock.monotonic() + 0.2
+    waiting = Claim(Urgency(1, 1, due_at), "almaty", due_at + 60.0)
+    for _ in range(20):
+        limiter.enqueue(waiting)
+        limiter.release(1, service_s)
+    return [limiter.enqueue(waiting) for _ in range(statements)]
+
+
+def test_what_no_owner_can_serve_in_time_is_refused_at_once_and_not_sent_again(fleet, caplog):
+    target = primary(fleet)
+    owners = [i for i in fleet.instances if i.name in owner_names(fleet)]
+    for owner in owners:
+        fill_queue(owner.gateway, target, fleet.clock)
+    instance = borrowers(fleet)[0]
+    before = fleet.clock.monotonic()
+    reply = instance.session().execute("late", Write("a", "1"))
+    assert isinstance(reply.error, Overloaded)
+    assert reply.error.ending is Ending.NOT_RUN
+    assert reply.error.retry_after_ms > 1000
+    assert fleet.clock.monotonic() - before < 0.2
+    assert not [entry for entry in fleet.group.executed if entry[1] == "late"]
+    calls = []
+    for owner in owners:
+        owner.gateway.lender.run = calls.append
+    assert isinstance(instance.session().execute("2", Write("a", "1")).error, Overloaded)
+    assert calls == []
+    assert instance.gateway.planner._pool.expected_delay_s(target) > 1.0
+    [line] = {r.refused: r for r in caplog.records if r.message == REFUSED}.values()
+    assert line.by_workspace == {"almaty": 1}
+
+
+def test_a_statement_goes_to_the_owner_with_the_shorter_queue(fleet):
+    target = primary(fleet)
+    owners = {i.name: i for i in fleet.instances if i.name in owner_names(fleet)}
+    preferred = rank(f"almaty@{target.target}", owners)[0]
+    fill_queue(owners[preferred].gateway, target, fleet.clock)
+    session = borrowers(fleet)[0].session()
+    started = fleet.clock.monotonic()
+    assert session.execute("1", Write("a", "1")).error is None
+    assert fleet.clock.monotonic() - started < 0.2
+
+
+def test_a_statement_that_waits_for_a_slot_keeps_time_to_run():
+    """A slot at the end of the timeout would lose the connection with the answer."""
+    clock = ManualClock()
+    limiter = SlotLimiter(lambda: 1, lambda: None, clock)
+    link = SlotLimitedLink(None, lambda: limiter, clock)
+    link.claim = Claim(Urgency(1, 1, clock.now), "almaty", clock.now + 9.0)
+    limiter.enqueue(link.claim)
+    started = clock.now
+    reply = link.run("r", Read("a"), 0.4).ok_value
+    assert reply.fault is TargetFault.BUSY
+    assert 0.2 < clock.now - started <= 0.31
 
 
 texts = st.text(st.characters(codec="latin-1"), max_size=30)
