--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -16,6 +16,7 @@
     Overloaded,
     PrimaryChanging,
     QuetzalrudderError,
+    QueueTooLong,
     StaleTerm,
     StatementFailed,
     StatementNotPrepared,
@@ -100,7 +101,7 @@
 
     def is_retryable(self, exc: QuetzalrudderError) -> bool:
         """Return whether another attempt can succeed after this failure."""
-        return isinstance(exc, RETRYABLE_ERRORS) and not isinstance(exc, PrimaryChanging)
+        return isinstance(exc, RETRYABLE_ERRORS) and not isinstance(exc, FINAL_ERRORS)
 
 
 RETRYABLE_ERRORS = (
@@ -114,6 +115,8 @@
     TargetUnavailable,
     TruncatedAnswer,
 )
+# Failures that would be the same until the request stops waiting.
+FINAL_ERRORS = (PrimaryChanging, QueueTooLong)
 
 
 @dataclass(frozen=True)
@@ -220,18 +223,19 @@
         required_age_s = self.position_window(group).age_s(required)
         candidates = self._placement.rank(group, req.workspace, req.excluded, required_age_s)
         replicas = [target for target in candidates if target.target != primary]
-        if not replicas:
-            # No replica is left; later attempts may use the excluded ones again.
-            req.excluded.clear()
-            return None
-        timeout_s = self._placement.begin_read(replicas[0])
         deadline_at = min(req.deadline_at, self._clock.monotonic() + READ_ATTEMPT_TIMEOUT_S)
-        planned = self._check_out(req, replicas[0], None, required, deadline_at)
-        # The wait for the connection does not count as lateness of the answer.
-        answer_by = self._clock.monotonic() + timeout_s
-        return planned.map(
-            lambda attempt: replace(attempt, deadline_at=min(attempt.deadline_at, answer_by))
-        )
+        for replica in replicas:
+            timeout_s = self._placement.begin_read(replica)
+            planned = self._check_out(req, replica, None, required, deadline_at)
+            if isinstance(planned, Ok):
+                # The wait for the connection does not count as lateness of the answer.
+                answer_by = self._clock.monotonic() + timeout_s
+                return Ok(replace(planned.ok_value, deadline_at=min(deadline_at, answer_by)))
+            if not isinstance(planned.err_value, QueueTooLong):
+                return planned
+        # No replica is left; later attempts may use the excluded ones again.
+        req.excluded.clear()
+        return None
 
     def _plan_primary(self, req: Request) -> Result[Attempt, QuetzalrudderError]:
         group = req.route.group
--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -241,6 +241,7 @@
                 health.trial_until = now + READ_ATTEMPT_TIMEOUT_S
         has_room = (
             self._pool.load(target) < MAX_LOAD_WITH_ROOM
+            and self._queue_delay_s(target) == 0
             and self._estimates.refusal_share(target.target) < MAX_REFUSAL_SHARE_WITH_ROOM
         )
         longest_s = self._estimates.longest_usual_s(target.target)
