Relays watch the store for a large fleet

Cause: each instance watched the store, so a changed key and each watch that ended empty cost a call of every instance.

Change, in large fleets only: two instances of each data centre, the failover coordinator and the watchers of a suspected or changing primary watch the store; the others wait for the changes at a relay of their data centre, by a call that holds no thread there (relays, change_log). A relay that is silent, has lost the store, stands still or lacks history is left for the other one, then for the store. Only who watches may become coordinator and uses absences as proof. After failures the pause doubles up to 1 s with jitter (retry_delay). As few watch, their pause after urgent changes is 0.1 s instead of 0.25 s. Calls to the store are counted by reason in a metric.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -18,9 +18,7 @@
     TargetUnavailable,
 )
 from quetzalrudder.gateway import Catalog, GatewayInstance, InstanceIdentity, QuotaRules
-from quetzalrudder.gateway.mirror import PrefixHandler, StoreMirror
 from quetzalrudder.gateway.probing import PrimaryHealthCheck
-from quetzalrudder.gateway.records import KEY_PREFIX
 from quetzalrudder.gateway.store import Changes, LeaseId
 from quetzalrudder.gateway.targets import Target
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId, WorkspaceId
@@ -171,10 +169,7 @@
 
     def _start_tasks(self) -> None:
         gateway = self.gateway
-        records = PrefixHandler(KEY_PREFIX, gateway._replace_records, gateway._change_record)
-        mirror = StoreMirror(
-            _ModelStoreClient(self.fleet), [records], gateway.contact, self.fleet.clock, 3.0
-        )
+        mirror = gateway.make_mirror([])
         steps: list[tuple[Callable[[], object], float]] = [
             (mirror.step, 0.001),
             (gateway.membership.step, 0.03),
@@ -255,6 +250,23 @@
         """Request a primary's log position."""
         return self._call_peer(address, timeout_s, lambda peer: peer.answer_position(req))
 
+    def wait_for_changes(self, address: str, req: Any, timeout_s: float) -> Result:
+        """Request changes of the store from a peer, and wait for them."""
+        answered = threading.Event()
+        replies: list[Any] = []
+
+        def deliver(reply: Any) -> None:
+            replies.append(reply)
+            answered.set()
+
+        def answer(peer: GatewayInstance) -> Any:
+            end_wait = peer.answer_changes(req, deliver)
+            self.fleet.clock.wait(answered, req.wait_ms / MS_PER_S)
+            end_wait()
+            return replies[0]
+
+        return self._call_peer(address, timeout_s, answer)
+
     def run(self, address: str, req: Any, timeout_s: float) -> Result:
         """Run a statement on a borrowed connection."""
         return self._call_peer(address, timeout_s, lambda peer: peer.run_lent_statement(req))
--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -112,6 +112,11 @@
         """Number of instances that may admit requests, absent ones included."""
         return self._members.count()
 
+    @property
+    def version(self) -> int:
+        """Increases when an instance joins, leaves or is reported as unreached."""
+        return self._members.version
+
     @property
     def is_large(self) -> bool:
         """True if an equal part of a limit for each instance would be too small to use."""
@@ -130,6 +135,27 @@
             self._separated = (version, separated)
         return [record for record in ranked if record.instance not in separated] or ranked
 
+    def ranked_roster(
+        self, subject: str, data_centre: DataCentre, *, max_absence_s: float
+    ) -> list[RosterRecord]:
+        """Return a data centre's instances in their order for a subject.
+
+        Those that most others cannot reach, or that have been without a member record for
+        longer than ``max_absence_s``, are left out.
+        """
+        excluded = self._members.separated()
+        excluded |= {
+            absence.record.instance
+            for absence in self._members.absences()
+            if absence.absent_s > max_absence_s
+        }
+        found = {
+            record.instance: record
+            for record in self._members.roster()
+            if record.data_centre == data_centre and record.instance not in excluded
+        }
+        return [found[name] for name in self._rank(subject, found)]
+
     def live_instances(self) -> dict[InstanceId, RosterRecord]:
         """Return the instances that hold a lease."""
         version, live = self._live
--- a/src/quetzalrudder/gateway/batching.py
+++ b/src/quetzalrudder/gateway/batching.py
@@ -1,14 +1,15 @@
 """How long an instance of a large fleet lets changes of the store gather.
 
 Serves fleets in which one event makes many instances write, for instance a restart or the
-acknowledgements of a new primary. Each answered watch costs a call by every instance, so
-their number grows with the square of the fleet.
+acknowledgements of a new primary. Each answered watch costs a call by each instance that
+watches the store.
 """
 
 __all__ = ["batch_delay_s"]
 
-# Pause after changes that statements or a failover wait for.
-SHORT_DELAY_S = 0.25
+# Pause after changes that statements or a failover wait for. Only the instances that watch the
+# store for others pause, but all of the others wait for them.
+SHORT_DELAY_S = 0.1
 # Pause after changes of membership only. The owners of rates and connections take over by
 # calls, and an instance that was lost is avoided after the first failed call.
 LONG_DELAY_S = 1.0
@@ -36,7 +37,7 @@
     >>> batch_delay_s(["members/a"], is_large=True, is_urgent=False, membership_prefixes=members)
     1.0
     >>> batch_delay_s(["members/a"], is_large=True, is_urgent=True, membership_prefixes=members)
-    0.25
+    0.1
     """
     if not is_large:
         return 0.0
--- a/src/quetzalrudder/gateway/coordinator_lease.py
+++ b/src/quetzalrudder/gateway/coordinator_lease.py
@@ -26,9 +26,9 @@
 # call.
 COORDINATOR_LEASE_MARGIN_S = 0.9
 # Random delay before an instance tries to acquire a free lease, so that not all try at once:
-# at most this for each instance of the fleet. The first one then tries after about this time,
+# at most this for each instance that may. The first one then tries after about this time,
 # and the others mostly see its record before their turn.
-ACQUIRE_JITTER_PER_INSTANCE_S = 0.02
+ACQUIRE_JITTER_PER_CANDIDATE_S = 0.02
 
 
 class CoordinatorLease:
@@ -42,8 +42,11 @@
         This process.
     contact : StoreContact
         Records failed calls to the store.
-    fleet_size : Callable
-        Returns the number of instances.
+    candidate_count : Callable
+        Returns how many instances may try to acquire the lease.
+    may_acquire : Callable
+        Returns whether this instance may try. In a large fleet only those that watch the store
+        may, so that they see each change as soon as the store does.
     rng : random.Random
         Delays attempts to acquire the lease.
     clock : Clock
@@ -57,7 +60,8 @@
         instance: InstanceId,
         incarnation: str,
         contact: StoreContact,
-        fleet_size: Callable[[], int],
+        candidate_count: Callable[[], int],
+        may_acquire: Callable[[], bool] = lambda: True,
         rng: random.Random,
         clock: Clock,
     ) -> None:
@@ -65,7 +69,8 @@
         self._instance = instance
         self._incarnation = incarnation
         self._contact = contact
-        self._fleet_size = fleet_size
+        self._candidate_count = candidate_count
+        self._may_acquire = may_acquire
         self._rng = rng
         self._clock = clock
         self._observed: CoordinatorRecord | None = None
@@ -82,7 +87,7 @@
         """Process the coordinator record read from the store; None if there is none."""
         now = self._clock.monotonic()
         if record is None:
-            jitter_s = ACQUIRE_JITTER_PER_INSTANCE_S * self._fleet_size()
+            jitter_s = ACQUIRE_JITTER_PER_CANDIDATE_S * self._candidate_count()
             self._next_attempt = now + self._rng.random() * jitter_s
         elif math.isinf(self._next_attempt):
             self._next_attempt = now
@@ -138,7 +143,7 @@
 
     def _acquire(self) -> None:
         now = self._clock.monotonic()
-        if now < self._next_attempt:
+        if now < self._next_attempt or not self._may_acquire():
             return
         # If the record changes while the lease is being opened, the write must fail.
         observed = self._observed
--- a/src/quetzalrudder/gateway/deferred_peers.py
+++ b/src/quetzalrudder/gateway/deferred_peers.py
@@ -11,6 +11,8 @@
 
 from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
 from quetzalrudder.schema.gateway import (
+    ChangesReply,
+    ChangesRequest,
     EndRequest,
     PeerReply,
     PeerReport,
@@ -71,6 +73,12 @@
         """Request a primary's log position and return the reply."""
         return self._call("tell_position", address, req, timeout_s)
 
+    def wait_for_changes(
+        self, address: str, req: ChangesRequest, timeout_s: float
+    ) -> Result[ChangesReply, QuetzalrudderError]:
+        """Request the changes of the store, and wait for the first if there is none."""
+        return self._call("wait_for_changes", address, req, timeout_s)
+
     def run(
         self, address: str, req: RunRequest, timeout_s: float
     ) -> Result[RunReply, QuetzalrudderError]:
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -86,6 +86,10 @@
         Returns the members that monitor the primary of a record.
     lease_span : Callable
         Returns the period for which this instance's member lease has existed.
+    may_coordinate : Callable, optional
+        Returns whether this instance may try to become the coordinator.
+    candidate_count : Callable
+        Returns how many instances may try.
     rng : random.Random
         Delays attempts to acquire the coordinator lease.
     clock : Clock
@@ -106,6 +110,8 @@
         contact: StoreContact,
         watchers: Callable[[PrimaryRecord], list[MemberRecord]],
         lease_span: Callable[[], LeaseSpan | None],
+        may_coordinate: Callable[[], bool] = lambda: True,
+        candidate_count: Callable[[], int],
         rng: random.Random,
         clock: Clock,
     ) -> None:
@@ -125,7 +131,8 @@
             instance=instance,
             incarnation=incarnation,
             contact=contact,
-            fleet_size=members.count,
+            candidate_count=candidate_count,
+            may_acquire=may_coordinate,
             rng=rng,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -16,15 +16,22 @@
 from quetzalrudder.gateway.batching import batch_delay_s
 from quetzalrudder.gateway.borrowing import FleetConnectionPool, owners_of, watchers_of
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
+from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.connections import GatewayPool
 from quetzalrudder.gateway.failover import FailoverCoordinator, PromotionClient
 from quetzalrudder.gateway.lending import ConnectionLender
 from quetzalrudder.gateway.measurements import Metrics
 from quetzalrudder.gateway.members import MemberRecord, MemberTable
 from quetzalrudder.gateway.membership import MembershipLease
-from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
+from quetzalrudder.gateway.mirror import (
+    RETRY_DELAY_S,
+    PrefixHandler,
+    StoreContact,
+    StoreMirror,
+    watch_wait_s,
+)
 from quetzalrudder.gateway.peering import LocalInstance, PeerCaller, Peering
-from quetzalrudder.gateway.permission import Permission
+from quetzalrudder.gateway.permission import LeaseSpan, Permission
 from quetzalrudder.gateway.placement import Placement
 from quetzalrudder.gateway.positions import PositionExchange
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
@@ -43,15 +50,20 @@
     decode_primary,
     decode_roster,
 )
+from quetzalrudder.gateway.relays import RELAY_AGE_MARGIN_S, RelayedWatch, relay_count
+from quetzalrudder.gateway.retry_delay import RetryDelay
 from quetzalrudder.gateway.running import GatewayServices
 from quetzalrudder.gateway.sessions import ProxySession
 from quetzalrudder.gateway.slots import SlotLimitedConnector, SlotLimiters
 from quetzalrudder.gateway.statements import TargetConnector
 from quetzalrudder.gateway.store import Item, Store
+from quetzalrudder.gateway.store_calls import CountedStore, StoreCall
 from quetzalrudder.gateway.targets import Target, TargetRegistry
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId, WorkspaceId
 from quetzalrudder.schema.gateway import (
+    ChangesReply,
+    ChangesRequest,
     EndRequest,
     PeerReply,
     PeerReport,
@@ -192,9 +204,12 @@
             rng=rng,
         )
         incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self._open_store = open_store
+        self._caller = caller
+        self._rng = rng
+        self.change_log = ChangeLog(clock)
+        self._open_store = lambda: CountedStore(open_store(), self._count_store_call)
         self.membership = MembershipLease(
-            store=open_store(),
+            store=self._open_store(),
             instance=identity.instance,
             incarnation=incarnation,
             address=identity.peer_address,
@@ -206,9 +221,11 @@
             unreached=self.rates.unreached,
             contact=self.contact,
             clock=clock,
+            retry_delay=RetryDelay(RETRY_DELAY_S, lambda: self.view.is_large, rng),
+            watches_store=self._watches_store,
         )
         self.failover = FailoverCoordinator(
-            store=open_store(),
+            store=self._open_store(),
             promotion_client=promotion_client,
             prober=self.prober,
             instance=identity.instance,
@@ -218,7 +235,9 @@
             members=self.members,
             contact=self.contact,
             watchers=self._watchers,
-            lease_span=self.membership.lease_span,
+            lease_span=self._watched_lease_span,
+            may_coordinate=self._watches_store,
+            candidate_count=self._candidate_count,
             rng=rng,
             clock=clock,
         )
@@ -267,6 +286,12 @@
         """Answer a peer's request for a rate token."""
         return self.rates.answer(req)
 
+    def answer_changes(
+        self, req: ChangesRequest, deliver: Callable[[ChangesReply], None]
+    ) -> Callable[[], None]:
+        """Answer a request for changes of the store, once there are any."""
+        return self.change_log.answer(req, deliver)
+
     def answer_take_over(self, req: TakeOverRequest) -> TakeOverReply:
         """Hand out no more tokens of the rates that a peer owns from now on."""
         return self.rates.answer_take_over(req)
@@ -300,15 +325,7 @@
             Stops the tasks when it is closed.
         """
         stack.enter_context(self.pool)
-        gateway_records = PrefixHandler(KEY_PREFIX, self._replace_records, self._change_record)
-        mirror = StoreMirror(
-            self._open_store(),
-            [*handlers, gateway_records],
-            self.contact,
-            self._clock,
-            self._convergence_s,
-            self._batch_delay_s,
-        )
+        mirror = self.make_mirror(handlers)
         stack.callback(self._stop)
         for name, run in (
             ("mirror", mirror.run),
@@ -319,6 +336,35 @@
         ):
             self._start_task(executor, name, run)
 
+    def make_mirror(self, handlers: list[PrefixHandler]) -> StoreMirror:
+        """Return the mirror of the store; ``handlers`` are those of other keys than its own."""
+        gateway_records = PrefixHandler(KEY_PREFIX, self._replace_records, self._change_record)
+        return StoreMirror(
+            self._open_store(),
+            [*handlers, gateway_records],
+            self.contact,
+            self._clock,
+            self._convergence_s,
+            self._batch_delay_s,
+            change_log=self.change_log,
+            relays=self._make_relayed_watch(),
+            retry_delay=RetryDelay(RETRY_DELAY_S, lambda: self.view.is_large, self._rng),
+            on_direct=self.members.restart_absences,
+        )
+
+    def _make_relayed_watch(self) -> RelayedWatch:
+        return RelayedWatch(
+            instance=self._identity.instance,
+            data_centre=self._identity.data_centre,
+            view=self.view,
+            caller=self._caller,
+            must_watch=self._must_watch_store,
+            on_fault=lambda fault: self.metrics.count_relay_fault(fault.value),
+            max_age_s=watch_wait_s(self._convergence_s) + RELAY_AGE_MARGIN_S,
+            rng=self._rng,
+            clock=self._clock,
+        )
+
     def begin_stop(self) -> None:
         """Begin a planned stop: lend no more connections and resign as failover coordinator."""
         self._leaving = True
@@ -436,6 +482,38 @@
         primary = self.registry.get(record.primary)
         return self.members.members_named(watchers_of(self.view, record.group, primary))
 
+    def _must_watch_store(self) -> bool:
+        """Return whether this instance has to see each change as soon as the store does."""
+        coordinator = self.failover.coordinator_lease.observed_coordinator
+        if (
+            not self.view.is_large
+            or self.failover.is_coordinator
+            or coordinator == self._identity.instance
+        ):
+            return True
+        suspected = {group for member in self.members.members() for group in member.suspects}
+        return any(
+            self._is_watcher(record.group, self.registry.get(record.primary or record.previous))
+            for record in self.primaries.records()
+            if record.primary is None or record.group in suspected
+        )
+
+    def _watches_store(self) -> bool:
+        return not self.view.is_large or self.change_log.is_watching
+
+    def _watched_lease_span(self) -> LeaseSpan | None:
+        """Return the span of the lease; None if absences are seen only with a delay."""
+        return self.membership.lease_span() if self._watches_store() else None
+
+    def _candidate_count(self) -> int:
+        """Return how many instances may try to become the failover coordinator."""
+        if not self.view.is_large:
+            return self.members.count()
+        return max(1, relay_count(self.view))
+
+    def _count_store_call(self, call: StoreCall) -> None:
+        self.metrics.count_store_call(call.value)
+
     def _query_primary(self, group: GroupId) -> None:
         health_check = self._health_checks.get(group)
         if health_check is not None:
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -40,6 +40,18 @@
             ["fault"],
             registry=self.registry,
         )
+        self.store_calls = Counter(
+            "quetzalrudder_store_calls",
+            "Calls to the store by what they are for.",
+            ["call"],
+            registry=self.registry,
+        )
+        self.relay_faults = Counter(
+            "quetzalrudder_relay_faults",
+            "Requests for changes of the store that a relay failed, by fault.",
+            ["fault"],
+            registry=self.registry,
+        )
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
@@ -90,6 +102,14 @@
         """Count an attempt that a database refused or failed."""
         self._observe(lambda found: found.faults.labels(fault).inc())
 
+    def count_store_call(self, call: str) -> None:
+        """Count a call to the store by what it is for."""
+        self._observe(lambda found: found.store_calls.labels(call).inc())
+
+    def count_relay_fault(self, fault: str) -> None:
+        """Count a request for changes of the store that a relay failed."""
+        self._observe(lambda found: found.relay_faults.labels(fault).inc())
+
     def set_sessions(self, count: int) -> None:
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -104,6 +104,12 @@
         for name in removed:
             self.remove(name)
 
+    def restart_absences(self) -> None:
+        """Count each absence from now on, as this instance has seen it only with a delay."""
+        now = self._clock.monotonic()
+        with self._lock:
+            self._absent_since = dict.fromkeys(self._absent_since, now)
+
     def update_roster(self, record: RosterRecord) -> None:
         """Add a roster entry or replace one of an older revision.
 
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -21,6 +21,7 @@
     encode_member,
     encode_roster,
 )
+from quetzalrudder.gateway.retry_delay import RetryDelay
 from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
@@ -64,6 +65,11 @@
         Records successful and failed calls to the store.
     clock : Clock
         Source of time.
+    retry_delay : RetryDelay, optional
+        Pauses after failed calls while the lease permits nothing.
+    watches_store : Callable, optional
+        Returns whether this instance watches the store; if not, the calls of this class alone
+        tell whether it reaches the store.
     """
 
     def __init__(
@@ -81,7 +87,11 @@
         unreached: Callable[[], frozenset[InstanceId]],
         contact: StoreContact,
         clock: Clock,
+        retry_delay: RetryDelay | None = None,
+        watches_store: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._retry_delay = retry_delay
+        self._watches_store = watches_store
         self._store = store
         self._instance = instance
         self._incarnation = incarnation
@@ -153,10 +163,24 @@
         if isinstance(result, Ok) and self._lease is not None:
             result = self._update_records()
         if isinstance(result, Err):
-            self._next_attempt = self._clock.monotonic() + RETRY_DELAY_S
-            if not isinstance(result.err_value, LeaseEnded | WriteConflict):
+            answered = isinstance(result.err_value, LeaseEnded | WriteConflict)
+            pause_s = RETRY_DELAY_S if answered else self._pause_s()
+            self._next_attempt = self._clock.monotonic() + pause_s
+            if not answered:
                 self._contact.record_failure(result.err_value)
 
+    def _record_success(self) -> None:
+        if self._retry_delay is not None:
+            self._retry_delay.reset()
+        if not self._watches_store():
+            self._contact.record_success()
+
+    def _pause_s(self) -> float:
+        """Return the pause after a failure; short while the permission may still be kept."""
+        if self._retry_delay is None or self._permission.lease_remaining_s > 0:
+            return RETRY_DELAY_S
+        return self._retry_delay.after_failure()
+
     def _join(self) -> Result[None, QuetzalrudderError]:
         """Write the roster entry and the member record, then read the primaries and the roster.
 
@@ -191,6 +215,7 @@
         self._roster_entry_due_at = sent_at
         self._lease_span = LeaseSpan(sent_at, sent_at)
         self._permission.extend_by_lease(sent_at)
+        self._record_success()
         self._next_renewal = sent_at + RENEW_INTERVAL_S
         log.info("joined the fleet", extra={"incarnation": self._incarnation, "lease": lease})
         return Ok(None)
@@ -254,6 +279,7 @@
         if self._lease_span is not None:
             self._lease_span = replace(self._lease_span, renewed_at=sent_at)
         self._permission.extend_by_lease(sent_at)
+        self._record_success()
         self._next_renewal = sent_at + RENEW_INTERVAL_S
         return Ok(None)
 
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -1,7 +1,8 @@
 """Keeps a local view of the store up to date.
 
-A full read is followed by watches for changes. When the store no longer has the history
-that a watch needs, the view starts again with a full read.
+A full read is followed by watches for changes, at the store or at an instance that watches it
+for others. When the store no longer has the history that a watch needs, the view starts again
+with a full read.
 """
 
 import logging
@@ -12,10 +13,14 @@
 from result import Err, Ok
 
 from quetzalrudder.exceptions import QuetzalrudderError
-from quetzalrudder.gateway.store import HistoryGone, Item, Store
+from quetzalrudder.gateway.change_log import ChangeLog
+from quetzalrudder.gateway.members import RosterRecord
+from quetzalrudder.gateway.relays import RelayedWatch, RelayUnavailable
+from quetzalrudder.gateway.retry_delay import RetryDelay
+from quetzalrudder.gateway.store import Changes, HistoryGone, Item, Store
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["PrefixHandler", "StoreContact", "StoreMirror"]
+__all__ = ["PrefixHandler", "StoreContact", "StoreMirror", "watch_wait_s"]
 
 log = logging.getLogger(__name__)
 
@@ -24,7 +29,7 @@
 WATCH_MARGIN_S = 1.5
 MIN_WATCH_WAIT_S = 0.5
 # Pause after a failed call: at most 10 calls a second of each instance while the store is
-# unavailable.
+# unavailable. It grows in a large fleet.
 RETRY_DELAY_S = 0.1
 
 
@@ -79,6 +84,11 @@
             return self._clock.monotonic() - self._reached_since
 
 
+def watch_wait_s(convergence_limit_s: float) -> float:
+    """Return how long a watch waits, given the time limit for a configuration to be in force."""
+    return max(MIN_WATCH_WAIT_S, convergence_limit_s - WATCH_MARGIN_S)
+
+
 class StoreMirror:
     """Passes the content of the store and its changes to handlers.
 
@@ -97,6 +107,14 @@
     batch_delay_s : Callable
         Receives the keys that have changed; returns for how many seconds to pause, so that
         the next watch returns several changes.
+    change_log : ChangeLog, optional
+        Receives the changes, for the instances that wait for them at this one.
+    relays : RelayedWatch, optional
+        Gets the changes from other instances when this one need not watch the store.
+    retry_delay : RetryDelay, optional
+        Pauses after failed calls.
+    on_direct : Callable, optional
+        Called when this instance watches the store by itself after it has used a relay.
     """
 
     def __init__(
@@ -107,50 +125,106 @@
         clock: Clock,
         convergence_limit_s: float,
         batch_delay_s: Callable[[list[str]], float] = lambda keys: 0.0,
+        *,
+        change_log: ChangeLog | None = None,
+        relays: RelayedWatch | None = None,
+        retry_delay: RetryDelay | None = None,
+        on_direct: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._handlers = handlers
         self._contact = contact
         self._clock = clock
-        wait_s = max(MIN_WATCH_WAIT_S, convergence_limit_s - WATCH_MARGIN_S)
-        self._wait_ms = round(wait_s * MS_PER_S)
+        self.wait_s = watch_wait_s(convergence_limit_s)
         self._batch_delay_s = batch_delay_s
-        # Keys that the last watch returned.
+        self._change_log = change_log if change_log is not None else ChangeLog(clock)
+        self.relays = relays
+        self._retry_delay = retry_delay
+        self._on_direct = on_direct
+        # Keys that the last watch of the store returned, and the pause that they caused.
         self._changed: list[str] = []
-        self._revision: int | None = None
+        self._paused_s = 0.0
+        # True if a relay has provided changes since the last answer of the store.
+        self._relayed = False
+        # None until the store has been read.
+        self.revision: int | None = None
 
     def run(self, stopping: threading.Event) -> None:
         """Read and watch the store until ``stopping`` is set."""
         while not stopping.is_set():
-            if not self.step():
-                stopping.wait(RETRY_DELAY_S)
-            elif self._changed and (delay_s := self._batch_delay_s(self._changed)) > 0:
-                stopping.wait(delay_s)
+            if (pause_s := self.pause_s(succeeded=self.step())) > 0:
+                stopping.wait(pause_s)
+
+    def pause_s(self, *, succeeded: bool) -> float:
+        """Return the seconds to pause after a step."""
+        self._paused_s = 0.0
+        if not succeeded:
+            return self._retry_delay.after_failure() if self._retry_delay else RETRY_DELAY_S
+        if self._changed:
+            self._paused_s = self._batch_delay_s(self._changed)
+        return self._paused_s
 
     def step(self) -> bool:
-        """Read or watch the store once; return whether the call succeeded."""
+        """Read or watch the store once; return whether to go on without a pause for a failure."""
         self._changed = []
-        if self._revision is None:
+        if self.revision is None:
             return self._read_all()
-        result = self._store.watch(self._revision, self._wait_ms)
+        relay = self.relays.choose() if self.relays is not None else None
+        if relay is None:
+            return self._watch_store(self.revision)
+        return self._watch_relay(relay, self.revision)
+
+    def _watch_store(self, after: int) -> bool:
+        # A pause before the watch counts as a part of it.
+        wait_s = max(MIN_WATCH_WAIT_S, self.wait_s - self._paused_s)
+        result = self._store.watch(after, round(wait_s * MS_PER_S))
         if isinstance(result, Err):
             if isinstance(result.err_value, HistoryGone):
                 log.info(
                     "store no longer has the history for a watch",
-                    extra={"revision": self._revision},
+                    extra={"revision": after},
                 )
-                self._revision = None
+                self.revision = None
                 return True
-            self._contact.record_failure(result.err_value)
+            self._record_failure(result.err_value)
             return False
-        self._contact.record_success()
-        self._changed = [item.key for item in result.ok_value.items]
-        for item in result.ok_value.items:
+        self._record_success()
+        changes = result.ok_value
+        self._changed = [item.key for item in changes.items]
+        if self._relayed:
+            self._relayed = False
+            self._on_direct()
+        self._apply(changes)
+        self._change_log.append(changes.items, changes.revision)
+        return True
+
+    def _watch_relay(self, relay: RosterRecord, after: int) -> bool:
+        self._change_log.stop()
+        result = self.relays.watch(relay, after)
+        if isinstance(result, Err):
+            # Another relay is asked at once, or the store.
+            return isinstance(result.err_value, RelayUnavailable)
+        self._relayed = True
+        changes = result.ok_value
+        self._apply(changes)
+        self._change_log.append_relayed(changes.items, changes.revision)
+        return True
+
+    def _apply(self, changes: Changes) -> None:
+        for item in changes.items:
             for handler in self._handlers:
                 if item.key.startswith(handler.prefix):
                     handler.apply_change(item)
-        self._revision = max(self._revision, result.ok_value.revision)
-        return True
+        self.revision = max(self.revision or 0, changes.revision)
+
+    def _record_success(self) -> None:
+        self._contact.record_success()
+        if self._retry_delay is not None:
+            self._retry_delay.reset()
+
+    def _record_failure(self, exc: QuetzalrudderError) -> None:
+        self._contact.record_failure(exc)
+        self._change_log.lose_store()
 
     def _read_all(self) -> bool:
         started = self._clock.monotonic()
@@ -158,15 +232,16 @@
         for handler in self._handlers:
             result = self._store.read_prefix(handler.prefix)
             if not isinstance(result, Ok):
-                self._contact.record_failure(result.err_value)
+                self._record_failure(result.err_value)
                 return False
             changes = result.ok_value
             # The watch starts at the revision of the first answer, so that changes made
             # while the other prefixes are read are not missed.
             revision = changes.revision if revision is None else revision
             handler.replace_all(list(changes.items))
-        self._contact.record_success()
-        self._revision = revision
+        self._record_success()
+        self.revision = revision
+        self._change_log.restart(revision or 0)
         took_ms = round((self._clock.monotonic() - started) * MS_PER_S)
         log.info("store read", extra={"revision": revision, "took_ms": took_ms})
         return True
--- a/src/quetzalrudder/gateway/peer_calls.py
+++ b/src/quetzalrudder/gateway/peer_calls.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 from concurrent.futures import Executor, Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from typing import Any, Protocol
 
 import betterproto2
@@ -15,6 +15,8 @@
 from quetzalrudder.bridge import END_OF_STREAM, EndOfStream, Listener, Loop
 from quetzalrudder.exceptions import LinkLost, QuetzalrudderError, TargetUnavailable
 from quetzalrudder.schema.gateway import (
+    ChangesReply,
+    ChangesRequest,
     EndReply,
     EndRequest,
     PeerReply,
@@ -35,7 +37,7 @@
     PeerCall,
 )
 from quetzalrudder.streams import RequestStream
-from quetzalrudder.utils import Address, parse_address
+from quetzalrudder.utils import MS_PER_S, Address, parse_address
 
 __all__ = ["GrpcPeerCaller", "PeerRequestHandler", "serve_peers"]
 
@@ -84,6 +86,12 @@
         """Request a primary's log position and return the reply."""
         return self._call(address, PeerCall(position=req), timeout_s)
 
+    def wait_for_changes(
+        self, address: str, req: ChangesRequest, timeout_s: float
+    ) -> Result[ChangesReply, QuetzalrudderError]:
+        """Request the changes of the store, and wait for the first if there is none."""
+        return self._call(address, PeerCall(changes=req), timeout_s)
+
     def run(
         self, address: str, req: RunRequest, timeout_s: float
     ) -> Result[RunReply, QuetzalrudderError]:
@@ -181,6 +189,14 @@
     def answer_position(self, req: PositionRequest) -> PositionReply:
         """Answer a request for a position; this may query a database."""
 
+    def answer_changes(
+        self, req: ChangesRequest, deliver: Callable[[ChangesReply], None]
+    ) -> Callable[[], None]:
+        """Deliver the changes of the store, once there are any.
+
+        It never blocks. Returns a function that delivers the reply without them.
+        """
+
     def run_lent_statement(self, req: RunRequest) -> RunReply:
         """Run a statement on a lent connection."""
 
@@ -213,12 +229,33 @@
                 if call.token is not None or call.take_over is not None:
                     # Takes microseconds and never blocks.
                     answers.put_nowait(self._answer(call))
+                elif call.changes is not None:
+                    self._answer_changes(loop, call.sequence, call.changes, answers)
                 else:
                     fut = loop.run_in_executor(self._executor, self._answer, call)
                     fut.add_done_callback(lambda done: answers.put_nowait(done.result()))
         finally:
             answers.put_nowait(END_OF_STREAM)
 
+    def _answer_changes(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sequence: int,
+        req: ChangesRequest,
+        answers: "asyncio.Queue[PeerAnswer | EndOfStream]",
+    ) -> None:
+        """Answer when the store has changed or the wait is over, without holding a thread."""
+
+        def deliver(reply: ChangesReply) -> None:
+            # The loop is closed while the process exits.
+            with suppress(RuntimeError):
+                loop.call_soon_threadsafe(
+                    answers.put_nowait, PeerAnswer(sequence=sequence, changes=reply)
+                )
+
+        end_wait = self._handler.answer_changes(req, deliver)
+        loop.call_later(req.wait_ms / MS_PER_S, end_wait)
+
     def _answer(self, call: PeerCall) -> PeerAnswer:
         answer = PeerAnswer(sequence=call.sequence)
         try:
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -4,6 +4,8 @@
 # This file has been @generated
 
 __all__ = (
+    "ChangesReply",
+    "ChangesRequest",
     "DutyValue",
     "EndReply",
     "EndRequest",
@@ -19,11 +21,13 @@
     "PermissionGrant",
     "PositionReply",
     "PositionRequest",
+    "RelayState",
     "RosterValue",
     "RunReply",
     "RunRequest",
     "SessionEntry",
     "StatementKind",
+    "StoreChange",
     "TakeOverReply",
     "TakeOverRequest",
     "TokenReply",
@@ -79,6 +83,50 @@
         }
 
 
+class RelayState(betterproto2.Enum):
+    UNSPECIFIED = 0
+
+    WATCHING = 1
+    """
+    The answering instance watches the store.
+    """
+
+    STORE_LOST = 2
+    """
+    The answering instance cannot reach the store.
+    """
+
+    NOT_WATCHING = 3
+    """
+    The answering instance does not watch the store by itself.
+    """
+
+    HISTORY_GONE = 4
+    """
+    The answering instance does not have all changes after the revision.
+    """
+
+    @classmethod
+    def betterproto_value_to_renamed_proto_names(cls) -> dict[int, str]:
+        return {
+            0: "RELAY_STATE_UNSPECIFIED",
+            1: "RELAY_STATE_WATCHING",
+            2: "RELAY_STATE_STORE_LOST",
+            3: "RELAY_STATE_NOT_WATCHING",
+            4: "RELAY_STATE_HISTORY_GONE",
+        }
+
+    @classmethod
+    def betterproto_renamed_proto_names_to_value(cls) -> dict[str, int]:
+        return {
+            "RELAY_STATE_UNSPECIFIED": 0,
+            "RELAY_STATE_WATCHING": 1,
+            "RELAY_STATE_STORE_LOST": 2,
+            "RELAY_STATE_NOT_WATCHING": 3,
+            "RELAY_STATE_HISTORY_GONE": 4,
+        }
+
+
 class StatementKind(betterproto2.Enum):
     UNSPECIFIED = 0
 
@@ -127,6 +175,48 @@
         }
 
 
+@dataclass(eq=False, repr=False)
+class ChangesReply(betterproto2.Message):
+    state: "RelayState" = betterproto2.field(
+        1, betterproto2.TYPE_ENUM, default_factory=lambda: RelayState(0)
+    )
+
+    changes: "list[StoreChange]" = betterproto2.field(2, betterproto2.TYPE_MESSAGE, repeated=True)
+    """
+    In order of revisions.
+    """
+
+    revision: "int" = betterproto2.field(3, betterproto2.TYPE_UINT64)
+    """
+    The revision up to which the answering instance has read the store.
+    """
+
+    age_ms: "int" = betterproto2.field(4, betterproto2.TYPE_UINT32)
+    """
+    Time since the store last confirmed to it that it had every change.
+    """
+
+
+default_message_pool.register_message("gateway", "ChangesReply", ChangesReply)
+
+
+@dataclass(eq=False, repr=False)
+class ChangesRequest(betterproto2.Message):
+    """
+    Requests the changes of the store after a revision from an instance that watches it.
+    """
+
+    after: "int" = betterproto2.field(1, betterproto2.TYPE_UINT64)
+
+    wait_ms: "int" = betterproto2.field(2, betterproto2.TYPE_UINT32)
+    """
+    How long to wait for a change if there is none.
+    """
+
+
+default_message_pool.register_message("gateway", "ChangesRequest", ChangesRequest)
+
+
 @dataclass(eq=False, repr=False)
 class DutyValue(betterproto2.Message):
     """
@@ -476,6 +566,22 @@
 default_message_pool.register_message("gateway", "SessionEntry", SessionEntry)
 
 
+@dataclass(eq=False, repr=False)
+class StoreChange(betterproto2.Message):
+    key: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    value: "bytes" = betterproto2.field(2, betterproto2.TYPE_BYTES)
+
+    deleted: "bool" = betterproto2.field(3, betterproto2.TYPE_BOOL)
+
+    revision: "int" = betterproto2.field(4, betterproto2.TYPE_UINT64)
+
+    created: "int" = betterproto2.field(5, betterproto2.TYPE_UINT64)
+
+
+default_message_pool.register_message("gateway", "StoreChange", StoreChange)
+
+
 @dataclass(eq=False, repr=False)
 class TakeOverReply(betterproto2.Message):
     """
--- a/src/quetzalrudder/schema/gateway_service/__init__.py
+++ b/src/quetzalrudder/schema/gateway_service/__init__.py
@@ -59,6 +59,10 @@
         7, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
     )
 
+    changes: "_gateway__.ChangesReply | None" = betterproto2.field(
+        8, betterproto2.TYPE_MESSAGE, optional=True, group="reply"
+    )
+
 
 default_message_pool.register_message("gateway_service", "PeerAnswer", PeerAnswer)
 
@@ -98,6 +102,10 @@
         7, betterproto2.TYPE_MESSAGE, optional=True, group="request"
     )
 
+    changes: "_gateway__.ChangesRequest | None" = betterproto2.field(
+        8, betterproto2.TYPE_MESSAGE, optional=True, group="request"
+    )
+
 
 default_message_pool.register_message("gateway_service", "PeerCall", PeerCall)
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -17,9 +17,7 @@
     Workspace,
 )
 from quetzalrudder.gateway.instance import GatewayInstance
-from quetzalrudder.gateway.mirror import PrefixHandler, StoreMirror
 from quetzalrudder.gateway.probing import PrimaryHealthCheck
-from quetzalrudder.gateway.records import KEY_PREFIX
 from tests.clocks import ManualClock
 from tests.gateway_fakes import FakeGroup, MemoryStore
 
@@ -60,12 +58,12 @@
 class FleetInstance:
     """An instance whose periodic tasks are run by the test."""
 
-    def __init__(self, fleet, name, seed):
+    def __init__(self, fleet, name, seed, data_centre="dc-0"):
         self.fleet = fleet
         self.name = name
         self.store_clients = []
         self.gateway = GatewayInstance(
-            identity=InstanceIdentity(name, "dc-0", name),
+            identity=InstanceIdentity(name, data_centre, name),
             open_store=self.open_store,
             connector=self,
             promotion_client=fleet.group,
@@ -75,12 +73,7 @@
             clock=fleet.clock,
             rng=random.Random(seed),
         )
-        prefix_handler = PrefixHandler(
-            KEY_PREFIX, self.gateway._replace_records, self.gateway._change_record
-        )
-        self.mirror = StoreMirror(
-            self.open_store(), [prefix_handler], self.gateway.contact, fleet.clock, 3.0
-        )
+        self.mirror = self.gateway.make_mirror(fleet.handlers(self.gateway))
         self.gateway.catalogs.update_if_newer(catalog(), b"1")
         self.gateway.registry.replace_all(fleet.group.infos())
         self.health_check = PrimaryHealthCheck(
@@ -137,6 +130,16 @@
     def tell_position(self, address, req, timeout_s):
         return self._call_peer(address, GatewayInstance.answer_position, req)
 
+    def wait_for_changes(self, address, req, timeout_s):
+        """Request changes of the store; the wait is over at once if there are none."""
+
+        def handle(gateway, message):
+            replies = []
+            gateway.answer_changes(message, replies.append)()
+            return replies[0]
+
+        return self._call_peer(address, handle, req)
+
     def run(self, address, req, timeout_s):
         return self._call_peer(address, GatewayInstance.run_lent_statement, req)
 
@@ -147,6 +150,10 @@
         for client in self.store_clients:
             client.disconnected = disconnected
 
+    @property
+    def is_cut_from_store(self):
+        return any(client.disconnected for client in self.store_clients)
+
     def step(self):
         if self.frozen:
             return
@@ -176,10 +183,17 @@
     def __getitem__(self, index):
         return self.instances[index]
 
+    def handlers(self, gateway):
+        """Return the handlers of the store's keys that are not the gateway's own."""
+        return []
+
+    def data_centre(self, name):
+        return "dc-0"
+
     def start(self, name, seed=0):
         """Start an instance; it replaces a running one of the same name."""
         self.instances = [instance for instance in self.instances if instance.name != name]
-        started = FleetInstance(self, name, seed)
+        started = FleetInstance(self, name, seed, self.data_centre(name))
         self.instances.append(started)
         self.by_name[name] = started
         return started
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -188,7 +188,7 @@
         convergence_s,
         lambda keys: batch_delay(keys, large=large),
     )
-    mirror._revision = 1
+    mirror.revision = 1
     mirror.run(steps)
     return store, steps
 
