A cold database gets no more than its rate from all instances together

Change: WarmingTable keeps until when each database is cold, on the steady clock. A cold database has a ColdLimit, which the rate owners share like the rate of a workspace; ColdRules keep a full bucket and one second of tokens within nine tenths of the bound. WarmingConnector takes a token at the instance that sends, right before it sends; without one the answer is that of a database without a free slot. An instance that lacks the store learns of cold databases from the replies to its requests for permission. Nothing where a group has no coldPerS. An infinite number in an announcement is malformed now; it raised an OverflowError. Clocks: a test shows that no module of gateway/ and platform/rig reads the time of day, and that a primary is replaced without it. Tests: tests/test_gateway_warming.py (small and large fleets; a burst, the rate owner lost, cut from its peers or from the store, all restarted, return after an evacuation), tests/test_gateway_clocks.py. Open: requests between a restart and the arrival of the announcement are not limited.

--- a/src/quetzalrudder/gateway/catalog.py
+++ b/src/quetzalrudder/gateway/catalog.py
@@ -49,6 +49,8 @@
     group: GroupId
     # Connections that each database accepts from all instances together.
     max_connections: int
+    # Requests a second that a cold database bears from all instances together; 0 without a limit.
+    cold_rate_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Executor, Future, wait
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -15,7 +15,7 @@
 from quetzalrudder.gateway.attempts import AttemptPlanner
 from quetzalrudder.gateway.batching import batch_delay_s
 from quetzalrudder.gateway.borrowing import FleetConnectionPool, owners_of, watchers_of
-from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
+from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog, Workspace
 from quetzalrudder.gateway.connections import GatewayPool
 from quetzalrudder.gateway.evacuation import (
     DEFAULT_EVACUATION_LIMIT_S,
@@ -55,6 +55,7 @@
 from quetzalrudder.gateway.store import Item, Store
 from quetzalrudder.gateway.targets import Target, TargetRegistry
 from quetzalrudder.gateway.wakeups import WakeUp
+from quetzalrudder.gateway.warming import WarmingConnector, WarmingTable
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId, WorkspaceId
 from quetzalrudder.schema.gateway import (
     EndRequest,
@@ -150,8 +151,17 @@
         self.evacuations = EvacuationTable(
             self.contact, clock, evacuation_limit_s, self.metrics.set_evacuated
         )
-        self.registry = TargetRegistry(clock, self.evacuations.is_evacuated)
-        connector = EvacuationGuard(connector, self.evacuations)
+        self.warming = WarmingTable(
+            lambda: self.registry.all_targets(), self._cold_rate_per_s, clock
+        )
+        self.registry = TargetRegistry(clock, self.evacuations.is_evacuated, self.warming.observe)
+        connector = WarmingConnector(
+            EvacuationGuard(connector, self.evacuations),
+            self.warming,
+            lambda limit: self.rates.admit(limit),
+            lambda: identity.instance in self.view.live_instances(),
+            clock,
+        )
         self.permission = Permission(clock)
         self.primaries = PrimaryTable(self.permission, clock, self._primary_changed)
         self.members = MemberTable(clock)
@@ -191,7 +201,7 @@
             view=self.view,
             rules=quota_rules,
             caller=caller,
-            workspaces=lambda: self.catalogs.current.workspaces,
+            workspaces=self._limits,
             usable_fraction=lambda: self.peering.partition_fraction(),
             lease_opened_at=self._lease_opened_at,
             clock=clock,
@@ -243,6 +253,7 @@
             members=self.members,
             catalogs=self.catalogs,
             evacuations=self.evacuations,
+            warming=self.warming,
             contact=self.contact,
             coordinator=lambda: self.failover.coordinator_lease.observed_coordinator,
             roster_views=self.membership.roster_views,
@@ -430,6 +441,15 @@
         span = self.membership.lease_span()
         return span.opened_at if span is not None else None
 
+    def _limits(self) -> Mapping[WorkspaceId, Workspace]:
+        """Return the workspaces with a rate, and the cold databases, which have one too."""
+        workspaces, cold = self.catalogs.current.workspaces, self.warming.limits()
+        return {**workspaces, **cold} if cold else workspaces
+
+    def _cold_rate_per_s(self, group: GroupId) -> float:
+        settings = self.catalogs.current.groups.get(group)
+        return 0.0 if settings is None else settings.cold_rate_per_s
+
     def _connection_limit(self, target: Target) -> int:
         """Return how many connections to hold; those to an evacuated one decrease by degrees."""
         open_fraction = self.evacuations.open_fraction(target.data_centre)
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -32,8 +32,10 @@
 from quetzalrudder.gateway.promotion_rules import is_majority
 from quetzalrudder.gateway.records import PRIMARY_PREFIX, decode_primary, encode_primary
 from quetzalrudder.gateway.store import Item
-from quetzalrudder.models import DataCentre, InstanceId
+from quetzalrudder.gateway.warming import WarmingTable
+from quetzalrudder.models import DataCentre, InstanceId, TargetId
 from quetzalrudder.schema.gateway import (
+    ColdTarget,
     EvacuationState,
     GroupLeader,
     PeerReply,
@@ -107,7 +109,7 @@
         This process.
     caller : PeerCaller
         Calls other instances.
-    permission, primaries, members, catalogs, evacuations, contact
+    permission, primaries, members, catalogs, evacuations, warming, contact
         The state of this instance and its view of the fleet and of the store.
     coordinator : Callable
         Returns the failover coordinator; None if it is not known.
@@ -131,6 +133,7 @@
         members: MemberTable,
         catalogs: CurrentCatalog,
         evacuations: EvacuationTable,
+        warming: WarmingTable,
         contact: StoreContact,
         coordinator: Callable[[], InstanceId | None],
         roster_views: Callable[[], list[list[RosterRecord]]],
@@ -146,6 +149,7 @@
         self._members = members
         self._catalogs = catalogs
         self._evacuations = evacuations
+        self._warming = warming
         self._contact = contact
         self._coordinator = coordinator
         self._roster_views = roster_views
@@ -204,6 +208,10 @@
         reply = PeerReply(instance=self._local.instance, incarnation=self._local.incarnation)
         if report.asks_permission:
             self._grant_permission(reply)
+            reply.cold_targets = [
+                ColdTarget(target=target, cold_left_ms=round(left_s * MS_PER_S))
+                for target, left_s in self._warming.remaining_s().items()
+            ]
         if report.catalog_version < self._catalogs.current.version:
             reply.catalog = self._catalogs.encoded
         if report.evacuation_revision < self._evacuations.revision:
@@ -368,6 +376,8 @@
 
         Its records are applied before the permission that it grants.
         """
+        for cold in reply.cold_targets:
+            self._warming.observe_peer(TargetId(cold.target), cold.cold_left_ms / MS_PER_S)
         try:
             for leader in reply.leaders:
                 item = Item(PRIMARY_PREFIX + leader.group, leader.value, leader.revision)
--- a/src/quetzalrudder/gateway/quotas.py
+++ b/src/quetzalrudder/gateway/quotas.py
@@ -120,6 +120,10 @@
         capacity = max(1.0, min(limit.burst, spare))
         return TokenRate((window_limit - capacity) / self.window_s, capacity)
 
+    def initial_tokens(self, limit: Workspace, rate: TokenRate) -> float:
+        """Return the tokens of a process that has just started, for its part of a rate."""
+        return rate.per_s * START_CREDIT_S
+
     def local_rate(self, limit: Workspace, instance_count: int) -> TokenRate:
         """Return the part of the rate that each instance admits without a call."""
         part = self.fleet_rate(limit).scale(LOCAL_FRACTION / max(1, instance_count))
@@ -184,7 +188,8 @@
             return Err(RateExceeded("no part of the rate is local", place=limit.workspace))
         with self._lock:
             bucket = self._buckets.setdefault(
-                limit.workspace, TokenBucket(rate.per_s * START_CREDIT_S, self._started_at)
+                limit.workspace,
+                TokenBucket(self._rules.initial_tokens(limit, rate), self._started_at),
             )
             wait_s = bucket.take(rate, self._clock.monotonic())
         if wait_s == 0:
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -27,7 +27,6 @@
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.members import RosterRecord
 from quetzalrudder.gateway.quotas import (
-    START_CREDIT_S,
     QuotaCharge,
     QuotaRules,
     QuotaTable,
@@ -369,7 +368,7 @@
         just_started = self._clock.monotonic() - self._started_at < HANDOVER_DELAY_S
         if limit is None or not just_started:
             return 0.0
-        return self._rules.pooled_rate(limit, self._view.size).per_s * START_CREDIT_S
+        return self._rules.initial_tokens(limit, self._rules.pooled_rate(limit, self._view.size))
 
 
 def _rate_exceeded(workspace: WorkspaceId, wait_s: float) -> RateExceeded:
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -3,7 +3,7 @@
 import logging
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -50,6 +50,8 @@
     draining: bool = False
     # Unix time of the database's start in ms; it differs after a restart under the same id.
     started_unix_ms: int = 0
+    # How much longer the database bears few requests after its start, when it was announced.
+    cold_left_s: float = field(default=0.0, compare=False)
 
 
 @dataclass
@@ -68,13 +70,19 @@
         Source of time.
     is_evacuated : Callable, optional
         Returns whether a data centre is to be left.
+    on_announced : Callable, optional
+        Called with each announcement, also with one that repeats the last.
     """
 
     def __init__(
-        self, clock: Clock, is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False
+        self,
+        clock: Clock,
+        is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False,
+        on_announced: Callable[[Target], None] = lambda target: None,
     ) -> None:
         self._clock = clock
         self._is_evacuated = is_evacuated
+        self._on_announced = on_announced
         self._lock = threading.Lock()
         self._entries: dict[TargetId, _Entry] = {}
 
@@ -83,6 +91,7 @@
         with self._lock:
             previous = self._entries.get(target.target)
             self._entries[target.target] = _Entry(target)
+        self._on_announced(target)
         if previous is None or previous.target != target:
             log.info(
                 "target announced",
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -4,6 +4,7 @@
 # This file has been @generated
 
 __all__ = (
+    "ColdTarget",
     "DutyValue",
     "EndReply",
     "EndRequest",
@@ -128,6 +129,20 @@
         }
 
 
+@dataclass(eq=False, repr=False)
+class ColdTarget(betterproto2.Message):
+    """
+    A database that bears few requests after its start, as the sender knows it.
+    """
+
+    target: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    cold_left_ms: "int" = betterproto2.field(2, betterproto2.TYPE_UINT32)
+
+
+default_message_pool.register_message("gateway", "ColdTarget", ColdTarget)
+
+
 @dataclass(eq=False, repr=False)
 class DutyValue(betterproto2.Message):
     """
@@ -336,6 +351,13 @@
     All known evacuations, if some are newer than those of the sender of the report.
     """
 
+    cold_targets: "list[ColdTarget]" = betterproto2.field(
+        10, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+    """
+    All cold databases, if the sender of the report lacks the store.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReply", PeerReply)
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -13,7 +13,6 @@
     Consistency,
     GroupSettings,
     InstanceIdentity,
-    QuotaRules,
     Route,
     Workspace,
 )
@@ -21,6 +20,7 @@
 from quetzalrudder.gateway.mirror import PrefixHandler, StoreMirror
 from quetzalrudder.gateway.probing import PrimaryHealthCheck
 from quetzalrudder.gateway.records import KEY_PREFIX
+from quetzalrudder.gateway.warming import ColdRules
 from tests.clocks import ManualClock
 from tests.gateway_fakes import FakeGroup, MemoryStore
 
@@ -72,7 +72,7 @@
             promotion_client=fleet.group,
             caller=self,
             decode_catalog=lambda raw: catalog(int(raw)),
-            quota_rules=QuotaRules(),
+            quota_rules=ColdRules(cold_excess=1.5, cold_margin=5.0),
             clock=fleet.clock,
             rng=random.Random(seed),
         )
--- a/tests/test_rig_settings.py
+++ b/tests/test_rig_settings.py
@@ -184,3 +184,16 @@
     handler.note_revision(6)
     handler.replace_all([])
     assert not evacuations.is_evacuated("b")
+
+
+def test_the_rate_and_the_time_of_a_cold_database_are_decoded():
+    cfg = parse_settings(SETTINGS + "bounds.coldExcess=1.5\nbounds.coldMargin=5\n")
+    assert (cfg.quota_rules.cold_excess, cfg.quota_rules.cold_margin) == (1.5, 5.0)
+    service = {**CONFIGURATION["services"][0], "coldPerS": 40, "coldStartS": 10}
+    groups = decode_catalog(encode_json({**CONFIGURATION, "services": [service]})).groups
+    assert groups["core"].cold_rate_per_s == 40.0
+    assert decode_catalog(encode_json(CONFIGURATION)).groups["core"].cold_rate_per_s == 0.0
+    item = Item("servers/a", encode_json({**ANNOUNCEMENT, "coldLeftMs": 2500}), 1)
+    assert decode_target(item).cold_left_s == 2.5
+    with pytest.raises(MalformedMessage):
+        decode_target(Item("servers/a", encode_json({**ANNOUNCEMENT, "coldLeftMs": 1e999}), 1))
