--- a/src/quetzalrudder/gateway/evacuation.py
+++ b/src/quetzalrudder/gateway/evacuation.py
@@ -85,6 +85,9 @@
         Time within which a request must be in force, in seconds.
     on_change : Callable, optional
         Called with the number of evacuated data centres after each change.
+    watches_store : Callable, optional
+        Returns whether this instance watches the store by itself. What comes from a relay may be
+        older than its arrival.
     """
 
     def __init__(
@@ -93,11 +96,13 @@
         clock: Clock,
         limit_s: float = DEFAULT_EVACUATION_LIMIT_S,
         on_change: Callable[[int], None] = lambda count: None,
+        watches_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self._contact = contact
         self._clock = clock
         self._limit_s = limit_s
         self._on_change = on_change
+        self._watches_store = watches_store
         self._lock = threading.Lock()
         self._entries: dict[DataCentre, _Entry] = {}
 
@@ -134,8 +139,8 @@
         return self.open_fraction(data_centre) <= 0
 
     def observe_change(self, change: Evacuation) -> None:
-        """Apply a change that the store's watch has returned."""
-        recent = self._contact.contact_s >= self._limit_s
+        """Apply a change that the watch of the store, or a relay, has returned."""
+        recent = self._watches_store() and self._contact.contact_s >= self._limit_s
         self._apply(change, recent=recent)
 
     def observe_peer(self, changes: Iterable[Evacuation]) -> None:
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -6,6 +6,7 @@
 __all__ = (
     "ChangesReply",
     "ChangesRequest",
+    "ColdTarget",
     "DutyValue",
     "EndReply",
     "EndRequest",
@@ -218,6 +219,20 @@
 default_message_pool.register_message("gateway", "ChangesRequest", ChangesRequest)
 
 
+@dataclass(eq=False, repr=False)
+class ColdTarget(betterproto2.Message):
+    """
+    A database that bears few requests after its start, as the sender knows it.
+    """
+
+    target: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    cold_left_ms: "int" = betterproto2.field(2, betterproto2.TYPE_UINT32)
+
+
+default_message_pool.register_message("gateway", "ColdTarget", ColdTarget)
+
+
 @dataclass(eq=False, repr=False)
 class DutyValue(betterproto2.Message):
     """
@@ -426,6 +441,13 @@
     All known evacuations, if some are newer than those of the sender of the report.
     """
 
+    cold_targets: "list[ColdTarget]" = betterproto2.field(
+        10, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+    """
+    All cold databases, if the sender of the report lacks the store.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReply", PeerReply)
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -13,12 +13,12 @@
     Consistency,
     GroupSettings,
     InstanceIdentity,
-    QuotaRules,
     Route,
     Workspace,
 )
 from quetzalrudder.gateway.instance import GatewayInstance
 from quetzalrudder.gateway.probing import PrimaryHealthCheck
+from quetzalrudder.gateway.warming import ColdRules
 from tests.clocks import ManualClock
 from tests.gateway_fakes import FakeGroup, MemoryStore
 
@@ -70,7 +70,7 @@
             promotion_client=fleet.group,
             caller=self,
             decode_catalog=lambda raw: catalog(int(raw)),
-            quota_rules=QuotaRules(),
+            quota_rules=ColdRules(cold_excess=1.5, cold_margin=5.0),
             clock=fleet.clock,
             rng=random.Random(seed),
         )
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -209,6 +209,19 @@
     assert not evacuations.is_evacuated("dc-1")
 
 
+def test_a_change_that_a_relay_returned_takes_full_effect_at_once():
+    clock = ManualClock()
+    contact = StoreContact(clock)
+    contact.record_success()
+    clock.advance(LIMIT_S)
+    relayed = EvacuationTable(contact, clock, LIMIT_S, watches_store=lambda: False)
+    watched = EvacuationTable(contact, clock, LIMIT_S)
+    for evacuations in (relayed, watched):
+        evacuations.observe_change(Evacuation("dc-1", 5, True))
+    assert relayed.is_closed("dc-1")
+    assert not watched.is_closed("dc-1")
+
+
 @pytest.mark.parametrize(("contact_s", "closes_after_s"), [(LIMIT_S, LIMIT_S / 2), (1.0, 0.0)])
 def test_a_request_that_may_be_old_is_in_force_at_once(contact_s, closes_after_s):
     evacuations, clock = table(contact_s)
