Without the store, a large fleet asks its collectors instead of all peers

Each instance of a large fleet asked all others for permission every 0.4 s in an outage of the store, so the calls grew with the square of the fleet. Two instances of each data centre now ask all others five times a second, and the rest ask these collectors, which pass on who confirmed and how long ago. A confirmation counts from when the collector asked for it, and a collector applies the records of a reply before it passes the confirmation on. All peers are asked directly if no collector answers.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -2,7 +2,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -243,17 +243,21 @@
         """Send a report to a peer."""
         return self._call_peer(address, timeout_s, lambda peer: peer.answer_report(report))
 
-    def exchange_all(self, reports: list, timeout_s: float) -> Iterator[tuple[int, Result]]:
+    def exchange_all(
+        self, reports: list, timeout_s: float
+    ) -> Generator[tuple[int, Result], None, None]:
         """Send reports to several peers at the same time."""
         return self._call_all(self.exchange, reports, timeout_s)
 
-    def take_over_all(self, requests: list, timeout_s: float) -> Iterator[tuple[int, Result]]:
+    def take_over_all(
+        self, requests: list, timeout_s: float
+    ) -> Generator[tuple[int, Result], None, None]:
         """Ask several peers at the same time to hand out no more tokens."""
         return self._call_all(self.take_over_rates, requests, timeout_s)
 
     def _call_all(
         self, call: Callable[..., Result], messages: list, timeout_s: float
-    ) -> Iterator[tuple[int, Result]]:
+    ) -> Generator[tuple[int, Result], None, None]:
         futs = [self._executor.submit(call, *message, timeout_s) for message in messages]
         return ((index, fut.result()) for index, fut in enumerate(futs))
 
--- a/src/quetzalrudder/gateway/deferred_peers.py
+++ b/src/quetzalrudder/gateway/deferred_peers.py
@@ -5,7 +5,7 @@
 """
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Generator
 from typing import Any
 
 from result import Err, Ok, Result
@@ -56,13 +56,13 @@
 
     def exchange_all(
         self, reports: list[tuple[str, PeerReport]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[PeerReply, QuetzalrudderError]]]:
+    ) -> Generator[tuple[int, Result[PeerReply, QuetzalrudderError]], None, None]:
         """Send reports to addresses; yield the index and the reply of each as it arrives."""
         return self._call_all("exchange_all", reports, timeout_s)
 
     def take_over_all(
         self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[TakeOverReply, QuetzalrudderError]]]:
+    ) -> Generator[tuple[int, Result[TakeOverReply, QuetzalrudderError]], None, None]:
         """Ask peers to hand out no more tokens; yield the index and the reply of each."""
         return self._call_all("take_over_all", requests, timeout_s)
 
@@ -97,11 +97,11 @@
 
     def _call_all(
         self, method: str, calls: list[tuple[str, Any]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[Any, QuetzalrudderError]]]:
+    ) -> Generator[tuple[int, Result[Any, QuetzalrudderError]], None, None]:
         """Make several calls once the client is loaded, within the same time limit."""
         loaded = self._wait_until_loaded(timeout_s)
         if isinstance(loaded, Err):
-            return iter([(index, loaded) for index in range(len(calls))])
+            return ((index, loaded) for index in range(len(calls)))
         return getattr(self._caller, method)(calls, loaded.ok_value)
 
     def _call(
--- a/src/quetzalrudder/gateway/peer_calls.py
+++ b/src/quetzalrudder/gateway/peer_calls.py
@@ -5,7 +5,7 @@
 import queue
 import threading
 import time
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Generator
 from concurrent.futures import Executor, Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from contextlib import ExitStack, suppress
@@ -80,14 +80,14 @@
 
     def exchange_all(
         self, reports: list[tuple[str, PeerReport]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[PeerReply, QuetzalrudderError]]]:
+    ) -> Generator[tuple[int, Result[PeerReply, QuetzalrudderError]], None, None]:
         """Send reports to addresses; yield the index and the reply of each as it arrives."""
         calls = [(address, PeerCall(report=report)) for address, report in reports]
         return self._call_all(calls, timeout_s)
 
     def take_over_all(
         self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[TakeOverReply, QuetzalrudderError]]]:
+    ) -> Generator[tuple[int, Result[TakeOverReply, QuetzalrudderError]], None, None]:
         """Ask peers to hand out no more tokens; yield the index and the reply of each."""
         calls = [(address, PeerCall(take_over=req)) for address, req in requests]
         return self._call_all(calls, timeout_s)
@@ -138,7 +138,7 @@
 
     def _call_all(
         self, calls: list[tuple[str, PeerCall]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[Any, QuetzalrudderError]]]:
+    ) -> Generator[tuple[int, Result[Any, QuetzalrudderError]], None, None]:
         """Make calls at the same time, and wait for the answers in the caller's thread.
 
         If the caller stops iterating, the calls that are still open are given up when their
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -3,19 +3,20 @@
 An instance that cannot renew its lease requests permission from its peers. A peer with a
 valid lease grants it. If no instance reaches the store, they continue together while a
 majority takes part. A change of primary therefore needs the acknowledgements of half of the
-instances, or waits until such an outage has lasted for the longest time allowed.
+instances, or waits until such an outage has lasted for the longest time allowed. The requests
+for permission are in ``permission_requests.py``.
 """
 
 import logging
 import random
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from functools import partial
 
-from result import Ok, Result
+from result import Ok
 
-from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
+from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
@@ -26,8 +27,12 @@
     PERMISSION_S,
     Permission,
 )
+from quetzalrudder.gateway.permission_requests import (
+    CALL_TIMEOUT_S,
+    PeerCaller,
+    PermissionRequests,
+)
 from quetzalrudder.gateway.primaries import PrimaryTable
-from quetzalrudder.gateway.promotion_rules import is_majority
 from quetzalrudder.gateway.records import PRIMARY_PREFIX, decode_primary, encode_primary
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.models import InstanceId
@@ -48,35 +53,9 @@
 # Interval at which an instance of a small fleet compares its configuration with the failover
 # coordinator's, in case its own watch of the store hangs.
 CATALOG_CHECK_INTERVAL_S = 0.35
-# Interval between requests for permission while the lease is not renewed.
-PERMISSION_REQUEST_INTERVAL_S = 0.2
-# Delay of the first request, as a process that has just started is about to open its lease.
-FIRST_PERMISSION_REQUEST_S = 0.5
-# Interval in a large fleet after a request that had to go to all peers.
-REQUEST_TO_ALL_INTERVAL_S = 0.4
-# Number of peers that a request in a large fleet goes to first; one with a valid lease is
-# enough. If a third of the fleet lacks the store, all of these peers lack it about once in
-# 80 requests.
-FIRST_REQUESTED_PEERS = 4
 # The renewal of the lease is overdue when the permission that the lease grants has less than
 # this time left.
 RENEWAL_OVERDUE_BELOW_S = PERMISSION_S - 1.0
-# Half of the longest permission granted by peers; a call within a region takes 2 ms.
-CALL_TIMEOUT_S = 0.3
-
-
-class PeerCaller(Protocol):
-    """Calls other instances."""
-
-    def exchange(
-        self, address: str, report: PeerReport, timeout_s: float
-    ) -> Result[PeerReply, QuetzalrudderError]:
-        """Send a report and return the reply."""
-
-    def exchange_all(
-        self, reports: list[tuple[str, PeerReport]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[PeerReply, QuetzalrudderError]]]:
-        """Send reports at the same time; yield the index and the reply of each as it arrives."""
 
 
 @dataclass(frozen=True)
@@ -89,17 +68,6 @@
     address: str
 
 
-@dataclass(frozen=True)
-class _PermissionReplies:
-    """Summary of the replies of peers to a request for permission."""
-
-    # Seconds for which primaries may be used; 0 if no permission was granted.
-    valid_s: float
-    requests: int
-    replies: int
-    grants: int
-
-
 class Peering:
     """Makes and answers the calls between this instance and its peers.
 
@@ -140,7 +108,6 @@
         clock: Clock,
     ) -> None:
         self._local = local
-        self._rng = rng
         self._caller = caller
         self._permission = permission
         self._primaries = primaries
@@ -148,23 +115,23 @@
         self._catalogs = catalogs
         self._contact = contact
         self._coordinator = coordinator
-        self._roster_views = roster_views
         self._decode_catalog = decode_catalog
         self._clock = clock
         self._lock = threading.Lock()
         # Instances that called this one; they may be missing from the known roster.
         self._callers: dict[InstanceId, RosterRecord] = {}
         self._next_catalog_check = 0.0
-        self._next_request = clock.monotonic() + FIRST_PERMISSION_REQUEST_S
-        self._granted_by_peers = False
-        # Numbers of requests and replies when all peers were last requested to grant
-        # permission; 0 if a few of them sufficed afterwards.
-        self._request_count = 0
-        self._reply_count = 0
-        # The number of instances that continue without the store, while they are a majority,
-        # and the time until which that count holds.
-        self._confirming_count = 0
-        self._confirmed_until = -1.0
+        self._requests = PermissionRequests(
+            instance=local.instance,
+            caller=caller,
+            permission=permission,
+            members=members,
+            roster_views=roster_views,
+            make_report=partial(self._make_report, asks_permission=True),
+            apply_reply=self._apply_reply,
+            rng=rng,
+            clock=clock,
+        )
 
     @property
     def isolated(self) -> bool:
@@ -177,7 +144,7 @@
             or self._contact.contact_s > 0
         ):
             return False
-        return self._reply_count * 2 < self._request_count
+        return self._requests.unanswered_by_most
 
     def partition_fraction(self) -> float:
         """Return the fraction of the fleet on this instance's side of a partition.
@@ -190,9 +157,7 @@
         size = self._members.count()
         if self._permission.lease_remaining_s > 0:
             return len(self._members.members()) / size
-        if self._clock.monotonic() < self._confirmed_until:
-            return min(self._confirming_count, size) / size
-        return 0.0
+        return min(self._requests.confirming_count(), size) / size
 
     # Handling of calls from peers.
 
@@ -203,6 +168,9 @@
             self._callers[peer.instance] = peer
         reply = PeerReply(instance=self._local.instance, incarnation=self._local.incarnation)
         if report.asks_permission:
+            if report.wants_confirmations:
+                # Before the records are added, as these must cover all confirmations.
+                reply.confirmations = self._requests.pass_on()
             self._grant_permission(reply)
         if report.catalog_version < self._catalogs.current.version:
             reply.catalog = self._catalogs.encoded
@@ -243,13 +211,9 @@
         """Make the calls that are due."""
         now = self._clock.monotonic()
         if self._permission.lease_remaining_s < RENEWAL_OVERDUE_BELOW_S:
-            if now >= self._next_request:
-                self._next_request = now + PERMISSION_REQUEST_INTERVAL_S
-                self._request_permission()
+            self._requests.request_if_due(self._peers())
             return
-        if self._granted_by_peers:
-            self._granted_by_peers = False
-            log.info("permission held by the own lease again")
+        self._requests.end()
         if now >= self._next_catalog_check:
             self._next_catalog_check = now + CATALOG_CHECK_INTERVAL_S
             self._check_catalog()
@@ -261,13 +225,16 @@
         known |= {record.instance: record for record in self._members.roster()}
         return [peer for name, peer in sorted(known.items()) if name != self._local.instance]
 
-    def _make_report(self, *, asks_permission: bool) -> PeerReport:
+    def _make_report(
+        self, *, asks_permission: bool, wants_confirmations: bool = False
+    ) -> PeerReport:
         return PeerReport(
             instance=self._local.instance,
             incarnation=self._local.incarnation,
             address=self._local.address,
             asks_permission=asks_permission,
             catalog_version=self._catalogs.current.version,
+            wants_confirmations=wants_confirmations,
         )
 
     def _check_catalog(self) -> None:
@@ -282,78 +249,6 @@
             if isinstance(result, Ok):
                 self._apply_reply(result.ok_value)
 
-    def _request_permission(self) -> None:
-        """Request permission from all peers, or in a large fleet from a few of them first."""
-        peers = self._peers()
-        if len(peers) >= LARGE_FLEET:
-            summary = self._request_from(self._rng.sample(peers, FIRST_REQUESTED_PEERS))
-            if summary.valid_s > 0:
-                self._request_count = self._reply_count = 0
-                self._log_permission(summary)
-                return
-            self._next_request = self._clock.monotonic() + REQUEST_TO_ALL_INTERVAL_S
-        summary = self._request_from(peers)
-        self._request_count, self._reply_count = summary.requests, summary.replies
-        self._log_permission(summary)
-
-    def _request_from(self, peers: list[RosterRecord]) -> "_PermissionReplies":
-        """Request permission from the given peers, and extend this instance's permission."""
-        sent_at = self._clock.monotonic()
-        results = self._call_all(peers, self._make_report(asks_permission=True))
-        replies = [result.ok_value for result in results if isinstance(result, Ok)]
-        granted = [reply for reply in replies if reply.grant is PermissionGrant.VOUCHED]
-        valid_s = max((reply.valid_ms / MS_PER_S for reply in granted), default=0.0)
-        confirming = {self._local.instance} | {
-            InstanceId(reply.instance)
-            for reply in replies
-            if reply.grant is PermissionGrant.NO_STORE
-        }
-        if self._may_continue_without_store(confirming):
-            valid_s = PEER_PERMISSION_S
-            self._confirming_count = len(confirming)
-            self._confirmed_until = sent_at + PEER_PERMISSION_S
-        if valid_s > 0:
-            self._permission.extend_by_peers(sent_at, valid_s)
-        return _PermissionReplies(valid_s, len(results), len(replies), len(granted))
-
-    def _log_permission(self, summary: "_PermissionReplies") -> None:
-        """Log when peers begin or cease to grant permission."""
-        if (summary.valid_s > 0) != self._granted_by_peers:
-            self._granted_by_peers = summary.valid_s > 0
-            log.info(
-                "permission held by peers"
-                if self._granted_by_peers
-                else "peers give no permission",
-                extra={
-                    "asked": summary.requests,
-                    "answered": summary.replies,
-                    "vouched": summary.grants,
-                    "own_left_s": round(self._permission.lease_remaining_s, 2),
-                },
-            )
-
-    def _may_continue_without_store(self, confirming: set[InstanceId]) -> bool:
-        """Return whether a majority lacks the store and grants permission, within the limit.
-
-        The replies contain every change of a primary that the peers have acknowledged.
-        """
-        if -self._permission.lease_remaining_s >= OUTAGE_LIMIT_S:
-            return False
-        views = [{record.instance for record in view} for view in self._roster_views()]
-        return all(view and is_majority(len(view & confirming), len(view)) for view in views)
-
-    def _call_all(
-        self, peers: list[RosterRecord], report: PeerReport
-    ) -> list[Result[PeerReply, QuetzalrudderError]]:
-        """Send a report to peers and apply each reply as it arrives."""
-        results = []
-        reports = [(peer.address, report) for peer in peers]
-        for _, result in self._caller.exchange_all(reports, CALL_TIMEOUT_S):
-            if isinstance(result, Ok):
-                self._apply_reply(result.ok_value)
-            results.append(result)
-        return results
-
     def _apply_reply(self, reply: PeerReply) -> None:
         """Apply the records and the configuration of a reply.
 
--- a/src/quetzalrudder/gateway/permission.py
+++ b/src/quetzalrudder/gateway/permission.py
@@ -83,6 +83,12 @@
         until = max(self._lease_valid_until, self._granted_by_peers_until)
         return not self._revoked and self._clock.monotonic() < until
 
+    @property
+    def remaining_s(self) -> float:
+        """Seconds until the permission expires; negative afterwards."""
+        until = max(self._lease_valid_until, self._granted_by_peers_until)
+        return -1.0 if self._revoked else until - self._clock.monotonic()
+
     @property
     def lease_remaining_s(self) -> float:
         """Seconds until the permission granted by the lease expires; negative afterwards."""
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -10,7 +10,7 @@
 
 import logging
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator
 from concurrent.futures import Executor
 from dataclasses import dataclass
 from typing import Protocol
@@ -75,7 +75,7 @@
 
     def take_over_all(
         self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
-    ) -> Iterator[tuple[int, Result[TakeOverReply, QuetzalrudderError]]]:
+    ) -> Generator[tuple[int, Result[TakeOverReply, QuetzalrudderError]], None, None]:
         """Ask several instances at the same time; yield the index and the answer of each."""
 
 
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -4,6 +4,7 @@
 # This file has been @generated
 
 __all__ = (
+    "Confirmation",
     "DutyValue",
     "EndReply",
     "EndRequest",
@@ -127,6 +128,20 @@
         }
 
 
+@dataclass(eq=False, repr=False)
+class Confirmation(betterproto2.Message):
+    """
+    An instance that continues without the store, and the time since it was asked.
+    """
+
+    instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    age_ms: "int" = betterproto2.field(2, betterproto2.TYPE_UINT32)
+
+
+default_message_pool.register_message("gateway", "Confirmation", Confirmation)
+
+
 @dataclass(eq=False, repr=False)
 class DutyValue(betterproto2.Message):
     """
@@ -309,6 +324,10 @@
     A newer configuration, encoded as in the store.
     """
 
+    confirmations: "list[Confirmation]" = betterproto2.field(
+        9, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+
 
 default_message_pool.register_message("gateway", "PeerReply", PeerReply)
 
@@ -328,6 +347,11 @@
 
     catalog_version: "int" = betterproto2.field(5, betterproto2.TYPE_UINT64)
 
+    wants_confirmations: "bool" = betterproto2.field(7, betterproto2.TYPE_BOOL)
+    """
+    True if the sender requests the confirmations that the receiver has collected.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReport", PeerReport)
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -119,12 +119,11 @@
         return Ok(other.gateway.peering.answer(report))
 
     def exchange_all(self, reports, timeout_s):
-        for index, (address, report) in enumerate(reports):
-            yield index, self.exchange(address, report, timeout_s)
+        # All calls are made, also if the caller does not wait for each answer.
+        yield from enumerate([self.exchange(*report, timeout_s) for report in reports])
 
     def take_over_all(self, requests, timeout_s):
-        for index, (address, req) in enumerate(requests):
-            yield index, self.take_over_rates(address, req, timeout_s)
+        yield from enumerate([self.take_over_rates(*req, timeout_s) for req in requests])
 
     def _call_peer(self, address, handler, message):
         """Call a peer with a message; message and answer are encoded as over the network."""
--- a/tests/test_gateway_permissions.py
+++ b/tests/test_gateway_permissions.py
@@ -86,9 +86,9 @@
 class FaultSearch:
     """Injects random faults and checks that each acknowledged write ran at the newest primary."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, names=("edge-1", "edge-2", "edge-3", "edge-4")):
         self.rng = random.Random(seed)
-        self.fleet = GatewayFleet(("edge-1", "edge-2", "edge-3", "edge-4"), seed)
+        self.fleet = GatewayFleet(names, seed)
         self.fleet.group.promotion_delay_s = self.rng.choice((0.0, 0.3, 1.0))
         self.fleet.run(3.0, self.fleet.all_know_primary)
         self.acknowledged = 0
