--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -7,6 +7,7 @@
     "ChangesReply",
     "ChangesRequest",
     "ColdTarget",
+    "Confirmation",
     "DutyValue",
     "EndReply",
     "EndRequest",
@@ -233,6 +234,20 @@
 default_message_pool.register_message("gateway", "ColdTarget", ColdTarget)
 
 
+@dataclass(eq=False, repr=False)
+class Confirmation(betterproto2.Message):
+    """
+    An instance that continues without the store, and the time since it was asked.
+    """
+
+    instance: "str" = betterproto2.field(1, betterproto2.TYPE_STRING)
+
+    age_ms: "int" = betterproto2.field(2, betterproto2.TYPE_UINT32)
+
+
+default_message_pool.register_message("gateway", "Confirmation", Confirmation)
+
+
 @dataclass(eq=False, repr=False)
 class DutyValue(betterproto2.Message):
     """
@@ -448,6 +463,10 @@
     All cold databases, if the sender of the report lacks the store.
     """
 
+    confirmations: "list[Confirmation]" = betterproto2.field(
+        11, betterproto2.TYPE_MESSAGE, repeated=True
+    )
+
 
 default_message_pool.register_message("gateway", "PeerReply", PeerReply)
 
@@ -472,6 +491,11 @@
     Newest revision of any evacuation that the sender knows.
     """
 
+    wants_confirmations: "bool" = betterproto2.field(8, betterproto2.TYPE_BOOL)
+    """
+    True if the sender requests the confirmations that the receiver has collected.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReport", PeerReport)
 
