--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -244,7 +244,7 @@
         return self._call_peer(address, timeout_s, lambda peer: peer.answer_report(report))
 
     def exchange_all(
-        self, reports: list, timeout_s: float
+        self, reports: list, timeout_s: float, patience_s: float = 0.0
     ) -> Generator[tuple[int, Result], None, None]:
         """Send reports to several peers at the same time."""
         return self._call_all(self.exchange, reports, timeout_s)
--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -128,6 +128,8 @@
         if version != self._members.version:
             version, separated = self._members.version, self._members.separated()
             self._separated = (version, separated)
+        if not separated:
+            return ranked
         return [record for record in ranked if record.instance not in separated] or ranked
 
     def live_instances(self) -> dict[InstanceId, RosterRecord]:
--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -177,11 +177,13 @@
 
     def position_window(self, group: GroupId) -> PositionWindow:
         """Return the recent log positions of a group's primary."""
-        return self._windows.setdefault(group, PositionWindow(self._clock))
+        window = self._windows.get(group)
+        return window or self._windows.setdefault(group, PositionWindow(self._clock))
 
     def primary_monitor(self, group: GroupId) -> PrimaryMonitor:
         """Return the monitor of this instance's contact with a group's primary."""
-        return self._monitors.setdefault(group, PrimaryMonitor(self._clock))
+        monitor = self._monitors.get(group)
+        return monitor or self._monitors.setdefault(group, PrimaryMonitor(self._clock))
 
     def plan(self, req: Request, *, needs_primary: bool) -> Result[Attempt, QuetzalrudderError]:
         """Choose a database for the next attempt and check out a connection to it."""
--- a/src/quetzalrudder/gateway/borrowing.py
+++ b/src/quetzalrudder/gateway/borrowing.py
@@ -56,6 +56,8 @@
 # The connection owner times out this much earlier than the borrower, so that its answer
 # still arrives and an unresponsive database is not taken for an unresponsive owner.
 OWNER_TIMEOUT_MARGIN_S = 0.03
+# Databases and workspaces whose order of owners is kept.
+MAX_KNOWN_RANKINGS = 2048
 # Age at which a connection owner's report of a database's load no longer counts; several
 # reads come in that time.
 LOAD_REPORT_LIFETIME_S = 0.3
@@ -252,6 +254,10 @@
         self._caller = caller
         self._clock = clock
         self._avoided = AvoidedInstances(clock)
+        # The owners of a database, and the same in the order for a workspace.
+        self._ranked_owners: dict[
+            tuple[TargetId, WorkspaceId], tuple[list[RosterRecord], list[RosterRecord]]
+        ] = {}
         # Load of a database as a connection owner reported it, and the time of the report.
         self._loads: dict[TargetId, tuple[float, float]] = {}
 
@@ -269,9 +275,15 @@
         return Ok(self._borrow(owners[0], target, workspace, urgency, deadline_at))
 
     def _order_owners(self, target: Target, workspace: WorkspaceId) -> list[RosterRecord]:
-        owners = {record.instance: record for record in owners_of(self._view, target)}
-        ranked = rank(f"{workspace}@{target.target}", owners)
-        return self._avoided.order_last(owners[name] for name in ranked)
+        owners = owners_of(self._view, target)
+        known, ranked = self._ranked_owners.get((target.target, workspace), (None, []))
+        if known != owners:
+            by_name = {record.instance: record for record in owners}
+            ranked = [by_name[name] for name in rank(f"{workspace}@{target.target}", by_name)]
+            if len(self._ranked_owners) >= MAX_KNOWN_RANKINGS:
+                self._ranked_owners = {}
+            self._ranked_owners[target.target, workspace] = (owners, ranked)
+        return self._avoided.order_last(ranked)
 
     def _borrow(
         self,
--- a/src/quetzalrudder/gateway/deferred_peers.py
+++ b/src/quetzalrudder/gateway/deferred_peers.py
@@ -55,10 +55,10 @@
         return self._call("exchange", address, report, timeout_s)
 
     def exchange_all(
-        self, reports: list[tuple[str, PeerReport]], timeout_s: float
+        self, reports: list[tuple[str, PeerReport]], timeout_s: float, patience_s: float = 0.0
     ) -> Generator[tuple[int, Result[PeerReply, QuetzalrudderError]], None, None]:
         """Send reports to addresses; yield the index and the reply of each as it arrives."""
-        return self._call_all("exchange_all", reports, timeout_s)
+        return self._call_all("exchange_all", reports, timeout_s, patience_s)
 
     def take_over_all(
         self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
@@ -96,13 +96,13 @@
             self._caller.end(address, req)
 
     def _call_all(
-        self, method: str, calls: list[tuple[str, Any]], timeout_s: float
+        self, method: str, calls: list[tuple[str, Any]], timeout_s: float, *args: float
     ) -> Generator[tuple[int, Result[Any, QuetzalrudderError]], None, None]:
         """Make several calls once the client is loaded, within the same time limit."""
         loaded = self._wait_until_loaded(timeout_s)
         if isinstance(loaded, Err):
             return ((index, loaded) for index in range(len(calls)))
-        return getattr(self._caller, method)(calls, loaded.ok_value)
+        return getattr(self._caller, method)(calls, loaded.ok_value, *args)
 
     def _call(
         self, method: str, address: str, message: Any, timeout_s: float
--- a/src/quetzalrudder/gateway/peer_calls.py
+++ b/src/quetzalrudder/gateway/peer_calls.py
@@ -71,6 +71,8 @@
         self._loop = loop
         self._lock = threading.Lock()
         self._streams: dict[str, RequestStream[PeerCall, PeerAnswer]] = {}
+        # When a stream was started or a call was answered on it last, by address.
+        self._active_at: dict[str, float] = {}
 
     def exchange(
         self, address: str, report: PeerReport, timeout_s: float
@@ -79,11 +81,15 @@
         return self._call(address, PeerCall(report=report), timeout_s)
 
     def exchange_all(
-        self, reports: list[tuple[str, PeerReport]], timeout_s: float
+        self, reports: list[tuple[str, PeerReport]], timeout_s: float, patience_s: float = 0.0
     ) -> Generator[tuple[int, Result[PeerReply, QuetzalrudderError]], None, None]:
-        """Send reports to addresses; yield the index and the reply of each as it arrives."""
+        """Send reports to addresses; yield the index and the reply of each as it arrives.
+
+        A stream on which a report times out is kept for ``patience_s`` after its start or its
+        latest reply: on busy machines, opening another one would only add to the delay.
+        """
         calls = [(address, PeerCall(report=report)) for address, report in reports]
-        return self._call_all(calls, timeout_s)
+        return self._call_all(calls, timeout_s, patience_s)
 
     def take_over_all(
         self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
@@ -137,7 +143,7 @@
         return self._finish(address, stream, fut, timeout_s)
 
     def _call_all(
-        self, calls: list[tuple[str, PeerCall]], timeout_s: float
+        self, calls: list[tuple[str, PeerCall]], timeout_s: float, patience_s: float = 0.0
     ) -> Generator[tuple[int, Result[Any, QuetzalrudderError]], None, None]:
         """Make calls at the same time, and wait for the answers in the caller's thread.
 
@@ -145,7 +151,6 @@
         time is over.
         """
         answered: queue.SimpleQueue[Future] = queue.SimpleQueue()
-        deadline = time.monotonic() + timeout_s
         pending: dict[Future, _OpenCall] = {}
         failed = []
         for index, (address, call) in enumerate(calls):
@@ -155,6 +160,8 @@
                 continue
             pending[started.ok_value] = _OpenCall(index, address, stream)
             started.ok_value.add_done_callback(answered.put)
+        # Opening many streams takes time of its own.
+        deadline = time.monotonic() + timeout_s
         try:
             yield from failed
             while pending:
@@ -163,20 +170,28 @@
                 except queue.Empty:
                     break
                 opened = pending.pop(fut)
-                yield opened.index, self._finish(opened.address, opened.stream, fut, timeout_s)
+                yield (
+                    opened.index,
+                    self._finish(opened.address, opened.stream, fut, timeout_s, patience_s),
+                )
             while pending:
                 fut, opened = pending.popitem()
-                yield opened.index, self._finish(opened.address, opened.stream, fut, timeout_s)
+                yield (
+                    opened.index,
+                    self._finish(opened.address, opened.stream, fut, timeout_s, patience_s),
+                )
         finally:
             if pending:
                 delay_s = max(0.0, deadline - time.monotonic())
-                self._loop.call_soon(_call_later, delay_s, lambda: self._give_up(pending))
+                self._loop.call_soon(
+                    _call_later, delay_s, lambda: self._give_up(pending, patience_s)
+                )
 
-    def _give_up(self, pending: dict[Future, _OpenCall]) -> None:
+    def _give_up(self, pending: dict[Future, _OpenCall], patience_s: float) -> None:
         for fut, opened in pending.items():
             if not fut.done():
                 opened.stream.discard(fut)
-                self._retire(opened.address, opened.stream)
+                self._retire_if_silent(opened.address, opened.stream, patience_s)
 
     def _finish(
         self,
@@ -184,13 +199,14 @@
         stream: RequestStream[PeerCall, PeerAnswer],
         fut: Future,
         timeout_s: float,
+        patience_s: float = 0.0,
     ) -> Result[Any, QuetzalrudderError]:
         """Return the result of a call; without an answer by now, the call has timed out."""
         try:
             _, reply = betterproto2.which_one_of(fut.result(0), "reply")
         except FutureTimeoutError:
             stream.discard(fut)
-            self._retire(address, stream)
+            self._retire_if_silent(address, stream, patience_s)
             return Err(LinkLost(f"no answer from the peer within {timeout_s} s", place=address))
         except QuetzalrudderError as exc:
             self._retire(address, stream)
@@ -199,6 +215,7 @@
             return Err(exc)
         if reply is None:
             return Err(LinkLost("the peer failed to answer the call", place=address))
+        self._active_at[address] = time.monotonic()
         return Ok(reply)
 
     def _start(
@@ -214,11 +231,19 @@
                     lambda channel, calls: GatewayPeersStub(channel).call(calls),
                 )
                 self._streams[address] = stream
+                self._active_at[address] = time.monotonic()
         try:
             return stream, Ok(stream.start(call))
         except TargetUnavailable as exc:
             return stream, Err(exc)
 
+    def _retire_if_silent(
+        self, address: str, stream: RequestStream[PeerCall, PeerAnswer], patience_s: float
+    ) -> None:
+        """Replace a stream on which a call timed out, unless it was active recently."""
+        if time.monotonic() - self._active_at.get(address, 0.0) >= patience_s:
+            self._retire(address, stream)
+
     def _retire(self, address: str, stream: RequestStream[PeerCall, PeerAnswer]) -> None:
         """Open another stream for the next call; calls on this one may still be answered.
 
--- a/src/quetzalrudder/gateway/permission_requests.py
+++ b/src/quetzalrudder/gateway/permission_requests.py
@@ -45,6 +45,8 @@
 REQUEST_TO_ALL_BELOW_S = 0.25
 # Time without permission after which all peers are asked although the collectors answer.
 COLLECTORS_WAIT_S = 1.0
+# Time without an answer after which the stream to a peer is replaced in a large fleet.
+STREAM_PATIENCE_S = 1.0
 # Half of the longest permission granted by peers; a call within a region takes 2 ms.
 CALL_TIMEOUT_S = 0.3
 
@@ -58,7 +60,7 @@
         """Send a report and return the reply."""
 
     def exchange_all(
-        self, reports: list[tuple[str, PeerReport]], timeout_s: float
+        self, reports: list[tuple[str, PeerReport]], timeout_s: float, patience_s: float = 0.0
     ) -> Generator[tuple[int, Result[PeerReply, QuetzalrudderError]], None, None]:
         """Send reports at the same time; yield the index and the reply of each as it arrives."""
 
@@ -155,6 +157,8 @@
     def end(self) -> None:
         """Record that the own lease grants the permission."""
         self._last_sufficient_at = self._clock.monotonic()
+        # The next outage begins without the counts of an earlier one.
+        self._request_count = self._reply_count = 0
         if self._granted:
             self._granted = False
             log.info("permission held by the own lease again")
@@ -168,7 +172,12 @@
         if len(peers) < LARGE_FLEET:
             self._confirmations.clear()
         elif not (self._without_lease_holder and self._is_collecting()):
-            if self._request_from_few(peers) or now < self._next_request_to_all:
+            had_lease_holder = not self._without_lease_holder
+            sufficient = self._request_from_few(peers)
+            if not sufficient and had_lease_holder and self._without_lease_holder:
+                # The leases of the peers are about to end too; the collectors come first.
+                sufficient = self._is_collecting() or self._request_from_few(peers)
+            if sufficient or now < self._next_request_to_all:
                 return
             self._next_request_to_all = self._clock.monotonic() + REQUEST_TO_ALL_INTERVAL_S
         summary = self._request_from(peers, all_replies=True)
@@ -228,11 +237,12 @@
         valid_s = self._extend_by_majority(sent_at)
         granted_by_lease_s = 0.0
         replies = grants = 0
+        patience_s = STREAM_PATIENCE_S if self._members.count() >= LARGE_FLEET else 0.0
         reports = [
             (peer.address, self._make_report(wants_confirmations=peer.instance in collectors))
             for peer in peers
         ]
-        with closing(self._caller.exchange_all(reports, CALL_TIMEOUT_S)) as calls:
+        with closing(self._caller.exchange_all(reports, CALL_TIMEOUT_S, patience_s)) as calls:
             for index, result in calls:
                 answered = isinstance(result, Ok)
                 self._collectors.record_call(peers[index].instance, answered=answered)
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -320,17 +320,10 @@
         """Take over rates at once where all instances that may have owned them agree."""
         former_owners = {name: self._former_owners(name) for name in workspaces}
         peers = {record.instance: record for ranked in former_owners.values() for record in ranked}
-        requests = [
-            (
-                record.address,
-                TakeOverRequest(
-                    workspaces=sorted(
-                        workspace for workspace, ranked in former_owners.items() if record in ranked
-                    )
-                ),
-            )
-            for record in peers.values()
-        ]
+        requests = []
+        for record in peers.values():
+            owned = sorted(name for name, ranked in former_owners.items() if record in ranked)
+            requests.append((record.address, TakeOverRequest(workspaces=owned)))
         names = list(peers)
         replies = {
             names[index]: result.ok_value
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -118,7 +118,7 @@
             return Err(LinkLost("the peer did not answer", place=address))
         return Ok(other.gateway.peering.answer(report))
 
-    def exchange_all(self, reports, timeout_s):
+    def exchange_all(self, reports, timeout_s, patience_s=0.0):
         # All calls are made, also if the caller does not wait for each answer.
         yield from enumerate([self.exchange(*report, timeout_s) for report in reports])
 
--- a/tests/test_gateway_confirmations.py
+++ b/tests/test_gateway_confirmations.py
@@ -109,6 +109,22 @@
     assert not any(instance.gateway.permission.valid for instance in fleet.instances[:10])
 
 
+def test_an_outage_begins_without_the_counts_of_an_earlier_one():
+    """An instance whose peers did not answer earlier is not isolated before it asks again."""
+    fleet = start_fleet(17)
+    fleet[0].cut_from_peers = True
+    fleet[0].cut_from_store()
+    fleet.run(PERMISSION_S)
+    assert fleet[0].gateway.isolated
+    fleet[0].cut_from_peers = False
+    fleet[0].cut_from_store(False)
+    fleet.run(2.0)
+    fleet[0].cut_from_store()
+    for _ in range(40):
+        fleet.run(0.05)
+        assert not fleet[0].gateway.isolated
+
+
 @pytest.fixture
 def clock():
     return ManualClock()
--- a/tests/test_gateway_peer_calls.py
+++ b/tests/test_gateway_peer_calls.py
@@ -193,3 +193,18 @@
     assert caller._streams[address] is stream
     wait_for(lambda: address not in caller._streams, "the stream is replaced")
     assert stream._pending == {}
+
+
+def test_a_stream_is_kept_while_the_caller_is_patient(calls):
+    caller, address, peer, _ = calls
+    caller.exchange(address, PeerReport(), TIMEOUT_S)
+    stream = caller._streams[address]
+    peer.answer_report = lambda report: peer.release_slow_calls.wait(TIMEOUT_S)
+    reports = [(address, PeerReport())]
+    [(_, result)] = caller.exchange_all(reports, 0.02, patience_s=TIMEOUT_S)
+    assert isinstance(result.err_value, LinkLost)
+    assert caller._streams[address] is stream
+    assert stream._pending == {}
+    [(_, result)] = caller.exchange_all(reports, 0.02)
+    assert isinstance(result.err_value, LinkLost)
+    assert address not in caller._streams
