--- a/tests/test_gateway_confirmations.py
+++ b/tests/test_gateway_confirmations.py
@@ -116,9 +116,10 @@
     fleet[0].cut_from_store()
     fleet.run(PERMISSION_S)
     assert fleet[0].gateway.isolated
-    fleet[0].cut_from_peers = False
+    # It has its lease again before it asks another peer.
     fleet[0].cut_from_store(False)
     fleet.run(2.0)
+    fleet[0].cut_from_peers = False
     fleet[0].cut_from_store()
     for _ in range(40):
         fleet.run(0.05)
