An instance of a large fleet joins with fewer calls to the store

Cause: a restart of 90 instances cost 5 reads, 2 writes of the roster entry and 2 of the member record for each, and one instance that joined made all others write their roster entries 1 s later.

Change: the mirror reads all of its prefixes by one call, in fleets of each size, as a start does not know the size (refused: the next attempt reads them singly). In a large fleet an instance writes its roster entry over the revision that it has read, puts the epochs that it has read into its first member record and does not read the roster twice; a roster entry that covers three quarters of the roster is written again within 30 to 60 s instead of after 1 s. An instance's first request to a relay follows its first read by 0.5 s. The model of the watches now counts the pause as a part of the wait, as the product does; before, healthy relays counted as lagging there.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -223,6 +223,7 @@
             clock=clock,
             retry_delay=RetryDelay(RETRY_DELAY_S, lambda: self.view.is_large, rng),
             watches_store=self._watches_store,
+            rng=rng,
         )
         self.failover = FailoverCoordinator(
             store=self._open_store(),
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -1,6 +1,7 @@
 """An instance's member record and lease in the store, on which its permission depends."""
 
 import logging
+import random
 import threading
 from collections.abc import Callable
 from dataclasses import replace
@@ -8,6 +9,7 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import PERMISSION_S, LeaseSpan, Permission
@@ -37,6 +39,11 @@
 # Delay before the roster entry covers an instance that has joined. Instances that join
 # together then cause one write by each of the others.
 ROSTER_ENTRY_DELAY_S = 1.0
+# Part of the roster that the roster entry of a large fleet's instance has to cover soon. Entries
+# that cover it are written again at some time within the longer delay, so that one instance that
+# joins does not cause a write by each of the others at once, and a rolling restart not many.
+COVERED_FRACTION = 0.75
+LONG_ROSTER_ENTRY_DELAY_S = 60.0
 # Shortest interval at which the member record is compared with the current state: while a
 # change of primary is not acknowledged yet. Otherwise the comparison waits for a change.
 STEP_INTERVAL_S = 0.03
@@ -70,6 +77,8 @@
     watches_store : Callable, optional
         Returns whether this instance watches the store; if not, the calls of this class alone
         tell whether it reaches the store.
+    rng : random.Random, optional
+        Spreads the writes of roster entries.
     """
 
     def __init__(
@@ -89,7 +98,9 @@
         clock: Clock,
         retry_delay: RetryDelay | None = None,
         watches_store: Callable[[], bool] = lambda: True,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng if rng is not None else random.Random()
         self._retry_delay = retry_delay
         self._watches_store = watches_store
         self._store = store
@@ -198,13 +209,15 @@
         if isinstance(opened, Err):
             return opened
         lease = opened.ok_value
+        knows_fleet = self._is_large
         # No epoch is acknowledged before the primaries have been read.
+        record = MemberRecord(self._instance, self._incarnation, {}, {})
         written = self._write_member_record(
-            MemberRecord(self._instance, self._incarnation, {}, {}), lease
+            self._current_record() if knows_fleet else record, lease
         )
         if isinstance(written, Ok):
             written = self._read_primaries()
-        if isinstance(written, Ok):
+        if isinstance(written, Ok) and not knows_fleet:
             written = self._read_roster()
         if isinstance(written, Err):
             return written
@@ -212,7 +225,8 @@
         self._lease = lease
         # The entry may have been written before the roster was read. An entry that covers few
         # instances delays failovers for as long as those may continue without the store.
-        self._roster_entry_due_at = sent_at
+        if not self._covers_enough():
+            self._roster_entry_due_at = sent_at
         self._lease_span = LeaseSpan(sent_at, sent_at)
         self._permission.extend_by_lease(sent_at)
         self._record_success()
@@ -226,6 +240,10 @@
         record = RosterRecord(
             self._instance, self._incarnation, self._address, self._data_centre, known_up_to
         )
+        if self._roster_revision == 0 and self._is_large:
+            known = {entry.instance: entry.revision for entry in self._members.roster()}
+            # The entry of an earlier process.
+            self._roster_revision = known.get(self._instance, 0)
         result = self._store.write(self._roster_key, encode_roster(record), self._roster_revision)
         if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
             self._roster_revision = _current_revision(self._roster_key, result.err_value)
@@ -289,16 +307,32 @@
             entered = self._write_roster_entry()
             if isinstance(entered, Err):
                 return entered
-        record = MemberRecord(
+        record = self._current_record()
+        if record == self._written_record:
+            return Ok(None)
+        return self._write_member_record(record, self._lease)
+
+    def _current_record(self) -> MemberRecord:
+        return MemberRecord(
             self._instance,
             self._incarnation,
             self._primaries.acknowledged_epochs(),
             self._suspects(),
             self._unreached(),
         )
-        if record == self._written_record:
-            return Ok(None)
-        return self._write_member_record(record, self._lease)
+
+    @property
+    def _is_large(self) -> bool:
+        """True if this instance has read the roster of a large fleet."""
+        return self._members.count() >= LARGE_FLEET
+
+    def _covers_enough(self) -> bool:
+        """Return whether the roster entry may remain as it is for a while."""
+        if not self._is_large:
+            return False
+        created = [record.created for record in self._members.roster()]
+        covered = sum(1 for revision in created if revision <= self._written_known_up_to)
+        return covered >= COVERED_FRACTION * len(created)
 
     def _is_roster_entry_due(self) -> bool:
         """Return whether the entry is to be written again, as other instances have joined."""
@@ -307,7 +341,12 @@
             self._roster_entry_due_at = None
             return False
         if self._roster_entry_due_at is None:
-            self._roster_entry_due_at = now + ROSTER_ENTRY_DELAY_S
+            delay_s = ROSTER_ENTRY_DELAY_S
+            if self._covers_enough():
+                delay_s = LONG_ROSTER_ENTRY_DELAY_S * (0.5 + 0.5 * self._rng.random())
+            self._roster_entry_due_at = now + delay_s
+        elif not self._covers_enough():
+            self._roster_entry_due_at = min(self._roster_entry_due_at, now + ROSTER_ENTRY_DELAY_S)
         return now >= self._roster_entry_due_at
 
     def _write_member_record(
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -9,8 +9,9 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from os.path import commonprefix
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError
 from quetzalrudder.gateway.change_log import ChangeLog
@@ -28,6 +29,9 @@
 # hangs fails soon afterwards, which leaves time to read the changes by another call.
 WATCH_MARGIN_S = 1.5
 MIN_WATCH_WAIT_S = 0.5
+# Pause between an instance's first read and its first request to a relay: an instance that has
+# been started together with it then answers calls of peers.
+FIRST_REQUEST_DELAY_S = 0.5
 # Pause after a failed call: at most 10 calls a second of each instance while the store is
 # unavailable. It grows in a large fleet.
 RETRY_DELAY_S = 0.1
@@ -146,6 +150,9 @@
         self._paused_s = 0.0
         # True if a relay has provided changes since the last answer of the store.
         self._relayed = False
+        self._starting = True
+        # Whether the next read is one of all prefixes together.
+        self._reads_at_once = True
         # None until the store has been read.
         self.revision: int | None = None
 
@@ -160,10 +167,19 @@
         self._paused_s = 0.0
         if not succeeded:
             return self._retry_delay.after_failure() if self._retry_delay else RETRY_DELAY_S
+        if self._starting and self.revision is not None:
+            self._starting = False
+            if self._uses_relay():
+                return FIRST_REQUEST_DELAY_S
         if self._changed:
             self._paused_s = self._batch_delay_s(self._changed)
         return self._paused_s
 
+    @property
+    def next_wait_s(self) -> float:
+        """How long the next watch of the store waits; a pause before it counts as a part."""
+        return max(MIN_WATCH_WAIT_S, self.wait_s - self._paused_s)
+
     def step(self) -> bool:
         """Read or watch the store once; return whether to go on without a pause for a failure."""
         self._changed = []
@@ -174,10 +190,11 @@
             return self._watch_store(self.revision)
         return self._watch_relay(relay, self.revision)
 
+    def _uses_relay(self) -> bool:
+        return self.relays is not None and self.relays.choose() is not None
+
     def _watch_store(self, after: int) -> bool:
-        # A pause before the watch counts as a part of it.
-        wait_s = max(MIN_WATCH_WAIT_S, self.wait_s - self._paused_s)
-        result = self._store.watch(after, round(wait_s * MS_PER_S))
+        result = self._store.watch(after, round(self.next_wait_s * MS_PER_S))
         if isinstance(result, Err):
             if isinstance(result.err_value, HistoryGone):
                 log.info(
@@ -228,20 +245,42 @@
 
     def _read_all(self) -> bool:
         started = self._clock.monotonic()
-        revision = None
-        for handler in self._handlers:
-            result = self._store.read_prefix(handler.prefix)
-            if not isinstance(result, Ok):
-                self._record_failure(result.err_value)
-                return False
-            changes = result.ok_value
-            # The watch starts at the revision of the first answer, so that changes made
-            # while the other prefixes are read are not missed.
-            revision = changes.revision if revision is None else revision
-            handler.replace_all(list(changes.items))
+        answers = self._read_prefixes()
+        if isinstance(answers, Err):
+            self._record_failure(answers.err_value)
+            return False
+        for handler, changes in zip(self._handlers, answers.ok_value, strict=True):
+            handler.replace_all(
+                [item for item in changes.items if item.key.startswith(handler.prefix)]
+            )
+        # The watch starts at the revision of the first answer, so that changes made while the
+        # other prefixes are read are not missed.
+        revision = answers.ok_value[0].revision if answers.ok_value else None
         self._record_success()
         self.revision = revision
         self._change_log.restart(revision or 0)
+        if self._uses_relay():
+            self._change_log.stop()
         took_ms = round((self._clock.monotonic() - started) * MS_PER_S)
-        log.info("store read", extra={"revision": revision, "took_ms": took_ms})
+        extra = {"revision": revision, "took_ms": took_ms, "at_once": self._reads_at_once}
+        log.info("store read", extra=extra)
         return True
+
+    def _read_prefixes(self) -> Result[list[Changes], QuetzalrudderError]:
+        """Read the prefixes of all handlers, by one call or one after the other."""
+        prefixes = [handler.prefix for handler in self._handlers]
+        answers: list[Changes] = []
+        if self._reads_at_once:
+            result = self._store.read_prefix(commonprefix(prefixes))
+            if isinstance(result, Err):
+                # The store may refuse this read only; the next attempt makes single ones.
+                self._reads_at_once = False
+                return result
+            return Ok([result.ok_value] * len(prefixes))
+        for prefix in prefixes:
+            result = self._store.read_prefix(prefix)
+            if isinstance(result, Err):
+                self._reads_at_once = True
+                return result
+            answers.append(result.ok_value)
+        return Ok(answers)
--- a/tests/gateway_paced_fleet.py
+++ b/tests/gateway_paced_fleet.py
@@ -43,7 +43,7 @@
             history = fleet.store.history
             changed = bool(history) and history[-1].revision > mirror.revision
             answered = changed or self.instance.is_cut_from_store
-            return not answered and self.clock.now < self.asked_at + mirror.wait_s
+            return not answered and self.clock.now < self.asked_at + mirror.next_wait_s
         peer = fleet.by_name[relay.address]
         if peer.frozen or peer.cut_from_peers or self.instance.cut_from_peers:
             return self.clock.now < self.asked_at + RELAY_WAIT_S + RELAY_ANSWER_MARGIN_S
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -5,14 +5,17 @@
 from contextlib import ExitStack
 
 import pytest
+from result import Err, Ok
 
 from quetzalrudder.bridge import Loop
+from quetzalrudder.exceptions import PlatformUnavailable
 from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.instance import DEFAULT_CONVERGENCE_S
-from quetzalrudder.gateway.membership import RENEW_INTERVAL_S
+from quetzalrudder.gateway.membership import COVERED_FRACTION, RENEW_INTERVAL_S
+from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
 from quetzalrudder.gateway.peer_calls import GrpcPeerCaller, serve_peers
 from quetzalrudder.gateway.relays import relays_of
-from quetzalrudder.gateway.store import Item
+from quetzalrudder.gateway.store import Changes, Item
 from quetzalrudder.gateway.store_calls import StoreCall
 from quetzalrudder.schema.gateway import ChangesRequest, RelayState
 from quetzalrudder.utils import parse_address
@@ -103,6 +106,36 @@
     assert reach_all(fleet, fleet.instances)
 
 
+def test_an_instance_that_joins_causes_no_write_by_each_of_the_others(fleet):
+    fleet.price()
+    fleet.start("edge-99", 5)
+    fleet.run(6.0)
+    calls = fleet.price()[1]
+    assert calls[StoreCall.ROSTER_ENTRY] <= 2
+    assert calls[StoreCall.MEMBER_RECORD] == 1
+    assert all(len(i.gateway.members.roster()) == FLEET_SIZE + 1 for i in fleet.instances)
+
+
+def test_an_instance_whose_entry_covers_few_others_writes_it_soon():
+    fleet = PacedFleet(FLEET_SIZE)
+    fleet.run(6.0)
+    for instance in fleet.instances:
+        roster = {record.instance for record in instance.gateway.members.roster()}
+        for view in instance.gateway.membership.roster_views():
+            assert len(view) >= COVERED_FRACTION * len(roster)
+
+
+def test_a_restarted_fleet_writes_each_record_once(fleet):
+    fleet.price()
+    fleet.restart_all()
+    fleet.price()
+    fleet.run(6.0)
+    calls = fleet.price()[1]
+    assert calls[StoreCall.ROSTER_ENTRY] == FLEET_SIZE
+    assert calls[StoreCall.MEMBER_RECORD] <= FLEET_SIZE + 2
+    assert all(instance.gateway.permission.valid for instance in fleet.instances)
+
+
 def test_a_change_of_primary_reaches_every_instance(fleet):
     fleet.group["db-1"].up = False
 
@@ -203,3 +236,37 @@
         assert serving._threads == set()
         ended = caller.wait_for_changes(address, ChangesRequest(after=2, wait_ms=10), 20.0)
         assert ended.ok_value.changes == []
+
+
+def test_a_healthy_relay_is_not_left(fleet):
+    """Also while it pauses after changes of membership, which its age must allow for."""
+    faults = []
+    for instance in fleet.instances:
+        instance.gateway.metrics.count_relay_fault = faults.append
+    for number in range(4):
+        fleet.store.put("qr/members/other", b"", None)
+        fleet.run(1.3 + 0.4 * number)
+    assert faults == []
+
+
+class PrefixStore:
+    """A store that refuses to read all keys at once."""
+
+    def __init__(self):
+        self.read = []
+
+    def read_prefix(self, prefix):
+        self.read.append(prefix)
+        if not prefix:
+            return Err(PlatformUnavailable("a prefix is required"))
+        return Ok(Changes((Item(prefix + "x", b"", 4),), 5))
+
+
+def test_prefixes_are_read_singly_if_the_store_refuses_to_read_them_at_once():
+    store, found, clock = PrefixStore(), [], ManualClock()
+    handlers = [PrefixHandler(prefix, found.extend, found.append) for prefix in ("a/", "b/")]
+    mirror = StoreMirror(store, handlers, StoreContact(clock), clock, 3.0)
+    assert [mirror.step(), mirror.step()] == [False, True]
+    assert store.read == ["", "a/", "b/"]
+    assert [item.key for item in found] == ["a/x", "b/x"]
+    assert mirror.revision == 5
