An operator's price decides when a read leaves its data centre

Cause: another data centre cost a read a tenth of its time whatever the traffic costs, so reads crossed while all was well, and nothing kept them from a side that is full or from a link that is cut.

Change: data_centre_exit decides for each read of a large fleet whose operator has set QUETZALRUDDER_CROSSING_PRICE (none by default: only time counts, as before): local first, a share that moves by degrees and not at once at all instances, a gap against flutter, never more than the other side's reported free use, a cut link tried by one read. Statements at databases of other data centres are counted by reason, with or without a price. The hold-off of one database moved to target_health.

A younger lacked position no longer replaces the greater lag, and the unused PositionWindow.lag_s is gone.

Ran on this tree: all of test_gateway_*, test_rig_*, test_doctests and test_documents except test_gateway_permissions, in two parts, 297 and 326 passed (test_documents in both).

--- a/src/quetzalrudder/gateway/__init__.py
+++ b/src/quetzalrudder/gateway/__init__.py
@@ -13,6 +13,7 @@
     Route,
     Workspace,
 )
+from quetzalrudder.gateway.data_centre_exit import CrossingPrice
 from quetzalrudder.gateway.instance import GatewayInstance, InstanceIdentity
 from quetzalrudder.gateway.mirror import PrefixHandler
 from quetzalrudder.gateway.quotas import QuotaRules
@@ -24,6 +25,7 @@
     "Catalog",
     "CurrentCatalog",
     "Consistency",
+    "CrossingPrice",
     "GatewayInstance",
     "GroupSettings",
     "InstanceIdentity",
--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -26,11 +26,12 @@
 from quetzalrudder.gateway.borrowing import FleetConnectionPool
 from quetzalrudder.gateway.catalog import Consistency, Route
 from quetzalrudder.gateway.connections import Checkout, Urgency
+from quetzalrudder.gateway.data_centre_exit import ExitReason
 from quetzalrudder.gateway.freshness import PositionWindow
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.outlook import PrimaryOutlook
 from quetzalrudder.gateway.permission import Permission
-from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement
+from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement, ReadNeeds
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.statements import Commit, Statement, TargetFault, TargetReply
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
@@ -207,13 +208,18 @@
         group = req.route.group
         record = self._primaries.record(group)
         primary = record.primary if record is not None else None
-        required_age_s = self.position_window(group).age_s(required)
-        candidates = self._placement.rank(group, req.workspace, req.excluded, required_age_s)
+        needs = ReadNeeds(
+            required_age_s=self.position_window(group).age_s(required),
+            remaining_s=req.objective_at - self._clock.monotonic(),
+            primary=primary,
+        )
+        candidates = self._placement.rank(group, req.workspace, req.excluded, needs)
         replicas = [target for target in candidates if target.target != primary]
         if not replicas:
             # No replica is left; later attempts may use the excluded ones again.
             req.excluded.clear()
             return None
+        self._placement.count_statement(replicas[0], needs.reason)
         timeout_s = self._placement.begin_read(replicas[0])
         deadline_at = min(req.deadline_at, self._clock.monotonic() + READ_ATTEMPT_TIMEOUT_S)
         planned = self._check_out(req, replicas[0], None, required, deadline_at)
@@ -236,6 +242,7 @@
         target = self._registry.get(primary.target)
         if target is None:
             return Err(self._primary_changing(group, None))
+        self._placement.count_statement(target, ExitReason.PRIMARY)
         return self._check_out(req, target, primary, None, req.deadline_at)
 
     def _primary_changing(self, group: GroupId, expected_s: float | None) -> PrimaryChanging:
@@ -269,10 +276,8 @@
         if primary is not None:
             self.primary_monitor(primary.group).record_failure(target.target)
 
-    def _record_answer(
-        self, target: TargetId, primary: UsablePrimary | None, took_s: float | None = None
-    ) -> None:
-        self._placement.record_answer(target, took_s)
+    def _record_answer(self, target: TargetId, primary: UsablePrimary | None) -> None:
+        self._placement.record_answer(target)
         if primary is not None:
             self.primary_monitor(primary.group).record_answer(target)
 
@@ -284,10 +289,12 @@
         A primary's reply counts only if the primary cannot have been replaced by now. The
         time of a timed reply is compared with that of other databases.
         """
-        took_s = None
+        target = attempt.checkout.target.target
         if is_timed and attempt.primary is None:
-            took_s = self._clock.monotonic() - sent_at
-        self._record_answer(attempt.checkout.target.target, attempt.primary, took_s)
+            size_bytes = sum(map(len, reply.rows))
+            self._placement.record_answer(target, self._clock.monotonic() - sent_at, size_bytes)
+        else:
+            self._record_answer(target, attempt.primary)
         if attempt.primary is None:
             return True
         if not self._primaries.is_usable(attempt.primary):
--- a/src/quetzalrudder/gateway/freshness.py
+++ b/src/quetzalrudder/gateway/freshness.py
@@ -70,15 +70,6 @@
                     return now - sample.sent_at
         return 0.0
 
-    def lag_s(self, position: LogPosition) -> float:
-        """Return how long a database with this position has lacked a later one; 0 if unknown."""
-        now = self._clock.monotonic()
-        with self._lock:
-            for sample in self._samples:
-                if sample.position > position:
-                    return now - sample.sent_at
-        return 0.0
-
     def required_position(self, max_age_ms: int) -> LogPosition | None:
         """Return the lowest position that a replica needs for reads of at most this age.
 
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -17,6 +17,7 @@
 from quetzalrudder.gateway.borrowing import FleetConnectionPool, owners_of, watchers_of
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
 from quetzalrudder.gateway.connections import GatewayPool
+from quetzalrudder.gateway.data_centre_exit import CrossingPrice
 from quetzalrudder.gateway.failover import FailoverCoordinator, PromotionClient
 from quetzalrudder.gateway.lending import ConnectionLender
 from quetzalrudder.gateway.measurements import Metrics
@@ -117,6 +118,8 @@
         Source of jitter.
     convergence_s : float
         Time within which a configuration must be in force, in seconds.
+    crossing_price : CrossingPrice, optional
+        What traffic between data centres is worth to the operator; None: only time counts.
     """
 
     def __init__(
@@ -132,6 +135,7 @@
         clock: Clock,
         rng: random.Random,
         convergence_s: float = DEFAULT_CONVERGENCE_S,
+        crossing_price: CrossingPrice | None = None,
     ) -> None:
         self._identity = identity
         self._convergence_s = convergence_s
@@ -157,6 +161,8 @@
             clock,
             is_large=lambda: self.view.is_large,
             count_change=self.metrics.count_share_change,
+            crossing_price=crossing_price,
+            count_crossing=self.metrics.count_crossing,
         )
         self.planner = AttemptPlanner(
             registry=self.registry,
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -46,6 +46,12 @@
             ["change"],
             registry=self.registry,
         )
+        self.crossings = Counter(
+            "quetzalrudder_data_centre_crossings",
+            "Attempts of statements at a database of another data centre, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
@@ -100,6 +106,10 @@
         """Count a database whose share of reads was reduced or restored."""
         self._observe(lambda found: found.share_changes.labels(change).inc())
 
+    def count_crossing(self, reason: str) -> None:
+        """Count an attempt of a statement in another data centre."""
+        self._observe(lambda found: found.crossings.labels(reason).inc())
+
     def set_sessions(self, count: int) -> None:
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -18,13 +18,21 @@
 from dataclasses import dataclass
 
 from quetzalrudder.gateway.borrowing import FleetConnectionPool
+from quetzalrudder.gateway.data_centre_exit import (
+    CrossingPrice,
+    DataCentreExit,
+    ExitReason,
+    Offer,
+    best_offers,
+)
 from quetzalrudder.gateway.read_shares import ReadShares
 from quetzalrudder.gateway.target_estimates import ServiceTime, TargetEstimates
+from quetzalrudder.gateway.target_health import MAX_HOLD_OFF_S, TargetHealth
 from quetzalrudder.gateway.targets import Target, TargetRegistry
 from quetzalrudder.models import DataCentre, GroupId, TargetId, WorkspaceId
 from quetzalrudder.utils import Clock
 
-__all__ = ["READ_ATTEMPT_TIMEOUT_S", "Placement"]
+__all__ = ["MAX_HOLD_OFF_S", "READ_ATTEMPT_TIMEOUT_S", "Placement", "ReadNeeds"]
 
 # A read that takes longer is retried at another database, as the connection may have
 # stopped responding.
@@ -50,44 +58,29 @@
 # Upper bound of the random cost. If costs differ by less, it is better that instances choose
 # different databases.
 MAX_RANDOM_COST = 0.2
-# A refusal counts as much as full use by this instance, and decays within a few reads.
-BUSY_COST = 1.0
-BUSY_DECAY_S = 0.2
-# How long reads avoid a replica that lagged: about twice the greatest lag of the users'
-# replicas on ordinary days, which is 48 ms; the usual lag is 8 ms.
-LAGGING_HOLD_OFF_S = 0.1
-# A failing database is retried soon at first; the delay doubles up to 2 s.
-FIRST_HOLD_OFF_S = 0.2
-MAX_HOLD_OFF_S = 2.0
-# Enough to reach MAX_HOLD_OFF_S; bounds the exponent.
-MAX_HOLD_OFF_DOUBLINGS = 10
 # A database of a large fleet that has answered at least this share of its recent statements
 # loses part of its reads by a failure, and is not held off.
 MAX_PARTIAL_ERROR_SHARE = 0.5
-# Failures without an answer between them after which a database counts as dead all the same.
-DEAD_AFTER_FAILURES = 3
 # Statements retried after errors and refusals multiply the expected time by at most ten.
 MAX_RETRY_SHARE = 0.9
 # Excess of the age of a position over the observed lag, for the variation of the lag.
 LAG_MARGIN = 1.2
+# Weight of an answer in the expected size of the next one.
+SIZE_WEIGHT = 0.05
 
 
 @dataclass
-class _TargetHealth:
-    busy_at: float = -1e9
-    lagging_until: float = 0.0
-    failures: int = 0
-    held_off_until: float = 0.0
-    # Set from a failure that is held off until the next answer.
-    is_dead: bool = False
-    # Time until which the result of a trial read is awaited.
-    trial_until: float = 0.0
-    answered: bool = False
-
-    def end_failures(self) -> None:
-        self.failures = 0
-        self.is_dead = False
-        self.trial_until = 0.0
+class ReadNeeds:
+    """What a read needs of a database, and why it leaves the data centre."""
+
+    # Age of the log position that the database must have reached.
+    required_age_s: float | None = None
+    # Time left until the objective.
+    remaining_s: float | None = None
+    # Database that is ranked, but used only when no other is left.
+    primary: TargetId | None = None
+    # Set when the databases are ranked.
+    reason: ExitReason = ExitReason.SOONER
 
 
 class Placement:
@@ -111,6 +104,10 @@
         Returns the seconds that a statement is expected to wait for a database.
     count_change : Callable
         Counts changes of a database's share of reads.
+    crossing_price : CrossingPrice, optional
+        What leaving the data centre costs; without it only time counts.
+    count_crossing : Callable
+        Counts statements that leave the data centre, by reason.
     """
 
     def __init__(
@@ -124,6 +121,8 @@
         is_large: Callable[[], bool] = lambda: False,
         queue_delay_s: Callable[[Target], float] = lambda target: 0.0,
         count_change: Callable[[str], None] = lambda change: None,
+        crossing_price: CrossingPrice | None = None,
+        count_crossing: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._registry = registry
         self._pool = pool
@@ -134,15 +133,20 @@
         self._queue_delay_s = queue_delay_s
         self._estimates = TargetEstimates(clock)
         self._shares = ReadShares(clock, count_change)
+        self._exit = None
+        if crossing_price is not None:
+            self._exit = DataCentreExit(data_centre, crossing_price, clock, rng)
+        self._count_crossing = count_crossing
+        self._size_bytes = 0.0
         self._lock = threading.Lock()
-        self._health: dict[TargetId, _TargetHealth] = {}
+        self._health: dict[TargetId, TargetHealth] = {}
 
     def rank(
         self,
         group: GroupId,
         workspace: WorkspaceId,
         excluded: set[TargetId],
-        required_age_s: float | None = None,
+        needs: ReadNeeds | None = None,
     ) -> list[Target]:
         """Return the databases that accept new work, the lowest cost first.
 
@@ -154,8 +158,8 @@
             Group of databases, and workspace of the read.
         excluded : set of TargetId
             Databases that were tried already.
-        required_age_s : float, optional
-            Age of the log position that the read requires.
+        needs : ReadNeeds, optional
+            What the read needs; its ``reason`` is set.
         """
         candidates = [
             target
@@ -166,15 +170,21 @@
         if not self._is_large():
             usable = [target for target in candidates if not self._is_held_off(target.target, now)]
             return sorted(
-                usable or candidates, key=lambda target: self._cost(target, workspace, now)
+                usable or candidates,
+                key=lambda target: (
+                    self._cost(target, workspace, now) + MAX_RANDOM_COST * self._rng.random()
+                ),
             )
+        needs = needs or ReadNeeds()
         usable = [
-            target for target in candidates if self._is_usable(target.target, required_age_s, now)
+            target
+            for target in candidates
+            if self._is_usable(target.target, needs.required_age_s, now)
         ]
-        return self._rank_by_time(usable or candidates, workspace, now)
+        return self._rank_by_time(usable or candidates, workspace, now, needs)
 
     def _rank_by_time(
-        self, candidates: list[Target], workspace: WorkspaceId, now: float
+        self, candidates: list[Target], workspace: WorkspaceId, now: float, needs: ReadNeeds
     ) -> list[Target]:
         """Order by expected time to answer; those that fail lose part of the reads."""
         services = {
@@ -182,32 +192,59 @@
             for target in candidates
             if (service := self._estimates.service_time(target.target)) is not None
         }
-        unit_s = PRIOR_SERVICE_S
-        if services:
-            # A lower middle one: if half of the databases are slow, the others are the usual.
-            unit_s = statistics.median_low(service.median_s for service in services.values())
+        # A lower middle one: if half of the databases are slow, the others are the usual.
+        medians_s = [service.median_s for service in services.values()]
+        unit_s = statistics.median_low(medians_s or [PRIOR_SERVICE_S])
         least_error_share = min(
             (self._estimates.error_share(target.target) for target in candidates), default=0.0
         )
         shares = self._shares.relative(target.target for target in candidates)
 
-        def key(target: Target) -> tuple[bool, float]:
-            demoted = self._rng.random() >= shares[target.target]
+        def expected_units(target: Target) -> float:
             units = 1 + self._cost(target, workspace, now)
             units += self._queue_delay_s(target) / unit_s
-            service = services.get(target.target)
-            if service is not None:
-                units += self._rng.random() * min(1.0, service.uncertainty_s / unit_s)
+            if (service := services.get(target.target)) is not None:
                 units += _excess_s(service, unit_s) / unit_s
-            return demoted, units * self._retry_factor(target.target, least_error_share)
+            return units * self._retry_factor(target.target, least_error_share)
+
+        # What is not observed is no more certain than what is.
+        widest_s = max((service.uncertainty_s for service in services.values()), default=0.0)
+        units = {target.target: expected_units(target) for target in candidates}
+        data_centre = self._choose_data_centre(candidates, units, unit_s, needs)
+
+        def key(target: Target) -> tuple[bool, bool, float]:
+            is_elsewhere = data_centre is not None and target.data_centre != data_centre
+            demoted = self._rng.random() >= shares[target.target]
+            spread = MAX_RANDOM_COST * self._rng.random()
+            service = services.get(target.target)
+            uncertainty_s = service.uncertainty_s if service is not None else widest_s
+            spread += self._rng.random() * min(1.0, uncertainty_s / unit_s)
+            return is_elsewhere, demoted, units[target.target] + spread
 
         return sorted(candidates, key=key)
 
-    def _retry_factor(self, target: TargetId, least_error_share: float) -> float:
-        """Return by how much retries lengthen a read.
+    def _choose_data_centre(
+        self,
+        candidates: list[Target],
+        units: dict[TargetId, float],
+        unit_s: float,
+        needs: ReadNeeds,
+    ) -> DataCentre | None:
+        """Return the data centre of a read; None if the operator set no price."""
+        if self._exit is None:
+            return None
+        offers = best_offers(
+            (target.data_centre, Offer(units[target.target] * unit_s, self._pool.load(target)))
+            for target in candidates
+            if target.target != needs.primary
+        )
+        local = offers.pop(self._data_centre, None)
+        decision = self._exit.choose(local, offers, needs.remaining_s, self._size_bytes)
+        needs.reason = decision.reason
+        return decision.data_centre
 
-        Errors that all databases return alike come from the statements.
-        """
+    def _retry_factor(self, target: TargetId, least_error_share: float) -> float:
+        """Return by how much retries lengthen a read; errors common to all do not count."""
         error_share = self._estimates.error_share(target) - least_error_share
         success = (1 - error_share) * (1 - self._estimates.refusal_share(target))
         return 1 / max(1 - MAX_RETRY_SHARE, success)
@@ -215,7 +252,7 @@
     def _is_usable(self, target: TargetId, required_age_s: float | None, now: float) -> bool:
         with self._lock:
             health = self._health_of(target)
-            if max(health.held_off_until, health.trial_until) > now:
+            if health.is_held_off(now):
                 return False
             lagging = health.lagging_until > now
         lag_s = self._estimates.lag_s(target)
@@ -223,6 +260,20 @@
             return not lagging
         return required_age_s >= lag_s * LAG_MARGIN
 
+    def count_statement(self, target: Target, reason: ExitReason) -> None:
+        """Count a statement if it leaves the data centre."""
+        if target.data_centre != self._data_centre:
+            self._count_crossing(reason.value)
+
+    def _record_crossing(self, target_id: TargetId, *, failed: bool) -> None:
+        target = self._registry.get(target_id) if self._exit is not None else None
+        if target is None or target.data_centre == self._data_centre:
+            return
+        if failed:
+            self._exit.record_failure(target.data_centre)
+        else:
+            self._exit.record_answer(target.data_centre)
+
     def begin_read(self, target: Target) -> float:
         """Record that a read is about to be sent; return the time limit for its answer.
 
@@ -246,31 +297,30 @@
         usual_s = max(MIN_READ_ATTEMPT_TIMEOUT_S, TIMEOUT_FACTOR * longest_s)
         return min(READ_ATTEMPT_TIMEOUT_S, usual_s)
 
-    def _health_of(self, target: TargetId) -> _TargetHealth:
-        return self._health.setdefault(target, _TargetHealth())
+    def _health_of(self, target: TargetId) -> TargetHealth:
+        return self._health.setdefault(target, TargetHealth())
 
     def _is_held_off(self, target: TargetId, now: float) -> bool:
         with self._lock:
             health = self._health_of(target)
-            return max(health.held_off_until, health.lagging_until) > now
+            return health.is_held_off(now) or health.lagging_until > now
 
     def _cost(self, target: Target, workspace: WorkspaceId, now: float) -> float:
-        cost = self._pool.load(target) + MAX_RANDOM_COST * self._rng.random()
+        cost = self._pool.load(target)
         if not self._pool.has_idle(target, workspace):
             cost += CONNECT_COST
         if target.data_centre != self._data_centre:
             cost += REMOTE_DATA_CENTRE_COST
         with self._lock:
-            since_busy_s = now - self._health_of(target.target).busy_at
-        if since_busy_s < BUSY_DECAY_S:
-            cost += BUSY_COST * (1 - since_busy_s / BUSY_DECAY_S)
-        return cost
+            return cost + self._health_of(target.target).busy_cost(now)
 
     def _record_share(self, target: TargetId, *, failed: bool) -> None:
         if self._is_large():
             self._shares.record(target, failed=failed)
 
-    def record_answer(self, target: TargetId, took_s: float | None = None) -> None:
+    def record_answer(
+        self, target: TargetId, took_s: float | None = None, size_bytes: int = 0
+    ) -> None:
         """Record an answer, which ends a run of failures.
 
         Parameters
@@ -279,7 +329,12 @@
             The database.
         took_s : float, optional
             Time that a read at a replica took.
+        size_bytes : int
+            Size of its rows.
         """
+        self._record_crossing(target, failed=False)
+        if took_s is not None:
+            self._size_bytes += SIZE_WEIGHT * (size_bytes - self._size_bytes)
         with self._lock:
             health = self._health_of(target)
             health.end_failures()
@@ -309,12 +364,11 @@
         target : TargetId
             The replica.
         lag_s : float, optional
-            Age of the newest position that it can satisfy, as far as that is known.
+            Age of that position, as far as it is known.
         """
         with self._lock:
             health = self._health_of(target)
-            health.lagging_until = self._clock.monotonic() + LAGGING_HOLD_OFF_S
-            health.trial_until = 0.0
+            health.record_lagging(self._clock.monotonic())
         if lag_s is not None:
             self._estimates.record_lag(target, lag_s)
 
@@ -324,6 +378,7 @@
         In a large fleet one that answers most statements is not held off: its share of the
         reads shrinks.
         """
+        self._record_crossing(target, failed=True)
         self._estimates.record_error(target)
         self._record_share(target, failed=True)
         is_partial = (
@@ -331,14 +386,8 @@
         )
         with self._lock:
             health = self._health_of(target)
-            health.failures += 1
-            health.trial_until = 0.0
-            if is_partial and health.answered and health.failures < DEAD_AFTER_FAILURES:
-                return
-            doublings = min(health.failures - 1, MAX_HOLD_OFF_DOUBLINGS)
-            health.is_dead = True
-            hold_off_s = min(MAX_HOLD_OFF_S, FIRST_HOLD_OFF_S * 2**doublings)
-            health.held_off_until = self._clock.monotonic() + hold_off_s
+            is_partial = is_partial and health.answered
+            health.record_failure(self._clock.monotonic(), is_partial=is_partial)
 
 
 def _excess_s(service: ServiceTime, usual_s: float) -> float:
--- a/src/quetzalrudder/gateway/target_estimates.py
+++ b/src/quetzalrudder/gateway/target_estimates.py
@@ -169,7 +169,8 @@
             self._of(target).refusals.add(self._clock.monotonic(), happened=True)
 
     def record_lag(self, target: TargetId, lag_s: float) -> None:
-        """Record the age of the newest position that a replica can satisfy."""
+        """Record the age of a position that a replica lacked; a greater recent one stays."""
+        lag_s = max(lag_s, self.lag_s(target))
         with self._lock:
             found = self._of(target)
             found.lag_s, found.lag_at = lag_s, self._clock.monotonic()
--- a/tests/test_gateway_uneven_databases.py
+++ b/tests/test_gateway_uneven_databases.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement
-from quetzalrudder.gateway.targets import Target, TargetRegistry, TargetRole
+from quetzalrudder.gateway.freshness import PositionWindow
+from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement, ReadNeeds
+from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry, TargetRole
 from quetzalrudder.utils import Address
 from tests.clocks import ManualClock
 from tests.naive.placement import NaivePlacement
@@ -219,12 +220,14 @@
 
 
 def names(placement, required_age_s=None):
-    return {target.target for target in placement.rank("g", "w", set(), required_age_s)}
+    return {target.target for target in placement.rank("g", "w", set(), ReadNeeds(required_age_s))}
 
 
 def test_a_lagging_replica_gets_the_reads_that_it_can_satisfy():
     clock, placement = make_placement()
     placement.record_lagging("db-2", 0.09)
+    # A younger position that it lacks too says nothing new.
+    placement.record_lagging("db-2", 0.01)
     assert "db-2" not in names(placement, 0.02)
     assert "db-2" in names(placement, 0.5)
     clock.advance(0.2)
@@ -233,6 +236,16 @@
     assert "db-2" in names(placement, 0.02)
 
 
+def test_the_age_of_a_position_is_the_time_since_the_primary_reached_it():
+    clock = ManualClock()
+    window = PositionWindow(clock)
+    for index in (1, 2, 4):
+        window.add(clock.monotonic(), LogPosition(1, index))
+        clock.advance(0.1)
+    ages = [window.age_s(LogPosition(1, index)) for index in (2, 3, 4, 5)]
+    assert ages == pytest.approx([0.2, 0.1, 0.1, 0.0])
+
+
 def test_a_dead_database_is_tried_by_one_read_at_a_time():
     clock, placement = make_placement()
     for _ in range(5):
@@ -274,4 +287,4 @@
     for _ in range(50):
         placement.record_answer("db-2", 0.5)
     for _ in range(20):
-        assert placement.rank("g", "w", set(), 0.0) == naive.rank("g", "w", set())
+        assert placement.rank("g", "w", set(), ReadNeeds(0.0)) == naive.rank("g", "w", set())
--- a/tests/test_rig_settings.py
+++ b/tests/test_rig_settings.py
@@ -6,10 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from rig.configuration import catalog_handler, decode_catalog, decode_target, target_handler
-from rig.settings import parse_settings
+from rig.settings import parse_crossing_price, parse_settings
 
 from quetzalrudder.exceptions import InvalidSettings, MalformedMessage
-from quetzalrudder.gateway import Consistency, CurrentCatalog, TargetRole
+from quetzalrudder.gateway import Consistency, CrossingPrice, CurrentCatalog, TargetRole
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.gateway.targets import TargetRegistry
 from quetzalrudder.utils import Address
@@ -162,3 +162,16 @@
     assert [target.target for target in registry.all_targets()] == ["a"]
     clock.advance(2.6)
     assert registry.all_targets() == []
+
+
+@pytest.mark.parametrize("text", ["1", "1,2,3", "a,1", "-1,0", "inf,0", "nan,0", ","])
+def test_a_wrong_crossing_price_is_refused_with_the_variable(text):
+    with pytest.raises(InvalidSettings) as caught:
+        parse_crossing_price(text)
+    assert caught.value.place == "QUETZALRUDDER_CROSSING_PRICE"
+
+
+def test_without_a_crossing_price_only_time_counts():
+    assert parse_crossing_price("") is None
+    assert parse_crossing_price("none") is None
+    assert parse_crossing_price("0, 2.5") == CrossingPrice(0.0, 2.5)
