--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -27,6 +27,7 @@
 from quetzalrudder.gateway.borrowing import FleetConnectionPool
 from quetzalrudder.gateway.catalog import Consistency, Route
 from quetzalrudder.gateway.connections import Checkout, Urgency
+from quetzalrudder.gateway.data_centre_exit import ExitReason
 from quetzalrudder.gateway.evacuation import (
     EvacuationTable,
     PrimaryEvacuated,
@@ -36,7 +37,7 @@
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.outlook import PrimaryOutlook
 from quetzalrudder.gateway.permission import Permission
-from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement
+from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement, ReadNeeds
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.statements import Commit, Statement, TargetFault, TargetReply
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
@@ -222,14 +223,19 @@
         group = req.route.group
         record = self._primaries.record(group)
         primary = record.primary if record is not None else None
-        required_age_s = self.position_window(group).age_s(required)
-        candidates = self._placement.rank(group, req.workspace, req.excluded, required_age_s)
+        needs = ReadNeeds(
+            required_age_s=self.position_window(group).age_s(required),
+            remaining_s=req.objective_at - self._clock.monotonic(),
+            primary=primary,
+        )
+        candidates = self._placement.rank(group, req.workspace, req.excluded, needs)
         replicas = [target for target in candidates if target.target != primary]
         deadline_at = min(req.deadline_at, self._clock.monotonic() + READ_ATTEMPT_TIMEOUT_S)
         for replica in replicas:
             timeout_s = self._placement.begin_read(replica)
             planned = self._check_out(req, replica, None, required, deadline_at)
             if isinstance(planned, Ok):
+                self._placement.count_statement(replica, needs.reason)
                 # The wait for the connection does not count as lateness of the answer.
                 answer_by = self._clock.monotonic() + timeout_s
                 return Ok(replace(planned.ok_value, deadline_at=min(deadline_at, answer_by)))
@@ -256,6 +262,7 @@
             retry_after_ms = self.outlook.retry_after_ms(group, EVACUATED_RETRY_S)
             reason = "the primary's data centre is evacuated"
             return Err(PrimaryEvacuated(reason, place=group, retry_after_ms=retry_after_ms))
+        self._placement.count_statement(target, ExitReason.PRIMARY)
         return self._check_out(req, target, primary, None, req.deadline_at)
 
     def _primary_changing(self, group: GroupId, expected_s: float | None) -> PrimaryChanging:
@@ -289,10 +296,8 @@
         if primary is not None:
             self.primary_monitor(primary.group).record_failure(target.target)
 
-    def _record_answer(
-        self, target: TargetId, primary: UsablePrimary | None, took_s: float | None = None
-    ) -> None:
-        self._placement.record_answer(target, took_s)
+    def _record_answer(self, target: TargetId, primary: UsablePrimary | None) -> None:
+        self._placement.record_answer(target)
         if primary is not None:
             self.primary_monitor(primary.group).record_answer(target)
 
@@ -304,10 +309,12 @@
         A primary's reply counts only if the primary cannot have been replaced by now. The
         time of a timed reply is compared with that of other databases.
         """
-        took_s = None
+        target = attempt.checkout.target.target
         if is_timed and attempt.primary is None:
-            took_s = self._clock.monotonic() - sent_at
-        self._record_answer(attempt.checkout.target.target, attempt.primary, took_s)
+            size_bytes = sum(map(len, reply.rows))
+            self._placement.record_answer(target, self._clock.monotonic() - sent_at, size_bytes)
+        else:
+            self._record_answer(target, attempt.primary)
         if attempt.primary is None:
             return True
         if not self._primaries.is_usable(attempt.primary):
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -18,6 +18,7 @@
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog, Workspace
 from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.connections import GatewayPool
+from quetzalrudder.gateway.data_centre_exit import CrossingPrice
 from quetzalrudder.gateway.evacuation import (
     DEFAULT_EVACUATION_LIMIT_S,
     EvacuationGuard,
@@ -140,6 +141,8 @@
         Time within which a configuration must be in force, in seconds.
     evacuation_limit_s : float
         Time after which no request may reach an evacuated data centre, in seconds.
+    crossing_price : CrossingPrice, optional
+        What traffic between data centres is worth to the operator; None: only time counts.
     """
 
     def __init__(
@@ -156,6 +159,7 @@
         rng: random.Random,
         convergence_s: float = DEFAULT_CONVERGENCE_S,
         evacuation_limit_s: float = DEFAULT_EVACUATION_LIMIT_S,
+        crossing_price: CrossingPrice | None = None,
     ) -> None:
         self._identity = identity
         self._convergence_s = convergence_s
@@ -207,6 +211,8 @@
             is_large=lambda: self.view.is_large,
             queue_delay_s=fleet_pool.expected_delay_s,
             count_change=self.metrics.count_share_change,
+            crossing_price=crossing_price,
+            count_crossing=self.metrics.count_crossing,
         )
         self.planner = AttemptPlanner(
             registry=self.registry,
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -64,6 +64,12 @@
             ["fault"],
             registry=self.registry,
         )
+        self.crossings = Counter(
+            "quetzalrudder_data_centre_crossings",
+            "Attempts of statements at a database of another data centre, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
@@ -135,6 +141,10 @@
         """Count a request for changes of the store that a relay failed."""
         self._observe(lambda found: found.relay_faults.labels(fault).inc())
 
+    def count_crossing(self, reason: str) -> None:
+        """Count an attempt of a statement in another data centre."""
+        self._observe(lambda found: found.crossings.labels(reason).inc())
+
     def set_sessions(self, count: int) -> None:
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
--- a/tests/test_rig_settings.py
+++ b/tests/test_rig_settings.py
@@ -12,10 +12,10 @@
     evacuation_handler,
     target_handler,
 )
-from rig.settings import parse_settings
+from rig.settings import parse_crossing_price, parse_settings
 
 from quetzalrudder.exceptions import InvalidSettings, MalformedMessage
-from quetzalrudder.gateway import Consistency, CurrentCatalog, TargetRole
+from quetzalrudder.gateway import Consistency, CrossingPrice, CurrentCatalog, TargetRole
 from quetzalrudder.gateway.evacuation import EvacuationTable
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.store import Item
@@ -197,3 +197,16 @@
     assert decode_target(item).cold_left_s == 2.5
     with pytest.raises(MalformedMessage):
         decode_target(Item("servers/a", encode_json({**ANNOUNCEMENT, "coldLeftMs": 1e999}), 1))
+
+
+@pytest.mark.parametrize("text", ["1", "1,2,3", "a,1", "-1,0", "inf,0", "nan,0", ","])
+def test_a_wrong_crossing_price_is_refused_with_the_variable(text):
+    with pytest.raises(InvalidSettings) as caught:
+        parse_crossing_price(text)
+    assert caught.value.place == "QUETZALRUDDER_CROSSING_PRICE"
+
+
+def test_without_a_crossing_price_only_time_counts():
+    assert parse_crossing_price("") is None
+    assert parse_crossing_price("none") is None
+    assert parse_crossing_price("0, 2.5") == CrossingPrice(0.0, 2.5)
