--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -296,6 +296,9 @@
             self.confirm_charge()
         if isinstance(result, Err):
             self.record_fault(attempt, result.err_value)
+            if isinstance(result.err_value, Overloaded):
+                # The connection owner's queue; another database may have room.
+                req.exclude(attempt.checkout.target.target, None)
             return Err(lost_answer_error(result.err_value, writes=writes))
         reply = result.ok_value
         if reply.state is SessionState.IDLE:
--- a/tests/test_gateway_lending.py
+++ b/tests/test_gateway_lending.py
@@ -512,3 +512,21 @@
     instance.run = record_timeouts
     instance.session().execute("1", Write("a", "1"))
     assert all(owner_s < borrower_s for owner_s, borrower_s in timeouts)
+
+
+def test_a_read_that_a_replica_refuses_is_sent_to_it_once(fleet):
+    for instance in fleet.instances:
+        for target in instance.gateway.registry.targets_in_group("g"):
+            if target.target != "db-1":
+                limiter = instance.gateway.limiters.for_target(target)
+                # Between what the owner allows and what the borrower allows.
+                limiter.expected_delay_s = lambda claim, also_ahead=None: 0.3
+    borrower = borrowers(fleet)[0]
+    calls = []
+    run = borrower.run
+    borrower.run = lambda address, req, timeout_s: (
+        calls.append(req.request_id) or run(address, req, timeout_s)
+    )
+    answer = borrower.session("prices").execute("r", Read("a"))
+    assert answer.error is None
+    assert len(calls) <= 3
