--- a/src/quetzalrudder/gateway/queue_delay.py
+++ b/src/quetzalrudder/gateway/queue_delay.py
@@ -15,6 +15,8 @@
 SMOOTHING = 0.05
 # Observations without which no statement is refused.
 MIN_OBSERVATIONS = 10
+# Time without contention after which it is forgotten who was served under it.
+CONTENTION_MEMORY_S = 1.0
 # Lower bound of a mean that others are divided by.
 MIN_SERVICE_S = 1e-6
 
@@ -51,6 +53,7 @@
         self._by_priority: dict[int, Estimate] = {}
         # Share of the contended service by priority and whether it was late.
         self._contended: dict[tuple[int, bool], float] = {}
+        self._contended_at = 0.0
 
     @property
     def is_known(self) -> bool:
@@ -74,23 +77,30 @@
         self._all.record(duration_s)
         self._by_priority.setdefault(priority, Estimate()).record(duration_s)
 
-    def record_contended(self, priority: int, *, late: bool) -> None:
+    def record_contended(self, priority: int, now: float, *, late: bool) -> None:
         """Record that a statement was served while others waited."""
+        self._forget_contention(now)
+        self._contended_at = now
         for other in self._contended:
             self._contended[other] *= 1 - SMOOTHING
         key = (priority, late)
         share = SMOOTHING * self.of(priority) / max(self.mean_s, MIN_SERVICE_S)
         self._contended[key] = self._contended.get(key, 0.0) + share
 
-    def share_above(self, priority: int, *, late: bool) -> float:
+    def share_above(self, priority: int, now: float, *, late: bool) -> float:
         """Return the share of contended service that goes to what is served before a statement.
 
         Before one that is late, that includes those of its priority that are in time.
         """
+        self._forget_contention(now)
         total = sum(self._contended.values())
         above = sum(share for key, share in self._contended.items() if key < (priority, late))
         return above / max(1.0, total)
 
+    def _forget_contention(self, now: float) -> None:
+        if now - self._contended_at > CONTENTION_MEMORY_S:
+            self._contended.clear()
+
 
 def retry_after_ms(excess_s: float, rng: random.Random) -> int:
     """Return when to come back to a queue that has room once it is shorter by ``excess_s``.
--- a/src/quetzalrudder/gateway/slots.py
+++ b/src/quetzalrudder/gateway/slots.py
@@ -154,13 +154,13 @@
             priority = claim.urgency.priority
             # The statements in the slots are half done on average.
             in_service_s = slots * self._times.mean_s / 2
-            above = self._times.share_above(priority, late=False)
+            above = self._times.share_above(priority, now, late=False)
             share = max(RESERVED_FRACTION, 1 - RESERVED_FRACTION - above)
             in_time_s = (ahead.if_in_time_s + in_service_s) / slots / share
             remaining_s = claim.urgency.due_at - now - self._times.of(priority)
             if in_time_s <= IN_TIME_FRACTION * remaining_s:
                 return in_time_s
-            above = self._times.share_above(priority, late=True)
+            above = self._times.share_above(priority, now, late=True)
             share = max(RESERVED_FRACTION, 1 - above) * LATE_FRACTION
             return (ahead.if_late_s + in_service_s) / slots / share
 
@@ -173,7 +173,7 @@
             )
             if not is_arrival:
                 self._times.record_contended(
-                    waiter.urgency.priority, late=now > waiter.urgency.due_at
+                    waiter.urgency.priority, now, late=now > waiter.urgency.due_at
                 )
             self._in_use += 1
             waiter.granted.set()
--- a/tests/test_gateway_contention.py
+++ b/tests/test_gateway_contention.py
@@ -11,7 +11,9 @@
 import pytest
 
 from quetzalrudder.gateway.fair_shares import FairShares
+from quetzalrudder.gateway.slots import SlotLimiter
 from quetzalrudder.gateway.wait_queue import Claim, Urgency, WaitQueue, WorkAhead
+from tests.clocks import ManualClock
 from tests.naive.slots import ArrivalOrder
 from tests.slot_contention import (
     CHEAP,
@@ -185,3 +187,28 @@
     assert queue.displace(claim("hot"), 0.1) is None
     assert queue.displace(claim("small", priority=2), 0.1) is None
     assert queue.displace(claim("hot", priority=0), 0.1) == "hot 2"
+
+
+def test_contention_of_the_past_refuses_nothing():
+    clock = ManualClock()
+    shares = FairShares(lambda workspace: 1.0)
+    limiter = SlotLimiter(lambda: 1, lambda: shares, clock)
+
+    def claim():
+        return Claim(Urgency(1, 2, clock.now + 0.6), "almaty", clock.now + 1.8)
+
+    for _ in range(100):
+        for _ in range(2):
+            limiter.enqueue(claim())
+        for _ in range(2):
+            clock.advance(0.04)
+            limiter.release(2, 0.04)
+    clock.advance(60.0)
+    admitted = 0
+    for _ in range(40):
+        new = claim()
+        if limiter.expected_delay_s(new) <= new.until - clock.now:
+            limiter.enqueue(new)
+            admitted += 1
+    # Those that end within the objective, at least.
+    assert admitted >= 15
