--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -289,8 +289,11 @@
             health = self._health_of(target.target)
             if health.is_dead:
                 health.trial_until = now + READ_ATTEMPT_TIMEOUT_S
+            # A read that was cut tells nothing of how long it would have taken.
+            was_cut = health.failures > 0
         has_room = (
-            self._pool.load(target) < MAX_LOAD_WITH_ROOM
+            not was_cut
+            and self._pool.load(target) < MAX_LOAD_WITH_ROOM
             and self._queue_delay_s(target) == 0
             and self._estimates.refusal_share(target.target) < MAX_REFUSAL_SHARE_WITH_ROOM
         )
--- a/tests/test_gateway_uneven_databases.py
+++ b/tests/test_gateway_uneven_databases.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -288,3 +289,17 @@
         placement.record_answer("db-2", 0.5)
     for _ in range(20):
         assert placement.rank("g", "w", set(), ReadNeeds(0.0)) == naive.rank("g", "w", set())
+
+
+def test_a_read_after_a_cut_one_has_the_whole_time():
+    clock = ManualClock()
+    target = Target("db-1", "g", Address("db-1", 1), "dc-0", 4, TargetRole.REPLICA)
+    registry = TargetRegistry(clock)
+    registry.replace_all([target])
+    pool = SimpleNamespace(load=lambda target: 0.0, has_idle=lambda target, workspace: True)
+    placement = Placement(registry, pool, "dc-0", random.Random(1), clock, is_large=lambda: True)
+    for _ in range(60):
+        placement.record_answer("db-1", 0.02)
+    assert placement.begin_read(target) < READ_ATTEMPT_TIMEOUT_S
+    placement.record_failure("db-1")
+    assert placement.begin_read(target) == READ_ATTEMPT_TIMEOUT_S
