settings check warns of what has no effect and of contradicting limits

A valid settings file could refuse every caller of a route, state values that nothing uses or hold limits that exclude each other, and `settings check` said "no errors". It also did not say which branches inherit a change.

settings_check.py decides without a network; settings_findings.py has the types. `--against` and `--in_force` list the differences with the branches that inherit them, `--strict` fails on warnings (exit status 1, as errors have today), `--json` has the findings with file, section and key. Errors are also on standard output, one a line. The daemon does not run the checks when it accepts a change.

--- a/src/quetzalrudder/ctl_settings.py
+++ b/src/quetzalrudder/ctl_settings.py
@@ -7,8 +7,11 @@
 from typing import Any
 
 from quetzalrudder.ctl_context import Context, Report, read_file
+from quetzalrudder.exceptions import InvalidSettings
 from quetzalrudder.schema.settings import Branch, BranchSettings, Change, Tree
 from quetzalrudder.settings import SettingsTree, branches_to_ini, parse_branches, section_name
+from quetzalrudder.settings_check import check_branches_together, compare_branches
+from quetzalrudder.settings_findings import Finding, Severity, error_findings
 from quetzalrudder.utils import MS_PER_S
 
 __all__ = ["SettingsCommands"]
@@ -20,18 +23,41 @@
     def __init__(self, context: Context) -> None:
         self._context = context
 
-    def check(self, file: str) -> None:
-        """Check a settings file without applying it.
+    def check(
+        self, file: str, against: str = "", in_force: bool = False, strict: bool = False
+    ) -> None:
+        """Check a settings file without applying it; needs an instance only with ``in_force``.
 
         Parameters
         ----------
         file : str
             Path of an INI file.
+        against : str
+            Path of another INI file; the differences to it are listed.
+        in_force : bool
+            List the differences to the tree in force at the instance at ``--control``.
+        strict : bool
+            Fail if there are warnings.
         """
-        branches = parse_branches(read_file(file), file)
-        self._context.print_report(
-            Report([f"{file}: {len(branches)} branches, no errors"], {"ok": True})
-        )
+        try:
+            branches = parse_branches(read_file(file), file)
+        except InvalidSettings as exc:
+            self._context.print_report(_check_report(error_findings(exc, file), []))
+            raise
+        findings = check_branches_together(branches, file)
+        warning_count = len(findings)
+        if against:
+            findings += compare_branches(
+                parse_branches(read_file(against), against), branches, file
+            )
+        elif in_force:
+            with ExitStack() as stack:
+                tree = self._context.open_client(stack).tree()
+            findings += compare_branches(tree.branches, branches, file)
+        summary = f"{file}: {len(branches)} branches, no errors, {warning_count} warnings"
+        self._context.print_report(_check_report(findings, [summary]))
+        if strict and warning_count:
+            raise InvalidSettings(f"{warning_count} warnings", place=file)
 
     def diff(self, file: str) -> None:
         """Show what applying a settings file would change.
@@ -97,6 +123,22 @@
         self._context.print_report(Report([_history_line(change) for change in history], history))
 
 
+def _check_report(findings: list[Finding], summary: list[str]) -> Report:
+    lines = [*(str(finding) for finding in findings), *summary]
+    ok = all(finding.severity is not Severity.ERROR for finding in findings)
+    return Report(lines, {"ok": ok, "findings": [_finding_data(finding) for finding in findings]})
+
+
+def _finding_data(finding: Finding) -> dict[str, Any]:
+    return {
+        "severity": finding.severity.name.lower(),
+        "kind": finding.kind.name.lower(),
+        **dataclasses.asdict(finding.place),
+        "message": finding.message,
+        "affects": finding.affects,
+    }
+
+
 def diff_lines(tree: Tree, branches: list[Branch]) -> list[str]:
     """Return the difference between a tree and other branches, one line per changed value."""
     old = {branch.path: branch for branch in tree.branches}
