An instance that stops grants no permission that outlasts it

Cause: the failover coordinator waits neither for an instance that has left nor for permission that it granted. A peer it vouched for just before could use the old primary for up to 0.6 s after the promotion. Ruled out: waiting in leave() alone, as the exit allows less time than a grant lasts; the exit before the wait ends is safe, as the lease then expires by itself. Change: from the begin of a planned stop, grants are NONE; leave() waits for the rest of what was granted. Ran: two new tests in tests/test_gateway_permissions.py, red before. That file, test_gateway_membership.py and test_gateway_lending.py pass (62 tests). Rest of the suite not run.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -422,8 +422,9 @@
         )
 
     def begin_stop(self) -> None:
-        """Begin a planned stop: lend no more connections and resign as failover coordinator."""
+        """Begin a planned stop: lend and grant nothing more, resign as failover coordinator."""
         self._leaving = True
+        self.peering.stop_granting()
         self.failover.coordinator_lease.resign()
         self.failover.wake_up.set()
 
@@ -449,6 +450,7 @@
                 self._stopping.wait(MAINTENANCE_INTERVAL_S)
 
     def _end_tasks(self) -> None:
+        self.peering.stop_granting()
         self._stopping.set()
         self.membership.wake_up.set()
         self.failover.wake_up.set()
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -150,10 +150,16 @@
         return max(STEP_INTERVAL_S, due_at - now)
 
     def leave(self) -> None:
-        """Revoke the permission, end the lease and delete the roster entry."""
+        """Revoke the permission, end the lease and delete the roster entry.
+
+        The lease ends after the permissions that this instance granted to peers; afterwards
+        the failover coordinator does not wait for them. An exit during the wait is safe.
+        """
         self._permission.revoke()
         if self._lease is None:
             return
+        if (granted_s := self._primaries.granted_remaining_s) > 0:
+            self._clock.sleep(granted_s)
         ended = self._store.end_lease(self._lease)
         deleted = self._store.delete(self._roster_key, self._roster_revision)
         log.info(
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -128,6 +128,7 @@
         self._lock = threading.Lock()
         # Instances that called this one; they may be missing from the known roster.
         self._callers: dict[InstanceId, RosterRecord] = {}
+        self._grants_permission = True
         self._next_catalog_check = 0.0
         self._requests = PermissionRequests(
             instance=local.instance,
@@ -195,7 +196,19 @@
             ]
         return reply
 
+    def stop_granting(self) -> None:
+        """Grant no more permission: nobody waits for what an instance granted that has left."""
+        with self._lock:
+            self._grants_permission = False
+
     def _grant_permission(self, reply: PeerReply) -> None:
+        with self._lock:
+            if self._grants_permission:
+                self._grant_by_own_state(reply)
+            else:
+                reply.grant = PermissionGrant.NONE
+
+    def _grant_by_own_state(self, reply: PeerReply) -> None:
         lease_remaining_s = self._permission.lease_remaining_s
         if lease_remaining_s > 0:
             reply.grant = PermissionGrant.VOUCHED
--- a/src/quetzalrudder/gateway/primaries.py
+++ b/src/quetzalrudder/gateway/primaries.py
@@ -124,6 +124,12 @@
             self._granted_to_peers_until = max(self._granted_to_peers_until, until)
             return list(self._records.values())
 
+    @property
+    def granted_remaining_s(self) -> float:
+        """Seconds until every permission granted to peers has expired; negative afterwards."""
+        with self._lock:
+            return self._granted_to_peers_until - self._clock.monotonic()
+
     def usable_primary(self, group: GroupId) -> UsablePrimary | None:
         """Return the primary that may be used now; None if there is none."""
         record = self._records.get(group)
--- a/tests/test_gateway_permissions.py
+++ b/tests/test_gateway_permissions.py
@@ -8,8 +8,10 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Err
 
-from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S
+from quetzalrudder.exceptions import LinkLost
+from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PEER_PERMISSION_S, PERMISSION_S
 from quetzalrudder.gateway.statements import Write
 from tests.gateway_fleet import GatewayFleet
 
@@ -83,6 +85,37 @@
     assert took_s <= 2.5
 
 
+@pytest.fixture
+def vouched(fleet):
+    """Return the instance that vouches for another one, which reaches neither store nor others."""
+    coordinator = next(i for i in fleet.instances if i.gateway.failover.is_coordinator)
+    cut, vouching = (i for i in fleet.instances if i is not coordinator)
+    cut.cut_from_store()
+    call = cut.exchange
+    cut.exchange = lambda address, *args: (
+        call(address, *args) if address == vouching.name else Err(LinkLost("cut", place=address))
+    )
+    fleet.run(3.0)
+    assert cut.gateway.permission.valid
+    return cut, vouching
+
+
+def test_an_instance_that_stops_grants_no_more_permission(fleet, vouched):
+    cut, vouching = vouched
+    vouching.gateway.begin_stop()
+    fleet.run(PEER_PERMISSION_S)
+    assert vouching.gateway.permission.valid
+    assert not cut.gateway.permission.valid
+
+
+def test_a_permission_does_not_outlast_the_instance_that_granted_it(fleet, vouched):
+    """The coordinator waits neither for a peer that left nor for what it granted."""
+    cut, vouching = vouched
+    fleet.run(1.0, lambda: cut.gateway.permission.remaining_s > PEER_PERMISSION_S / 2)
+    vouching.gateway.membership.leave()
+    assert not cut.gateway.permission.valid
+
+
 class FaultSearch:
     """Injects random faults and checks that each acknowledged write ran at the newest primary."""
 
