--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -11,7 +11,7 @@
 
 from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable
 from quetzalrudder.gateway.coordinator_lease import CoordinatorLease
-from quetzalrudder.gateway.members import MemberRecord, MemberTable
+from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, LeaseSpan
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
@@ -50,6 +50,8 @@
 # An instance without a member record for this long has no permission left, neither its own
 # nor one granted by peers.
 ROSTER_RETENTION_S = PERMISSION_S + OUTAGE_LIMIT_S + 5.0
+# Pause of the removals after one that the store did not confirm.
+REMOVAL_RETRY_DELAY_S = 1.0
 
 
 class PromotionClient(Protocol):
@@ -140,6 +142,8 @@
         # Epochs for which the platform has accepted a promotion.
         self._promotion_accepted: dict[GroupId, int] = {}
         self._failed_at: dict[TargetId, float] = {}
+        self._removal_failed_at: dict[RosterRecord, float] = {}
+        self._next_removal = 0.0
         self.wake_up = WakeUp()
 
     @property
@@ -166,15 +170,27 @@
 
     def _remove_absent_instances(self) -> None:
         """Remove instances that cannot use any primary without joining again."""
-        for absence in self._members.absences():
-            if absence.absent_s > ROSTER_RETENTION_S:
-                record = absence.record
-                deleted = self._store.delete(ROSTER_PREFIX + record.instance, record.revision)
-                log.info(
-                    "roster entry removed",
-                    extra={"member": record.instance, "done": isinstance(deleted, Ok)},
-                )
-                self._members.remove_roster(record.instance)
+        if self._clock.monotonic() < self._next_removal:
+            return
+        due = [each for each in self._members.absences() if each.absent_s > ROSTER_RETENTION_S]
+        # One whose removal failed comes last, so that it does not hold up the others.
+        for absence in sorted(due, key=lambda each: self._removal_failed_at.get(each.record, 0)):
+            record = absence.record
+            deleted = self._store.delete(ROSTER_PREFIX + record.instance, record.revision)
+            log.info(
+                "roster entry removed",
+                extra={"member": record.instance, "done": isinstance(deleted, Ok)},
+            )
+            if isinstance(deleted, Err):
+                # The store may still list it, and every majority is one of its roster.
+                now = self._clock.monotonic()
+                failed_at = self._removal_failed_at | {record: now}
+                still_due = {each.record for each in due}
+                self._removal_failed_at = {r: at for r, at in failed_at.items() if r in still_due}
+                self._next_removal = now + REMOVAL_RETRY_DELAY_S
+                return
+            self._removal_failed_at.pop(record, None)
+            self._members.remove_roster(record.instance)
 
     def _groups(self) -> list[GroupId]:
         return sorted({target.group for target in self._registry.all_targets()})
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -1,6 +1,8 @@
 import pytest
+from result import Err
 
-from quetzalrudder.exceptions import PrimaryChanging
+from quetzalrudder.exceptions import PlatformUnavailable, PrimaryChanging
+from quetzalrudder.gateway.failover import ROSTER_RETENTION_S
 from quetzalrudder.gateway.permission import PERMISSION_S
 from quetzalrudder.gateway.statements import Read, SessionState, Write
 from tests.gateway_fleet import GatewayFleet
@@ -270,3 +272,34 @@
     )
     assert fleet.group.promotions == []
     assert all(instance.gateway.primaries.record("g").epoch == 1 for instance in fleet.instances)
+
+
+@pytest.fixture
+def removal(fleet):
+    """Return the coordinator and its only peer; the deletes of absent instances fail."""
+    coordinator = next(i for i in fleet.instances if i.gateway.failover.is_coordinator)
+    peer, absent = (i for i in fleet.instances if i is not coordinator)
+    absent.frozen = True
+    deletes = []
+
+    def delete(key, expected):
+        deletes.append(fleet.clock.now)
+        return Err(PlatformUnavailable("status 503", place=key))
+
+    for client in coordinator.store_clients:
+        client.delete, client.working_delete = delete, client.delete
+    fleet.run(ROSTER_RETENTION_S + 4)
+    assert coordinator.gateway.failover.is_coordinator
+    return coordinator, peer, deletes
+
+
+def test_an_instance_is_forgotten_only_after_the_store_has(fleet, removal):
+    coordinator, peer, deletes = removal
+    names = {record.instance for record in peer.gateway.members.roster()}
+    assert len(names) == 3
+    assert {record.instance for record in coordinator.gateway.members.roster()} == names
+    assert all(b - a >= 0.9 for a, b in zip(deletes, deletes[1:], strict=False))
+    for client in coordinator.store_clients:
+        client.delete = client.working_delete
+    fleet.run(2.0)
+    assert all(len(i.gateway.members.roster()) == 2 for i in (coordinator, peer))
