The coordinator removes one absent instance a step

Cause: all roster entries due were deleted in one step, without a renewal of the coordinator lease between. Twelve deletes of 250 ms lost the lease. Ruled out: a shorter timeout of the deletes; many of them still exceed the lease. Change: at most one removal a step, and only while this instance is the coordinator. Ran: a new test in tests/test_gateway_failover.py, red before; that file passes (21 tests). Rest of the suite not run.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -166,31 +166,37 @@
             return
         for group in self._groups():
             self._step_group(group)
-        self._remove_absent_instances()
+        self._remove_absent_instance()
 
-    def _remove_absent_instances(self) -> None:
-        """Remove instances that cannot use any primary without joining again."""
-        if self._clock.monotonic() < self._next_removal:
+    def _remove_absent_instance(self) -> None:
+        """Remove an instance that cannot use any primary without joining again.
+
+        At most one a step, as the coordinator lease is renewed between the steps.
+        """
+        if not self.is_coordinator or self._clock.monotonic() < self._next_removal:
+            return
+        due = [
+            absence.record
+            for absence in self._members.absences()
+            if absence.absent_s > ROSTER_RETENTION_S
+        ]
+        if not due:
             return
-        due = [each for each in self._members.absences() if each.absent_s > ROSTER_RETENTION_S]
         # One whose removal failed comes last, so that it does not hold up the others.
-        for absence in sorted(due, key=lambda each: self._removal_failed_at.get(each.record, 0)):
-            record = absence.record
-            deleted = self._store.delete(ROSTER_PREFIX + record.instance, record.revision)
-            log.info(
-                "roster entry removed",
-                extra={"member": record.instance, "done": isinstance(deleted, Ok)},
-            )
-            if isinstance(deleted, Err):
-                # The store may still list it, and every majority is one of its roster.
-                now = self._clock.monotonic()
-                failed_at = self._removal_failed_at | {record: now}
-                still_due = {each.record for each in due}
-                self._removal_failed_at = {r: at for r, at in failed_at.items() if r in still_due}
-                self._next_removal = now + REMOVAL_RETRY_DELAY_S
-                return
-            self._removal_failed_at.pop(record, None)
+        record = min(due, key=lambda each: self._removal_failed_at.get(each, 0.0))
+        deleted = self._store.delete(ROSTER_PREFIX + record.instance, record.revision)
+        log.info(
+            "roster entry removed",
+            extra={"member": record.instance, "done": isinstance(deleted, Ok)},
+        )
+        if isinstance(deleted, Ok):
             self._members.remove_roster(record.instance)
+            return
+        # The store may still list it, and every majority is one of its roster.
+        now = self._clock.monotonic()
+        failed_at = self._removal_failed_at | {record: now}
+        self._removal_failed_at = {each: at for each, at in failed_at.items() if each in due}
+        self._next_removal = now + REMOVAL_RETRY_DELAY_S
 
     def _groups(self) -> list[GroupId]:
         return sorted({target.group for target in self._registry.all_targets()})
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -303,3 +303,27 @@
         client.delete = client.working_delete
     fleet.run(2.0)
     assert all(len(i.gateway.members.roster()) == 2 for i in (coordinator, peer))
+
+
+def test_slow_removals_do_not_cost_the_coordinator_its_lease():
+    fleet = GatewayFleet(tuple(f"edge-{number}" for number in range(18)))
+    fleet.run(5.0)
+    coordinator = next(i for i in fleet.instances if i.gateway.failover.is_coordinator)
+    for instance in [i for i in fleet.instances if i is not coordinator][:12]:
+        instance.frozen = True
+    delays = []
+    for client in coordinator.store_clients:
+
+        def delete(key, expected, call=client.delete):
+            delays.append(coordinator.gateway.failover.is_coordinator)
+            fleet.clock.advance(0.25)
+            fleet.store.expire()
+            return call(key, expected)
+
+        client.delete = delete
+    for _ in range(400):
+        fleet.run(0.1)
+        assert coordinator.gateway.failover.is_coordinator
+        if len(delays) == 12:
+            break
+    assert delays == [True] * 12
