A process that never had a lease confirms no outage of the store

Cause: the lease counted as expired at -1 s of a clock that starts at boot. Within 19 s of boot, a process that never had a lease granted permission without knowing any record. Ruled out: a check of was_granted by each caller; the start value covers all of them. Change: the lease starts at minus infinity; the log writes null for it. Ran: a new test in tests/test_gateway_permissions.py, red before. That file, test_gateway_membership.py and test_gateway_failover.py pass (50 tests) without the four fault searches, which were not run after this change. Rest of the suite not run.

--- a/src/quetzalrudder/gateway/permission.py
+++ b/src/quetzalrudder/gateway/permission.py
@@ -7,6 +7,7 @@
 its permission.
 """
 
+import math
 from dataclasses import dataclass
 
 from quetzalrudder.utils import Clock
@@ -55,7 +56,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._lease_valid_until = -1.0
+        # Not a clock reading, as the clock may start at boot.
+        self._lease_valid_until = -math.inf
         self._granted_by_peers_until = -1.0
         self._revoked = False
         # True once primaries may have been used.
@@ -91,5 +93,8 @@
 
     @property
     def lease_remaining_s(self) -> float:
-        """Seconds until the permission granted by the lease expires; negative afterwards."""
+        """Seconds until the permission granted by the lease expires; negative afterwards.
+
+        Minus infinity if there was no lease yet.
+        """
         return -1.0 if self._revoked else self._lease_valid_until - self._clock.monotonic()
--- a/src/quetzalrudder/gateway/permission_requests.py
+++ b/src/quetzalrudder/gateway/permission_requests.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import random
 from collections.abc import Callable, Collection, Generator
 from contextlib import closing
@@ -310,12 +311,14 @@
         """Log when peers begin or cease to grant permission."""
         if (summary.valid_s > 0) != self._granted:
             self._granted = summary.valid_s > 0
+            own_left_s = self._permission.lease_remaining_s
             log.info(
                 "permission held by peers" if self._granted else "peers give no permission",
                 extra={
                     "asked": summary.requests,
                     "answered": summary.replies,
                     "vouched": summary.grants,
-                    "own_left_s": round(self._permission.lease_remaining_s, 2),
+                    # JSON has no infinity.
+                    "own_left_s": round(own_left_s, 2) if math.isfinite(own_left_s) else None,
                 },
             )
--- a/tests/test_gateway_permissions.py
+++ b/tests/test_gateway_permissions.py
@@ -13,6 +13,7 @@
 from quetzalrudder.exceptions import LinkLost
 from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PEER_PERMISSION_S, PERMISSION_S
 from quetzalrudder.gateway.statements import Write
+from quetzalrudder.schema.gateway import PermissionGrant
 from tests.gateway_fleet import GatewayFleet
 
 
@@ -116,6 +117,18 @@
     assert not cut.gateway.permission.valid
 
 
+def test_a_process_that_never_had_a_lease_grants_nothing_soon_after_boot(fleet):
+    """The clock starts at boot; without a lease, the process knows no record."""
+    fleet.clock.now = 9.0
+    started = fleet.start("edge-3")
+    started.cut_from_store()
+    fleet.run(0.1)
+    reply = started.gateway.answer_report(
+        fleet[0].gateway.peering._make_report(asks_permission=True)
+    )
+    assert reply.grant is PermissionGrant.NONE
+
+
 class FaultSearch:
     """Injects random faults and checks that each acknowledged write ran at the newest primary."""
 
