Each data centre has a part of every rate, so that a cut refuses nobody within it

Cause: one instance owned a workspace's rate.

Change: what is not divided among the instances lies in one bucket for each data centre of the settings file, owned by an instance there. An operation asks its own data centre's owner first and then the others, so the whole rate is usable anywhere while all are connected, and each side of a cut goes on with the parts it reaches. An owner that did not answer is called in the background only. A refusal for want of an owner is logged as RateOwnerUnknown and no longer as RateExceeded. Rates are divided once every roster entry says that its instance does so: beside instances of an earlier build they stay whole.

--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -163,8 +163,8 @@
 class RateOwnerUnknown(RateExceeded):
     """No instance is known that hands out tokens of the workspace's rate."""
 
-    # For callers and operators' tools the same as a rate that is used up.
-    log_name = "RateExceeded"
+    # For callers the code is the same as for a rate that is used up.
+    log_name = "RateOwnerUnknown"
 
 
 class Overloaded(QuetzalrudderError):
--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -64,6 +64,14 @@
         """Avoid an instance no longer, as it served a call."""
         self._avoided_until.pop(instance, None)
 
+    def is_known(self, instance: InstanceId) -> bool:
+        """Return whether an instance has failed to serve a call and has served none since."""
+        return instance in self._avoided_until
+
+    def names(self) -> list[InstanceId]:
+        """Return the instances that have failed to serve a call and have served none since."""
+        return list(self._avoided_until)
+
     def claim_trial(self, instance: InstanceId) -> bool:
         """Return whether a call to an instance may be made now.
 
@@ -101,6 +109,8 @@
         self._live: tuple[int, dict[InstanceId, RosterRecord]] = (-1, {})
         # The instances separated from most others, at a version of the members table.
         self._separated: tuple[int, set[InstanceId]] = (-1, set())
+        # Whether all instances divide rates, at a version of the members table.
+        self._divides_rates: tuple[int, bool] = (-1, True)
         # Rankings at that version, by subject and data centre.
         self._rankings: dict[tuple[str, DataCentre | None], list[RosterRecord]] = {}
         # Kept from version to version, as one instance that joins or leaves changes every
@@ -122,13 +132,27 @@
         """True if an equal part of a limit for each instance would be too small to use."""
         return self.size >= LARGE_FLEET
 
-    def ranked_owners(self, subject: str) -> list[RosterRecord]:
-        """Return the live instances that can own a subject for the fleet, in their order.
+    @property
+    def divides_rates(self) -> bool:
+        """True if all instances divide the rates of workspaces among the data centres."""
+        version, divides = self._divides_rates
+        if version != self._members.version:
+            version = self._members.version
+            divides = all(record.divides_rates for record in self._members.roster())
+            self._divides_rates = (version, divides)
+        return divides
+
+    def ranked_owners(
+        self, subject: str, data_centre: DataCentre | None = None
+    ) -> list[RosterRecord]:
+        """Return the live instances that can own a subject, in their order.
+
+        They are those of the data centre if it has any, otherwise of the fleet.
 
         Instances that are separated from most others are left out: they may have a lease, but
         the others could not use what they own.
         """
-        ranked = self.ranked(subject)
+        ranked = self.ranked(subject, data_centre)
         version, separated = self._separated
         if version != self._members.version:
             version, separated = self._members.version, self._members.separated()
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Executor, Future, wait
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -46,6 +46,7 @@
 from quetzalrudder.gateway.probing import PooledProber, PrimaryHealthCheck
 from quetzalrudder.gateway.queue_refusals import QueueRefusals
 from quetzalrudder.gateway.quotas import QuotaRules
+from quetzalrudder.gateway.rate_parts import RateDivision
 from quetzalrudder.gateway.rate_tokens import RateLimiter
 from quetzalrudder.gateway.records import (
     COORDINATOR_KEY,
@@ -145,6 +146,8 @@
         Time after which no request may reach an evacuated data centre, in seconds.
     crossing_price : CrossingPrice, optional
         What traffic between data centres is worth to the operator; None: only time counts.
+    data_centres : sequence of DataCentre, optional
+        All data centres of the deployment, each of which gets a part of the workspaces' rates.
     """
 
     def __init__(
@@ -162,6 +165,7 @@
         convergence_s: float = DEFAULT_CONVERGENCE_S,
         evacuation_limit_s: float = DEFAULT_EVACUATION_LIMIT_S,
         crossing_price: CrossingPrice | None = None,
+        data_centres: Sequence[DataCentre] = (),
     ) -> None:
         self._identity = identity
         self._convergence_s = convergence_s
@@ -243,10 +247,13 @@
         self.rates = RateLimiter(
             instance=identity.instance,
             view=self.view,
+            division=RateDivision(
+                self.view, identity.data_centre, data_centres, quota_rules, clock
+            ),
             rules=quota_rules,
             caller=caller,
             workspaces=self._limits,
-            usable_fraction=lambda: self.peering.partition_fraction(),
+            usable_fraction=lambda data_centre: self.peering.partition_fraction(data_centre),
             lease_opened_at=self._lease_opened_at,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -37,6 +37,8 @@
     # Highest ``created`` of the roster entries that the instance has read. It needs the
     # majority of these instances to use primaries without the store.
     known_up_to: int = 0
+    # Whether it divides the rates of workspaces among the data centres.
+    divides_rates: bool = False
     revision: int = 0
     created: int = 0
 
@@ -71,6 +73,8 @@
         self.version = 0
         # The number of instances, and the version at which they were counted.
         self._cached_count = (0, 0)
+        # The instances of the roster by data centre, and the version.
+        self._cached_names: tuple[int, dict[DataCentre, set[InstanceId]]] = (-1, {})
 
     def update(self, record: MemberRecord) -> None:
         """Add or replace a member's record."""
@@ -142,6 +146,17 @@
         for name in removed:
             self.remove_roster(name)
 
+    def names_in(self, data_centre: DataCentre) -> set[InstanceId]:
+        """Return the instances of the roster in a data centre."""
+        with self._lock:
+            version, names = self._cached_names
+            if version != self.version:
+                names = {}
+                for record in self._roster.values():
+                    names.setdefault(record.data_centre, set()).add(record.instance)
+                self._cached_names = (self.version, names)
+            return names.get(data_centre, set())
+
     def newest_created(self) -> int:
         """Return the highest ``created`` of the roster."""
         with self._lock:
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -244,7 +244,12 @@
         known_up_to = self._members.newest_created()
         self._attempted_known_up_to = max(self._attempted_known_up_to, known_up_to)
         record = RosterRecord(
-            self._instance, self._incarnation, self._address, self._data_centre, known_up_to
+            self._instance,
+            self._incarnation,
+            self._address,
+            self._data_centre,
+            known_up_to,
+            divides_rates=True,
         )
         if self._roster_revision == 0 and self._is_large:
             known = {entry.instance: entry.revision for entry in self._members.roster()}
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -155,18 +155,27 @@
             return False
         return self._requests.unanswered_by_most
 
-    def partition_fraction(self) -> float:
-        """Return the fraction of the fleet on this instance's side of a partition.
+    def partition_fraction(self, data_centre: DataCentre | None = None) -> float:
+        """Return the fraction of the fleet, or of a data centre, on this side of a partition.
 
         While its lease is valid, the side consists of the members in the store; in an outage
         of the store, of the instances that continue without it. The fraction is 0 if the
         permission comes only from peers with a valid lease: the member record of this
         instance is about to expire, and other instances then take over what it owns.
         """
+        if data_centre is not None:
+            return self._data_centre_fraction(data_centre)
         size = self._members.count()
         if self._permission.lease_remaining_s > 0:
             return len(self._members.members()) / size
-        return min(self._requests.confirming_count(), size) / size
+        return min(len(self._requests.confirming()), size) / size
+
+    def _data_centre_fraction(self, data_centre: DataCentre) -> float:
+        """Return the fraction of a data centre's instances that are on this side."""
+        names = self._members.names_in(data_centre)
+        if self._permission.lease_remaining_s > 0:
+            return len(self._members.members_named(names)) / len(names) if names else 1.0
+        return len(self._requests.confirming() & names) / len(names) if names else 0.0
 
     # Handling of calls from peers.
 
--- a/src/quetzalrudder/gateway/permission_requests.py
+++ b/src/quetzalrudder/gateway/permission_requests.py
@@ -144,11 +144,11 @@
         """True if less than half of the peers answered when all were last asked."""
         return self._reply_count * 2 < self._request_count
 
-    def confirming_count(self) -> int:
-        """Return how many instances continue without the store; 0 if they are no majority."""
+    def confirming(self) -> set[InstanceId]:
+        """Return the instances that continue without the store; none if they are no majority."""
         if self._clock.monotonic() >= self._confirmed_until:
-            return 0
-        return len(self._confirmations.confirming())
+            return set()
+        return self._confirmations.confirming()
 
     def pass_on(self) -> list[Confirmation]:
         """Return the confirmations received here, and continue to collect them for a while."""
--- a/src/quetzalrudder/gateway/quotas.py
+++ b/src/quetzalrudder/gateway/quotas.py
@@ -120,6 +120,15 @@
         capacity = max(1.0, min(limit.burst, spare))
         return TokenRate((window_limit - capacity) / self.window_s, capacity)
 
+    def divide(self, rate: TokenRate, count: int) -> TokenRate:
+        """Return one of several equal parts of a rate, each with room for one token.
+
+        The parts together issue no more in a window than the whole.
+        """
+        capacity = max(MIN_LOCAL_CAPACITY, rate.capacity / count)
+        surplus = capacity * count - rate.capacity
+        return TokenRate(max(0.0, rate.per_s - surplus / self.window_s) / count, capacity)
+
     def initial_tokens(self, limit: Workspace, rate: TokenRate) -> float:
         """Return the tokens of a process that has just started, for its part of a rate."""
         return rate.per_s * START_CREDIT_S
--- /dev/null
+++ b/src/quetzalrudder/gateway/rate_parts.py
@@ -0,0 +1,123 @@
+"""The parts of each workspace's rate, one for each data centre.
+
+Serves fleets whose data centres are separated from each other: each side goes on with the parts
+of the data centres that it reaches, and these never add up to more than the whole rate. While all
+are connected, an operation takes its token from any part, the own data centre's first.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from quetzalrudder.gateway.assignments import FleetView
+from quetzalrudder.gateway.catalog import Workspace
+from quetzalrudder.gateway.members import RosterRecord
+from quetzalrudder.gateway.quotas import QuotaRules, TokenRate
+from quetzalrudder.gateway.warming import ColdLimit
+from quetzalrudder.models import DataCentre, WorkspaceId
+from quetzalrudder.utils import Clock
+
+__all__ = ["RateDivision", "RatePart"]
+
+# Time after a change of the division for which the owners before it are asked to cede.
+CHANGE_SPAN_S = 5.0
+
+
+@dataclass(frozen=True)
+class RatePart:
+    """A data centre's part of a workspace's rate; the whole rate without a data centre."""
+
+    workspace: WorkspaceId
+    data_centre: DataCentre | None = None
+
+    @property
+    def name(self) -> str:
+        """The name under which peers take over the part.
+
+        Names of workspaces contain no space.
+        """
+        if self.data_centre is None:
+            return self.workspace
+        return f"part {self.data_centre} {self.workspace}"
+
+
+class RateDivision:
+    """Which parts the rates have, and which instances may own each.
+
+    Rates are divided once every instance of the fleet divides them: an instance of an earlier
+    build hands out whole ones.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    data_centre : DataCentre
+        The data centre of this instance.
+    data_centres : sequence of DataCentre
+        All data centres of the deployment.
+    rules : QuotaRules
+        How the operators count operations.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        data_centre: DataCentre,
+        data_centres: Sequence[DataCentre],
+        rules: QuotaRules,
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        others = sorted(name for name in data_centres if name != data_centre)
+        self._data_centres = [data_centre, *others]
+        self._rules = rules
+        self._clock = clock
+        # Whether the rates were divided last, and when that changed.
+        self._was_divided = self.is_configured
+        self._changed_at = -CHANGE_SPAN_S
+
+    @property
+    def is_configured(self) -> bool:
+        """True if the deployment has several data centres."""
+        return len(self._data_centres) > 1
+
+    @property
+    def is_divided(self) -> bool:
+        """True if the rates of workspaces are divided now."""
+        divided = self.is_configured and self._view.divides_rates
+        if divided != self._was_divided:
+            self._was_divided = divided
+            self._changed_at = self._clock.monotonic()
+        return divided
+
+    @property
+    def is_settled(self) -> bool:
+        """True if the division has not changed for some seconds."""
+        return self._clock.monotonic() - self._changed_at >= CHANGE_SPAN_S
+
+    def parts(self, limit: Workspace) -> list[RatePart]:
+        """Return the parts of a rate, the own data centre's first.
+
+        The rate of a cold database is not divided, as its requests all come from one data centre.
+        """
+        if isinstance(limit, ColdLimit) or not self.is_divided:
+            return [RatePart(limit.workspace)]
+        return [RatePart(limit.workspace, name) for name in self._data_centres]
+
+    def token_rate(self, limit: Workspace, part: RatePart) -> TokenRate:
+        """Return the token rate of a part."""
+        pooled = self._rules.pooled_rate(limit, self._view.size)
+        if part.data_centre is None:
+            return pooled
+        return self._rules.divide(pooled, len(self._data_centres))
+
+    def ranked_owners(self, part: RatePart) -> list[RosterRecord]:
+        """Return the live instances that may own a part, in their order."""
+        return self._view.ranked_owners(part.workspace, part.data_centre)
+
+    def other_division(self, part: RatePart) -> list[RatePart]:
+        """Return the parts that contained this one, or were contained in it, before a change."""
+        if part.data_centre is not None:
+            return [RatePart(part.workspace)]
+        return [RatePart(part.workspace, name) for name in self._data_centres]
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -1,11 +1,11 @@
 """Hands out tokens of each workspace's rate at one instance, its rate owner.
 
 Serves workspaces whose callers are spread unevenly over the instances, or over so many that
-an equal part of the rate would be less than one operation. The rate owner of a workspace
-holds the part of its rate that is not divided among the instances in a token bucket. When
-the ownership moves, the tokens move with it if the former owner answers; otherwise the new
-owner waits and starts with an empty bucket. So successive buckets admit no more than a
-single one.
+an equal part of the rate would be less than one operation. What is not divided among the
+instances lies in token buckets, one for each data centre, each held by one instance. When the
+ownership moves, the tokens move with it if the former owner answers; otherwise the new owner waits
+and starts with an empty bucket. So successive buckets admit no more than a single one. An owner
+that did not answer is called in the background until it does: no operation waits for it meanwhile.
 """
 
 import logging
@@ -31,9 +31,10 @@
     QuotaRules,
     QuotaTable,
 )
+from quetzalrudder.gateway.rate_parts import RateDivision, RatePart
 from quetzalrudder.gateway.reachability import UnreachedPeers
 from quetzalrudder.gateway.token_buckets import HANDOVER_DELAY_S, TokenBuckets
-from quetzalrudder.models import InstanceId, WorkspaceId
+from quetzalrudder.models import DataCentre, InstanceId, WorkspaceId
 from quetzalrudder.schema.gateway import (
     TakeOverReply,
     TakeOverRequest,
@@ -87,6 +88,8 @@
         This instance.
     view : FleetView
         The fleet.
+    division : RateDivision
+        Into which parts the rates are divided, and who may own each.
     rules : QuotaRules
         How the operators count operations.
     caller : TokenCaller
@@ -94,7 +97,8 @@
     workspaces : Callable
         Returns the workspaces and their rates.
     usable_fraction : Callable
-        Returns the fraction of each owned rate that this instance may hand out; 0 if none.
+        Returns the fraction of each owned part that this instance may hand out, given the part's
+        data centre; 0 if none.
     lease_opened_at : Callable
         Returns when this instance's member lease was opened; None without one. While there
         was no lease, other instances may have taken over what this one owned.
@@ -107,15 +111,17 @@
         *,
         instance: InstanceId,
         view: FleetView,
+        division: RateDivision,
         rules: QuotaRules,
         caller: TokenCaller,
         workspaces: Callable[[], dict[WorkspaceId, Workspace]],
-        usable_fraction: Callable[[], float],
+        usable_fraction: Callable[[DataCentre | None], float],
         lease_opened_at: Callable[[], float | None],
         clock: Clock,
     ) -> None:
         self._instance = instance
         self._view = view
+        self._division = division
         self._rules = rules
         self._caller = caller
         self._workspaces = workspaces
@@ -128,12 +134,14 @@
         self.buckets = TokenBuckets(clock)
         self._avoided = AvoidedInstances(clock, TOKEN_TIMEOUT_S)
         self._unreached = UnreachedPeers()
-        # Until when a rate owner has no token of a workspace.
-        self._refused_until: dict[WorkspaceId, float] = {}
-        # Until when the owner of a rate is not looked for again after a search without result.
-        self._next_search: dict[WorkspaceId, float] = {}
+        # Until when the owner of a part has no token.
+        self._refused_until: dict[RatePart, float] = {}
+        # Until when the owner of a part is not looked for again after a search without result.
+        self._next_search: dict[RatePart, float] = {}
+        # The part from which a workspace's latest token came.
+        self._latest_part: dict[WorkspaceId, RatePart] = {}
         # Tokens that former owners have passed on, until all of them have answered.
-        self._received_tokens: dict[WorkspaceId, float] = {}
+        self._received_tokens: dict[str, float] = {}
         self._started_at = clock.monotonic()
 
     def admit(self, limit: Workspace, wait_until: float = 0.0) -> Result[QuotaCharge, RateExceeded]:
@@ -162,33 +170,58 @@
         local = self._local.admit(limit, self._view.size)
         if isinstance(local, Ok):
             return local
-        remaining_s = self._refused_until.get(limit.workspace, 0.0) - self._clock.monotonic()
-        pooled = (
-            Err(_rate_exceeded(limit.workspace, remaining_s))
-            if remaining_s > 0
-            else self._find_token(limit.workspace)
-        )
+        pooled = self._find_token(limit)
         if isinstance(pooled, Err) and local.err_value.retry_after_ms:
             pooled.err_value.retry_after_ms = min(
                 pooled.err_value.retry_after_ms, local.err_value.retry_after_ms
             )
         return pooled
 
-    def _find_token(self, workspace: WorkspaceId) -> Result[QuotaCharge, RateExceeded]:
-        """Take a token, unless another operation has just found no owner of the rate."""
-        if self._clock.monotonic() < self._next_search.get(workspace, 0.0):
-            return Err(_rate_owner_unknown(workspace, "no instance, as a search has just failed"))
-        result = self._take_token(workspace)
-        if isinstance(result, Err) and isinstance(result.err_value, RateOwnerUnknown):
-            self._next_search[workspace] = self._clock.monotonic() + OWNER_SEARCH_INTERVAL_S
+    def _find_token(self, limit: Workspace) -> Result[QuotaCharge, RateExceeded]:
+        """Take a token of the first part that has one.
+
+        Of the parts of other data centres, the one that had a token last comes first.
+        """
+        own, *others = self._division.parts(limit)
+        latest = self._latest_part.get(limit.workspace)
+        others.sort(key=lambda part: part != latest)
+        wait_s = math.inf
+        unknown: RateOwnerUnknown | None = None
+        for part in [own, *others]:
+            result = self._take_token(part)
+            if isinstance(result, Ok):
+                self._latest_part[limit.workspace] = part
+                return result
+            if isinstance(result.err_value, RateOwnerUnknown):
+                unknown = result.err_value
+            else:
+                wait_s = min(wait_s, result.err_value.retry_after_ms / MS_PER_S)
+        # Tokens may be left in a part that this instance does not reach.
+        return Err(unknown or _rate_exceeded(limit.workspace, wait_s))
+
+    def _take_token(self, part: RatePart) -> Result[QuotaCharge, RateExceeded]:
+        """Take a token of a part, unless its owner has none or was not found just now."""
+        now = self._clock.monotonic()
+        refused_s = self._refused_until.get(part, 0.0) - now
+        if refused_s > 0:
+            return Err(_rate_exceeded(part.workspace, refused_s))
+        if now < self._next_search.get(part, 0.0):
+            return Err(_rate_owner_unknown(part, "no instance, as a search has just failed"))
+        result = self._request_from_owner(part)
+        if isinstance(result, Err):
+            exc, now = result.err_value, self._clock.monotonic()
+            if isinstance(exc, RateOwnerUnknown):
+                self._next_search[part] = now + OWNER_SEARCH_INTERVAL_S
+            else:
+                self._refused_until[part] = now + exc.retry_after_ms / MS_PER_S
         return result
 
-    def _take_token(self, workspace: WorkspaceId) -> Result[QuotaCharge, RateExceeded]:
-        rate_owners = self._view.ranked_owners(workspace)[:MAX_RATE_OWNERS_TRIED]
+    def _request_from_owner(self, part: RatePart) -> Result[QuotaCharge, RateExceeded]:
+        rate_owners = self._division.ranked_owners(part)[:MAX_RATE_OWNERS_TRIED]
         for rate_owner in rate_owners:
-            if not self._avoided.claim_trial(rate_owner.instance):
+            if self._avoided.is_known(rate_owner.instance):
                 continue
-            requested = self._request_token(rate_owner, TokenRequest(workspace=workspace))
+            requested = self._request_token(rate_owner, _token_request(part))
             if isinstance(requested, Err):
                 if isinstance(requested.err_value, TargetUnavailable):
                     continue
@@ -199,12 +232,10 @@
             if not reply.keeper:
                 continue
             if reply.admitted:
-                return Ok(_TokenCharge(self, workspace, rate_owner))
-            wait_s = reply.wait_ms / MS_PER_S
-            self._refused_until[workspace] = self._clock.monotonic() + wait_s
-            return Err(_rate_exceeded(workspace, wait_s))
+                return Ok(_TokenCharge(self, part, rate_owner))
+            return Err(_rate_exceeded(part.workspace, reply.wait_ms / MS_PER_S))
         tried = ", ".join(record.instance for record in rate_owners) or "no instance"
-        return Err(_rate_owner_unknown(workspace, tried))
+        return Err(_rate_owner_unknown(part, tried))
 
     def _request_token(
         self, rate_owner: RosterRecord, req: TokenRequest
@@ -224,24 +255,25 @@
             )
         return result
 
-    def refund(self, rate_owner: RosterRecord, workspace: WorkspaceId) -> None:
+    def refund(self, rate_owner: RosterRecord, part: RatePart) -> None:
         """Return a token to the rate owner that issued it, unless that does not answer."""
-        if not self._avoided.is_avoided(rate_owner.instance):
-            self._request_token(rate_owner, TokenRequest(workspace=workspace, gives_back=True))
+        if not self._avoided.is_known(rate_owner.instance):
+            self._request_token(rate_owner, _token_request(part, gives_back=True))
 
     def answer(self, req: TokenRequest) -> TokenReply:
         """Answer another instance's request for a token, or take one back from it."""
         workspace = WorkspaceId(req.workspace)
+        part = RatePart(workspace, DataCentre(req.data_centre) if req.data_centre else None)
         if req.gives_back:
-            self.buckets.refund(workspace)
+            self.buckets.refund(part.name)
             return TokenReply(keeper=True)
         self._drop_rates_of_earlier_lease()
         limit = self._workspaces().get(workspace)
-        fraction = self._usable_fraction()
+        fraction = self._usable_fraction(part.data_centre)
         if limit is None or fraction <= 0:
             return TokenReply(keeper=False)
-        rate = self._rules.pooled_rate(limit, self._view.size).scale(fraction)
-        wait_s = self.buckets.take(workspace, rate)
+        rate = self._division.token_rate(limit, part).scale(fraction)
+        wait_s = self.buckets.take(part.name, rate)
         if wait_s is None:
             return TokenReply(keeper=False)
         return TokenReply(
@@ -251,8 +283,8 @@
         )
 
     def answer_take_over(self, req: TakeOverRequest) -> TakeOverReply:
-        """Hand out no more tokens of the rates that another instance owns from now on."""
-        ceded = {name: self.buckets.cede(WorkspaceId(name)) for name in req.workspaces}
+        """Hand out no more tokens of the parts that another instance owns from now on."""
+        ceded = {name: self.buckets.cede(name) for name in req.workspaces}
         return TakeOverReply(
             tokens=[
                 WorkspaceTokens(workspace=name, tokens=tokens)
@@ -262,44 +294,50 @@
         )
 
     def refresh_ownership(self, executor: Executor) -> None:
-        """Update the set of owned workspaces; called several times a second.
+        """Update the set of owned parts; called several times a second.
 
         Parameters
         ----------
         executor : Executor
             Runs the calls to the instances that have not answered earlier ones.
         """
-        self._try_unreached(executor)
+        self._try_unanswering(executor)
         self._drop_rates_of_earlier_lease()
-        unconfirmed = self.buckets.set_owned_workspaces(
-            {name for name in self._workspaces() if self._owns_rate(name)}
-        )
+        parts = {
+            part.name: part
+            for limit in self._workspaces().values()
+            for part in self._division.parts(limit)
+            if self._owns(part)
+        }
+        unconfirmed = self.buckets.set_owned(set(parts))
         if unconfirmed:
             # Repeated until all have answered, as a peer may be about to start.
-            self._take_over(unconfirmed)
+            self._take_over([parts[name] for name in sorted(unconfirmed)])
 
     def _drop_rates_of_earlier_lease(self) -> None:
         opened_at = self._lease_opened_at()
         if opened_at is None or opened_at == self._owned_under:
             return
         if self._owned_under is not None:
-            self.buckets.set_owned_workspaces(set())
+            self.buckets.set_owned(set())
         # Before the first lease, this instance was in no ranking and owned nothing but under it.
         self._owned_under = opened_at
 
-    def _owns_rate(self, workspace: WorkspaceId) -> bool:
-        ranked = self._view.ranked_owners(workspace)
+    def _owns(self, part: RatePart) -> bool:
+        ranked = self._division.ranked_owners(part)
         return bool(ranked) and ranked[0].instance == self._instance
 
     def unreached(self) -> frozenset[InstanceId]:
         """Return the live instances that do not answer this one's calls."""
         return self._unreached.among(self._view.live_instances())
 
-    def _try_unreached(self, executor: Executor) -> None:
+    def _try_unanswering(self, executor: Executor) -> None:
         """Call the instances that did not answer, as they may answer again."""
         live = self._view.live_instances()
-        for name in self.unreached():
-            if name != self._instance and self._avoided.claim_trial(name):
+        for name in self._avoided.names():
+            if name not in live:
+                self._avoided.discard(name)
+            elif name != self._instance and self._avoided.claim_trial(name):
                 executor.submit(self._try_peer, live[name])
 
     def _try_peer(self, record: RosterRecord) -> None:
@@ -315,57 +353,74 @@
             self._avoided.add(record.instance)
             self._unreached.record_failure(record)
 
-    def _take_over(self, workspaces: set[WorkspaceId]) -> None:
-        """Take over rates at once where all instances that may have owned them agree."""
-        former_owners = {name: self._former_owners(name) for name in workspaces}
-        peers = {record.instance: record for ranked in former_owners.values() for record in ranked}
-        requests = []
-        for record in peers.values():
-            owned = sorted(name for name, ranked in former_owners.items() if record in ranked)
-            requests.append((record.address, TakeOverRequest(workspaces=owned)))
-        names = list(peers)
+    def _take_over(self, parts: list[RatePart]) -> None:
+        """Take over parts at once where all instances that may have owned them agree."""
+        former_owners = {part: self._former_owners(part) for part in parts}
+        asked: dict[InstanceId, tuple[RosterRecord, set[str]]] = {}
+        for claims in former_owners.values():
+            for name, record in claims:
+                asked.setdefault(record.instance, (record, set()))[1].add(name)
+        peers = list(asked)
+        requests = [
+            (record.address, TakeOverRequest(workspaces=sorted(names)))
+            for record, names in asked.values()
+        ]
         replies = {
-            names[index]: result.ok_value
+            peers[index]: result.ok_value
             for index, result in self._caller.take_over_all(requests, TOKEN_TIMEOUT_S)
             if isinstance(result, Ok)
         }
         for reply in replies.values():
             for item in reply.tokens:
                 received = self._received_tokens.get(item.workspace, 0.0)
-                self._received_tokens[WorkspaceId(item.workspace)] = received + item.tokens
+                self._received_tokens[item.workspace] = received + item.tokens
         confirmed = [
-            workspace
-            for workspace, ranked in former_owners.items()
-            if all(record.instance in replies for record in ranked)
+            part
+            for part, claims in former_owners.items()
+            if all(record.instance in replies for _, record in claims)
         ]
-        for workspace in confirmed:
-            received = self._received_tokens.pop(workspace, None)
-            tokens = self._initial_tokens(workspace) if received is None else received
-            self.buckets.take_over(workspace, tokens)
+        for part in confirmed:
+            received = self._received_tokens.pop(part.name, None)
+            tokens = self._initial_tokens(part) if received is None else received
+            self.buckets.take_over(part.name, tokens)
         log.info(
             "rates taken over",
             extra={
-                "workspaces": len(workspaces),
+                "parts": len(parts),
                 "confirmed": len(confirmed),
                 "asked": sorted(peers),
                 "answered": sorted(replies),
             },
         )
 
-    def _former_owners(self, workspace: WorkspaceId) -> list[RosterRecord]:
-        """Return the instances that may have owned a rate before this one."""
-        others = [
-            record for record in self._view.ranked(workspace) if record.instance != self._instance
+    def _former_owners(self, part: RatePart) -> list[tuple[str, RosterRecord]]:
+        """Return the instances that may have owned a part before this one, and what they owned.
+
+        Before or after an upgrade, other instances owned the whole rate, or its parts.
+        """
+        former = [part]
+        if not self._division.is_settled:
+            former += self._division.other_division(part)
+        return [
+            (owned.name, record)
+            for owned in former
+            for record in self._division.ranked_owners(owned)[:MAX_RATE_OWNERS_TRIED]
+            if record.instance != self._instance
         ]
-        return others[:MAX_RATE_OWNERS_TRIED]
 
-    def _initial_tokens(self, workspace: WorkspaceId) -> float:
-        """Return the tokens of a rate that no instance owned when this one took it over."""
-        limit = self._workspaces().get(workspace)
+    def _initial_tokens(self, part: RatePart) -> float:
+        """Return the tokens of a part that no instance owned when this one took it over."""
+        limit = self._workspaces().get(part.workspace)
         just_started = self._clock.monotonic() - self._started_at < HANDOVER_DELAY_S
         if limit is None or not just_started:
             return 0.0
-        return self._rules.initial_tokens(limit, self._rules.pooled_rate(limit, self._view.size))
+        return self._rules.initial_tokens(limit, self._division.token_rate(limit, part))
+
+
+def _token_request(part: RatePart, *, gives_back: bool = False) -> TokenRequest:
+    return TokenRequest(
+        workspace=part.workspace, data_centre=part.data_centre or "", gives_back=gives_back
+    )
 
 
 def _rate_exceeded(workspace: WorkspaceId, wait_s: float) -> RateExceeded:
@@ -376,9 +431,10 @@
     )
 
 
-def _rate_owner_unknown(workspace: WorkspaceId, tried: str) -> RateOwnerUnknown:
-    reason = f"no owner of the workspace's rate answered; tried {tried}"
-    return RateOwnerUnknown(reason, place=workspace, retry_after_ms=NO_RATE_OWNER_RETRY_MS)
+def _rate_owner_unknown(part: RatePart, tried: str) -> RateOwnerUnknown:
+    where = "" if part.data_centre is None else f" in {part.data_centre}"
+    reason = f"no owner of the workspace's rate{where} answered; tried {tried}"
+    return RateOwnerUnknown(reason, place=part.workspace, retry_after_ms=NO_RATE_OWNER_RETRY_MS)
 
 
 @dataclass(frozen=True)
@@ -386,9 +442,9 @@
     """A token that a rate owner issued."""
 
     limiter: RateLimiter
-    workspace: WorkspaceId
+    part: RatePart
     rate_owner: RosterRecord
 
     def refund(self) -> None:
         """Return the token, as the operation reached no database."""
-        self.limiter.refund(self.rate_owner, self.workspace)
+        self.limiter.refund(self.rate_owner, self.part)
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -109,6 +109,7 @@
             address=record.address,
             data_centre=record.data_centre,
             knows=record.known_up_to,
+            divides_rates=record.divides_rates,
         )
     )
 
@@ -122,6 +123,7 @@
         address=value.address,
         data_centre=DataCentre(value.data_centre),
         known_up_to=value.knows,
+        divides_rates=value.divides_rates,
         revision=item.revision,
         created=item.created,
     )
--- a/src/quetzalrudder/gateway/token_buckets.py
+++ b/src/quetzalrudder/gateway/token_buckets.py
@@ -3,7 +3,6 @@
 import threading
 
 from quetzalrudder.gateway.quotas import TokenBucket, TokenRate
-from quetzalrudder.models import WorkspaceId
 from quetzalrudder.utils import Clock
 
 __all__ = ["CEDED_S", "HANDOVER_DELAY_S", "TokenBuckets"]
@@ -18,7 +17,7 @@
 
 
 class TokenBuckets:
-    """The token buckets of the workspaces whose rates this instance owns.
+    """The token buckets of the rates, or parts of rates, that this instance owns, by name.
 
     Parameters
     ----------
@@ -30,24 +29,24 @@
         self._clock = clock
         self._lock = threading.Lock()
         # When this instance may start to hand out tokens of a workspace.
-        self._usable_from: dict[WorkspaceId, float] = {}
-        self._buckets: dict[WorkspaceId, TokenBucket] = {}
+        self._usable_from: dict[str, float] = {}
+        self._buckets: dict[str, TokenBucket] = {}
         # Until when this instance does not own a workspace's rate again.
-        self._ceded_until: dict[WorkspaceId, float] = {}
+        self._ceded_until: dict[str, float] = {}
 
-    def set_owned_workspaces(self, workspaces: set[WorkspaceId]) -> set[WorkspaceId]:
-        """Set the workspaces whose rates this instance owns now.
+    def set_owned(self, names: set[str]) -> set[str]:
+        """Set what this instance owns now.
 
         Returns
         -------
-        set of WorkspaceId
-            Those of which it does not hand out tokens yet.
+        set of str
+            That of which it does not hand out tokens yet.
         """
         now = self._clock.monotonic()
         with self._lock:
             for name in [name for name, until in self._ceded_until.items() if until <= now]:
                 del self._ceded_until[name]
-            owned = workspaces - self._ceded_until.keys()
+            owned = names - self._ceded_until.keys()
             for name in self._usable_from.keys() - owned:
                 del self._usable_from[name]
                 self._buckets.pop(name, None)
@@ -55,15 +54,15 @@
                 self._usable_from[name] = now + HANDOVER_DELAY_S
             return {name for name, usable_from in self._usable_from.items() if usable_from > now}
 
-    def take_over(self, workspace: WorkspaceId, tokens: float) -> None:
+    def take_over(self, name: str, tokens: float) -> None:
         """Hand out tokens from now on, as no other instance does; add those it had left."""
         now = self._clock.monotonic()
         with self._lock:
-            if workspace in self._usable_from:
-                self._usable_from[workspace] = now
-                self._buckets[workspace] = TokenBucket(tokens, now)
+            if name in self._usable_from:
+                self._usable_from[name] = now
+                self._buckets[name] = TokenBucket(tokens, now)
 
-    def cede(self, workspace: WorkspaceId) -> float | None:
+    def cede(self, name: str) -> float | None:
         """Stop handing out tokens of a workspace.
 
         Returns
@@ -72,14 +71,14 @@
             The tokens that are left; None if this instance did not own the rate.
         """
         with self._lock:
-            self._ceded_until[workspace] = self._clock.monotonic() + CEDED_S
-            usable_from = self._usable_from.pop(workspace, None)
-            bucket = self._buckets.pop(workspace, None)
+            self._ceded_until[name] = self._clock.monotonic() + CEDED_S
+            usable_from = self._usable_from.pop(name, None)
+            bucket = self._buckets.pop(name, None)
             if usable_from is None:
                 return None
             return bucket.tokens if bucket is not None else 0.0
 
-    def take(self, workspace: WorkspaceId, rate: TokenRate) -> float | None:
+    def take(self, name: str, rate: TokenRate) -> float | None:
         """Take a token if there is one.
 
         Returns
@@ -90,15 +89,15 @@
         """
         now = self._clock.monotonic()
         with self._lock:
-            usable_from = self._usable_from.get(workspace)
+            usable_from = self._usable_from.get(name)
             if usable_from is None or now < usable_from:
                 return None
-            bucket = self._buckets.setdefault(workspace, TokenBucket(0.0, usable_from))
+            bucket = self._buckets.setdefault(name, TokenBucket(0.0, usable_from))
             return bucket.take(rate, now)
 
-    def refund(self, workspace: WorkspaceId) -> None:
+    def refund(self, name: str) -> None:
         """Put back a token that was not used."""
         with self._lock:
-            bucket = self._buckets.get(workspace)
+            bucket = self._buckets.get(name)
             if bucket is not None:
                 bucket.put_back()
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -549,6 +549,11 @@
     Highest creation revision of the roster entries that the instance has seen.
     """
 
+    divides_rates: "bool" = betterproto2.field(5, betterproto2.TYPE_BOOL)
+    """
+    Whether the instance divides the rates of workspaces among the data centres.
+    """
+
 
 default_message_pool.register_message("gateway", "RosterValue", RosterValue)
 
@@ -719,6 +724,11 @@
 
     gives_back: "bool" = betterproto2.field(2, betterproto2.TYPE_BOOL)
 
+    data_centre: "str" = betterproto2.field(3, betterproto2.TYPE_STRING)
+    """
+    The data centre whose part of the rate is meant; empty: the whole rate.
+    """
+
 
 default_message_pool.register_message("gateway", "TokenRequest", TokenRequest)
 
