Log lines are written in batches; joins and leaves of instances in one line

Cause: the account of processor time has two sections for each line, and the thread that wrote it woke for each; at a start of 87 instances each logged 86 joins. Change: lines are collected for 50 ms and written together; "instance joined" and "instance left" name all since the last such line. The account counts calls to the store by reason.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -473,6 +473,7 @@
     def _maintain(self, executor: Executor, stopping: threading.Event) -> None:
         while not stopping.is_set():
             self._maintenance_wake_up.wait(MAINTENANCE_INTERVAL_S)
+            self.members.log_changes()
             self.rates.refresh_ownership(executor)
             self.lender.reclaim_idle()
             self.pool.trim()
@@ -607,6 +608,7 @@
 
     def _count_store_call(self, call: StoreCall) -> None:
         self.metrics.count_store_call(call.value)
+        processor_time.count(f"store call: {call.value}")
 
     def _query_primary(self, group: GroupId) -> None:
         health_check = self._health_checks.get(group)
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -13,6 +13,9 @@
 
 log = logging.getLogger(__name__)
 
+# Instances named in one line when many join or leave at once.
+MAX_NAMES_IN_LINE = 20
+
 
 @dataclass(frozen=True)
 class MemberRecord:
@@ -71,6 +74,10 @@
         # Increases whenever an instance is added or removed, a roster entry changes, or another
         # set of instances is reported as unreached.
         self.version = 0
+        # Incarnations of the instances that have joined, and instances that have left, since that
+        # was logged.
+        self._joined: dict[InstanceId, str] = {}
+        self._left: list[InstanceId] = []
         # The number of instances, and the version at which they were counted.
         self._cached_count = (0, 0)
         # The instances of the roster by data centre, and the version.
@@ -83,11 +90,8 @@
             self._members[record.instance] = record
             self._absent_since.pop(record.instance, None)
             self.version += known is None or known.unreached != record.unreached
-        if known is None or known.incarnation != record.incarnation:
-            log.info(
-                "instance joined",
-                extra={"member": record.instance, "incarnation": record.incarnation},
-            )
+            if known is None or known.incarnation != record.incarnation:
+                self._joined[record.instance] = record.incarnation
 
     def remove(self, instance: InstanceId) -> None:
         """Remove a member whose record no longer exists."""
@@ -96,7 +100,23 @@
                 return
             self._absent_since[instance] = self._clock.monotonic()
             self.version += 1
-        log.info("instance left", extra={"member": instance})
+            self._left.append(instance)
+
+    def log_changes(self) -> None:
+        """Log which instances have joined and left since the last call, a line for each."""
+        with self._lock:
+            joined, self._joined = self._joined, {}
+            left, self._left = self._left, []
+        if joined:
+            names = list(joined)[:MAX_NAMES_IN_LINE]
+            log.info(
+                "instance joined",
+                extra={"count": len(joined), "members": {name: joined[name] for name in names}},
+            )
+        if left:
+            log.info(
+                "instance left", extra={"count": len(left), "members": left[:MAX_NAMES_IN_LINE]}
+            )
 
     def replace_all(self, records: list[MemberRecord]) -> None:
         """Replace all members by a complete list."""
--- a/src/quetzalrudder/logs.py
+++ b/src/quetzalrudder/logs.py
@@ -23,6 +23,10 @@
 # Maximum time to write the queued lines at shutdown. 2,000 lines of 0.4 KB take a few ms; a
 # stuck reader of the output would block the shutdown forever.
 CLOSE_TIMEOUT_S = 0.5
+# Time for which lines are collected before they are written together.
+BATCH_INTERVAL_S = 0.05
+# Marks the end in the queue of records.
+END_OF_RECORDS = None
 
 
 def _json_formatter(instance: str, defaults: dict[str, str]) -> JsonFormatter:
@@ -83,13 +87,57 @@
             self.dropped_lines += 1
 
 
-class _LineWriter(logging.StreamHandler):
-    """Writes lines; their processor time has a section of its own."""
+class _BatchWriter:
+    """Writes queued records in batches on a thread of its own.
 
-    def emit(self, record: logging.LogRecord) -> None:
-        """Format and write one line."""
-        with processor_time.section("log lines"):
-            super().emit(record)
+    A thread that is woken for each line takes as much processor time as the line itself.
+
+    Parameters
+    ----------
+    records : queue.Queue
+        The records.
+    formatter : logging.Formatter
+        Turns each record into a line.
+    """
+
+    def __init__(self, records: queue.Queue, formatter: logging.Formatter) -> None:
+        self._records = records
+        self._formatter = formatter
+        self._output = sys.stdout
+        self._thread = threading.Thread(target=self._write_batches, name="logs", daemon=True)
+
+    def start(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Write what is queued and return; raises ``queue.Full`` if nobody reads the output."""
+        self._records.put_nowait(END_OF_RECORDS)
+        self._thread.join()
+
+    def _write_batches(self) -> None:
+        ended = False
+        while not ended:
+            batch = [self._records.get()]
+            if batch[0] is not END_OF_RECORDS:
+                time.sleep(BATCH_INTERVAL_S)
+            with suppress(queue.Empty):
+                while len(batch) < MAX_QUEUED_LINES:
+                    batch.append(self._records.get_nowait())
+            ended = END_OF_RECORDS in batch
+            with processor_time.section("log lines"):
+                self._write([record for record in batch if record is not END_OF_RECORDS])
+
+    def _write(self, batch: list[logging.LogRecord]) -> None:
+        lines = []
+        for record in batch:
+            try:
+                lines.append(self._formatter.format(record) + "\n")
+            except Exception as exc:
+                lines.append(f'{{"message": "log line not formatted", "reason": "{type(exc)}"}}\n')
+        with suppress(OSError, ValueError):
+            self._output.write("".join(lines))
+            self._output.flush()
 
 
 class BoundedLogs:
@@ -108,9 +156,7 @@
     def __init__(self, level: str, *, instance: str) -> None:
         records: queue.Queue = queue.Queue(MAX_QUEUED_LINES)
         self._handler = _BoundedHandler(records)
-        writer = _LineWriter(sys.stdout)
-        writer.setFormatter(_json_formatter(instance, {}))
-        self._listener = logging.handlers.QueueListener(records, writer)
+        self._writer = _BatchWriter(records, _json_formatter(instance, {}))
         self._level = level.upper()
         self._closed = False
 
@@ -123,7 +169,7 @@
         root = logging.getLogger()
         root.handlers[:] = [self._handler]
         root.setLevel(self._level)
-        self._listener.start()
+        self._writer.start()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -133,11 +179,11 @@
         """Write the queued lines; return after ``CLOSE_TIMEOUT_S`` if the reader is stuck."""
         if not self._closed:
             self._closed = True
-            writer = threading.Thread(target=self._stop_listener, daemon=True)
-            writer.start()
-            writer.join(CLOSE_TIMEOUT_S)
+            stopper = threading.Thread(target=self._stop_writer, daemon=True)
+            stopper.start()
+            stopper.join(CLOSE_TIMEOUT_S)
 
-    def _stop_listener(self) -> None:
-        # stop() queues a sentinel. A full queue has no room for it: the output is not being read.
+    def _stop_writer(self) -> None:
+        # A full queue has no room for the end: the output is not being read.
         with suppress(queue.Full):
-            self._listener.stop()
+            self._writer.stop()
--- a/src/quetzalrudder/processor_time.py
+++ b/src/quetzalrudder/processor_time.py
@@ -12,7 +12,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from types import TracebackType
 
-__all__ = ["ProcessorAccount", "enable", "section"]
+__all__ = ["ProcessorAccount", "count", "enable", "section"]
 
 log = logging.getLogger(__name__)
 
@@ -56,6 +56,11 @@
             thread.labels.append(label)
             self._counts[label] += 1
 
+    def count(self, label: str) -> None:
+        """Count a call whose processor time is part of the section that makes it."""
+        with self._lock:
+            self._counts[label] += 1
+
     def leave(self) -> None:
         """End this thread's innermost section."""
         thread = self._local.thread
@@ -138,6 +143,12 @@
     return _enabled
 
 
+def count(label: str) -> None:
+    """Count a call in the enabled account, if there is one."""
+    if _enabled is not None:
+        _enabled.count(label)
+
+
 def section(label: str) -> AbstractContextManager[None]:
     """Return a section of the enabled account; without one, a context that does nothing."""
     return _NO_SECTION if _enabled is None else _enabled.section(label)
