Fewer calls to the store: no write for epochs that nobody waits for, first attempts spread

Change: a member record is written for acknowledged epochs only while a primary is being replaced; the first attempt is spread over the size of the fleet.

--- a/src/quetzalrudder/gateway/coordinator_lease.py
+++ b/src/quetzalrudder/gateway/coordinator_lease.py
@@ -29,6 +29,8 @@
 # at most this for each instance that may. The first one then tries after about this time,
 # and the others mostly see its record before their turn.
 ACQUIRE_JITTER_PER_CANDIDATE_S = 0.02
+# Size that an instance assumes whose fleet starts for the first time.
+UNKNOWN_FLEET_SIZE = 50
 
 
 class CoordinatorLease:
@@ -44,6 +46,8 @@
         Records failed calls to the store.
     candidate_count : Callable
         Returns how many instances may try to acquire the lease.
+    fleet_size : Callable
+        Returns how many instances there are.
     may_acquire : Callable
         Returns whether this instance may try. In a large fleet only those that watch the store
         may, so that they see each change as soon as the store does.
@@ -61,6 +65,7 @@
         incarnation: str,
         contact: StoreContact,
         candidate_count: Callable[[], int],
+        fleet_size: Callable[[], int],
         may_acquire: Callable[[], bool] = lambda: True,
         rng: random.Random,
         clock: Clock,
@@ -70,6 +75,7 @@
         self._incarnation = incarnation
         self._contact = contact
         self._candidate_count = candidate_count
+        self._fleet_size = fleet_size
         self._may_acquire = may_acquire
         self._rng = rng
         self._clock = clock
@@ -87,7 +93,9 @@
         """Process the coordinator record read from the store; None if there is none."""
         now = self._clock.monotonic()
         if record is None:
-            jitter_s = ACQUIRE_JITTER_PER_CANDIDATE_S * self._candidate_count()
+            is_first = math.isinf(self._next_attempt)
+            count = self._first_candidate_count() if is_first else self._candidate_count()
+            jitter_s = ACQUIRE_JITTER_PER_CANDIDATE_S * count
             self._next_attempt = now + self._rng.random() * jitter_s
         elif math.isinf(self._next_attempt):
             self._next_attempt = now
@@ -141,6 +149,11 @@
         elif self._clock.monotonic() >= self._next_renewal:
             self._renew()
 
+    def _first_candidate_count(self) -> int:
+        """Return how many instances may try at their start, when all of them watch the store."""
+        fleet_size = self._fleet_size()
+        return fleet_size if fleet_size > 1 else UNKNOWN_FLEET_SIZE
+
     def _acquire(self) -> None:
         now = self._clock.monotonic()
         if now < self._next_attempt or not self._may_acquire():
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -134,6 +134,7 @@
             incarnation=incarnation,
             contact=contact,
             candidate_count=candidate_count,
+            fleet_size=members.count,
             may_acquire=may_coordinate,
             rng=rng,
             clock=clock,
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -319,10 +319,26 @@
             if isinstance(entered, Err):
                 return entered
         record = self._current_record()
-        if record == self._written_record:
+        if self._is_written(record):
             return Ok(None)
         return self._write_member_record(record, self._lease)
 
+    def _is_written(self, record: MemberRecord) -> bool:
+        """Return whether the store has what others need of a record.
+
+        The coordinator needs the acknowledged epochs only of groups whose primary is being
+        replaced.
+        """
+        written = self._written_record
+        if written is None:
+            return False
+        if (written.suspects, written.unreached) != (record.suspects, record.unreached):
+            return False
+        return all(
+            written.acknowledged.get(group, 0) >= record.acknowledged.get(group, 0)
+            for group in self._primaries.groups_without_primary()
+        )
+
     def _current_record(self) -> MemberRecord:
         return MemberRecord(
             self._instance,
--- a/src/quetzalrudder/gateway/primaries.py
+++ b/src/quetzalrudder/gateway/primaries.py
@@ -167,6 +167,10 @@
         with self._lock:
             self._open_operations[group] -= 1
 
+    def groups_without_primary(self) -> list[GroupId]:
+        """Return the groups whose primary is being replaced."""
+        return [record.group for record in self.records() if record.primary is None]
+
     def has_unacknowledged(self) -> bool:
         """Return whether an epoch of a known record is not acknowledged yet."""
         return len(self.acknowledged_epochs()) < len(self._records)
