Owners of rate parts without the store: those that continue; tokens survive a change of lease

When leases ended together, all buckets started empty and parts moved twice. Change: without the store, the owner of a part is the first in rank of the instances that lately continued without it; with the store, one that is away for up to 1 s keeps its parts; the tokens in a bucket that is given up are kept until it is taken over by this instance or another one. An instance's roster entry waits while the fleet is still growing, for 4 s at most.

--- a/src/quetzalrudder/gateway/assignments.py
+++ b/src/quetzalrudder/gateway/assignments.py
@@ -161,10 +161,8 @@
             return ranked
         return [record for record in ranked if record.instance not in separated] or ranked
 
-    def ranked_roster(
-        self, subject: str, data_centre: DataCentre, *, max_absence_s: float
-    ) -> list[RosterRecord]:
-        """Return a data centre's instances in their order for a subject.
+    def lasting_instances(self, max_absence_s: float) -> dict[InstanceId, RosterRecord]:
+        """Return the instances of the roster that are there, or away for a short time.
 
         Those that most others cannot reach, or that have been without a member record for
         longer than ``max_absence_s``, are left out.
@@ -175,12 +173,26 @@
             for absence in self._members.absences()
             if absence.absent_s > max_absence_s
         }
-        found = {
+        return {
             record.instance: record
             for record in self._members.roster()
-            if record.data_centre == data_centre and record.instance not in excluded
+            if record.instance not in excluded
         }
-        return [found[name] for name in self._rank(subject, found)]
+
+    def ranked_roster(
+        self, subject: str, data_centre: DataCentre, *, max_absence_s: float
+    ) -> list[RosterRecord]:
+        """Return a data centre's lasting instances in their order for a subject."""
+        found = {
+            name: record
+            for name, record in self.lasting_instances(max_absence_s).items()
+            if record.data_centre == data_centre
+        }
+        return [found[name] for name in self.rank_names(subject, found)]
+
+    def roster(self) -> dict[InstanceId, RosterRecord]:
+        """Return all instances that have joined and whose entries were not deleted."""
+        return {record.instance: record for record in self._members.roster()}
 
     def live_instances(self) -> dict[InstanceId, RosterRecord]:
         """Return the instances that hold a lease."""
@@ -208,10 +220,10 @@
         key = (subject, data_centre)
         if key not in rankings:
             local = [name for name, record in live.items() if record.data_centre == data_centre]
-            rankings[key] = [live[name] for name in self._rank(subject, local or live)]
+            rankings[key] = [live[name] for name in self.rank_names(subject, local or live)]
         return rankings[key]
 
-    def _rank(self, subject: str, names: Collection[InstanceId]) -> list[InstanceId]:
+    def rank_names(self, subject: str, names: Collection[InstanceId]) -> list[InstanceId]:
         """Return the same as :func:`rank`, computing each weight once."""
         known = self._weights.get(subject, {})
         weights = {name: known.get(name) or _hash_weight(subject, name) for name in names}
--- a/src/quetzalrudder/gateway/confirmations.py
+++ b/src/quetzalrudder/gateway/confirmations.py
@@ -86,9 +86,9 @@
             if now - asked_at < PEER_PERMISSION_S
         ]
 
-    def confirming(self) -> set[InstanceId]:
-        """Return the instances whose confirmation still holds."""
-        oldest = self._clock.monotonic() - PEER_PERMISSION_S
+    def confirming(self, max_age_s: float = PEER_PERMISSION_S) -> set[InstanceId]:
+        """Return the instances whose confirmation still holds, or is not older than an age."""
+        oldest = self._clock.monotonic() - max_age_s
         return {name for name, asked_at in list(self._asked_at.items()) if asked_at > oldest}
 
     def majority_until(self, views: list[set[InstanceId]]) -> float:
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -248,7 +248,12 @@
             instance=identity.instance,
             view=self.view,
             division=RateDivision(
-                self.view, identity.data_centre, data_centres, quota_rules, clock
+                self.view,
+                identity.data_centre,
+                data_centres,
+                quota_rules,
+                lambda: self.peering.continuing(),
+                clock,
             ),
             rules=quota_rules,
             caller=caller,
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -40,10 +40,10 @@
     # Highest ``created`` of the roster entries that the instance has read. It needs the
     # majority of these instances to use primaries without the store.
     known_up_to: int = 0
-    # Whether it divides the rates of workspaces among the data centres.
-    divides_rates: bool = False
     revision: int = 0
     created: int = 0
+    # Whether it divides the rates of workspaces among the data centres.
+    divides_rates: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -39,6 +39,8 @@
 # Delay before the roster entry covers an instance that has joined. Instances that join
 # together then cause one write by each of the others.
 ROSTER_ENTRY_DELAY_S = 1.0
+# Delay after which it is written while instances go on joining.
+MAX_ROSTER_ENTRY_DELAY_S = 4.0
 # Part of the roster that the roster entry of a large fleet's instance has to cover soon. Entries
 # that cover it are written again at some time within the longer delay, so that one instance that
 # joins does not cause a write by each of the others at once, and a rolling restart not many.
@@ -119,6 +121,10 @@
         self._written_known_up_to = 0
         self._attempted_known_up_to = 0
         self._roster_entry_due_at: float | None = None
+        # While it is due: the time at which it is written although the fleet is still growing,
+        # and the newest roster entry that it waits for.
+        self._latest_roster_entry_at = 0.0
+        self._newest_awaited = 0
         self._suspects = suspects
         self._unreached = unreached
         self._contact = contact
@@ -367,13 +373,21 @@
         if self._members.newest_created() <= self._written_known_up_to:
             self._roster_entry_due_at = None
             return False
+        newest = self._members.newest_created()
         if self._roster_entry_due_at is None:
+            self._latest_roster_entry_at = now + MAX_ROSTER_ENTRY_DELAY_S
             delay_s = ROSTER_ENTRY_DELAY_S
             if self._covers_enough():
                 delay_s = LONG_ROSTER_ENTRY_DELAY_S * (0.5 + 0.5 * self._rng.random())
             self._roster_entry_due_at = now + delay_s
         elif not self._covers_enough():
-            self._roster_entry_due_at = min(self._roster_entry_due_at, now + ROSTER_ENTRY_DELAY_S)
+            due_at = min(now + ROSTER_ENTRY_DELAY_S, self._latest_roster_entry_at)
+            if newest > self._newest_awaited:
+                # The fleet is still growing.
+                self._roster_entry_due_at = due_at
+            else:
+                self._roster_entry_due_at = min(self._roster_entry_due_at, due_at)
+        self._newest_awaited = newest
         return now >= self._roster_entry_due_at
 
     def _write_member_record(
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -170,6 +170,15 @@
             return len(self._members.members()) / size
         return min(len(self._requests.confirming()), size) / size
 
+    def continuing(self) -> set[InstanceId]:
+        """Return the instances that have lately continued without the store, as this one does.
+
+        The set is empty while this instance has a lease, and without permission.
+        """
+        if self._permission.lease_remaining_s > 0:
+            return set()
+        return self._requests.lately_confirming()
+
     def _data_centre_fraction(self, data_centre: DataCentre) -> float:
         """Return the fraction of a data centre's instances that are on this side."""
         names = self._members.names_in(data_centre)
--- a/src/quetzalrudder/gateway/permission_requests.py
+++ b/src/quetzalrudder/gateway/permission_requests.py
@@ -28,6 +28,9 @@
 
 log = logging.getLogger(__name__)
 
+# Age of a confirmation up to which an instance is taken to continue without the store. Several
+# requests fit into it, so that one late answer does not move what the instance owns.
+LATELY_S = 2.0
 # Interval between requests for permission while the lease is not renewed.
 PERMISSION_REQUEST_INTERVAL_S = 0.2
 # Delay of the first request, as a process that has just started is about to open its lease.
@@ -150,6 +153,15 @@
             return set()
         return self._confirmations.confirming()
 
+    def lately_confirming(self) -> set[InstanceId]:
+        """Return the instances that have lately continued without the store.
+
+        Unlike :meth:`confirming`, it does not lose an instance whose answer is a little late.
+        """
+        if self._clock.monotonic() >= self._confirmed_until:
+            return set()
+        return self._confirmations.confirming(LATELY_S)
+
     def pass_on(self) -> list[Confirmation]:
         """Return the confirmations received here, and continue to collect them for a while."""
         self._collectors.record_request_to_collect()
--- a/src/quetzalrudder/gateway/rate_parts.py
+++ b/src/quetzalrudder/gateway/rate_parts.py
@@ -5,7 +5,7 @@
 are connected, an operation takes its token from any part, the own data centre's first.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from quetzalrudder.gateway.assignments import FleetView
@@ -13,13 +13,18 @@
 from quetzalrudder.gateway.members import RosterRecord
 from quetzalrudder.gateway.quotas import QuotaRules, TokenRate
 from quetzalrudder.gateway.warming import ColdLimit
-from quetzalrudder.models import DataCentre, WorkspaceId
+from quetzalrudder.models import DataCentre, InstanceId, WorkspaceId
 from quetzalrudder.utils import Clock
 
 __all__ = ["RateDivision", "RatePart"]
 
 # Time after a change of the division for which the owners before it are asked to cede.
 CHANGE_SPAN_S = 5.0
+# Time without a member record after which an instance's parts move. Longer than it takes to open
+# another lease.
+MAX_ABSENCE_S = 1.0
+# Interval at which absences are compared with that.
+REFRESH_INTERVAL_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -56,6 +61,9 @@
         All data centres of the deployment.
     rules : QuotaRules
         How the operators count operations.
+    continuing : Callable
+        Returns the instances that have lately continued without the store, this one included;
+        none while this instance has a lease.
     clock : Clock
         Source of time.
     """
@@ -66,13 +74,22 @@
         data_centre: DataCentre,
         data_centres: Sequence[DataCentre],
         rules: QuotaRules,
+        continuing: Callable[[], set[InstanceId]],
         clock: Clock,
     ) -> None:
         self._view = view
         others = sorted(name for name in data_centres if name != data_centre)
         self._data_centres = [data_centre, *others]
         self._rules = rules
+        self._continuing = continuing
         self._clock = clock
+        # The instances that may own parts, at a version of the fleet, and their rankings.
+        self._version = -1
+        self._next_refresh = 0.0
+        self._ranked: tuple[dict[InstanceId, RosterRecord], dict[RatePart, list[RosterRecord]]] = (
+            {},
+            {},
+        )
         # Whether the rates were divided last, and when that changed.
         self._was_divided = self.is_configured
         self._changed_at = -CHANGE_SPAN_S
@@ -113,8 +130,47 @@
         return self._rules.divide(pooled, len(self._data_centres))
 
     def ranked_owners(self, part: RatePart) -> list[RosterRecord]:
-        """Return the live instances that may own a part, in their order."""
-        return self._view.ranked_owners(part.workspace, part.data_centre)
+        """Return the instances that may own a part, in their order.
+
+        Without the store, they are those that continue without it.
+        """
+        ranked = self.ranked_members(part)
+        names = self._continuing()
+        if part.data_centre is None or not names:
+            return ranked
+        return [record for record in ranked if record.instance in names] or ranked
+
+    def ranked_members(self, part: RatePart) -> list[RosterRecord]:
+        """Return the instances that may own a part, in their order, reachable or not.
+
+        One that is away for a moment keeps its parts of divided rates: when many leases end
+        together, parts that moved twice would be without owner for longer.
+        """
+        if part.data_centre is None:
+            return self._view.ranked_owners(part.workspace)
+        self._refresh()
+        lasting, rankings = self._ranked
+        ranked = rankings.get(part)
+        if ranked is None:
+            found = {
+                name: record
+                for name, record in lasting.items()
+                if record.data_centre == part.data_centre
+            } or lasting
+            ranked = [found[name] for name in self._view.rank_names(part.workspace, found)]
+            rankings[part] = ranked
+        return ranked
+
+    def _refresh(self) -> None:
+        """Update the instances that are ranked, as an absence may have become too long."""
+        version, now = self._view.version, self._clock.monotonic()
+        if version == self._version and now < self._next_refresh:
+            return
+        self._version, self._next_refresh = version, now + REFRESH_INTERVAL_S
+        lasting = self._view.lasting_instances(MAX_ABSENCE_S)
+        if lasting != self._ranked[0]:
+            # Replaced together, so that no ranking of the earlier instances is kept.
+            self._ranked = (lasting, {})
 
     def other_division(self, part: RatePart) -> list[RatePart]:
         """Return the parts that contained this one, or were contained in it, before a change."""
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -333,12 +333,13 @@
 
     def _try_unanswering(self, executor: Executor) -> None:
         """Call the instances that did not answer, as they may answer again."""
-        live = self._view.live_instances()
-        for name in self._avoided.names():
-            if name not in live:
+        names = self._avoided.names()
+        roster = self._view.roster() if names else {}
+        for name in names:
+            if name not in roster:
                 self._avoided.discard(name)
             elif name != self._instance and self._avoided.claim_trial(name):
-                executor.submit(self._try_peer, live[name])
+                executor.submit(self._try_peer, roster[name])
 
     def _try_peer(self, record: RosterRecord) -> None:
         # Asks for nothing, so that only the answer matters.
@@ -404,10 +405,16 @@
         return [
             (owned.name, record)
             for owned in former
-            for record in self._division.ranked_owners(owned)[:MAX_RATE_OWNERS_TRIED]
+            for record in self._candidates(owned)
             if record.instance != self._instance
         ]
 
+    def _candidates(self, part: RatePart) -> list[RosterRecord]:
+        """Return the first members in rank, and the first of those on this side of a cut."""
+        members = self._division.ranked_members(part)[:MAX_RATE_OWNERS_TRIED]
+        owners = self._division.ranked_owners(part)[:MAX_RATE_OWNERS_TRIED]
+        return members + [record for record in owners if record not in members]
+
     def _initial_tokens(self, part: RatePart) -> float:
         """Return the tokens of a part that no instance owned when this one took it over."""
         limit = self._workspaces().get(part.workspace)
--- a/src/quetzalrudder/gateway/token_buckets.py
+++ b/src/quetzalrudder/gateway/token_buckets.py
@@ -31,6 +31,8 @@
         # When this instance may start to hand out tokens of a workspace.
         self._usable_from: dict[str, float] = {}
         self._buckets: dict[str, TokenBucket] = {}
+        # Tokens left in the buckets that this instance no longer owns; nobody else has them.
+        self._left_tokens: dict[str, float] = {}
         # Until when this instance does not own a workspace's rate again.
         self._ceded_until: dict[str, float] = {}
 
@@ -49,18 +51,25 @@
             owned = names - self._ceded_until.keys()
             for name in self._usable_from.keys() - owned:
                 del self._usable_from[name]
-                self._buckets.pop(name, None)
+                bucket = self._buckets.pop(name, None)
+                if bucket is not None:
+                    self._left_tokens[name] = bucket.tokens
             for name in owned - self._usable_from.keys():
                 self._usable_from[name] = now + HANDOVER_DELAY_S
             return {name for name, usable_from in self._usable_from.items() if usable_from > now}
 
     def take_over(self, name: str, tokens: float) -> None:
-        """Hand out tokens from now on, as no other instance does; add those it had left."""
+        """Hand out tokens from now on, as no other instance does.
+
+        The bucket has the tokens that others passed on, and those that this instance had left
+        when it owned it before.
+        """
         now = self._clock.monotonic()
         with self._lock:
             if name in self._usable_from:
                 self._usable_from[name] = now
-                self._buckets[name] = TokenBucket(tokens, now)
+                left = self._left_tokens.pop(name, 0.0)
+                self._buckets[name] = TokenBucket(tokens + left, now)
 
     def cede(self, name: str) -> float | None:
         """Stop handing out tokens of a workspace.
@@ -68,14 +77,16 @@
         Returns
         -------
         float or None
-            The tokens that are left; None if this instance did not own the rate.
+            The tokens that are left; None if this instance never owned the rate, or has passed
+            them on.
         """
         with self._lock:
             self._ceded_until[name] = self._clock.monotonic() + CEDED_S
             usable_from = self._usable_from.pop(name, None)
             bucket = self._buckets.pop(name, None)
+            left = self._left_tokens.pop(name, None)
             if usable_from is None:
-                return None
+                return left
             return bucket.tokens if bucket is not None else 0.0
 
     def take(self, name: str, rate: TokenRate) -> float | None:
