Owners that cannot be connected to are tried by one statement at a time; records of unreached peers are written every 2 s at most

Change: a statement is planned elsewhere, or refused, while no owner of a database can be connected to; one in 0.3 s tries. Another set of unreached peers alone causes a write after 2 s.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from quetzalrudder.exceptions import (
     ConnectionLimitReached,
+    ConnectionOwnerLost,
     DeadlineExceeded,
     LinkLost,
     NoPrimary,
@@ -239,7 +240,7 @@
                 # The wait for the connection does not count as lateness of the answer.
                 answer_by = self._clock.monotonic() + timeout_s
                 return Ok(replace(planned.ok_value, deadline_at=min(deadline_at, answer_by)))
-            if not isinstance(planned.err_value, QueueTooLong):
+            if not isinstance(planned.err_value, QueueTooLong | ConnectionOwnerLost):
                 return planned
         # No replica is left; later attempts may use the excluded ones again.
         req.excluded.clear()
--- a/src/quetzalrudder/gateway/borrowing.py
+++ b/src/quetzalrudder/gateway/borrowing.py
@@ -64,6 +64,8 @@
 # Age at which a connection owner's report of a database's load no longer counts; several
 # reads come in that time.
 LOAD_REPORT_LIFETIME_S = 0.3
+# Interval at which one statement tries an owner to which no connection could be opened.
+CONNECT_TRIAL_INTERVAL_S = 0.3
 # Fraction of the time until a statement is due that it may wait at its workspace's preferred
 # owner while another one has a shorter queue, but perhaps no open connection.
 PREFERENCE_FRACTION = 0.1
@@ -105,6 +107,9 @@
     wanted: Wanted
     # Called with the load and the delay in seconds that the owner reports.
     record_load: Callable[[float, float], None]
+    # Called if the owner has answered, and if no connection to it could be opened.
+    record_connected: Callable[[], None]
+    record_unconnected: Callable[[], None]
     # Called with the reason if the owner lends nothing; returns the error to pass on.
     avoid: Callable[[str], ConnectionOwnerLost]
 
@@ -168,12 +173,15 @@
             self.close()
             owner_lost = self._owner.avoid(str(exc))
             if isinstance(exc, TargetUnavailable):
+                self._owner.record_unconnected()
                 return Err(owner_lost)
             return Err(LinkLost(f"connection owner {self._owner.instance}: {exc}", place=place))
         reply = result.ok_value
         if reply.not_holder:
             self._checkout_id = 0
+            self._owner.record_connected()
             return Err(self._owner.avoid(reply.failure.message))
+        self._owner.record_connected()
         self._owner.record_load(reply.use, reply.queue_delay_ms / MS_PER_S)
         self._checkout_id = reply.loan
         if reply.failure is not None:
@@ -265,6 +273,8 @@
         self._clock = clock
         self._delays = OwnerDelays(clock)
         self._avoided = AvoidedInstances(clock)
+        # Owners to which no connection could be opened, so that nothing was sent.
+        self._unconnected = AvoidedInstances(clock, CONNECT_TRIAL_INTERVAL_S)
         # The owners of a database, and the same in the order for a workspace.
         self._ranked_owners: dict[
             tuple[TargetId, WorkspaceId], tuple[list[RosterRecord], list[RosterRecord]]
@@ -302,12 +312,16 @@
 
     def _choose_owner(
         self, owners: list[RosterRecord], target: Target, claim: Claim
-    ) -> Result[RosterRecord, QueueTooLong]:
+    ) -> Result[RosterRecord, QueueTooLong | ConnectionOwnerLost]:
         """Return the owner to use, the workspace's preferred one unless its queue is long."""
         if claim.urgency.rank == 0:
             return Ok(owners[0])
-        usable = [record for record in owners if not self._avoided.is_avoided(record.instance)]
-        usable = usable or owners
+        reachable = self._reachable(owners)
+        if not reachable:
+            reason = "no connection owner of the database can be reached"
+            return Err(ConnectionOwnerLost(reason, place=target.target))
+        usable = [record for record in reachable if not self._avoided.is_avoided(record.instance)]
+        usable = usable or reachable
         delays = [self._owner_delay_s(record, target, claim) for record in usable]
         now = self._clock.monotonic()
         if delays[0] <= PREFERENCE_FRACTION * max(0.0, claim.urgency.due_at - now):
@@ -324,6 +338,18 @@
             )
         return Ok(usable[0 if delays[0] <= 2 * least_s else delays.index(least_s)])
 
+    def _reachable(self, owners: list[RosterRecord]) -> list[RosterRecord]:
+        """Return the owners that can be reached, as far as known, or are to be tried again."""
+        reachable = [
+            record
+            for record in owners
+            if record.instance == self._instance or not self._unconnected.is_known(record.instance)
+        ]
+        first = owners[0]
+        if first not in reachable and self._unconnected.claim_trial(first.instance):
+            return [first, *reachable]
+        return reachable
+
     def _owner_delay_s(self, record: RosterRecord, target: Target, claim: Claim) -> float:
         if record.instance == self._instance:
             return self._pool.expected_delay_s(target, claim)
@@ -369,6 +395,8 @@
             address=record.address,
             wanted=wanted,
             record_load=record_load,
+            record_connected=lambda: self._unconnected.discard(record.instance),
+            record_unconnected=lambda: self._unconnected.add(record.instance),
             avoid=lambda reason: self._avoid(record.instance, target, reason),
         )
         return BorrowedCheckout(target, record.instance, BorrowedLink(self._caller, owner))
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -36,6 +36,8 @@
 # Three renewals fit into the time for which the lease grants permission.
 RENEW_INTERVAL_S = 0.5
 RETRY_DELAY_S = 0.2
+# Shortest interval between two writes of the member record for another set of unreached peers.
+UNREACHED_WRITE_INTERVAL_S = 2.0
 # Delay before the roster entry covers an instance that has joined. Instances that join
 # together then cause one write by each of the others.
 ROSTER_ENTRY_DELAY_S = 1.0
@@ -132,6 +134,7 @@
         self._lease: LeaseId | None = None
         self._revision = 0
         self._written_record: MemberRecord | None = None
+        self._record_written_at = -UNREACHED_WRITE_INTERVAL_S
         self._lease_span: LeaseSpan | None = None
         self._next_renewal = 0.0
         self._next_attempt = 0.0
@@ -338,8 +341,13 @@
         written = self._written_record
         if written is None:
             return False
-        if (written.suspects, written.unreached) != (record.suspects, record.unreached):
+        if written.suspects != record.suspects:
             return False
+        if written.unreached != record.unreached:
+            # Changes often while a cut begins or ends.
+            age_s = self._clock.monotonic() - self._record_written_at
+            if age_s >= UNREACHED_WRITE_INTERVAL_S:
+                return False
         return all(
             written.acknowledged.get(group, 0) >= record.acknowledged.get(group, 0)
             for group in self._primaries.groups_without_primary()
@@ -405,6 +413,7 @@
             return result
         self._revision = result.ok_value
         self._written_record = record
+        self._record_written_at = self._clock.monotonic()
         log.info(
             "member record written",
             extra={
--- a/tests/test_gateway_lending.py
+++ b/tests/test_gateway_lending.py
@@ -9,9 +9,20 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from quetzalrudder.exceptions import LinkLost, OutcomeUnknown, Overloaded, TransactionAborted
+from quetzalrudder.exceptions import (
+    LinkLost,
+    OutcomeUnknown,
+    Overloaded,
+    TargetUnavailable,
+    TransactionAborted,
+)
 from quetzalrudder.gateway.assignments import LARGE_FLEET, rank
-from quetzalrudder.gateway.borrowing import CONNECTION_OWNERS, owners_of, watchers_of
+from quetzalrudder.gateway.borrowing import (
+    CONNECT_TRIAL_INTERVAL_S,
+    CONNECTION_OWNERS,
+    owners_of,
+    watchers_of,
+)
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.lending import FIRST_STATEMENT_TIMEOUT_S, LENT_IDLE_TIMEOUT_S
 from quetzalrudder.gateway.lent_messages import (
@@ -149,6 +160,34 @@
             assert session.execute("w", Write("a", "1")).error is None
 
 
+def test_statements_do_not_call_owners_that_cannot_be_connected_to(fleet):
+    """A data centre is cut off: of the statements that come, one tries its owners now and then."""
+    owners = owner_names(fleet)
+    instance = borrowers(fleet)[0]
+    instance.session().execute("before", Write("a", "1"))
+    calls = []
+    run = instance.run
+
+    def run_unless_cut(address, req, timeout_s):
+        if address not in owners:
+            return run(address, req, timeout_s)
+        calls.append(address)
+        return Err(TargetUnavailable("cannot connect to the peer", place=address))
+
+    instance.run = run_unless_cut
+    started = fleet.clock.now
+    for number in range(40):
+        answer = instance.session().execute(f"w{number}", Write("a", "1"))
+        assert answer.error is not None
+        assert answer.error.ending is Ending.NOT_RUN
+    trials = 1 + (fleet.clock.now - started) / CONNECT_TRIAL_INTERVAL_S
+    assert 0 < len(calls) <= trials * len(owners)
+    instance.run = run
+    fleet.run(5.0)
+    for number in range(5):
+        assert instance.session().execute(f"r{number}", Write("a", "1")).error is None
+
+
 def test_a_frozen_owner_leaves_at_most_one_write_of_each_instance_unknown(fleet):
     owners = owner_names(fleet)
     fleet.by_name[owners[0]].frozen = True
