--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -291,7 +291,9 @@
     def _record_unreachable(
         self, target: Target, primary: UsablePrimary | None, exc: QuetzalrudderError
     ) -> None:
-        if isinstance(exc, Overloaded | ConnectionLimitReached | TargetEvacuated):
+        if isinstance(
+            exc, Overloaded | ConnectionLimitReached | TargetEvacuated | ConnectionOwnerLost
+        ):
             return
         self._placement.record_failure(target.target)
         if primary is not None:
