--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -10,10 +10,9 @@
 
 import logging
 import math
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 from concurrent.futures import Executor
 from dataclasses import dataclass
-from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -23,7 +22,7 @@
     RateOwnerUnknown,
     TargetUnavailable,
 )
-from quetzalrudder.gateway.assignments import AvoidedInstances, FleetView
+from quetzalrudder.gateway.assignments import FleetView
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.members import RosterRecord
 from quetzalrudder.gateway.quotas import (
@@ -31,9 +30,10 @@
     QuotaRules,
     QuotaTable,
 )
+from quetzalrudder.gateway.rate_owner_calls import RateOwnerCalls
 from quetzalrudder.gateway.rate_parts import RateDivision, RatePart
-from quetzalrudder.gateway.reachability import UnreachedPeers
 from quetzalrudder.gateway.token_buckets import HANDOVER_DELAY_S, TokenBuckets
+from quetzalrudder.gateway.token_caller import TOKEN_TIMEOUT_S, TokenCaller
 from quetzalrudder.models import DataCentre, InstanceId, WorkspaceId
 from quetzalrudder.schema.gateway import (
     TakeOverReply,
@@ -44,14 +44,14 @@
 )
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["RateLimiter", "TokenCaller"]
+__all__ = ["RateLimiter"]
 
 log = logging.getLogger(__name__)
 
-# Many times the duration of a call within a region.
-TOKEN_TIMEOUT_S = 0.3
 # Instances tried for one token: while one joins or leaves, two may see different rate owners.
 MAX_RATE_OWNERS_TRIED = 3
+# Longest search for a part with a token, after an owner that did not answer.
+MAX_SEARCH_S = 0.3
 # Upper bound of the retry delay, which would be uselessly long for a rate near zero.
 MAX_RETRY_AFTER_S = 60.0
 # Retry delay if no rate owner answered; by then another one may have taken over.
@@ -60,25 +60,6 @@
 OWNER_SEARCH_INTERVAL_S = 0.03
 
 
-class TokenCaller(Protocol):
-    """Requests tokens from other instances."""
-
-    def take_token(
-        self, address: str, req: TokenRequest, timeout_s: float
-    ) -> Result[TokenReply, QuetzalrudderError]:
-        """Send a request and return the answer."""
-
-    def take_over_rates(
-        self, address: str, req: TakeOverRequest, timeout_s: float
-    ) -> Result[TakeOverReply, QuetzalrudderError]:
-        """Ask an instance to hand out no more tokens of some workspaces."""
-
-    def take_over_all(
-        self, requests: list[tuple[str, TakeOverRequest]], timeout_s: float
-    ) -> Generator[tuple[int, Result[TakeOverReply, QuetzalrudderError]], None, None]:
-        """Ask several instances at the same time; yield the index and the answer of each."""
-
-
 class RateLimiter:
     """Admits operations from this instance's part of a rate, then with the rate owner's tokens.
 
@@ -132,8 +113,7 @@
         self._clock = clock
         self._local = QuotaTable(rules, clock)
         self.buckets = TokenBuckets(clock)
-        self._avoided = AvoidedInstances(clock, TOKEN_TIMEOUT_S)
-        self._unreached = UnreachedPeers()
+        self._calls = RateOwnerCalls(view, caller, clock)
         # Until when the owner of a part has no token.
         self._refused_until: dict[RatePart, float] = {}
         # Until when the owner of a part is not looked for again after a search without result.
@@ -187,7 +167,10 @@
         others.sort(key=lambda part: part != latest)
         wait_s = math.inf
         unknown: RateOwnerUnknown | None = None
+        search_until = self._clock.monotonic() + MAX_SEARCH_S
         for part in [own, *others]:
+            if unknown is not None and self._clock.monotonic() >= search_until:
+                break
             result = self._take_token(part)
             if isinstance(result, Ok):
                 self._latest_part[limit.workspace] = part
@@ -207,6 +190,8 @@
             return Err(_rate_exceeded(part.workspace, refused_s))
         if now < self._next_search.get(part, 0.0):
             return Err(_rate_owner_unknown(part, "no instance, as a search has just failed"))
+        if self._calls.is_silent(part.data_centre):
+            return Err(_rate_owner_unknown(part, "no instance, as the data centre is silent"))
         result = self._request_from_owner(part)
         if isinstance(result, Err):
             exc, now = result.err_value, self._clock.monotonic()
@@ -219,7 +204,7 @@
     def _request_from_owner(self, part: RatePart) -> Result[QuotaCharge, RateExceeded]:
         rate_owners = self._division.ranked_owners(part)[:MAX_RATE_OWNERS_TRIED]
         for rate_owner in rate_owners:
-            if self._avoided.is_known(rate_owner.instance):
+            if not self._calls.expects_answer(rate_owner.instance):
                 continue
             requested = self._request_token(rate_owner, _token_request(part))
             if isinstance(requested, Err):
@@ -242,22 +227,11 @@
     ) -> Result[TokenReply, QuetzalrudderError]:
         if rate_owner.instance == self._instance:
             return Ok(self.answer(req))
-        result = self._caller.take_token(rate_owner.address, req, TOKEN_TIMEOUT_S)
-        self._record_call(rate_owner, answered=isinstance(result, Ok))
-        if isinstance(result, Err):
-            log.warning(
-                "rate owner not reached",
-                extra={
-                    "peer": rate_owner.instance,
-                    "workspace": req.workspace,
-                    "reason": str(result.err_value),
-                },
-            )
-        return result
+        return self._calls.request(rate_owner, req)
 
     def refund(self, rate_owner: RosterRecord, part: RatePart) -> None:
         """Return a token to the rate owner that issued it, unless that does not answer."""
-        if not self._avoided.is_known(rate_owner.instance):
+        if self._calls.expects_answer(rate_owner.instance):
             self._request_token(rate_owner, _token_request(part, gives_back=True))
 
     def answer(self, req: TokenRequest) -> TokenReply:
@@ -301,7 +275,7 @@
         executor : Executor
             Runs the calls to the instances that have not answered earlier ones.
         """
-        self._try_unanswering(executor)
+        self._calls.try_unanswering(executor)
         self._drop_rates_of_earlier_lease()
         parts = {
             part.name: part
@@ -329,30 +303,7 @@
 
     def unreached(self) -> frozenset[InstanceId]:
         """Return the live instances that do not answer this one's calls."""
-        return self._unreached.among(self._view.live_instances())
-
-    def _try_unanswering(self, executor: Executor) -> None:
-        """Call the instances that did not answer, as they may answer again."""
-        names = self._avoided.names()
-        roster = self._view.roster() if names else {}
-        for name in names:
-            if name not in roster:
-                self._avoided.discard(name)
-            elif name != self._instance and self._avoided.claim_trial(name):
-                executor.submit(self._try_peer, roster[name])
-
-    def _try_peer(self, record: RosterRecord) -> None:
-        # Asks for nothing, so that only the answer matters.
-        result = self._caller.take_over_rates(record.address, TakeOverRequest(), TOKEN_TIMEOUT_S)
-        self._record_call(record, answered=isinstance(result, Ok))
-
-    def _record_call(self, record: RosterRecord, *, answered: bool) -> None:
-        if answered:
-            self._avoided.discard(record.instance)
-            self._unreached.record_answer(record.instance)
-        else:
-            self._avoided.add(record.instance)
-            self._unreached.record_failure(record)
+        return self._calls.unreached()
 
     def _take_over(self, parts: list[RatePart]) -> None:
         """Take over parts at once where all instances that may have owned them agree."""
--- a/src/quetzalrudder/gateway/reachability.py
+++ b/src/quetzalrudder/gateway/reachability.py
@@ -1,4 +1,4 @@
-"""Which live instances do not answer the calls of this one.
+"""Which live instances, and which data centres, do not answer the calls of this one.
 
 Serves fleets in which an instance is cut off from the others but not from the store: it keeps
 its lease, and so would keep what it owns for the fleet, for as long as the cut lasts.
@@ -7,12 +7,14 @@
 import threading
 
 from quetzalrudder.gateway.members import RosterRecord
-from quetzalrudder.models import InstanceId
+from quetzalrudder.models import DataCentre, InstanceId
 
-__all__ = ["UnreachedPeers"]
+__all__ = ["SilentDataCentres", "UnreachedPeers"]
 
 # Failed calls in a row after which an instance counts as unreached.
 UNREACHED_FAILURES = 2
+# Instances of a data centre that do not answer in a row after which it counts as silent.
+SILENT_INSTANCES = 2
 
 
 class UnreachedPeers:
@@ -45,3 +47,32 @@
                 and name in live
                 and live[name].incarnation == incarnation
             )
+
+
+class SilentDataCentres:
+    """Data centres of which several instances in a row did not answer.
+
+    Serves instances on one side of a cut: each of the many on the other side would be waited for
+    once otherwise.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        # Instances that did not answer since one did.
+        self._silent: dict[DataCentre, set[InstanceId]] = {}
+
+    def record_silence(self, record: RosterRecord) -> None:
+        """Record that an instance did not answer a call in time."""
+        with self._lock:
+            self._silent.setdefault(record.data_centre, set()).add(record.instance)
+
+    def record_answer(self, record: RosterRecord) -> bool:
+        """Record that an instance answered; return whether its data centre was silent."""
+        with self._lock:
+            silent = self._silent.pop(record.data_centre, set())
+        return len(silent) >= SILENT_INSTANCES
+
+    def is_silent(self, data_centre: DataCentre | None) -> bool:
+        """Return whether no instance of a data centre is expected to answer."""
+        with self._lock:
+            return len(self._silent.get(data_centre, ())) >= SILENT_INSTANCES
--- a/tests/test_gateway_rate_parts.py
+++ b/tests/test_gateway_rate_parts.py
@@ -10,6 +10,7 @@
 from quetzalrudder.gateway.members import RosterRecord
 from quetzalrudder.gateway.quotas import QuotaRules, TokenRate
 from quetzalrudder.gateway.rate_parts import RatePart
+from quetzalrudder.gateway.reachability import SILENT_INSTANCES
 from tests.gateway_fleet import GatewayFleet, catalog
 from tests.test_gateway_rate_tokens import busiest_window, max_per_window
 
@@ -137,6 +138,36 @@
     assert {req.data_centre for _, req, _ in called} <= {"dc-0"}
 
 
+def test_only_the_first_operations_call_the_owners_of_a_data_centre_that_is_cut_off():
+    fleet = start(DividedFleet)
+    cut_off = {name for name in NAMES if fleet.data_centre(name) == "dc-1"}
+    for name in cut_off:
+        fleet.by_name[name].side = 1
+        fleet.by_name[name].cut_from_store()
+    instance = next(i for i in fleet.instances if fleet.data_centre(i.name) == "dc-0")
+    take_token, called = instance.take_token, []
+
+    def record_call(address, req, timeout_s):
+        if address in cut_off:
+            called.append(address)
+        return take_token(address, req, timeout_s)
+
+    instance.take_token = record_call
+    names = [f"workspace-{number}" for number in range(40)]
+    limits = {name: Workspace(name, 1.0, 1.0) for name in names}
+    for other in fleet.instances:
+        other.gateway.catalogs.update_if_newer(catalog(3, workspaces=limits), b"3")
+    for limit in limits.values():
+        for _ in range(3):
+            instance.gateway.rates.admit(limit)
+    assert len(called) <= SILENT_INSTANCES
+    for name in cut_off:
+        fleet.by_name[name].side = 0
+        fleet.by_name[name].cut_from_store(False)
+    fleet.run(1.0)
+    assert not instance.gateway.rates._calls.is_silent("dc-1")
+
+
 def test_a_refusal_for_want_of_an_owner_does_not_say_that_the_rate_is_used_up():
     fleet = start(DividedFleet)
     alone = fleet[0]
