--- a/src/quetzalrudder/gateway/rate_parts.py
+++ b/src/quetzalrudder/gateway/rate_parts.py
@@ -5,7 +5,7 @@
 are connected, an operation takes its token from any part, the own data centre's first.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from quetzalrudder.gateway.assignments import FleetView
@@ -45,6 +45,16 @@
         return f"part {self.data_centre} {self.workspace}"
 
 
+@dataclass(frozen=True)
+class _OwnedParts:
+    """The parts that an instance owns, and what they were computed from."""
+
+    limits: Mapping[WorkspaceId, Workspace]
+    lasting: dict[InstanceId, RosterRecord]
+    basis: tuple
+    parts: dict[str, RatePart]
+
+
 class RateDivision:
     """Which parts the rates have, and which instances may own each.
 
@@ -90,6 +100,7 @@
             {},
             {},
         )
+        self._owned = _OwnedParts({}, {}, (), {})
         # Whether the rates were divided last, and when that changed.
         self._was_divided = self.is_configured
         self._changed_at = -CHANGE_SPAN_S
@@ -172,6 +183,29 @@
             # Replaced together, so that no ranking of the earlier instances is kept.
             self._ranked = (lasting, {})
 
+    def owned_by(
+        self, instance: InstanceId, limits: Mapping[WorkspaceId, Workspace]
+    ) -> dict[str, RatePart]:
+        """Return the parts that an instance owns, by name.
+
+        They are computed again only if the fleet or the workspaces have changed.
+        """
+        is_divided = self.is_divided
+        self._refresh()
+        basis = (is_divided, self._version, frozenset(self._continuing()))
+        known = self._owned
+        if known.limits is limits and known.lasting is self._ranked[0] and known.basis == basis:
+            return known.parts
+        lasting = self._ranked[0]
+        parts = {
+            part.name: part
+            for limit in limits.values()
+            for part in self.parts(limit)
+            if [record.instance for record in self.ranked_owners(part)[:1]] == [instance]
+        }
+        self._owned = _OwnedParts(limits, lasting, basis, parts)
+        return parts
+
     def other_division(self, part: RatePart) -> list[RatePart]:
         """Return the parts that contained this one, or were contained in it, before a change."""
         if part.data_centre is not None:
--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -277,12 +277,7 @@
         """
         self._calls.try_unanswering(executor)
         self._drop_rates_of_earlier_lease()
-        parts = {
-            part.name: part
-            for limit in self._workspaces().values()
-            for part in self._division.parts(limit)
-            if self._owns(part)
-        }
+        parts = self._division.owned_by(self._instance, self._workspaces())
         unconfirmed = self.buckets.set_owned(set(parts))
         if unconfirmed:
             # Repeated until all have answered, as a peer may be about to start.
@@ -297,10 +292,6 @@
         # Before the first lease, this instance was in no ranking and owned nothing but under it.
         self._owned_under = opened_at
 
-    def _owns(self, part: RatePart) -> bool:
-        ranked = self._division.ranked_owners(part)
-        return bool(ranked) and ranked[0].instance == self._instance
-
     def unreached(self) -> frozenset[InstanceId]:
         """Return the live instances that do not answer this one's calls."""
         return self._calls.unreached()
