A session survives a position that is too old; the return of a silent store is noticed within a second

Change: an empty window stays empty; the watch after a failure waits 0.1 s. Both have a test, red before.

--- a/src/quetzalrudder/gateway/freshness.py
+++ b/src/quetzalrudder/gateway/freshness.py
@@ -51,7 +51,7 @@
                 return
             self._samples.append(_Sample(sent_at, position))
             oldest = self._clock.monotonic() - RETENTION_S
-            while self._samples[0].sent_at < oldest:
+            while self._samples and self._samples[0].sent_at < oldest:
                 self._samples.popleft()
 
     def newest(self) -> tuple[float, LogPosition] | None:
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -29,6 +29,8 @@
 # hangs fails soon afterwards, which leaves time to read the changes by another call.
 WATCH_MARGIN_S = 1.5
 MIN_WATCH_WAIT_S = 0.5
+# Wait of the first watch after a failure.
+RECONNECT_WAIT_S = 0.1
 # Pause between an instance's first read and its first request to a relay: an instance that has
 # been started together with it then answers calls of peers.
 FIRST_REQUEST_DELAY_S = 0.5
@@ -153,6 +155,8 @@
         # True if a relay has provided changes since the last answer of the store.
         self._relayed = False
         self._starting = True
+        # Whether the latest call to the store failed.
+        self._failed = False
         # Whether the next read is one of all prefixes together.
         self._reads_at_once = True
         # None until the store has been read.
@@ -179,7 +183,13 @@
 
     @property
     def next_wait_s(self) -> float:
-        """How long the next watch of the store waits; a pause before it counts as a part."""
+        """How long the next watch of the store waits; a pause before it counts as a part.
+
+        After a failure it is short: a silent store answers nothing until the watch times out, and
+        its return would be noticed no earlier.
+        """
+        if self._failed:
+            return RECONNECT_WAIT_S
         return max(MIN_WATCH_WAIT_S, self.wait_s - self._paused_s)
 
     def step(self) -> bool:
@@ -237,11 +247,13 @@
         self.revision = max(self.revision or 0, changes.revision)
 
     def _record_success(self) -> None:
+        self._failed = False
         self._contact.record_success()
         if self._retry_delay is not None:
             self._retry_delay.reset()
 
     def _record_failure(self, exc: QuetzalrudderError) -> None:
+        self._failed = True
         self._contact.record_failure(exc)
         self._change_log.lose_store()
 
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -1,6 +1,7 @@
 import pytest
-from result import Ok
+from result import Err, Ok
 
+from quetzalrudder.exceptions import TargetUnavailable
 from quetzalrudder.gateway.batching import LONG_DELAY_S, SHORT_DELAY_S, batch_delay_s
 from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.membership import MembershipLease
@@ -208,6 +209,37 @@
     assert batch_delay(joined, large=False) == 0
 
 
+class SilentStore(CountingStore):
+    """Answers no watch before it returns; each hangs until it times out."""
+
+    def __init__(self, clock, returns_at):
+        super().__init__(changes=False)
+        self.clock = clock
+        self.returns_at = returns_at
+        self.answered_at = []
+
+    def watch(self, after, wait_ms):
+        if self.clock.now < self.returns_at:
+            self.watches.append(wait_ms)
+            self.clock.advance(wait_ms / 1000 + 0.5)
+            return Err(TargetUnavailable("timed out"))
+        self.answered_at.append(self.clock.now)
+        return super().watch(after, wait_ms)
+
+
+def test_the_return_of_a_silent_store_is_noticed_soon():
+    clock = ManualClock()
+    started = clock.now
+    store = SilentStore(clock, started + 6.0)
+    mirror = StoreMirror(store, [], StoreContact(clock), clock, 5.0)
+    mirror.revision = 1
+    while not store.answered_at:
+        clock.advance(mirror.pause_s(succeeded=mirror.step()))
+    assert store.answered_at[0] - store.returns_at <= 1.0
+    mirror.step()
+    assert store.watches[-1] == round(mirror.wait_s * 1000)
+
+
 @pytest.mark.parametrize("convergence_s", [3.0, 5.0, 6.0])
 def test_a_watch_that_hangs_leaves_time_to_read_the_configuration(convergence_s):
     """The adapter gives up a watch 0.5 s after its end; a slow store answers in 0.25 s."""
--- a/tests/test_gateway_uneven_databases.py
+++ b/tests/test_gateway_uneven_databases.py
@@ -247,6 +247,18 @@
     assert ages == pytest.approx([0.2, 0.1, 0.1, 0.0])
 
 
+def test_a_position_that_is_already_too_old_is_not_kept():
+    """A connection owner may have known it for long, as the primary is lost."""
+    clock = ManualClock()
+    window = PositionWindow(clock)
+    clock.advance(100.0)
+    window.add(clock.monotonic() - 90.0, LogPosition(1, 7))
+    assert window.newest() is None
+    assert window.required_position(max_age_ms=1500) is None
+    window.add(clock.monotonic(), LogPosition(1, 8))
+    assert window.newest() == (clock.monotonic(), LogPosition(1, 8))
+
+
 def test_a_dead_database_is_tried_by_one_read_at_a_time():
     clock, placement = make_placement()
     for _ in range(5):
