--- a/src/quetzalrudder/gateway/rate_tokens.py
+++ b/src/quetzalrudder/gateway/rate_tokens.py
@@ -289,7 +289,7 @@
             return
         if self._owned_under is not None:
             self.buckets.set_owned(set())
-        # Before the first lease, this instance was in no ranking and owned nothing but under it.
+        # Before the first lease, this instance handed out nothing.
         self._owned_under = opened_at
 
     def unreached(self) -> frozenset[InstanceId]:
