--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -58,8 +58,7 @@
     "stale_answer_error",
 ]
 
-# Delays between attempts, up to the time that a slow statement uses a slot: statements use
-# one for 8 to 40 ms on average.
+# Delays between attempts, up to the time that a slow statement uses a slot.
 FIRST_RETRY_DELAY_S = 0.003
 MAX_RETRY_DELAY_S = 0.04
 # Fraction of a statement's timeout that it may spend waiting for slots, connections and
--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -34,7 +34,7 @@
 INITIAL_CHECKOUT_TIME_S = 0.03
 # Weight of the newest checkout in their moving average, which follows about 20 of them.
 CHECKOUT_TIME_SMOOTHING = 0.05
-# Longer than the platform's 12 ms for opening a connection plus two round trips.
+# Many times what opening a connection and two round trips take on a healthy machine.
 CONNECT_TIMEOUT_S = 0.6
 # Fraction of the limit that may be idle. A database keeps the connections of machines that lost
 # their power for a while; the rest of its connections then serves the machines that return.
--- a/src/quetzalrudder/gateway/freshness.py
+++ b/src/quetzalrudder/gateway/freshness.py
@@ -11,7 +11,7 @@
 
 # A sample this close to the previous one adds little precision and is dropped.
 MIN_SAMPLE_SPACING_S = 0.02
-# Samples are kept for longer than the largest age that the users' routes accept, 2.5 s.
+# Samples are kept for longer than the largest age that a route accepts.
 RETENTION_S = 5.0
 # Allowance for the time from the choice of a position to the start of the read.
 AGE_MARGIN_S = 0.1
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -7,7 +7,7 @@
 
 __all__ = ["Metrics"]
 
-# Span the latency objectives of the users' routes, 200 to 600 ms, and their deadlines.
+# Span the latency objectives of routes, and their deadlines.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0)
 # Observations kept until the client library is loaded; later ones are not counted meanwhile.
 MAX_EARLY_OBSERVATIONS = 10_000
--- a/src/quetzalrudder/gateway/permission.py
+++ b/src/quetzalrudder/gateway/permission.py
@@ -20,8 +20,8 @@
 PERMISSION_S = 1.8
 # Longest permission that an instance grants to a peer.
 PEER_PERMISSION_S = 0.6
-# Time for which instances without the store may grant each other permission. Longer than
-# the users' outages of the store, which last up to 9 s.
+# Time for which instances without the store may grant each other permission: long enough to
+# bridge an outage of the store.
 OUTAGE_LIMIT_S = 20.0
 # Subtracted from the permission that a lease grants, because clocks may run at different
 # rates; the platform states no bound for the difference.
--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -53,9 +53,9 @@
 # Least unit of the costs; answers may take less than the clock can tell.
 MIN_UNIT_S = 0.001
 
-# Opening a connection occupies a slot for 12 ms, half the time of a usual read.
+# Opening a connection occupies a slot, for about half as long as a usual read.
 CONNECT_COST = 0.5
-# Another data centre is 0.5 to 1.4 ms away, a small fraction of a read of 24 ms.
+# The way to another data centre of a region takes a small fraction of a usual read.
 REMOTE_DATA_CENTRE_COST = 0.1
 # Upper bound of the random cost. If costs differ by less, it is better that instances choose
 # different databases.
--- a/src/quetzalrudder/gateway/positions.py
+++ b/src/quetzalrudder/gateway/positions.py
@@ -25,8 +25,8 @@
 
 __all__ = ["PositionCaller", "PositionExchange"]
 
-# A connection owner queries the primary again if its newest position is older than this: a
-# third of the smallest age that the users' routes accept, 1,500 ms.
+# A connection owner queries the primary again if its newest position is older than this, so
+# that borrowers can use it for reads that accept an age of several times as much.
 MAX_POSITION_AGE_S = 0.5
 # Minimum interval between queries to a primary that does not answer.
 MIN_QUERY_INTERVAL_S = 0.25
--- a/src/quetzalrudder/gateway/target_health.py
+++ b/src/quetzalrudder/gateway/target_health.py
@@ -11,8 +11,7 @@
 # A refusal counts as much as full use by this instance, and decays within a few reads.
 BUSY_COST = 1.0
 BUSY_DECAY_S = 0.2
-# How long reads avoid a replica that lagged: about twice the greatest lag of the users'
-# replicas on ordinary days, which is 48 ms; the usual lag is 8 ms.
+# How long reads avoid a replica that lagged: longer than a healthy replica is behind.
 LAGGING_HOLD_OFF_S = 0.1
 # A failing database is retried soon at first; the delay doubles up to 2 s.
 FIRST_HOLD_OFF_S = 0.2
