--- a/tests/test_gateway_rate_parts.py
+++ b/tests/test_gateway_rate_parts.py
@@ -119,6 +119,25 @@
     assert busiest_window(admitted) <= max_per_window(LIMIT)
 
 
+@pytest.mark.parametrize("names", [NAMES[:6], NAMES])
+@pytest.mark.parametrize("seed", range(3))
+def test_floods_stay_within_the_limit_through_restarts_of_all_instances(names, seed):
+    rng = random.Random(seed)
+    fleet = DividedFleet(names)
+    configure(fleet)
+    fleet.run(6)
+    admitted = []
+    for _ in range(4):
+        admitted += request(fleet, rng.uniform(1.0, 5.0), 150.0, fleet.instances, rng)[0]
+        for name in names:
+            fleet.start(name, rng.randrange(1000))
+        fleet.clock.advance(rng.uniform(0.25, 2.5))
+        fleet.store.expire()
+        configure(fleet)
+    admitted += request(fleet, 5.0, 150.0, fleet.instances, rng)[0]
+    assert busiest_window(admitted) <= max_per_window(LIMIT)
+
+
 def test_callers_of_one_data_centre_get_the_whole_rate():
     fleet = start(DividedFleet)
     instances = [i for i in fleet.instances if fleet.data_centre(i.name) == "dc-2"]
