Calls to peers: a method that nothing called any more goes, and a constant is stated once

Left behind when the streams got a class of their own. Behaviour as it was: 222 tests of connections, relays, the program and pages pass; the whole suite was not run again.

--- a/src/quetzalrudder/gateway/peer_calls.py
+++ b/src/quetzalrudder/gateway/peer_calls.py
@@ -311,31 +311,6 @@
                 opened.stream.discard(fut)
                 self._grpc.retire_if_silent(opened.address, opened.stream, patience_s)
 
-    def _finish(
-        self,
-        address: str,
-        stream: RequestStream[PeerCall, PeerAnswer],
-        fut: Future,
-        timeout_s: float,
-        patience_s: float = 0.0,
-    ) -> Result[Any, QuetzalrudderError]:
-        """Return the result of a call; without an answer by now, the call has timed out."""
-        try:
-            _, reply = betterproto2.which_one_of(fut.result(0), "reply")
-        except FutureTimeoutError:
-            stream.discard(fut)
-            self._grpc.retire_if_silent(address, stream, patience_s)
-            return Err(LinkLost(f"no answer from the peer within {timeout_s} s", place=address))
-        except QuetzalrudderError as exc:
-            self._retire(address, stream)
-            if not stream.connected:
-                return Err(TargetUnavailable(f"cannot connect to the peer: {exc}", place=address))
-            return Err(exc)
-        if reply is None:
-            return Err(LinkLost("the peer failed to answer the call", place=address))
-        self._active_at[address] = time.monotonic()
-        return Ok(reply)
-
 
 def _call_later(delay_s: float, func: Callable[[], None]) -> None:
     asyncio.get_running_loop().call_later(delay_s, func)
--- a/src/quetzalrudder/gateway/peer_frames.py
+++ b/src/quetzalrudder/gateway/peer_frames.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import logging
 import socket
 import struct
 import threading
@@ -22,9 +21,7 @@
 from quetzalrudder.streams import MatchedRequests
 from quetzalrudder.utils import Address
 
-__all__ = ["GREETING", "FrameConnection", "FrameRequests", "set_options"]
-
-log = logging.getLogger(__name__)
+__all__ = ["GREETING", "RECEIVE_BYTES", "FrameConnection", "FrameRequests", "set_options"]
 
 # First bytes of a connection in each direction, which no HTTP/2 connection begins with.
 GREETING = b"QZF1\n"
--- a/src/quetzalrudder/gateway/peer_listener.py
+++ b/src/quetzalrudder/gateway/peer_listener.py
@@ -16,7 +16,7 @@
 from quetzalrudder.bridge import Loop
 from quetzalrudder.codec import CheckedCodec, limit_message_size
 from quetzalrudder.exceptions import BindFailed
-from quetzalrudder.gateway.peer_frames import GREETING, FrameConnection, set_options
+from quetzalrudder.gateway.peer_frames import GREETING, RECEIVE_BYTES, FrameConnection, set_options
 from quetzalrudder.utils import Address
 
 __all__ = ["PeerListener"]
@@ -24,7 +24,6 @@
 log = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 512
-RECEIVE_BYTES = 65536
 # Connections accepted in one turn of the loop.
 MAX_ACCEPTED_AT_ONCE = 32
 # Time within which a peer has to send the first bytes on a connection.
