--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -40,6 +40,12 @@
             ["fault"],
             registry=self.registry,
         )
+        self.unanswered = Counter(
+            "quetzalrudder_unanswered_statements",
+            "Statements whose connection ended before their answer was sent, by the failure.",
+            ["failure"],
+            registry=self.registry,
+        )
         self.share_changes = Counter(
             "quetzalrudder_read_share_changes",
             "Databases whose share of this instance's reads was reduced or restored.",
@@ -125,6 +131,10 @@
         """Count an attempt that a database refused or failed."""
         self._observe(lambda found: found.faults.labels(fault).inc())
 
+    def count_unanswered(self, failure: str) -> None:
+        """Count a statement that was read and not answered, by the class of the failure."""
+        self._observe(lambda found: found.unanswered.labels(failure).inc())
+
     def count_share_change(self, change: str) -> None:
         """Count a database whose share of reads was reduced or restored."""
         self._observe(lambda found: found.share_changes.labels(change).inc())
