An unexpected error of a statement is answered, and costs no connection

What callers saw: the connection ended in the middle, with no answer to a statement that had been read.

Cause: only the listener caught unexpected exceptions, outside of the loop over statements, so that it could do nothing but close the connection. An OSError raised by a statement was even logged as a caller that had left. The same class at other places: the first statement of a transaction kept its connection checked out for good, a connection that failed to open in an unexpected way kept its place in the pool for good, and a peer's statement that failed kept the lent connection for up to 20 s.

Change: the session turns an unexpected error into the true ending of its statement: a refusal if no database has got it, ABORTED inside a transaction, whose connection is closed rather than used again, as an answer may be outstanding on it, and an unknown outcome for a write or a commit that was sent. Places and connections are owned by exit stacks. How far a statement has got is kept by RunningStatement, as the ending has to be true.

--- a/src/quetzalrudder/exceptions.py
+++ b/src/quetzalrudder/exceptions.py
@@ -35,6 +35,7 @@
     "RateOwnerUnknown",
     "RequestCancelled",
     "RequestChanged",
+    "RequestNotOffered",
     "RouteNotFound",
     "SettingsTooOld",
     "StaleTerm",
@@ -106,6 +107,12 @@
     default_ending = Ending.UNKNOWN
 
 
+class RequestNotOffered(InternalError):
+    """A defect of quetzalrudder itself, before any database got the request."""
+
+    default_ending = Ending.NOT_RUN
+
+
 class MalformedMessage(QuetzalrudderError):
     """A message could not be decoded, or a field is missing."""
 
--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -10,6 +10,7 @@
     ConnectionLimitReached,
     ConnectionOwnerLost,
     DeadlineExceeded,
+    Draining,
     LinkLost,
     NoPrimary,
     NoReplica,
@@ -40,7 +41,14 @@
 from quetzalrudder.gateway.permission import Permission
 from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement, ReadNeeds
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
-from quetzalrudder.gateway.statements import Commit, Statement, TargetFault, TargetReply
+from quetzalrudder.gateway.running_statement import StatementProgress
+from quetzalrudder.gateway.statements import (
+    NOT_RUN_FAULTS,
+    Commit,
+    Statement,
+    TargetFault,
+    TargetReply,
+)
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry
 from quetzalrudder.models import GroupId, RequestId, TargetId, WorkspaceId
@@ -55,6 +63,7 @@
     "fault_error",
     "lost_answer_error",
     "retry_delay_s",
+    "run_offered",
     "stale_answer_error",
 ]
 
@@ -86,6 +95,7 @@
     objective_at: float
     # Log position of the session's latest commit.
     own_commits: LogPosition | None
+    progress: StatementProgress = field(default_factory=StatementProgress)
     attempts: int = 0
     excluded: set[TargetId] = field(default_factory=set)
 
@@ -372,6 +382,25 @@
             self._primaries.end_use(attempt.primary.group)
 
 
+def run_offered(
+    req: Request,
+    attempt: Attempt,
+    statement: Statement,
+    timeout_s: float,
+    at_least: LogPosition | None = None,
+) -> Result[TargetReply, QuetzalrudderError]:
+    """Run a caller's statement on the attempt's connection, unless it has been given up."""
+    if not req.progress.offer():
+        return Err(Draining("the statement has been given up, as the instance stops"))
+    result = attempt.checkout.link.run(req.request_id, statement, timeout_s, at_least)
+    match result:
+        case Ok(reply) if reply.fault in NOT_RUN_FAULTS:
+            req.progress.withdraw()
+        case Err(exc) if exc.ending is Ending.NOT_RUN:
+            req.progress.withdraw()
+    return result
+
+
 def stale_answer_error(place: str) -> NoPrimary:
     """Return the error for an answer that came when the primary may have been replaced."""
     reason = "the primary may have been replaced before it answered"
--- a/src/quetzalrudder/gateway/connections.py
+++ b/src/quetzalrudder/gateway/connections.py
@@ -8,6 +8,7 @@
 
 import threading
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -219,21 +220,28 @@
         self, workspace: WorkspaceId, deadline_at: float
     ) -> Result[Checkout, QuetzalrudderError]:
         remaining_s = max(0.01, deadline_at - self._clock.monotonic())
-        opened = self._connector.connect(
-            self.target, workspace, min(CONNECT_TIMEOUT_S, remaining_s)
-        )
-        if isinstance(opened, Ok):
-            self._limit_backoff.record_opened()
-            pooled = PooledLink(opened.ok_value, workspace)
-            return Ok(PooledCheckout(self, pooled, self._clock.monotonic()))
+        with ExitStack() as stack:
+            stack.callback(self._release_place)
+            opened = self._connector.connect(
+                self.target, workspace, min(CONNECT_TIMEOUT_S, remaining_s)
+            )
+            if isinstance(opened, Ok):
+                stack.pop_all()
+                self._limit_backoff.record_opened()
+                pooled = PooledLink(opened.ok_value, workspace)
+                return Ok(PooledCheckout(self, pooled, self._clock.monotonic()))
+            if isinstance(opened.err_value, ConnectionLimitReached):
+                with self._lock:
+                    self._limit_backoff.record_refused()
+        return opened
+
+    def _release_place(self) -> None:
+        """Let another waiter open the connection that could not be opened."""
         with self._lock:
             self._open_count -= 1
             self._checked_out_count -= 1
-            if isinstance(opened.err_value, ConnectionLimitReached):
-                self._limit_backoff.record_refused()
             closing = self._dispatch()
         close_links(closing)
-        return opened
 
     def check_in(self, checkout: PooledCheckout, *, reusable: bool) -> None:
         """Take a connection back from a session."""
--- a/src/quetzalrudder/gateway/lending.py
+++ b/src/quetzalrudder/gateway/lending.py
@@ -9,6 +9,7 @@
 import random
 import threading
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 from result import Err, Result
@@ -116,10 +117,13 @@
                 return RunReply(
                     failure=to_failure(TargetUnavailable("the connection is not lent any more"))
                 )
-        with lent.lock:
+        with lent.lock, ExitStack() as stack:
+            # After an unexpected error, an answer may be outstanding on the connection.
+            stack.callback(self._take_back, checkout_id, reusable=False)
             lent.statement_count += 1
             lent.last_used_at = self._clock.monotonic()
             result = self._run_on(lent.checkout, req, deadline_at)
+            stack.pop_all()
             if lent.statement_count == 1:
                 lent.values_before = dict(lent.checkout.pooled.values)
             lent.last_used_at = self._clock.monotonic()
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -10,6 +10,7 @@
 from quetzalrudder.exceptions import (
     ConnectionLimitReached,
     ConnectionOwnerLost,
+    Draining,
     MalformedMessage,
     OutcomeUnknown,
     Overloaded,
@@ -23,6 +24,7 @@
     fault_error,
     lost_answer_error,
     retry_delay_s,
+    run_offered,
     stale_answer_error,
 )
 from quetzalrudder.gateway.borrowing import BorrowedCheckout
@@ -291,9 +293,7 @@
             return setup
         statement = self.context.with_shared_name(req.statement)
         sent_at = self.services.clock.monotonic()
-        result = attempt.checkout.link.run(
-            req.request_id, statement, attempt.timeout_s(sent_at), attempt.at_least
-        )
+        result = run_offered(req, attempt, statement, attempt.timeout_s(sent_at), attempt.at_least)
         if isinstance(result, Ok) or result.err_value.ending is not Ending.NOT_RUN:
             self.confirm_charge()
         if isinstance(result, Err):
@@ -348,7 +348,7 @@
         self.trace.faults.append(f"{attempt.checkout.target.target}: {label}")
         self.services.metrics.count_fault(label)
         if (
-            isinstance(exc, ConnectionOwnerLost | Overloaded | ConnectionLimitReached)
+            isinstance(exc, ConnectionOwnerLost | Overloaded | ConnectionLimitReached | Draining)
             and fault is None
         ):
             self.services.planner.record_not_offered(attempt, exc)
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -1,14 +1,17 @@
 """A caller's session: dispatch of its statements, state of its transaction, and answers."""
 
 import logging
+import threading
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from quetzalrudder import processor_time
 from quetzalrudder.exceptions import (
+    Draining,
     MalformedMessage,
     QuetzalrudderError,
+    RequestNotOffered,
     RouteNotFound,
     StatementNotPrepared,
     TransactionAborted,
@@ -22,6 +25,7 @@
     StatementRunner,
     StatementTrace,
 )
+from quetzalrudder.gateway.running_statement import RunningStatement
 from quetzalrudder.gateway.statements import (
     Begin,
     Commit,
@@ -45,6 +49,8 @@
 
 # Signature of answers that the gateway gives without a database.
 LOCAL_SIGNATURE = "-"
+# Retry delay of callers whose instance stops: another instance can serve them at once.
+DRAINING_RETRY_MS = 1
 
 
 @dataclass(frozen=True)
@@ -79,6 +85,10 @@
         self._runner = StatementRunner(services)
         self._tx: OpenTransaction | None = None
         self._failed = False
+        self._lock = threading.Lock()
+        self._running: RunningStatement | None = None
+        # True once the stop of the instance has ended the session.
+        self._ended = False
 
     @property
     def state(self) -> SessionState:
@@ -101,20 +111,91 @@
             return Err(Unauthenticated("the key is unknown", place=self._database))
         return Ok((route, workspace))
 
-    def execute(self, request_id: RequestId, statement: Statement) -> Answer:
-        """Run one statement and return its answer."""
+    def execute(self, request_id: RequestId, statement: Statement) -> Answer | None:
+        """Run one statement and return its answer; None if it was given up and answered."""
         started = self._services.clock.monotonic()
         self._runner.trace = StatementTrace()
         catalog = self._services.catalogs.current
+        running = RunningStatement(
+            request_id, statement, self._tx is not None, self._is_write(statement)
+        )
+        if not self._begin_statement(running):
+            return _given_up_answer(running)
         with processor_time.section("statement"):
-            result, route = self._execute(request_id, statement, catalog, started)
-            answer = self._to_answer(statement, result)
+            answer, route = self._answer(running, catalog, started)
+        if not running.progress.finish():
+            return None
         with processor_time.section("log and metrics of a statement"):
             self._record_statement(request_id, statement, route, answer, catalog, started)
+        with self._lock:
+            self._running = None
+        return answer
+
+    def _begin_statement(self, running: RunningStatement) -> bool:
+        """Record a statement as running; return False if the session has ended."""
+        with self._lock:
+            if not self._ended:
+                self._running = running
+            return not self._ended
+
+    def _is_write(self, statement: Statement) -> bool:
+        match statement:
+            case Commit():
+                return self._tx is not None and self._tx.wrote
+            case Execute(name) if not self._runner.context.is_prepared(name):
+                return False
+            case _:
+                return self._runner.context.is_write(statement)
+
+    def _answer(
+        self, running: RunningStatement, catalog: Catalog, started: float
+    ) -> tuple[Answer, Route | None]:
+        """Run a statement; a defect is answered like any other failure."""
+        try:
+            result, route = self._execute(running, catalog, started)
+            return self._to_answer(running.statement, result), route
+        except Exception:
+            log.exception(
+                "statement failed with an unexpected error",
+                extra={"request_id": running.request_id, "database": self._database},
+            )
+        if self._tx is not None:
+            self._tx.discard()
+        # Not refunded, as that may be what failed.
+        self._runner.confirm_charge()
+        defect = RequestNotOffered("the statement failed with an unexpected error")
+        exc = running.interruption_error(defect)
+        return self._to_answer(running.statement, Err(exc)), None
+
+    def give_up(self) -> Answer | None:
+        """End the session; called by another thread at the end of a planned stop.
+
+        Returns
+        -------
+        Answer or None
+            The answer to the statement that is running, which must be sent: the thread that runs
+            it returns none. None if no statement is running, or if that thread answers it.
+        """
+        with self._lock:
+            self._ended = True
+            running = self._running
+        if running is None or not running.progress.give_up():
+            return None
+        answer = _given_up_answer(running)
+        log.warning(
+            "statement given up",
+            extra={
+                "request_id": running.request_id,
+                "database": self._database,
+                "statement": type(running.statement).__name__,
+                "offered": running.progress.offered,
+                "ending": answer.error.log_name,
+            },
+        )
         return answer
 
     def _execute(
-        self, request_id: RequestId, statement: Statement, catalog: Catalog, started: float
+        self, running: RunningStatement, catalog: Catalog, started: float
     ) -> tuple[Result[TargetReply | None, QuetzalrudderError], Route | None]:
         access = self._authorize(catalog)
         if isinstance(access, Err):
@@ -128,14 +209,15 @@
         if self._tx is not None:
             route, workspace = self._tx.route, self._tx.workspace
         req = Request(
-            request_id=request_id,
-            statement=statement,
+            request_id=running.request_id,
+            statement=running.statement,
             route=route,
             workspace=workspace,
             deadline_at=started + route.timeout_ms / MS_PER_S,
             queue_until=started + route.timeout_ms / MS_PER_S * QUEUE_FRACTION,
             objective_at=started + route.objective_ms / MS_PER_S,
             own_commits=self._runner.own_commits,
+            progress=running.progress,
         )
         return self._dispatch(req, catalog), route
 
@@ -281,3 +363,9 @@
                 "took_ms": round(took_s * MS_PER_S, 1),
             },
         )
+
+
+def _given_up_answer(running: RunningStatement) -> Answer:
+    draining = Draining("the instance stops", retry_after_ms=DRAINING_RETRY_MS)
+    exc = running.interruption_error(draining)
+    return Answer(running.state_after_failure, error=exc, close=True)
--- a/src/quetzalrudder/gateway/statements.py
+++ b/src/quetzalrudder/gateway/statements.py
@@ -16,6 +16,7 @@
     "Deallocate",
     "Execute",
     "Malformed",
+    "NOT_RUN_FAULTS",
     "Prepare",
     "Read",
     "Rollback",
@@ -118,7 +119,7 @@
 class TargetFault(Enum):
     """Reason why a database did not complete a statement."""
 
-    # Faults after which the statement certainly did not run.
+    # Faults after which the statement certainly did not run, see NOT_RUN_FAULTS.
     BUSY = "busy"
     NOT_PREPARED = "not prepared"
     LAGGING = "lagging"
@@ -132,6 +133,19 @@
     OTHER = "other"
 
 
+# After these faults the statement certainly did not run.
+NOT_RUN_FAULTS = frozenset(
+    {
+        TargetFault.BUSY,
+        TargetFault.NOT_PREPARED,
+        TargetFault.LAGGING,
+        TargetFault.READ_ONLY,
+        TargetFault.MOVED,
+        TargetFault.CONNECTION_LIMIT,
+    }
+)
+
+
 @dataclass(frozen=True)
 class TargetReply:
     """A complete reply of a database."""
--- a/src/quetzalrudder/gateway/transactions.py
+++ b/src/quetzalrudder/gateway/transactions.py
@@ -1,5 +1,7 @@
 """An open transaction: it begins with its first statement and keeps one connection."""
 
+from contextlib import ExitStack
+
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import OutcomeUnknown, QuetzalrudderError, TransactionAborted
@@ -9,6 +11,7 @@
     fault_error,
     lost_answer_error,
     retry_delay_s,
+    run_offered,
     stale_answer_error,
 )
 from quetzalrudder.gateway.catalog import Route
@@ -85,11 +88,13 @@
             if isinstance(planned, Err):
                 return planned
             attempt = planned.ok_value
-            result = self._begin_at(req, attempt)
-            if isinstance(result, Ok):
-                self.attempt = attempt
-                return result
-            attempt.checkout.release()
+            with ExitStack() as stack:
+                stack.callback(attempt.checkout.release)
+                result = self._begin_at(req, attempt)
+                if isinstance(result, Ok):
+                    stack.pop_all()
+                    self.attempt = attempt
+                    return result
             last_error = result.err_value
 
     def _begin_at(self, req: Request, attempt: Attempt) -> Result[None, QuetzalrudderError]:
@@ -129,7 +134,7 @@
             remaining_s = req.deadline_at - clock.monotonic()
             if remaining_s <= 0:
                 return Err(TransactionAborted("the statement's timeout expired"))
-            result = attempt.checkout.link.run(req.request_id, statement, remaining_s)
+            result = run_offered(req, attempt, statement, remaining_s)
             if isinstance(result, Err):
                 self._runner.record_fault(attempt, result.err_value)
                 return Err(TransactionAborted(str(result.err_value)))
@@ -180,7 +185,7 @@
                         "the commit did not run before the statement's timeout expired"
                     )
                 )
-            result = attempt.checkout.link.run(req.request_id, Commit(), remaining_s)
+            result = run_offered(req, attempt, Commit(), remaining_s)
             if isinstance(result, Err):
                 self._runner.record_fault(attempt, result.err_value)
                 error = lost_answer_error(result.err_value, writes=self.wrote)
@@ -215,7 +220,21 @@
             if committed or self._roll_back(attempt.checkout, request_id):
                 attempt.checkout.mark_reusable()
         finally:
+            self._release(attempt)
+
+    def discard(self) -> None:
+        """Close the connection without a rollback; the database rolls back by itself.
+
+        For a connection on which an answer may be outstanding.
+        """
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            self._release(attempt)
+
+    def _release(self, attempt: Attempt) -> None:
+        try:
             self._services.planner.end_use(attempt)
+        finally:
             attempt.checkout.release()
 
     def _roll_back(self, checkout: Checkout, request_id: RequestId) -> bool:
