Statements are answered before a planned stop ends the process

What callers saw: around a planned stop the connection ended with no answer. Reproduced with the real program: a statement that waits for a connection, on a route whose timeout is longer than the grace period, is cut off by the exit (it had waited for 2 s and never run); so are a write and a transaction whose database does not answer. A caller that connects in the last moment of the drain was accepted, and a statement read while the instance leaves the fleet was cut. A connection lent to a peer counted as returned before the answer was on the socket.

Cause: the end of the drain was decided by the clock alone, and nothing between the listener and the queues knew of it. The number of open sessions said nothing of those that were still accepted, nor of answers to peers.

The drain waits until the answers to peers are sent.

--- a/src/quetzalrudder/gateway/peer_frames.py
+++ b/src/quetzalrudder/gateway/peer_frames.py
@@ -83,6 +83,11 @@
         """Whether the connection has ended."""
         return self._ended
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the socket has not taken yet."""
+        return self._unsent_bytes
+
     def start(self, received: bytes = b"") -> None:
         """Send the greeting and begin to read; called on the loop.
 
--- a/src/quetzalrudder/gateway/peer_listener.py
+++ b/src/quetzalrudder/gateway/peer_listener.py
@@ -80,6 +80,11 @@
         self._transports: set[asyncio.BaseTransport] = set()
         self._frames: set[FrameConnection] = set()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of length-prefixed messages that the sockets have not taken yet."""
+        return sum(conn.unsent_bytes for conn in list(self._frames) if not conn.ended)
+
     def __enter__(self) -> "PeerListener":
         self._loop.run(self._start(), timeout_s=START_TIMEOUT_S)
         return self
--- a/src/quetzalrudder/gateway/peer_service.py
+++ b/src/quetzalrudder/gateway/peer_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+import threading
 from collections.abc import AsyncIterator, Callable
 from concurrent.futures import Executor
 from contextlib import ExitStack, suppress
@@ -34,7 +35,7 @@
 from quetzalrudder.schema.gateway_service import GatewayPeersBase, PeerAnswer, PeerCall
 from quetzalrudder.utils import MS_PER_S, Address
 
-__all__ = ["PeerRequestHandler", "serve_peers"]
+__all__ = ["PeerRequestHandler", "PeerServer", "serve_peers"]
 
 log = logging.getLogger(__name__)
 
@@ -83,6 +84,13 @@
     def __init__(self, handler: PeerRequestHandler, executor: Executor) -> None:
         self._handler = handler
         self._executor = executor
+        self._lock = threading.Lock()
+        self._running_statements = 0
+
+    @property
+    def running_statements(self) -> int:
+        """Statements of peers whose answer has not been handed to the connection yet."""
+        return self._running_statements
 
     def dispatch(self, call: PeerCall, deliver: Callable[[PeerAnswer], None]) -> None:
         """Answer a call; called on the loop.
@@ -99,9 +107,20 @@
             deliver(self._answer(call))
         elif call.changes is not None:
             self._answer_changes(call.sequence, call.changes, deliver)
+        elif call.run is not None:
+            with self._lock:
+                self._running_statements += 1
+            self._executor.submit(lambda: self._run_statement(call, deliver))
         else:
             self._executor.submit(lambda: deliver(self._answer(call)))
 
+    def _run_statement(self, call: PeerCall, deliver: Callable[[PeerAnswer], None]) -> None:
+        try:
+            deliver(self._answer(call))
+        finally:
+            with self._lock:
+                self._running_statements -= 1
+
     def _answer_changes(
         self, sequence: int, req: ChangesRequest, deliver: Callable[[PeerAnswer], None]
     ) -> None:
@@ -195,13 +214,34 @@
     return conn
 
 
+class PeerServer:
+    """The answers to peers that a planned stop waits for.
+
+    Parameters
+    ----------
+    dispatcher : _Dispatcher
+        Answers the calls.
+    listener : PeerListener
+        Owns the connections.
+    """
+
+    def __init__(self, dispatcher: _Dispatcher, listener: PeerListener) -> None:
+        self._dispatcher = dispatcher
+        self._listener = listener
+
+    @property
+    def is_answering(self) -> bool:
+        """True while a peer's statement runs, or bytes of an answer are not sent yet."""
+        return self._dispatcher.running_statements > 0 or self._listener.unsent_bytes > 0
+
+
 def serve_peers(
     loop: Loop,
     address: Address,
     handler: PeerRequestHandler,
     executor: Executor,
     stack: ExitStack,
-) -> None:
+) -> PeerServer:
     """Serve peers until the stack is closed.
 
     Raises
@@ -210,11 +250,10 @@
         The process cannot listen on the address.
     """
     dispatcher = _Dispatcher(handler, executor)
-    stack.enter_context(
-        PeerListener(
-            loop,
-            address,
-            _PeerService(dispatcher),
-            lambda sock: _accept_frames(loop, dispatcher, sock),
-        )
+    listener = PeerListener(
+        loop,
+        address,
+        _PeerService(dispatcher),
+        lambda sock: _accept_frames(loop, dispatcher, sock),
     )
+    return PeerServer(dispatcher, stack.enter_context(listener))
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -128,9 +128,10 @@
 class DatabaseServer:
     """Serves the session protocol of one fake database."""
 
-    def __init__(self, database, lock):
+    def __init__(self, database, lock, may_run):
         self.database = database
         self.lock = lock
+        self.may_run = may_run
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -173,6 +174,8 @@
         if text.startswith("WAITLSN "):
             _, position, text = text.split(" ", 2)
             at_least = decode_position(position)
+        if text.startswith(("FETCH", "PUT", "EXEC", "COMMIT")):
+            self.may_run.wait()
         with self.lock:
             if not self.database.up:
                 return None
@@ -200,10 +203,14 @@
     def __init__(self, config):
         clock = SystemClock()
         self.lock = threading.RLock()
+        # Statements wait at the databases while it is not set.
+        self.may_run = threading.Event()
+        self.may_run.set()
         self.group = FakeGroup(clock, group="core")
         self.store = MemoryStore(clock)
         self.databases = [
-            DatabaseServer(database, self.lock) for database in self.group.databases.values()
+            DatabaseServer(database, self.lock, self.may_run)
+            for database in self.group.databases.values()
         ]
         for server in self.databases:
             info = server.database.info
--- a/tests/test_gateway_peer_calls.py
+++ b/tests/test_gateway_peer_calls.py
@@ -160,6 +160,24 @@
     assert replies == {number: f"edge-{number}" for number in range(90)}
 
 
+def test_a_planned_stop_waits_for_the_answer_to_a_statement_of_a_peer():
+    """The connection counts as returned before its answer is on the socket."""
+    peer = Peer()
+    with ExitStack() as stack:
+        executor = stack.enter_context(ThreadPoolExecutor(4))
+        loop = stack.enter_context(Loop())
+        stack.callback(peer.release_slow_calls.set)
+        address = free_addresses(1)[0]
+        server = serve_peers(loop, parse_address(address), peer, executor, stack)
+        assert not server.is_answering
+        caller = NetworkPeerCaller(loop)
+        fut = executor.submit(caller.run, address, read_request("a", "slow"), TIMEOUT_S)
+        wait_for(lambda: server.is_answering, "the statement to run")
+        peer.release_slow_calls.set()
+        assert fut.result(TIMEOUT_S).is_ok()
+        wait_for(lambda: not server.is_answering, "the answer to be sent")
+
+
 def test_one_of_many_calls_that_fails_or_times_out_does_not_affect_the_others(calls):
     caller, address, peer, _ = calls
     answer = peer.answer_report
--- a/tests/test_unanswered_statements.py
+++ b/tests/test_unanswered_statements.py
@@ -1,9 +1,27 @@
 """A statement that has been read is answered, whatever fails and when the process stops."""
 
+import json
+import signal
+import time
+
 import pytest
 
+from quetzalrudder.exceptions import Draining
+from quetzalrudder.gateway.running_statement import RunningStatement
 from quetzalrudder.gateway.statements import Begin, Commit, Read, SessionState, Write
 from tests.gateway_fleet import GatewayFleet
+from tests.gateway_standins import PlatformStandIn
+from tests.test_edge_program import (
+    CONFIGURATION,
+    DONE,
+    Caller,
+    EdgeProcess,
+    deployment_build,  # noqa: F401
+)
+
+# Longer than the grace period of the processes, as a route of long reads has it.
+LONG_TIMEOUT_MS = 10_000
+GRACE_S = 3.0
 
 
 @pytest.fixture
@@ -116,3 +134,159 @@
         assert session.execute(f"r{number}", Write("a", "1")).error is not None
     monkeypatch.setattr(fleet.group, "connect", connect)
     assert session.execute("last", Write("a", "1")).error is None
+
+
+def begin(statement, *, in_transaction=False, writes=True):
+    return RunningStatement("r1", statement, in_transaction, writes)
+
+
+NOT_OFFERED = Draining("the instance stops")
+
+
+@pytest.mark.parametrize(
+    ("running", "if_waiting", "if_offered"),
+    [
+        (begin(Read("a"), writes=False), "Draining", "LinkLost"),
+        (begin(Write("a", "1")), "Draining", "OutcomeUnknown"),
+        (begin(Write("a", "1"), in_transaction=True), "TransactionAborted", "TransactionAborted"),
+        (begin(Commit(), in_transaction=True), "TransactionAborted", "OutcomeUnknown"),
+        (begin(Commit(), in_transaction=True, writes=False), *["TransactionAborted"] * 2),
+    ],
+)
+def test_a_statement_that_is_given_up_is_refused_only_if_nothing_of_it_is_kept(
+    running, if_waiting, if_offered
+):
+    assert running.interruption_error(NOT_OFFERED).log_name == if_waiting
+    assert running.progress.offer()
+    assert running.interruption_error(NOT_OFFERED).log_name == if_offered
+
+
+def test_a_statement_that_was_given_up_is_not_sent():
+    running = begin(Write("a", "1"))
+    assert running.progress.give_up()
+    assert not running.progress.offer()
+    assert not running.progress.finish()
+    assert running.interruption_error(NOT_OFFERED) is NOT_OFFERED
+
+
+def test_a_statement_that_was_given_up_while_it_ran_stays_in_doubt():
+    """Its refusal by the database comes after the caller's answer."""
+    running = begin(Write("a", "1"))
+    assert running.progress.offer()
+    assert running.progress.give_up()
+    running.progress.withdraw()
+    assert running.interruption_error(NOT_OFFERED).log_name == "OutcomeUnknown"
+
+
+def test_a_statement_that_has_ended_is_answered_once():
+    running = begin(Write("a", "1"))
+    assert running.progress.finish()
+    assert not running.progress.give_up()
+
+
+def test_a_session_that_was_given_up_runs_nothing_more(fleet):
+    session = fleet[0].session()
+    assert session.give_up() is None
+    executed = len(fleet.group.executed)
+    answer = session.execute("r1", Write("a", "1"))
+    assert type(answer.error).__name__ == "Draining"
+    assert answer.close
+    assert len(fleet.group.executed) == executed
+
+
+@pytest.fixture
+def platform():
+    routes = [{**route, "timeoutMs": LONG_TIMEOUT_MS} for route in CONFIGURATION["routes"]]
+    services = [{"name": "core", "maxConns": 1}]
+    standin = PlatformStandIn({**CONFIGURATION, "routes": routes, "services": services})
+    yield standin
+    standin.close()
+
+
+@pytest.fixture
+def edge(deployment_build, platform, tmp_path):  # noqa: F811
+    edge_process = EdgeProcess(platform, tmp_path)
+    edge_process.wait_ready()
+    yield edge_process
+    if edge_process.process.poll() is None:
+        edge_process.process.kill()
+        edge_process.process.wait()
+
+
+def send_query(caller, text):
+    caller.sock.sendall(f"QUERY last {text}\r\n".encode())
+
+
+def last_line_of_log(edge):
+    lines = [json.loads(line) for line in edge.log().splitlines()]
+    return next(line for line in lines if line["message"] == "stopped")
+
+
+def stop_and_read(edge, caller):
+    """Stop the process; return the answer to the caller's outstanding statement."""
+    edge.process.send_signal(signal.SIGTERM)
+    answer = caller.stream.read().splitlines()
+    assert edge.process.wait(20) == 0
+    return answer
+
+
+def test_a_write_that_still_waits_at_the_end_of_a_planned_stop_is_refused(edge, platform):
+    offers, waiting = Caller(edge.frontend, "offers"), Caller(edge.frontend, "offers")
+    assert offers.query_until("PUT a 1", DONE) == DONE
+    platform.may_run.clear()
+    # Holds the only connection.
+    send_query(offers, "PUT a 2")
+    time.sleep(0.2)
+    send_query(waiting, "PUT a 3")
+    time.sleep(0.2)
+    answer = stop_and_read(edge, waiting)
+    assert answer[0].startswith("ERR BUSY ")
+    assert answer[1] == "READY I -"
+    platform.may_run.set()
+    time.sleep(0.1)
+    written = [entry[2] for entry in platform.group.executed if isinstance(entry[2], Write)]
+    assert Write("a", "3") not in written
+    assert last_line_of_log(edge)["unanswered_count"] == 0
+
+
+def test_a_write_that_a_database_holds_at_the_end_of_a_planned_stop_is_in_doubt(edge, platform):
+    offers = Caller(edge.frontend, "offers")
+    assert offers.query_until("PUT a 1", DONE) == DONE
+    platform.may_run.clear()
+    send_query(offers, "PUT a 2")
+    time.sleep(0.2)
+    answer = stop_and_read(edge, offers)
+    platform.may_run.set()
+    assert answer[0].startswith("ERR INDOUBT ")
+    assert last_line_of_log(edge)["unanswered_count"] == 0
+
+
+def test_a_transaction_whose_statement_runs_at_the_end_of_a_planned_stop_is_aborted(edge, platform):
+    offers = Caller(edge.frontend, "offers")
+    offers.run_transaction("PUT a 1")
+    assert offers.query("BEGIN")[0] == "DONE -"
+    assert offers.query("PUT a 2")[0].startswith("DONE ")
+    platform.may_run.clear()
+    send_query(offers, "PUT b 2")
+    time.sleep(0.2)
+    answer = stop_and_read(edge, offers)
+    platform.may_run.set()
+    assert answer[0].startswith("ERR ABORTED ")
+    assert answer[1] == "READY E -"
+
+
+def test_a_caller_that_connects_after_the_idle_sessions_were_ended_is_refused(edge, platform):
+    """Its statement could be cut off by the exit."""
+    offers = Caller(edge.frontend, "offers")
+    assert offers.query_until("PUT a 1", DONE) == DONE
+    platform.may_run.clear()
+    send_query(offers, "PUT a 2")
+    edge.process.send_signal(signal.SIGTERM)
+    # Idle sessions are ended after half of the grace period at most.
+    time.sleep(GRACE_S / 2 + 0.3)
+    late = Caller(edge.frontend, "offers")
+    platform.may_run.set()
+    assert late.greeting.startswith("ERR BUSY ")
+    assert late.stream.read() == ""
+    assert offers.stream.readline().strip() == DONE[0]
+    assert edge.process.wait(20) == 0
