A time-out of a call to a peer no longer fails while other calls begin or end

What callers saw: a read whose owner did not answer in time ended with FAILED instead of being tried again, and on the landed code with a closed connection: the thread that gave its call up iterated the table of open calls while other threads changed it (RuntimeError, dictionary changed size during iteration). Found by review, as the same cause as other statements that were left unanswered. The table is copied in one step, as is that of cold databases, which peers change.

--- a/src/quetzalrudder/gateway/warming.py
+++ b/src/quetzalrudder/gateway/warming.py
@@ -132,7 +132,7 @@
     def remaining_s(self) -> dict[TargetId, float]:
         """Return for how many seconds each cold database stays cold, for peers."""
         now = self._clock.monotonic()
-        return {name: at - now for name, at in self._cold_until.items() if at > now}
+        return {name: at - now for name, at in self._cold_until.copy().items() if at > now}
 
     def observe_peer(self, target: TargetId, left_s: float) -> None:
         """Apply what a peer knows of a cold database; it never ends that state."""
--- a/src/quetzalrudder/streams.py
+++ b/src/quetzalrudder/streams.py
@@ -208,7 +208,9 @@
 
     def discard(self, fut: "Future[M]") -> None:
         """Stop waiting for the answer to a request; if it arrives, it is dropped."""
-        sequences = [sequence for sequence, pending in self._pending.items() if pending is fut]
+        # Other threads start requests meanwhile; copying a dictionary is one step for them.
+        pending_requests = self._pending.copy().items()
+        sequences = [sequence for sequence, pending in pending_requests if pending is fut]
         for sequence in sequences:
             self._pending.pop(sequence, None)
 
