A workspace whose name cannot be sent costs no primary

The typed failure of a greeting that the session protocol cannot carry was that of a database that cannot be reached, so that a workspace with such a name could have a healthy primary suspected and replaced, and one that comes first in the configuration kept all others from it. Now it is MalformedMessage, which says nothing about the database, and health checks open connections for a workspace whose name every protocol carries.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -12,6 +12,7 @@
     DeadlineExceeded,
     Draining,
     LinkLost,
+    MalformedMessage,
     NoPrimary,
     NoReplica,
     OutcomeUnknown,
@@ -301,7 +302,12 @@
         self, target: Target, primary: UsablePrimary | None, exc: QuetzalrudderError
     ) -> None:
         if isinstance(
-            exc, Overloaded | ConnectionLimitReached | TargetEvacuated | ConnectionOwnerLost
+            exc,
+            Overloaded
+            | ConnectionLimitReached
+            | TargetEvacuated
+            | ConnectionOwnerLost
+            | MalformedMessage,
         ):
             return
         self._placement.record_failure(target.target)
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -621,7 +621,8 @@
             health_check.probe_now()
 
     def _any_workspace(self) -> WorkspaceId | None:
-        return next(iter(self.catalogs.current.workspaces), None)
+        # A name that the protocol of every database can carry.
+        return next((name for name in self.catalogs.current.workspaces if name.isascii()), None)
 
     # Records under the gateway's own keys.
 
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -1,11 +1,12 @@
 import pytest
 from result import Err
 
-from quetzalrudder.exceptions import PlatformUnavailable, PrimaryChanging
+from quetzalrudder.exceptions import MalformedMessage, PlatformUnavailable, PrimaryChanging
+from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.failover import ROSTER_RETENTION_S
 from quetzalrudder.gateway.permission import PERMISSION_S
 from quetzalrudder.gateway.statements import Read, SessionState, Write
-from tests.gateway_fleet import GatewayFleet
+from tests.gateway_fleet import FleetInstance, GatewayFleet, catalog
 
 
 @pytest.fixture
@@ -331,3 +332,34 @@
         if len(delays) == 12:
             break
     assert delays == [True] * 12
+
+
+@pytest.mark.parametrize("names", [("Київ", "almaty"), ("almaty", "Київ")])
+def test_a_workspace_whose_name_cannot_be_sent_costs_no_primary(monkeypatch, names):
+    connect = FleetInstance.connect
+
+    def connect_if_encodable(self, target, workspace, timeout_s):
+        if not workspace.isascii():
+            return Err(MalformedMessage("the greeting cannot be sent", place=target.target))
+        return connect(self, target, workspace, timeout_s)
+
+    monkeypatch.setattr(FleetInstance, "connect", connect_if_encodable)
+    fleet = GatewayFleet()
+    fleet.run(3.0, fleet.all_know_primary)
+    changed = catalog(
+        2,
+        workspaces={name: Workspace(name, 100.0, 100.0) for name in names},
+        workspace_by_key={"key-1": "almaty", "key-2": "Київ"},
+    )
+    for instance in fleet.instances:
+        instance.gateway.catalogs.update_if_newer(changed, b"2")
+    odd = [instance.session(key="key-2") for instance in fleet.instances]
+    for number in range(60):
+        fleet.run(0.05)
+        for session in odd:
+            assert session.execute(f"odd{number}", Write("a", "1")).error is not None
+    session = fleet[0].session(key="key-1")
+    for number in range(60):
+        fleet.run(0.05)
+        assert session.execute(f"r{number}", Write("a", "1")).error is None
+    assert fleet.group.promotions == []
