An owner of connections that stops keeps them for its own callers

What callers saw: at an instance of a large fleet that stops, statements waited for a connection until they were refused or the process ended. From the stop signal on, the owner of a database's connections allowed itself one connection instead of its share, though its callers stay for seconds and it lends nothing more. The test failed before (limit 1 instead of 12).

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -557,7 +557,7 @@
         if not self.view.is_large:
             return max(1, settings.max_connections // self.members.count())
         owners = [record.instance for record in owners_of(self.view, target)]
-        if self._leaving or self._identity.instance not in owners:
+        if self._identity.instance not in owners:
             # For this instance's own health checks.
             return 1
         return max(1, int(settings.max_connections * OWNER_CONNECTION_FRACTION) // len(owners))
--- a/tests/test_gateway_lending.py
+++ b/tests/test_gateway_lending.py
@@ -569,3 +569,13 @@
     answer = borrower.session("prices").execute("r", Read("a"))
     assert answer.error is None
     assert len(calls) <= 3
+
+
+def test_an_owner_that_stops_keeps_its_connections_for_its_own_callers(fleet):
+    target = fleet.group["db-1"].info
+    owner = owners_of(fleet[0].gateway.view, target)[0].instance
+    gateway = fleet.by_name[owner].gateway
+    before = gateway._connection_limit(target)
+    gateway.begin_stop()
+    assert before > 1
+    assert gateway._connection_limit(target) == before
