A call of a peer runs once, whatever handling the next one raises

If handling a message raised an unexpected exception, the messages of the same batch stayed in the buffer and were handled again with the next bytes: a statement could run twice. No exception that does so is known.

--- a/src/quetzalrudder/gateway/peer_frames.py
+++ b/src/quetzalrudder/gateway/peer_frames.py
@@ -190,16 +190,20 @@
 
     def _take_messages(self) -> None:
         received, start = self._received, 0
-        while len(received) - start >= LENGTH.size:
-            (size,) = LENGTH.unpack_from(received, start)
-            if size > MAX_MESSAGE_BYTES:
-                raise MalformedMessage(f"message has {size} bytes, limit is {MAX_MESSAGE_BYTES}")
-            begin, end = start + LENGTH.size, start + LENGTH.size + size
-            if len(received) < end:
-                break
-            self._on_message(bytes(received[begin:end]))
-            start = end
-        del received[:start]
+        try:
+            while len(received) - start >= LENGTH.size:
+                (size,) = LENGTH.unpack_from(received, start)
+                if size > MAX_MESSAGE_BYTES:
+                    reason = f"message has {size} bytes, limit is {MAX_MESSAGE_BYTES}"
+                    raise MalformedMessage(reason)
+                begin, end = start + LENGTH.size, start + LENGTH.size + size
+                if len(received) < end:
+                    break
+                # Handled once, whatever handling it raises.
+                start = end
+                self._on_message(bytes(received[begin:end]))
+        finally:
+            del received[:start]
 
     def end(self, exc: QuetzalrudderError) -> None:
         """Close the socket; called on the loop."""
--- a/tests/test_gateway_peer_frames.py
+++ b/tests/test_gateway_peer_frames.py
@@ -14,7 +14,13 @@
 from quetzalrudder.gateway.peer_calls import NetworkPeerCaller
 from quetzalrudder.gateway.peer_frames import GREETING, LENGTH
 from quetzalrudder.gateway.peer_service import _Dispatcher, _PeerService, serve_peers
-from quetzalrudder.schema.gateway import RunReply, RunRequest, TokenReply, TokenRequest
+from quetzalrudder.schema.gateway import (
+    ChangesRequest,
+    RunReply,
+    RunRequest,
+    TokenReply,
+    TokenRequest,
+)
 from quetzalrudder.schema.gateway_service import GatewayPeersStub, PeerAnswer, PeerCall
 from quetzalrudder.streams import RequestStream
 from quetzalrudder.utils import parse_address
@@ -218,3 +224,34 @@
     large = RunRequest(request_id="x" * 300_000)
     results = [caller.run(address, large, 0.05) for _ in range(40)]
     assert all(isinstance(result.err_value, LinkLost) for result in results)
+
+
+def test_a_call_runs_once_whatever_the_next_one_raises(stack, loop, executor):
+    class FailingPeer(Peer):
+        def __init__(self):
+            super().__init__()
+            self.ran = []
+
+        def run_lent_statement(self, req):
+            self.ran.append(req.request_id)
+            return RunReply(state="idle")
+
+        def answer_changes(self, req, deliver):
+            raise RuntimeError("dictionary changed size during iteration")
+
+    def frame(call):
+        data = wire.encode(call)
+        return LENGTH.pack(len(data)) + data
+
+    peer = FailingPeer()
+    address = parse_address(free_addresses(1)[0])
+    serve_peers(loop, address, peer, executor, stack)
+    sock = stack.enter_context(socket.create_connection((address.host, address.port)))
+    write = PeerCall(sequence=1, run=RunRequest(request_id="write"))
+    failing = PeerCall(sequence=2, changes=ChangesRequest(wait_ms=10))
+    sock.sendall(GREETING + frame(write) + frame(failing))
+    wait_for(lambda: peer.ran, "the write to run")
+    for sequence in (3, 4):
+        sock.sendall(frame(PeerCall(sequence=sequence, run=RunRequest(request_id="later"))))
+    wait_for(lambda: peer.ran.count("later") == 2, "the later calls to run")
+    assert peer.ran == ["write", "later", "later"]
