A statement counts as sent only once it has got a slot

In a large fleet a statement waits for a slot of the database on its connection, and counted as sent meanwhile: at the end of a planned stop a write that had never been sent was an unknown outcome, and it could still be sent after it was given up. Now the last check comes when the slot is granted. A statement that waits at another instance counts as sent, as this one cannot know.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -43,6 +43,7 @@
 from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement, ReadNeeds
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.running_statement import StatementProgress
+from quetzalrudder.gateway.slot_links import SlotLimitedLink
 from quetzalrudder.gateway.statements import (
     NOT_RUN_FAULTS,
     Commit,
@@ -396,9 +397,15 @@
     at_least: LogPosition | None = None,
 ) -> Result[TargetReply, QuetzalrudderError]:
     """Run a caller's statement on the attempt's connection, unless it has been given up."""
-    if not req.progress.offer():
+    link = attempt.checkout.link
+    if isinstance(link, SlotLimitedLink):
+        # It waits for a slot first.
+        offer = req.progress.offer
+        result = link.run(req.request_id, statement, timeout_s, at_least, offer)
+    elif req.progress.offer():
+        result = link.run(req.request_id, statement, timeout_s, at_least)
+    else:
         return Err(Draining("the statement has been given up, as the instance stops"))
-    result = attempt.checkout.link.run(req.request_id, statement, timeout_s, at_least)
     match result:
         case Ok(reply) if reply.fault in NOT_RUN_FAULTS:
             req.progress.withdraw()
--- a/src/quetzalrudder/gateway/slot_links.py
+++ b/src/quetzalrudder/gateway/slot_links.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
-from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.exceptions import Draining, QuetzalrudderError
 from quetzalrudder.gateway.slots import SlotLimiter, SlotLimiters
 from quetzalrudder.gateway.statements import (
     Commit,
@@ -103,12 +103,19 @@
         statement: Statement,
         timeout_s: float,
         at_least: LogPosition | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[TargetReply, QuetzalrudderError]:
-        """Run a statement once there is a slot for it."""
+        """Run a statement once there is a slot for it.
+
+        With ``may_send``, it is called when there is one; the statement is sent only if it
+        returns True.
+        """
         limiter = (
             self._get_limiter() if isinstance(statement, Read | Write | Execute | Commit) else None
         )
         if limiter is None:
+            if not may_send():
+                return Err(_given_up_error())
             return self._track_state(self._link.run(request_id, statement, timeout_s, at_least))
         started_at = self._clock.monotonic()
         claim = self._current_claim(started_at + MAX_WAIT_FRACTION * timeout_s)
@@ -119,6 +126,8 @@
         remaining_s = max(0.01, timeout_s - (granted_at - started_at))
         answer: TargetReply | None = None
         try:
+            if not may_send():
+                return Err(_given_up_error())
             result = self._link.run(request_id, statement, remaining_s, at_least)
             answer = result.ok_value if isinstance(result, Ok) else None
             return self._track_state(result)
@@ -152,3 +161,7 @@
     def step_down(self, term: int, timeout_s: float) -> Result[None, QuetzalrudderError]:
         """Make a primary of a lower term a replica."""
         return self._link.step_down(term, timeout_s)
+
+
+def _given_up_error() -> Draining:
+    return Draining("the statement has been given up, as the instance stops")
