--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -125,10 +125,13 @@
             answer, route = self._answer(running, catalog, started)
         if not running.progress.finish():
             return None
-        with processor_time.section("log and metrics of a statement"):
-            self._record_statement(request_id, statement, route, answer, catalog, started)
         with self._lock:
             self._running = None
+        try:
+            with processor_time.section("log and metrics of a statement"):
+                self._record_statement(request_id, statement, route, answer, catalog, started)
+        except Exception:
+            log.exception("statement not recorded", extra={"request_id": request_id})
         return answer
 
     def _begin_statement(self, running: RunningStatement) -> bool:
--- a/tests/test_unanswered_statements.py
+++ b/tests/test_unanswered_statements.py
@@ -2,13 +2,21 @@
 
 import json
 import signal
+import socket
 import time
+from contextlib import ExitStack
 
 import pytest
+from rig.frontend import Frontend, _CallerConnection
 
 from quetzalrudder.exceptions import Draining
+from quetzalrudder.gateway import Answer
 from quetzalrudder.gateway.running_statement import RunningStatement
+from quetzalrudder.gateway.slot_links import SlotLimitedLink
+from quetzalrudder.gateway.slots import SlotLimiter
 from quetzalrudder.gateway.statements import Begin, Commit, Read, SessionState, Write
+from quetzalrudder.gateway.wait_queue import Claim, Urgency
+from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_standins import PlatformStandIn
 from tests.test_edge_program import (
@@ -184,6 +192,46 @@
     assert not running.progress.give_up()
 
 
+def test_a_failure_to_record_a_statement_costs_no_answer(fleet, monkeypatch):
+    session = fleet[0].session()
+
+    def count_statement(consistency, ending):
+        raise ValueError("no such label")
+
+    monkeypatch.setattr(fleet[0].gateway.metrics, "count_statement", count_statement)
+    assert session.execute("r1", Write("a", "1")).error is None
+
+
+def test_a_write_that_waited_for_a_slot_when_it_was_given_up_is_refused_and_not_sent():
+    clock = ManualClock()
+    running = begin(Write("a", "1"))
+    limiter = SlotLimiter(lambda: 1, lambda: None, clock)
+    occupied = Claim(Urgency(1, 1, clock.now + 1), "almaty", clock.now + 10)
+    assert limiter.acquire(occupied)
+    sent = []
+
+    class Link:
+        def run(self, *args):
+            sent.append(args)
+
+    class GivesUp:
+        """Gives the statement up while it waits, then frees the slot."""
+
+        def acquire(self, claim):
+            assert running.progress.give_up()
+            limiter.release(1, 0.01)
+            return limiter.acquire(claim)
+
+        release_unanswered = limiter.release_unanswered
+
+    link = SlotLimitedLink(Link(), GivesUp, clock)
+    result = link.run("r1", running.statement, 1.0, None, running.progress.offer)
+    assert result.err_value.ending.name == "NOT_RUN"
+    assert sent == []
+    assert running.interruption_error(NOT_OFFERED) is NOT_OFFERED
+    assert limiter.acquire(occupied)
+
+
 def test_a_session_that_was_given_up_runs_nothing_more(fleet):
     session = fleet[0].session()
     assert session.give_up() is None
@@ -275,18 +323,64 @@
     assert answer[1] == "READY E -"
 
 
-def test_a_caller_that_connects_after_the_idle_sessions_were_ended_is_refused(edge, platform):
-    """Its statement could be cut off by the exit."""
+@pytest.mark.parametrize("after_s", [GRACE_S / 2 + 0.2, GRACE_S / 2 + 0.5])
+def test_callers_that_connect_at_the_end_of_a_planned_stop_are_refused(edge, platform, after_s):
+    """Their statements could be cut off by the exit."""
     offers = Caller(edge.frontend, "offers")
     assert offers.query_until("PUT a 1", DONE) == DONE
     platform.may_run.clear()
     send_query(offers, "PUT a 2")
     edge.process.send_signal(signal.SIGTERM)
     # Idle sessions are ended after half of the grace period at most.
-    time.sleep(GRACE_S / 2 + 0.3)
-    late = Caller(edge.frontend, "offers")
+    time.sleep(after_s)
+    for _ in range(2):
+        late = Caller(edge.frontend, "offers")
+        assert late.greeting.startswith("ERR BUSY ")
+        assert late.stream.read() == ""
     platform.may_run.set()
-    assert late.greeting.startswith("ERR BUSY ")
-    assert late.stream.read() == ""
     assert offers.stream.readline().strip() == DONE[0]
     assert edge.process.wait(20) == 0
+
+
+def test_a_caller_that_idles_in_a_transaction_does_not_hold_a_planned_stop(edge, platform):
+    offers = Caller(edge.frontend, "offers")
+    offers.run_transaction("PUT a 1")
+    assert offers.query("BEGIN")[0] == "DONE -"
+    assert offers.query("PUT a 2")[0].startswith("DONE ")
+    # Longer than a transaction may be idle.
+    time.sleep(CONFIGURATION["limits"]["txIdleMs"] / 1000 + 0.3)
+    edge.process.send_signal(signal.SIGTERM)
+    assert edge.process.wait(20) == 0
+    assert last_line_of_log(edge)["sessions_left"] == 0
+
+
+class FailingSession:
+    def give_up(self):
+        raise IndexError("deque index out of range")
+
+
+class WaitingSession:
+    def give_up(self):
+        return Answer(SessionState.IDLE, error=NOT_OFFERED, close=True)
+
+
+def test_one_session_that_fails_leaves_no_other_statement_unanswered():
+    with ExitStack() as stack:
+        frontend = Frontend(None, None, None)
+        stack.callback(frontend.stop_idle.close)
+        stack.callback(frontend.stop_transactions.close)
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        callers = []
+        for session in (FailingSession(), *(WaitingSession() for _ in range(8))):
+            theirs = stack.enter_context(socket.create_connection(listener.getsockname()))
+            caller = _CallerConnection(listener.accept()[0])
+            stack.callback(caller.close)
+            caller.open()
+            caller.session, caller.unanswered = session, "r1"
+            frontend._callers.add(caller)
+            callers.append((session, theirs))
+        frontend.give_up_statements()
+        for session, theirs in callers:
+            if isinstance(session, WaitingSession):
+                theirs.settimeout(1.0)
+                assert theirs.recv(100).startswith(b"ERR BUSY ")
