One item of the store that cannot be applied no longer hides all that follow it

Callers saw: sessions refused for a database that a newer configuration has, while the instance renewed its lease and counted as in touch; "background task failed with an unexpected error" about every 0.26 s. Cause: the mirror moved its revision only after the handlers of all items had succeeded. An exception of one handler ended the task, which started again 0.25 s later at the same revision and met the same item. A full read failed as a whole in the same way. Change: the mirror applies items one by one. One whose handler fails in any way is skipped and the value before it stays in force; "store item skipped" has key, revision and exception, once for each revision of the key, and quetzalrudder_store_items_skipped_total counts it by prefix. A full read with such an item is applied one by one, with what it lacks as deleted. The handlers no longer catch malformed values themselves, so that there is one place that does. Two tests of test_rig_settings.py state the same at the handlers, which now raise MalformedMessage: what stays in force is asserted as before, and the exception in addition.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -11,7 +11,6 @@
 from functools import partial
 
 from quetzalrudder import processor_time
-from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway.assignments import FleetView
 from quetzalrudder.gateway.attempts import AttemptPlanner
 from quetzalrudder.gateway.batching import batch_delay_s
@@ -408,7 +407,12 @@
 
     def make_mirror(self, handlers: list[PrefixHandler]) -> StoreMirror:
         """Return the mirror of the store; ``handlers`` are those of other keys than its own."""
-        gateway_records = PrefixHandler(KEY_PREFIX, self._replace_records, self._change_record)
+        gateway_records = PrefixHandler(
+            KEY_PREFIX,
+            self._replace_records,
+            self._change_record,
+            single_keys=(COORDINATOR_KEY,),
+        )
         return StoreMirror(
             self._open_store(),
             [*handlers, gateway_records],
@@ -420,6 +424,7 @@
             relays=self._make_relayed_watch(),
             retry_delay=RetryDelay(RETRY_DELAY_S, lambda: self.view.is_large, self._rng),
             on_direct=self.members.restart_absences,
+            on_skip=self.metrics.count_skipped_item,
         )
 
     def _make_relayed_watch(self) -> RelayedWatch:
@@ -646,17 +651,14 @@
         self.membership.wake_up.set()
 
     def _change_record(self, item: Item) -> None:
-        try:
-            if item.key.startswith(MEMBER_PREFIX):
-                self._change_member(item)
-            elif item.key.startswith(ROSTER_PREFIX):
-                self._change_roster(item)
-            elif item.key == COORDINATOR_KEY:
-                self._observe_coordinator(None if item.value is None else decode_coordinator(item))
-            elif item.key.startswith(PRIMARY_PREFIX) and item.value is not None:
-                self.primaries.observe(decode_primary(item))
-        except MalformedMessage as exc:
-            log.error("store record cannot be decoded", extra={"reason": str(exc)})
+        if item.key.startswith(MEMBER_PREFIX):
+            self._change_member(item)
+        elif item.key.startswith(ROSTER_PREFIX):
+            self._change_roster(item)
+        elif item.key == COORDINATOR_KEY:
+            self._observe_coordinator(None if item.value is None else decode_coordinator(item))
+        elif item.key.startswith(PRIMARY_PREFIX) and item.value is not None:
+            self.primaries.observe(decode_primary(item))
 
     def _observe_coordinator(self, record: CoordinatorRecord | None) -> None:
         self.failover.coordinator_lease.observe(record)
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -70,6 +70,12 @@
             ["fault"],
             registry=self.registry,
         )
+        self.skipped_items = Counter(
+            "quetzalrudder_store_items_skipped",
+            "Items of the store that could not be applied, by prefix of the key.",
+            ["prefix"],
+            registry=self.registry,
+        )
         self.crossings = Counter(
             "quetzalrudder_data_centre_crossings",
             "Attempts of statements at a database of another data centre, by reason.",
@@ -151,6 +157,10 @@
         """Count a request for changes of the store that a relay failed."""
         self._observe(lambda found: found.relay_faults.labels(fault).inc())
 
+    def count_skipped_item(self, prefix: str) -> None:
+        """Count an item of the store that could not be applied."""
+        self._observe(lambda found: found.skipped_items.labels(prefix).inc())
+
     def count_crossing(self, reason: str) -> None:
         """Count an attempt of a statement in another data centre."""
         self._observe(lambda found: found.crossings.labels(reason).inc())
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -3,6 +3,9 @@
 A full read is followed by watches for changes, at the store or at an instance that watches it
 for others. When the store no longer has the history that a watch needs, the view starts again
 with a full read.
+
+Items are applied one by one. One whose handler fails is skipped: what its key stood for stays
+in force, and everything else is applied.
 """
 
 import logging
@@ -13,7 +16,7 @@
 
 from result import Err, Ok, Result
 
-from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.members import RosterRecord
 from quetzalrudder.gateway.relays import RelayedWatch, RelayUnavailable
@@ -37,6 +40,7 @@
 # Pause after a failed call: at most 10 calls a second of each instance while the store is
 # unavailable. It grows in a large fleet.
 RETRY_DELAY_S = 0.1
+MAX_REASON_CHARS = 200
 
 
 @dataclass(frozen=True)
@@ -50,6 +54,8 @@
     apply_change: Callable[[Item], None]
     # Receives the store's revision at a full read, before the items.
     note_revision: Callable[[int], None] = lambda revision: None
+    # Keys that count as deleted if a full read lacks them, also at the first one.
+    single_keys: tuple[str, ...] = ()
 
 
 class StoreContact:
@@ -92,6 +98,12 @@
             return self._clock.monotonic() - self._reached_since
 
 
+def _describe(exc: Exception) -> dict[str, str]:
+    """Return the log fields of a failure; ``exception`` is the class that was raised first."""
+    first = exc.__cause__ if isinstance(exc, MalformedMessage) and exc.__cause__ else exc
+    return {"exception": type(first).__name__, "reason": str(exc)[:MAX_REASON_CHARS]}
+
+
 def watch_wait_s(convergence_limit_s: float) -> float:
     """Return how long a watch waits, given the time limit for a configuration to be in force."""
     return max(MIN_WATCH_WAIT_S, convergence_limit_s - WATCH_MARGIN_S)
@@ -123,6 +135,8 @@
         Pauses after failed calls.
     on_direct : Callable, optional
         Called when this instance watches the store by itself after it has used a relay.
+    on_skip : Callable, optional
+        Called with the prefix of each item that is skipped.
     """
 
     def __init__(
@@ -138,6 +152,7 @@
         relays: RelayedWatch | None = None,
         retry_delay: RetryDelay | None = None,
         on_direct: Callable[[], None] = lambda: None,
+        on_skip: Callable[[str], None] = lambda prefix: None,
     ) -> None:
         self._store = store
         self._handlers = handlers
@@ -149,6 +164,10 @@
         self.relays = relays
         self._retry_delay = retry_delay
         self._on_direct = on_direct
+        self._on_skip = on_skip
+        # Keys that exist, and the revisions of those that were skipped.
+        self._keys: set[str] = set()
+        self._skipped: dict[str, int] = {}
         # Keys that the last watch of the store returned, and the pause that they caused.
         self._changed: list[str] = []
         self._paused_s = 0.0
@@ -241,11 +260,54 @@
 
     def _apply(self, changes: Changes) -> None:
         for item in changes.items:
+            if item.value is None:
+                self._keys.discard(item.key)
+            else:
+                self._keys.add(item.key)
             for handler in self._handlers:
                 if item.key.startswith(handler.prefix):
-                    handler.apply_change(item)
+                    self._apply_item(handler, item)
         self.revision = max(self.revision or 0, changes.revision)
 
+    def _apply_item(self, handler: PrefixHandler, item: Item) -> None:
+        try:
+            handler.apply_change(item)
+        except Exception as exc:
+            # Other programs write to the store; no value of theirs may hide what follows it.
+            self._skip(handler, item, exc)
+        else:
+            self._skipped.pop(item.key, None)
+
+    def _skip(self, handler: PrefixHandler, item: Item, exc: Exception) -> None:
+        if self._skipped.get(item.key) == item.revision:
+            return
+        self._skipped[item.key] = item.revision
+        self._on_skip(handler.prefix)
+        extra = {"key": item.key, "revision": item.revision, **_describe(exc)}
+        # A traceback only for what is not a statement about the value.
+        unexpected = None if isinstance(exc, MalformedMessage) else exc
+        log.error("store item skipped", extra=extra, exc_info=unexpected)
+
+    def _replace_all(self, handler: PrefixHandler, changes: Changes) -> None:
+        """Apply a full read of a prefix; one by one if an item cannot be applied."""
+        items = [item for item in changes.items if item.key.startswith(handler.prefix)]
+        present = {item.key for item in items}
+        known = {key for key in self._keys if key.startswith(handler.prefix)}
+        self._keys = (self._keys - known) | present
+        try:
+            handler.note_revision(changes.revision)
+            handler.replace_all(items)
+        except Exception as exc:
+            extra = {"prefix": handler.prefix, "revision": changes.revision, **_describe(exc)}
+            log.warning("store items applied one by one", extra=extra)
+            gone = sorted((known | set(handler.single_keys)) - present)
+            items += [Item(key, None, changes.revision) for key in gone]
+            for item in items:
+                self._apply_item(handler, item)
+        else:
+            for key in known | present:
+                self._skipped.pop(key, None)
+
     def _record_success(self) -> None:
         self._failed = False
         self._contact.record_success()
@@ -264,10 +326,7 @@
             self._record_failure(answers.err_value)
             return False
         for handler, changes in zip(self._handlers, answers.ok_value, strict=True):
-            handler.note_revision(changes.revision)
-            handler.replace_all(
-                [item for item in changes.items if item.key.startswith(handler.prefix)]
-            )
+            self._replace_all(handler, changes)
         # The watch starts at the revision of the first answer, so that changes made while the
         # other prefixes are read are not missed.
         revision = answers.ok_value[0].revision if answers.ok_value else None
--- /dev/null
+++ b/tests/test_gateway_mirror.py
@@ -0,0 +1,165 @@
+"""The local view of the store when items cannot be applied, or its task fails."""
+
+import json
+import logging
+
+import pytest
+from rig.configuration import catalog_handler, target_handler
+
+from quetzalrudder.gateway import CurrentCatalog
+from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
+from quetzalrudder.gateway.targets import TargetRegistry
+from tests.clocks import ManualClock
+from tests.gateway_fakes import MemoryStore
+from tests.gateway_fleet import GatewayFleet
+
+ANNOUNCEMENT = {
+    "service": "s",
+    "addr": "127.0.0.1:80",
+    "zone": "z",
+    "slots": 4,
+    "dbRole": "primary",
+    "state": "ready",
+}
+NESTED = b"[" * 100_000
+INVALID_RECORD = b"\n\x02\xff\xff"
+
+
+def configuration(version, **fields):
+    return json.dumps(
+        {"version": version, "routes": [], "services": [], "tenants": [], **fields}
+    ).encode()
+
+
+class View:
+    """A store in memory, and a mirror of it with the handlers of the users' keys."""
+
+    def __init__(self, *handlers):
+        self.clock = ManualClock()
+        self.store = MemoryStore(self.clock)
+        self.catalogs = CurrentCatalog()
+        self.registry = TargetRegistry(self.clock)
+        self.contact = StoreContact(self.clock)
+        self.skipped = []
+        self.mirror = StoreMirror(
+            self.store.client(),
+            [catalog_handler(self.catalogs), target_handler(self.registry), *handlers],
+            self.contact,
+            self.clock,
+            5.0,
+            on_skip=self.skipped.append,
+        )
+        self.put("op/config", configuration(1))
+        self.put("servers/a", json.dumps(ANNOUNCEMENT).encode())
+        self.mirror.step()
+
+    def put(self, key, value):
+        return self.store.put(key, value, None)
+
+    def read_again(self):
+        """Apply a full read, as after the store has dropped its history."""
+        self.put("x", b"")
+        self.store.compact()
+        self.mirror.step()
+        self.mirror.step()
+
+    @property
+    def version(self):
+        return self.catalogs.current.version
+
+    @property
+    def targets(self):
+        return {target.target for target in self.registry.all_targets()}
+
+
+def skip_lines(caplog):
+    return [record for record in caplog.records if record.message == "store item skipped"]
+
+
+POISON = pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("servers/b", NESTED),
+        ("servers/b", b"{"),
+        ("servers/a", NESTED),
+        ("op/config", NESTED),
+        ("op/config", configuration(9, limits={"txIdleMs": float("inf")})),
+    ],
+)
+
+
+@POISON
+def test_an_item_that_cannot_be_applied_hides_no_later_change(key, value):
+    view = View()
+    view.put(key, value)
+    view.put("op/config", configuration(2))
+    view.mirror.step()
+    assert (view.version, view.mirror.revision) == (2, view.store.revision)
+    assert view.targets == {"a"}
+
+
+@POISON
+def test_an_item_that_cannot_be_applied_hides_nothing_of_a_full_read(key, value):
+    view = View()
+    view.put("servers/c", json.dumps(ANNOUNCEMENT).encode())
+    view.put("op/config", configuration(2))
+    view.put(key, value)
+    view.put("servers/z", json.dumps(ANNOUNCEMENT).encode())
+    view.read_again()
+    assert view.version == (1 if key == "op/config" else 2)
+    assert view.targets == {"a", "c", "z"}
+
+
+def test_a_key_that_a_full_read_lacks_is_removed_beside_one_that_cannot_be_applied():
+    view = View()
+    view.put("servers/b", NESTED)
+    view.put("servers/a", None)
+    view.read_again()
+    view.clock.advance(3.0)
+    assert view.targets == set()
+
+
+def test_a_skipped_item_is_logged_once_with_its_key_and_revision(caplog):
+    view = View()
+    revision = view.put("servers/b", NESTED)
+    view.mirror.step()
+    view.read_again()
+    view.read_again()
+    (line,) = skip_lines(caplog)
+    found = (line.key, line.revision, line.exception, line.levelno)
+    assert found == ("servers/b", revision, "RecursionError", logging.ERROR)
+    assert view.skipped == ["servers/"]
+    view.put("servers/b", b"{")
+    view.mirror.step()
+    assert len(skip_lines(caplog)) == 2
+
+
+def test_a_handler_that_always_fails_is_logged_and_hides_no_other_prefix(caplog):
+    def fail(_):
+        raise RuntimeError("fault")
+
+    view = View(PrefixHandler("y/", fail, fail))
+    assert "y/" in [getattr(record, "prefix", "") for record in caplog.records]
+    view.put("y/1", b"")
+    view.put("op/config", configuration(2))
+    view.mirror.step()
+    assert view.version == 2
+    assert [line.exception for line in skip_lines(caplog)] == ["RuntimeError"]
+
+
+def test_a_member_record_that_cannot_be_decoded_hides_no_other_record_of_a_full_read():
+    fleet = GatewayFleet(["edge-1", "edge-2"])
+    fleet.run(3.0)
+    fleet.store.put("qr/members/aa", INVALID_RECORD, None)
+    fleet.start("edge-3")
+    fleet.run(3.0)
+    for edge in fleet.instances:
+        assert len(edge.gateway.members.roster()) == 3
+        assert len(edge.gateway.members.members()) == 3
+
+
+def test_a_coordinator_is_found_beside_a_record_that_cannot_be_decoded():
+    fleet = GatewayFleet(["edge-1", "edge-2"])
+    fleet.store.put("qr/members/aa", INVALID_RECORD, None)
+    fleet.run(5.0)
+    assert any(edge.gateway.failover.is_coordinator for edge in fleet.instances)
--- a/tests/test_rig_settings.py
+++ b/tests/test_rig_settings.py
@@ -1,6 +1,7 @@
 """Decoding of the settings file, the operators' configuration and the announcements."""
 
 import json
+from contextlib import suppress
 
 import pytest
 from hypothesis import given
@@ -132,7 +133,8 @@
     handler.apply_change(Item("op/config", encode_json(CONFIGURATION), 1))
     with pytest.raises(MalformedMessage):
         decode_catalog(value)
-    handler.apply_change(Item("op/config", value, 2))
+    with pytest.raises(MalformedMessage):
+        handler.apply_change(Item("op/config", value, 2))
     handler.apply_change(Item("op/config", None, 3))
     assert catalogs.current.version == 7
 
@@ -154,8 +156,10 @@
     registry = TargetRegistry(ManualClock())
     handler = target_handler(registry)
     handler.apply_change(Item("servers/good", encode_json(ANNOUNCEMENT), 1))
-    handler.apply_change(Item("servers/odd", encode_json({**ANNOUNCEMENT, field: value}), 2))
-    handler.apply_change(Item("servers/bytes", b"\xff\x00", 3))
+    with suppress(MalformedMessage):
+        handler.apply_change(Item("servers/odd", encode_json({**ANNOUNCEMENT, field: value}), 2))
+    with pytest.raises(MalformedMessage):
+        handler.apply_change(Item("servers/bytes", b"\xff\x00", 3))
     names = {target.target for target in registry.all_targets()}
     assert "good" in names
     assert "bytes" not in names
