A fleet record that cannot be decoded no longer ends the tasks of membership and failover

Cause: the reads that these tasks make themselves, at joining and before a primary is replaced, let the decoders' exception through: the task ended and started again every 0.25 s, for all groups. Change: at joining it is a failed call, with its pause, and the reason in "store lost" names the key; without all records of primaries and of the roster there is no lease. Before a replacement it means that what an instance has acknowledged isn't known, so the primary stays, and "primary not replaced, as a record cannot be decoded" has the key. Tests: four in tests/test_gateway_mirror.py; before, all four failed with MalformedMessage out of the task's step.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -9,7 +9,12 @@
 
 from result import Err, Ok, Result
 
-from quetzalrudder.exceptions import Overloaded, QuetzalrudderError, TargetUnavailable
+from quetzalrudder.exceptions import (
+    MalformedMessage,
+    Overloaded,
+    QuetzalrudderError,
+    TargetUnavailable,
+)
 from quetzalrudder.gateway.coordinator_lease import CoordinatorLease
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
@@ -147,6 +152,8 @@
         # Epochs for which the platform has accepted a promotion.
         self._promotion_accepted: dict[GroupId, int] = {}
         self._failed_at: dict[TargetId, float] = {}
+        # Key of the record that last kept a primary from being replaced.
+        self._unreadable = ""
         self._removal_failed_at: dict[RosterRecord, float] = {}
         self._next_removal = 0.0
         self.wake_up = WakeUp()
@@ -380,10 +387,26 @@
         if isinstance(roster, Err):
             self._contact.record_failure(roster.err_value)
             return False
-        self._members.replace_all([decode_member(item) for item in members.ok_value.items])
-        self._members.replace_roster([decode_roster(item) for item in roster.ok_value.items])
+        try:
+            present = [decode_member(item) for item in members.ok_value.items]
+            entries = [decode_roster(item) for item in roster.ok_value.items]
+        except MalformedMessage as exc:
+            # What that instance has acknowledged is not known.
+            self._log_unreadable(exc)
+            return False
+        self._unreadable = ""
+        self._members.replace_all(present)
+        self._members.replace_roster(entries)
         return self._may_promote(record)
 
+    def _log_unreadable(self, exc: MalformedMessage) -> None:
+        if self._unreadable != exc.place:
+            self._unreadable = exc.place
+            log.error(
+                "primary not replaced, as a record cannot be decoded",
+                extra={"key": exc.place, "reason": str(exc)},
+            )
+
     def _may_promote(self, record: PrimaryRecord) -> bool:
         return may_promote(
             record.group,
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.mirror import StoreContact
@@ -214,7 +214,8 @@
         store loses.
 
         The failover coordinator writes the primary's record first and reads the members
-        afterwards. So either it finds this member, or this instance reads the new record.
+        afterwards. So either it finds this member, or this instance reads the new record. An
+        instance that cannot decode one of them does not join.
         """
         sent_at = self._clock.monotonic()
         entered = self._write_roster_entry()
@@ -294,16 +295,24 @@
         result = self._store.read_prefix(ROSTER_PREFIX)
         if isinstance(result, Err):
             return result
-        for item in result.ok_value.items:
-            self._members.update_roster(decode_roster(item))
+        try:
+            records = [decode_roster(item) for item in result.ok_value.items]
+        except MalformedMessage as exc:
+            return Err(exc)
+        for record in records:
+            self._members.update_roster(record)
         return Ok(None)
 
     def _read_primaries(self) -> Result[None, QuetzalrudderError]:
         result = self._store.read_prefix(PRIMARY_PREFIX)
         if isinstance(result, Err):
             return result
-        for item in result.ok_value.items:
-            self._primaries.observe(decode_primary(item))
+        try:
+            records = [decode_primary(item) for item in result.ok_value.items]
+        except MalformedMessage as exc:
+            return Err(exc)
+        for record in records:
+            self._primaries.observe(record)
         return Ok(None)
 
     def _renew(self) -> Result[None, QuetzalrudderError]:
--- a/tests/test_gateway_mirror.py
+++ b/tests/test_gateway_mirror.py
@@ -163,3 +163,31 @@
     fleet.store.put("qr/members/aa", INVALID_RECORD, None)
     fleet.run(5.0)
     assert any(edge.gateway.failover.is_coordinator for edge in fleet.instances)
+
+
+@pytest.mark.parametrize("prefix", ["qr/roster/", "qr/leaders/"])
+def test_an_instance_that_cannot_read_a_record_uses_no_lease_of_its_own_and_goes_on_trying(prefix):
+    fleet = GatewayFleet(["edge-1", "edge-2"])
+    fleet.run(3.0)
+    fleet.store.put(f"{prefix}aa", INVALID_RECORD, None)
+    started = fleet.start("edge-3")
+    fleet.run(3.0)
+    assert started.gateway.permission.lease_remaining_s <= 0
+    assert fleet[0].gateway.permission.lease_remaining_s > 0
+    fleet.store.put(f"{prefix}aa", None, None)
+    fleet.run(3.0)
+    assert started.gateway.permission.lease_remaining_s > 0
+
+
+@pytest.mark.parametrize("prefix", ["qr/members/", "qr/roster/"])
+def test_no_primary_is_replaced_while_a_member_cannot_be_read_and_the_task_goes_on(prefix):
+    fleet = GatewayFleet()
+    fleet.run(5.0, fleet.all_know_primary)
+    fleet.store.put(f"{prefix}aa", INVALID_RECORD, None)
+    fleet.group["db-1"].up = False
+    fleet.group["db-1"].primary = False
+    fleet.run(4.0)
+    assert fleet.group.promotions == []
+    fleet.store.put(f"{prefix}aa", None, None)
+    fleet.run(4.0)
+    assert fleet.group.promotions
