A record of a peer that cannot be used hides nothing else, and takes its grant along

Cause: one exception in a peer's reply left out all that followed, and one that is not MalformedMessage, such as that of a deeply nested configuration, ended the task that asks for permission. A grant was used even when a record of a primary that had to be applied before it could not be decoded. Change: records are applied one by one; one that fails is logged once with peer, key and exception. A reply whose records of primaries could not all be applied grants nothing. Tests: three in tests/test_gateway_mirror.py; before, they failed: the evacuation in the same reply was not seen (a configuration that is no JSON), RecursionError (a nested one), and the grant counted 1.5 s.

--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -24,7 +24,7 @@
 from quetzalrudder.gateway.store import Changes, HistoryGone, Item, Store
 from quetzalrudder.utils import MS_PER_S, Clock
 
-__all__ = ["PrefixHandler", "StoreContact", "StoreMirror", "watch_wait_s"]
+__all__ = ["PrefixHandler", "StoreContact", "StoreMirror", "describe_failure", "watch_wait_s"]
 
 log = logging.getLogger(__name__)
 
@@ -98,7 +98,7 @@
             return self._clock.monotonic() - self._reached_since
 
 
-def _describe(exc: Exception) -> dict[str, str]:
+def describe_failure(exc: Exception) -> dict[str, str]:
     """Return the log fields of a failure; ``exception`` is the class that was raised first."""
     first = exc.__cause__ if isinstance(exc, MalformedMessage) and exc.__cause__ else exc
     return {"exception": type(first).__name__, "reason": str(exc)[:MAX_REASON_CHARS]}
@@ -283,7 +283,7 @@
             return
         self._skipped[item.key] = item.revision
         self._on_skip(handler.prefix)
-        extra = {"key": item.key, "revision": item.revision, **_describe(exc)}
+        extra = {"key": item.key, "revision": item.revision, **describe_failure(exc)}
         # A traceback only for what is not a statement about the value.
         unexpected = None if isinstance(exc, MalformedMessage) else exc
         log.error("store item skipped", extra=extra, exc_info=unexpected)
@@ -298,7 +298,11 @@
             handler.note_revision(changes.revision)
             handler.replace_all(items)
         except Exception as exc:
-            extra = {"prefix": handler.prefix, "revision": changes.revision, **_describe(exc)}
+            extra = {
+                "prefix": handler.prefix,
+                "revision": changes.revision,
+                **describe_failure(exc),
+            }
             log.warning("store items applied one by one", extra=extra)
             gone = sorted((known | set(handler.single_keys)) - present)
             items += [Item(key, None, changes.revision) for key in gone]
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -16,12 +16,11 @@
 
 from result import Ok
 
-from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
 from quetzalrudder.gateway.evacuation import Evacuation, EvacuationTable
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
-from quetzalrudder.gateway.mirror import StoreContact
+from quetzalrudder.gateway.mirror import StoreContact, describe_failure
 from quetzalrudder.gateway.permission import (
     OUTAGE_LIMIT_S,
     PEER_PERMISSION_S,
@@ -57,6 +56,8 @@
 # Interval at which an instance of a small fleet compares its configuration with the failover
 # coordinator's, in case its own watch of the store hangs.
 CATALOG_CHECK_INTERVAL_S = 0.35
+# Name of the configuration in the log.
+CATALOG_NAME = "configuration"
 # The renewal of the lease is overdue when the permission that the lease grants has less than
 # this time left.
 RENEWAL_OVERDUE_BELOW_S = PERMISSION_S - 1.0
@@ -130,6 +131,8 @@
         self._callers: dict[InstanceId, RosterRecord] = {}
         self._grants_permission = True
         self._next_catalog_check = 0.0
+        # Values of peers that could not be applied, by key.
+        self._skipped: dict[str, bytes] = {}
         self._requests = PermissionRequests(
             instance=local.instance,
             caller=caller,
@@ -300,25 +303,46 @@
             if isinstance(result, Ok):
                 self._apply_reply(result.ok_value)
 
-    def _apply_reply(self, reply: PeerReply) -> None:
-        """Apply the records and the configuration of a reply.
+    def _apply_reply(self, reply: PeerReply) -> bool:
+        """Apply the records and the configuration of a reply, each as far as it can be.
 
-        Its records are applied before the permission that it grants.
+        Returns
+        -------
+        bool
+            True if all records of primaries were applied; a permission that the reply grants
+            must not be used without them.
         """
         for cold in reply.cold_targets:
             self._warming.observe_peer(TargetId(cold.target), cold.cold_left_ms / MS_PER_S)
+        self._evacuations.observe_peer(
+            Evacuation(DataCentre(state.data_centre), state.revision, state.active)
+            for state in reply.evacuations
+        )
+        complete = True
+        for leader in reply.leaders:
+            item = Item(PRIMARY_PREFIX + leader.group, leader.value, leader.revision)
+            complete &= self._apply_record(reply, item, self._observe_primary)
+        if reply.catalog:
+            item = Item(CATALOG_NAME, reply.catalog, 0)
+            self._apply_record(reply, item, self._observe_catalog)
+        return complete
+
+    def _observe_primary(self, item: Item) -> None:
+        self._primaries.observe(decode_primary(item))
+
+    def _observe_catalog(self, item: Item) -> None:
+        self._catalogs.update_if_newer(self._decode_catalog(item.value), item.value)
+
+    def _apply_record(self, reply: PeerReply, item: Item, observe: Callable[[Item], None]) -> bool:
+        """Apply one record; return False and log it once if that fails."""
         try:
-            for leader in reply.leaders:
-                item = Item(PRIMARY_PREFIX + leader.group, leader.value, leader.revision)
-                self._primaries.observe(decode_primary(item))
-            if reply.catalog:
-                self._catalogs.update_if_newer(self._decode_catalog(reply.catalog), reply.catalog)
-            self._evacuations.observe_peer(
-                Evacuation(DataCentre(state.data_centre), state.revision, state.active)
-                for state in reply.evacuations
-            )
-        except MalformedMessage as exc:
-            log.error(
-                "record of a peer cannot be decoded",
-                extra={"peer": reply.instance, "reason": str(exc)},
-            )
+            observe(item)
+        except Exception as exc:
+            # A peer of another version may hold what this one cannot use.
+            if self._skipped.get(item.key) != item.value:
+                self._skipped[item.key] = item.value
+                extra = {"peer": reply.instance, "key": item.key, "revision": item.revision}
+                log.error("record of a peer skipped", extra=extra | describe_failure(exc))
+            return False
+        self._skipped.pop(item.key, None)
+        return True
--- a/src/quetzalrudder/gateway/permission_requests.py
+++ b/src/quetzalrudder/gateway/permission_requests.py
@@ -96,7 +96,8 @@
     make_report : Callable
         Returns the report to send; ``wants_confirmations`` is passed by keyword.
     apply_reply : Callable
-        Applies the records of a reply; called before the permission is extended.
+        Applies the records of a reply, and returns whether all of them were; called before the
+        permission is extended.
     rng : random.Random
         Chooses the peers that a request goes to first.
     clock : Clock
@@ -112,7 +113,7 @@
         members: MemberTable,
         roster_views: Callable[[], list[list[RosterRecord]]],
         make_report: Callable[..., PeerReport],
-        apply_reply: Callable[[PeerReply], None],
+        apply_reply: Callable[[PeerReply], bool],
         rng: random.Random,
         clock: Clock,
     ) -> None:
@@ -282,7 +283,8 @@
             Seconds after ``sent_at`` for which primaries may be used; 0 if no permission was
             granted.
         """
-        self._apply_reply(reply)
+        if not self._apply_reply(reply):
+            return 0.0
         match reply.grant:
             case PermissionGrant.VOUCHED:
                 valid_s = reply.valid_ms / MS_PER_S
--- a/tests/test_gateway_mirror.py
+++ b/tests/test_gateway_mirror.py
@@ -4,11 +4,18 @@
 import logging
 
 import pytest
-from rig.configuration import catalog_handler, target_handler
+from result import Ok
+from rig.configuration import catalog_handler, decode_catalog, target_handler
 
 from quetzalrudder.gateway import CurrentCatalog
 from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
 from quetzalrudder.gateway.targets import TargetRegistry
+from quetzalrudder.schema.gateway import (
+    EvacuationState,
+    GroupLeader,
+    PeerReply,
+    PermissionGrant,
+)
 from tests.clocks import ManualClock
 from tests.gateway_fakes import MemoryStore
 from tests.gateway_fleet import GatewayFleet
@@ -191,3 +198,40 @@
     fleet.store.put(f"{prefix}aa", None, None)
     fleet.run(4.0)
     assert fleet.group.promotions
+
+
+def replying(reply):
+    """Return an instance of a fleet to whose reports a peer answers with a given reply."""
+    fleet = GatewayFleet()
+    fleet.run(5.0, fleet.all_know_primary)
+    edge = fleet[0]
+    edge.exchange = lambda address, report, timeout_s: Ok(reply)
+    return edge
+
+
+@pytest.mark.parametrize("encoded", [b"x", NESTED], ids=["not a configuration", "nested"])
+def test_a_configuration_of_a_peer_that_cannot_be_decoded_hides_nothing_else(encoded, caplog):
+    edge = replying(
+        PeerReply(
+            instance="edge-2",
+            catalog=encoded,
+            evacuations=[EvacuationState(data_centre="dc-9", revision=900, active=True)],
+        )
+    )
+    edge.gateway.peering._decode_catalog = decode_catalog
+    for _ in range(3):
+        edge.gateway.peering._check_catalog()
+    assert edge.gateway.evacuations.is_evacuated("dc-9")
+    lines = [line for line in caplog.records if line.message == "record of a peer skipped"]
+    assert [(line.peer, line.key) for line in lines] == [("edge-2", "configuration")]
+
+
+def test_a_grant_whose_records_cannot_be_applied_gives_no_permission():
+    leader = GroupLeader(group="g", value=INVALID_RECORD, revision=900)
+    reply = PeerReply(
+        instance="edge-2", grant=PermissionGrant.VOUCHED, valid_ms=1500, leaders=[leader]
+    )
+    edge = replying(reply)
+    assert edge.gateway.peering._requests._apply_grant(reply, edge.fleet.clock.now) == 0.0
+    reply.leaders = []
+    assert edge.gateway.peering._requests._apply_grant(reply, edge.fleet.clock.now) == 1.5
