An instance whose view of the store fails is not in touch; the age of the view is a metric

Cause: contact with the store counted calls only. While the mirror's task failed again and again, the renewals of the lease kept the instance in touch: it granted its peers permission, passed changes on as a relay and could replace primaries, all from an old view. Change: an exception out of the mirror's task counts as no contact until a step succeeds again, whatever other calls return. Meanwhile the instance grants no permission, also none as one that lacks the store, and its change log says that the store is lost, which ends its work as a relay and as coordinator in a large fleet. Readiness stays as it was: the same fault at all instances would leave none for callers. quetzalrudder_store_view_age_seconds is computed when the metrics are rendered; the log reader's explain shows the newest failed view and skipped item. Tests: four in tests/test_gateway_mirror.py.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -172,6 +172,7 @@
         self.catalogs = CurrentCatalog()
         self.metrics = Metrics()
         self.contact = StoreContact(clock)
+        self.metrics.watch_view_age(lambda: self.contact.view_age_s)
         self.evacuations = EvacuationTable(
             self.contact,
             clock,
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -82,6 +82,11 @@
             ["reason"],
             registry=self.registry,
         )
+        self.view_age_s = Gauge(
+            "quetzalrudder_store_view_age_seconds",
+            "Time since this instance's view of the store was last known to be current.",
+            registry=self.registry,
+        )
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
@@ -165,6 +170,10 @@
         """Count an attempt of a statement in another data centre."""
         self._observe(lambda found: found.crossings.labels(reason).inc())
 
+    def watch_view_age(self, read: Callable[[], float]) -> None:
+        """Read the age of the view of the store whenever the metrics are rendered."""
+        self._observe(lambda found: found.view_age_s.set_function(read))
+
     def set_sessions(self, count: int) -> None:
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -9,6 +9,7 @@
 """
 
 import logging
+import math
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -59,7 +60,9 @@
 
 
 class StoreContact:
-    """Keeps the time since which all calls to the store have succeeded.
+    """Keeps the time since which all calls to the store have succeeded, and its view is current.
+
+    A view that cannot be kept up to date counts as a failed call, whatever other calls return.
 
     Parameters
     ----------
@@ -71,6 +74,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._reached_since: float | None = None
+        self._view_failed = False
+        self._viewed_at: float | None = None
 
     def record_success(self) -> None:
         """Record a successful call."""
@@ -89,14 +94,53 @@
             self._reached_since = None
         log.warning("store lost", extra={"reason": str(exc), "reached_for_s": round(since_s, 1)})
 
+    def record_view(self, age_s: float = 0.0) -> None:
+        """Record that this instance has applied all changes up to some seconds ago."""
+        now = self._clock.monotonic()
+        with self._lock:
+            self._viewed_at = max(now - age_s, self._viewed_at or 0.0)
+            if not self._view_failed:
+                return
+            self._view_failed = False
+            if self._reached_since is not None:
+                self._reached_since = now
+        log.info("view of the store restored")
+
+    def record_view_failure(self, exc: Exception) -> None:
+        """Record that the view of the store could not be updated."""
+        with self._lock:
+            if self._view_failed:
+                return
+            self._view_failed = True
+        log.error(
+            "view of the store failed",
+            extra={"view_age_s": round(self.view_age_s, 1), **describe_failure(exc)},
+        )
+
     @property
     def contact_s(self) -> float:
         """Seconds since the first success after the last failure; 0 after a failure."""
         with self._lock:
-            if self._reached_since is None:
+            if self._reached_since is None or self._view_failed:
                 return 0.0
             return self._clock.monotonic() - self._reached_since
 
+    @property
+    def reached(self) -> bool:
+        """True if the last call to the store succeeded, also while the view of it fails."""
+        return self._reached_since is not None
+
+    @property
+    def view_failed(self) -> bool:
+        """True while the view of the store cannot be updated, for a reason of this instance."""
+        return self._view_failed
+
+    @property
+    def view_age_s(self) -> float:
+        """Seconds since the view of the store was last known to be current."""
+        viewed_at = self._viewed_at
+        return math.inf if viewed_at is None else self._clock.monotonic() - viewed_at
+
 
 def describe_failure(exc: Exception) -> dict[str, str]:
     """Return the log fields of a failure; ``exception`` is the class that was raised first."""
@@ -184,7 +228,14 @@
     def run(self, stopping: threading.Event) -> None:
         """Read and watch the store until ``stopping`` is set."""
         while not stopping.is_set():
-            if (pause_s := self.pause_s(succeeded=self.step())) > 0:
+            try:
+                pause_s = self.pause_s(succeeded=self.step())
+            except Exception as exc:
+                self._contact.record_view_failure(exc)
+                # The instances that wait for changes at this one have to get them elsewhere.
+                self._change_log.lose_store()
+                raise
+            if pause_s > 0:
                 stopping.wait(pause_s)
 
     def pause_s(self, *, succeeded: bool) -> float:
@@ -244,6 +295,7 @@
             self._on_direct()
         self._apply(changes)
         self._change_log.append(changes.items, changes.revision)
+        self._contact.record_view()
         return True
 
     def _watch_relay(self, relay: RosterRecord, after: int) -> bool:
@@ -256,6 +308,7 @@
         changes = result.ok_value
         self._apply(changes)
         self._change_log.append_relayed(changes.items, changes.revision)
+        self._contact.record_view(self.relays.age_s)
         return True
 
     def _apply(self, changes: Changes) -> None:
@@ -339,6 +392,7 @@
         self._change_log.restart(revision or 0)
         if self._uses_relay():
             self._change_log.stop()
+        self._contact.record_view(self._clock.monotonic() - started)
         took_ms = round((self._clock.monotonic() - started) * MS_PER_S)
         extra = {"revision": revision, "took_ms": took_ms, "at_once": self._reads_at_once}
         log.info("store read", extra=extra)
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -231,10 +231,13 @@
 
     def _grant_by_own_state(self, reply: PeerReply) -> None:
         lease_remaining_s = self._permission.lease_remaining_s
+        if self._contact.view_failed:
+            reply.grant = PermissionGrant.NONE
+            return
         if lease_remaining_s > 0:
             reply.grant = PermissionGrant.VOUCHED
             valid_s = min(PEER_PERMISSION_S, lease_remaining_s)
-        elif self._contact.contact_s == 0 and lease_remaining_s > -OUTAGE_LIMIT_S:
+        elif not self._contact.reached and lease_remaining_s > -OUTAGE_LIMIT_S:
             reply.grant = PermissionGrant.NO_STORE
             valid_s = PEER_PERMISSION_S
         else:
--- a/src/quetzalrudder/gateway/relays.py
+++ b/src/quetzalrudder/gateway/relays.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -159,6 +160,13 @@
                 return self._use(by_name[name])
         return self._use(None)
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store confirmed to a relay that this instance got every change."""
+        if self._confirmed_at is None:
+            return math.inf
+        return self._clock.monotonic() - self._confirmed_at
+
     def _relays(self) -> dict[InstanceId, RosterRecord]:
         version, until, relays = self._known_relays
         now = self._clock.monotonic()
--- a/src/quetzalrudder/log_reading.py
+++ b/src/quetzalrudder/log_reading.py
@@ -21,6 +21,10 @@
     "permission held by the own lease again": "permission",
     "store reached": "store",
     "store lost": "store",
+    "view of the store failed": "view of the store",
+    "view of the store restored": "view of the store",
+    "store item skipped": "store item",
+    "record of a peer skipped": "store item",
     # Logged by older versions instead of "joined the fleet".
     "joined": "membership",
     "joined the fleet": "membership",
--- a/tests/test_gateway_mirror.py
+++ b/tests/test_gateway_mirror.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import threading
 
 import pytest
 from result import Ok
@@ -14,6 +15,7 @@
     EvacuationState,
     GroupLeader,
     PeerReply,
+    PeerReport,
     PermissionGrant,
 )
 from tests.clocks import ManualClock
@@ -235,3 +237,79 @@
     assert edge.gateway.peering._requests._apply_grant(reply, edge.fleet.clock.now) == 0.0
     reply.leaders = []
     assert edge.gateway.peering._requests._apply_grant(reply, edge.fleet.clock.now) == 1.5
+
+
+class FailingLog:
+    """The log of changes of a mirror, whose next additions fail."""
+
+    def __init__(self, log):
+        self.log = log
+
+    def __getattr__(self, name):
+        return getattr(self.log, name)
+
+    def append(self, items, revision):
+        raise RuntimeError("fault")
+
+
+def fail_view(edge):
+    """Let one run of an instance's mirror fail, as a fault in it would."""
+    log = edge.mirror._change_log
+    edge.mirror._change_log = FailingLog(log)
+    with pytest.raises(RuntimeError):
+        edge.mirror.run(threading.Event())
+    edge.mirror._change_log = log
+
+
+def test_an_instance_whose_view_fails_is_not_in_touch_and_vouches_for_no_peer(caplog):
+    fleet = GatewayFleet()
+    fleet.run(5.0, fleet.all_know_primary)
+    edge, gateway = fleet[0], fleet[0].gateway
+    report = PeerReport(instance="edge-2", asks_permission=True)
+    assert gateway.answer_report(report).grant is PermissionGrant.VOUCHED
+    fail_view(edge)
+    gateway.contact.record_success()
+    assert gateway.contact.contact_s == 0
+    assert not gateway.change_log.is_watching
+    assert gateway.answer_report(report).grant is PermissionGrant.NONE
+    fail_view(edge)
+    assert sum(line.message == "view of the store failed" for line in caplog.records) == 1
+    edge.mirror.step()
+    assert gateway.answer_report(report).grant is PermissionGrant.VOUCHED
+    fleet.clock.advance(1.0)
+    assert gateway.contact.contact_s == 1.0
+
+
+def test_a_failing_view_of_an_instance_without_a_lease_confirms_no_outage_of_the_store():
+    fleet = GatewayFleet()
+    fleet.run(5.0, fleet.all_know_primary)
+    fail_view(fleet[0])
+    fleet.clock.advance(5.0)
+    report = PeerReport(instance="edge-2", asks_permission=True)
+    assert fleet[0].gateway.permission.lease_remaining_s < 0
+    assert fleet[0].gateway.answer_report(report).grant is PermissionGrant.NONE
+
+
+def view_age_line(gateway):
+    lines = gateway.metrics.render().decode().splitlines()
+    return next(line for line in lines if line.startswith("quetzalrudder_store_view_age"))
+
+
+def test_the_age_of_the_view_is_current_whenever_the_metrics_are_rendered():
+    fleet = GatewayFleet()
+    gateway = fleet[0].gateway
+    assert view_age_line(gateway).endswith(" +Inf")
+    fleet.run(1.0)
+    fleet[0].cut_from_store()
+    fleet[0].mirror.step()
+    fleet.clock.advance(7.0)
+    assert 7.0 <= float(view_age_line(gateway).split()[1]) < 8.0
+
+
+def test_the_age_of_a_view_through_a_relay_counts_from_the_relays_last_confirmation():
+    clock = ManualClock()
+    contact = StoreContact(clock)
+    contact.record_view(2.0)
+    assert contact.view_age_s == 2.0
+    contact.record_view(9.0)
+    assert contact.view_age_s == 2.0
