--- a/src/quetzalrudder/codec.py
+++ b/src/quetzalrudder/codec.py
@@ -10,6 +10,7 @@
 
 from quetzalrudder import wire
 from quetzalrudder.exceptions import MalformedMessage, MessageTooLarge
+from quetzalrudder.field_types import check_types
 from quetzalrudder.schema.caller import AnswerFrame, CallerFrame
 from quetzalrudder.schema.gateway_service import PeerAnswer, PeerCall
 from quetzalrudder.schema.target import TargetAnswer, TargetFrame
@@ -21,7 +22,6 @@
 STATEMENT_FRAMES = frozenset(
     {AnswerFrame, CallerFrame, PeerAnswer, PeerCall, TargetAnswer, TargetFrame}
 )
-TYPE_BY_NAME = {"string": str, "bytes": bytes, "bool": bool, "double": float}
 
 
 class CheckedCodec(ProtoCodec):
@@ -49,31 +49,13 @@
             if message_type in STATEMENT_FRAMES:
                 return wire.decode(data, message_type)
             message = super().decode(data, message_type)
-            _check_types(message)
+            check_types(message)
             return message
         except Exception as exc:
             reason = f"cannot decode {message_type.__name__}: {type(exc).__name__}"
             raise MalformedMessage(reason) from exc
 
 
-def _check_types(message: Any) -> None:
-    """Raise ``TypeError`` if a field holds a value of another type.
-
-    The codec of the generated classes accepts some values whose wire type does not fit
-    the field, for example a list in place of a number.
-    """
-    for name, meta in message._betterproto.meta_by_field_name.items():
-        field_value = getattr(message, name)
-        values = field_value if meta.repeated else [field_value]
-        for value in values:
-            if value is None and meta.optional:
-                continue
-            if meta.proto_type == "message" and value is not None:
-                _check_types(value)
-            elif not isinstance(value, TYPE_BY_NAME.get(meta.proto_type, int)):
-                raise TypeError(name)
-
-
 def _size_error(size: int) -> MessageTooLarge:
     return MessageTooLarge(f"message has {size} bytes, limit is {MAX_MESSAGE_BYTES}")
 
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -6,6 +6,7 @@
 import betterproto2
 
 from quetzalrudder.exceptions import MalformedMessage
+from quetzalrudder.field_types import check_types
 from quetzalrudder.gateway.members import MemberRecord, RosterRecord
 from quetzalrudder.gateway.primaries import PrimaryRecord
 from quetzalrudder.gateway.store import Item
@@ -63,12 +64,14 @@
         The value is not an encoded message of this class.
     """
     try:
-        return message_class.parse(item.value or b"")
+        message = message_class.parse(item.value or b"")
+        check_types(message)
     except Exception as exc:
         # The decoder raises errors of several unrelated classes.
         raise MalformedMessage(
             f"value is not a {message_class.__name__}: {exc!r}", place=item.key
         ) from exc
+    return message
 
 
 def encode_member(record: MemberRecord) -> bytes:
