Tests of the program beside values in its store that cannot be applied, and of versions that come back

Real processes (tests/test_store_view.py): a deeply nested announcement or configuration, an infinite time-out or an unreadable member record, then a new route. The fifth test starts the program beside such values and reads the metrics. In tests/test_gateway_mirror.py: a version that cannot be read leaves the one in force, is logged once through full reads and is passed to no peer; an older one never replaces a newer one, from the store, after a full read, after a deletion or from a peer.

--- a/tests/test_gateway_mirror.py
+++ b/tests/test_gateway_mirror.py
@@ -8,8 +8,10 @@
 from result import Ok
 from rig.configuration import catalog_handler, decode_catalog, target_handler
 
+from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway import CurrentCatalog
 from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
+from quetzalrudder.gateway.store import Item
 from quetzalrudder.gateway.targets import TargetRegistry
 from quetzalrudder.schema.gateway import (
     EvacuationState,
@@ -313,3 +315,64 @@
     assert contact.view_age_s == 2.0
     contact.record_view(9.0)
     assert contact.view_age_s == 2.0
+
+
+def poisoned_configurations():
+    return [NESTED, b"{", configuration(9, limits={"txIdleMs": -1})]
+
+
+@pytest.mark.parametrize("value", poisoned_configurations(), ids=["nested", "cut", "negative"])
+def test_a_configuration_that_cannot_be_read_leaves_the_one_in_force_and_is_logged_once(
+    value, caplog
+):
+    caplog.set_level(logging.INFO)
+    view = View()
+    revision = view.put("op/config", value)
+    view.mirror.step()
+    view.read_again()
+    view.read_again()
+    assert view.version == 1
+    assert [(line.key, line.revision) for line in skip_lines(caplog)] == [("op/config", revision)]
+    in_force = [line for line in caplog.records if line.message == "configuration in force"]
+    assert [line.version for line in in_force] == [1]
+    view.put("op/config", configuration(2))
+    view.mirror.step()
+    assert view.version == 2
+
+
+def test_an_older_configuration_never_replaces_a_newer_one():
+    view = View()
+    view.put("op/config", configuration(5))
+    view.mirror.step()
+    view.put("op/config", configuration(4))
+    view.mirror.step()
+    assert view.version == 5
+    view.put("op/config", configuration(3))
+    view.read_again()
+    assert view.version == 5
+    view.put("op/config", None)
+    view.read_again()
+    assert view.version == 5
+
+
+def test_neither_an_older_configuration_of_a_peer_nor_an_invalid_one_replaces_the_one_in_force():
+    reply = PeerReply(instance="edge-2")
+    edge = replying(reply)
+    peering, catalogs = edge.gateway.peering, edge.gateway.catalogs
+    peering._decode_catalog = decode_catalog
+    for offered, in_force in ((5, 5), (4, 5), (None, 5), (6, 6)):
+        reply.catalog = NESTED if offered is None else configuration(offered)
+        peering._check_catalog()
+        assert catalogs.current.version == in_force
+        assert decode_catalog(catalogs.encoded).version == in_force
+
+
+def test_an_invalid_configuration_is_not_passed_on_to_peers():
+    edge = GatewayFleet()[0]
+    catalogs = edge.gateway.catalogs
+    handler = catalog_handler(catalogs)
+    handler.apply_change(Item("op/config", configuration(3), 1))
+    with pytest.raises(MalformedMessage):
+        handler.apply_change(Item("op/config", NESTED, 2))
+    reply = edge.gateway.answer_report(PeerReport(instance="edge-2", catalog_version=2))
+    assert reply.catalog == configuration(3)
--- /dev/null
+++ b/tests/test_store_view.py
@@ -0,0 +1,98 @@
+"""The program beside values in the store that cannot be applied, with stand-ins on loopback."""
+
+import json
+import time
+from urllib.request import urlopen
+
+import pytest
+
+from tests.test_edge_program import (  # noqa: F401
+    CONFIGURATION,
+    DONE,
+    Caller,
+    EdgeProcess,
+    deployment_build,
+    edge,
+    platform,
+)
+
+# The shortest time within which the users require a configuration to be in force.
+CONVERGENCE_S = 3.0
+NESTED = b"[" * 100_000
+
+
+def configuration(version, *more_routes):
+    routes = [
+        *CONFIGURATION["routes"],
+        *({**CONFIGURATION["routes"][0], "host": name} for name in more_routes),
+    ]
+    return json.dumps({**CONFIGURATION, "version": version, "routes": routes}).encode()
+
+
+def wait_for_greeting(process, database, expected, timeout_s=CONVERGENCE_S):
+    """Connect until the greeting begins as expected; return the last one."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        greeting = Caller(process.frontend, database).greeting
+        if greeting.startswith(expected) or time.monotonic() > deadline:
+            return greeting
+        time.sleep(0.05)
+
+
+def log_lines(process, message):
+    lines = [json.loads(line) for line in process.log().splitlines()]
+    return [line for line in lines if line["message"] == message]
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("servers/other", NESTED),
+        ("op/config", NESTED),
+        ("op/config", configuration(9).replace(b"4000", b"1e999")),
+        ("qr/members/other", b"\n\x02\xff\xff"),
+    ],
+    ids=["announcement", "nested configuration", "infinite time-out", "member record"],
+)
+def test_a_route_is_served_in_time_beside_a_value_that_cannot_be_applied(
+    edge,  # noqa: F811
+    platform,  # noqa: F811
+    key,
+    value,
+):
+    assert Caller(edge.frontend, "added").greeting.startswith("ERR NODB")
+    with platform.lock:
+        revision = platform.store.put(key, value, None)
+    time.sleep(0.5)
+    with platform.lock:
+        platform.store.put("op/config", configuration(11, "added"), None)
+    assert wait_for_greeting(edge, "added", "READY").startswith("READY")
+    assert edge.stop() == 0
+    skipped = log_lines(edge, "store item skipped")
+    assert [(line["key"], line["revision"]) for line in skipped] == [(key, revision)]
+    assert log_lines(edge, "background task failed with an unexpected error") == []
+
+
+def metric(process, name):
+    with urlopen(f"http://127.0.0.1:{process.metrics}/metrics", timeout=5) as answer:
+        lines = answer.read().decode().splitlines()
+    return next(float(line.split()[-1]) for line in lines if line.startswith(name))
+
+
+def test_a_start_beside_values_that_cannot_be_applied_serves_and_the_metrics_tell(
+    deployment_build,  # noqa: F811
+    platform,  # noqa: F811
+    tmp_path,
+):
+    for key, value in (("servers/a", NESTED), ("qr/members/a", b"\n\x02\xff\xff")):
+        platform.store.put(key, value, None)
+    started = EdgeProcess(platform, tmp_path)
+    started.wait_ready()
+    assert Caller(started.frontend, "offers").query_until("PUT a 1", DONE) == DONE
+    assert metric(started, 'quetzalrudder_store_items_skipped_total{prefix="servers/"}') == 1
+    assert metric(started, 'quetzalrudder_store_items_skipped_total{prefix="qr/"}') == 1
+    assert metric(started, "quetzalrudder_store_view_age_seconds") < CONVERGENCE_S
+    with platform.lock:
+        platform.store.put("op/config", configuration(11, "added"), None)
+    assert wait_for_greeting(started, "added", "READY").startswith("READY")
+    assert started.stop() == 0
