--- a/tests/test_rig_decoding.py
+++ b/tests/test_rig_decoding.py
@@ -1,19 +1,23 @@
 """Mutated configurations, announcements and records: refused, or usable by all later code."""
 
 import copy
+import itertools
 import json
 import threading
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from rig.configuration import decode_catalog, decode_target
 
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway import records
 from quetzalrudder.gateway.slot_share import slot_parts
+from quetzalrudder.gateway.statements import Read
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.schema.gateway import PeerReport, RunRequest, Wanted
+from tests.gateway_fleet import GatewayFleet
+from tests.test_gateway_mirror import View, configuration
 from tests.test_rig_settings import ANNOUNCEMENT, CONFIGURATION
 
 ODD_VALUES = st.one_of(
@@ -100,6 +104,50 @@
     check_usable(catalog)
 
 
+LIVE = json.loads(json.dumps(CONFIGURATION).replace('"core"', '"g"')) | {"version": 1}
+LIVE["routes"].append({**LIVE["routes"][0], "host": "offers", "kind": "primary"})
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    started = GatewayFleet(("edge-1",))
+    started.run(3.0, started.all_know_primary)
+    return started
+
+
+@settings(max_examples=500)
+@given(value=mutations(LIVE))
+def test_an_instance_works_with_every_configuration_that_is_not_refused(fleet, value):
+    gateway = fleet[0].gateway
+    try:
+        catalog = decode_catalog(value)
+    except MalformedMessage:
+        return
+    gateway.catalogs._current = catalog
+    for database, key in itertools.product(catalog.routes, [*catalog.workspace_by_key, "none"]):
+        gateway.open_session(database, key).execute("r", Read("a"))
+    for target in fleet.group.infos():
+        gateway._connection_limit(target)
+        gateway._cold_rate_per_s(target.group)
+    gateway.catalogs.weight_of("almaty")
+    fleet.run(0.3)
+
+
+@settings(max_examples=500)
+@given(st.lists(st.tuples(st.booleans(), mutations(LIVE), mutations(ANNOUNCEMENT)), max_size=3))
+def test_no_mutated_items_hide_a_later_configuration(items):
+    view = View()
+    for is_configuration, configured, announced in items:
+        if is_configuration:
+            view.put("op/config", configured)
+        else:
+            view.put("servers/a", announced)
+    view.put("op/config", configuration(2**63 - 1))
+    view.mirror.step()
+    assert view.version == 2**63 - 1
+    assert view.mirror.revision == view.store.revision
+
+
 @given(mutations(ANNOUNCEMENT | {"born": 1_764_000_000_000, "coldLeftMs": 100}))
 def test_a_mutated_announcement_is_refused_or_usable(value):
     try:
