--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -73,6 +73,21 @@
     assert log_lines(edge, "background task failed with an unexpected error") == []
 
 
+def test_a_route_is_served_in_time_by_a_full_read_with_a_value_that_cannot_be_applied(
+    edge,  # noqa: F811
+    platform,  # noqa: F811
+):
+    with platform.lock:
+        platform.store.put("servers/other", NESTED, None)
+        platform.store.put("qr/members/other", b"\n\x02\xff\xff", None)
+        platform.store.put("op/config", configuration(11, "added"), None)
+        platform.store.compact()
+    assert wait_for_greeting(edge, "added", "READY").startswith("READY")
+    assert len(log_lines(edge, "store items applied one by one")) == 2
+    assert Caller(edge.frontend, "offers").query_until("PUT a 1", DONE) == DONE
+    assert edge.stop() == 0
+
+
 def metric(process, name):
     with urlopen(f"http://127.0.0.1:{process.metrics}/metrics", timeout=5) as answer:
         lines = answer.read().decode().splitlines()
