Connections without an accepted greeting do not hold a planned stop

Since callers are accepted until the exit, each new connection counted as a session that the stop waits for, up to the greeting's time limit of 3 s, and one that sent nothing held it to the end.

--- a/tests/test_unanswered_statements.py
+++ b/tests/test_unanswered_statements.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from contextlib import ExitStack
+from datetime import datetime
 
 import pytest
 from rig.frontend import Frontend, _CallerConnection
@@ -265,9 +266,18 @@
     caller.sock.sendall(f"QUERY last {text}\r\n".encode())
 
 
-def last_line_of_log(edge):
+def line_of_log(edge, message):
     lines = [json.loads(line) for line in edge.log().splitlines()]
-    return next(line for line in lines if line["message"] == "stopped")
+    return next(line for line in lines if line["message"] == message)
+
+
+def last_line_of_log(edge):
+    return line_of_log(edge, "stopped")
+
+
+def seconds_between(first, second):
+    times = [datetime.strptime(line["time"], "%Y-%m-%d %H:%M:%S,%f") for line in (first, second)]
+    return (times[1] - times[0]).total_seconds()
 
 
 def stop_and_read(edge, caller):
@@ -354,6 +364,18 @@
     assert last_line_of_log(edge)["sessions_left"] == 0
 
 
+def test_a_connection_without_a_greeting_does_not_hold_a_planned_stop(edge, platform):
+    with socket.create_connection(("127.0.0.1", edge.frontend)) as silent:
+        time.sleep(0.2)
+        edge.process.send_signal(signal.SIGTERM)
+        assert silent.recv(100) == b""
+        assert edge.process.wait(20) == 0
+    stopped, draining = last_line_of_log(edge), line_of_log(edge, "draining")
+    assert stopped["sessions_left"] == draining["sessions"] == 0
+    # Half of the grace period until idle sessions are ended, and the reserve before its end.
+    assert seconds_between(draining, stopped) < GRACE_S - 0.8
+
+
 class FailingSession:
     def give_up(self):
         raise IndexError("deque index out of range")
