--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -81,9 +81,14 @@
         return [database.info for database in self.databases.values()]
 
     def replicate(self):
+        """Copy the newest primary's log; between a step down and a promotion there is none."""
         primary = max(
-            (d for d in self.databases.values() if d.primary and d.up), key=lambda d: d.term
+            (d for d in self.databases.values() if d.primary and d.up),
+            key=lambda d: d.term,
+            default=None,
         )
+        if primary is None:
+            return
         for database in self.databases.values():
             if database is not primary and database.up and not database.replication_paused:
                 database.log = list(primary.log)
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -179,6 +179,9 @@
         with self.lock:
             if not self.database.up:
                 return None
+            if text.startswith("STEPDOWN "):
+                link.step_down(int(text.split(" ")[1]), 1.0)
+                text = "STATUS"
             if text == "STATUS":
                 status = link.status(1.0).ok_value
                 role = "primary" if status.primary else "replica"
--- a/tests/test_edge_program.py
+++ b/tests/test_edge_program.py
@@ -49,13 +49,25 @@
 class EdgeProcess:
     """A running process of the program, with its settings file and its log."""
 
-    def __init__(self, platform, directory, python_path=str(ROOT / "target/deps"), stdout=None):
-        self.frontend, self.readiness, self.peers, self.metrics = (free_port() for _ in range(4))
+    def __init__(
+        self,
+        platform,
+        directory,
+        python_path=str(ROOT / "target/deps"),
+        stdout=None,
+        *,
+        name="edge-1",
+        zone="dc-0",
+        new_port=free_port,
+    ):
+        self.frontend, self.readiness, self.peers, self.metrics = (new_port() for _ in range(4))
         self.settings = directory / "settings.conf"
+        self.python_path = python_path
+        self.stdout = stdout
         lines = {
-            "nodeName": "edge-1",
+            "nodeName": name,
             "ip": "127.0.0.1",
-            "zone": "dc-0",
+            "zone": zone,
             "listen.frontend": f"127.0.0.1:{self.frontend}",
             "listen.readiness": f"127.0.0.1:{self.readiness}",
             "portRange": f"{self.peers},{self.peers}",
@@ -65,17 +77,21 @@
         }
         text = "\n".join(f"{key}={value}" for key, value in lines.items())
         self.settings.write_text(text, encoding="utf-8")
-        self.log_file = (directory / "log").open("wb")
+        self.start()
+
+    def start(self):
+        """Start the process; its log is appended to that of an earlier one."""
+        self.log_file = (self.settings.parent / "log").open("ab")
         self.process = subprocess.Popen(
             DEPLOY["roles"]["edge"]["run"].split(),
             cwd=ROOT,
             env={
                 "PATH": os.environ["PATH"],
-                "PYTHONPATH": python_path,
+                "PYTHONPATH": self.python_path,
                 "QUETZALRUDDER_CONFIG": str(self.settings),
                 "QUETZALRUDDER_METRICS": f"{self.metrics}/metrics",
             },
-            stdout=stdout or self.log_file,
+            stdout=self.stdout or self.log_file,
             stderr=self.log_file,
         )
 
