--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,4 +1,4 @@
-"""Edge processes, a platform that records what its databases run, and planned work on both."""
+"""Edge processes before a platform that records what its databases run, and planned work."""
 
 import itertools
 import os
@@ -9,34 +9,40 @@
 import subprocess
 import threading
 import time
-from contextlib import ExitStack
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from rig.wire import LETTER_BY_STATE
 
 from quetzalrudder.gateway.records import COORDINATOR_KEY, decode_coordinator
 from tests.gateway_standins import PlatformStandIn
-from tests.test_edge_program import START_TIMEOUT_S, EdgeProcess
+from tests.test_edge_program import CONFIGURATION, EdgeProcess
 
-__all__ = ["GRACE_S", "Edge", "Fleet", "Profile", "Run", "Stop"]
+__all__ = ["GRACE_S", "LIMITED", "RATES", "Edge", "Fleet", "Run"]
 
-# ``bounds.graceS`` of the processes.
-GRACE_S = 3.0
-# A process that is still there this long after its grace period has missed its end.
-EXIT_TOLERANCE_S = 0.1
-DELAY_MAX_S = 1.5
-DELAYED_PART, DELAYED_PART_WHILE_SLOW = 0.08, 0.5
-BUSY_PART = 0.02
-DELAYED_STATEMENTS = ("FETCH", "PUT", "EXEC", "COMMIT")
+# ``bounds.graceS`` of the processes, and when one that is still there has missed its end.
+GRACE_S, EXIT_TIMEOUT_S = 3.0, 3.1
+DELAY_MAX_S, DELAYED_PART, DELAYED_PART_WHILE_SLOW, BUSY_PART = 1.5, 0.08, 0.5, 0.02
 # Below the range of ports of outgoing connections, which could take one while it is not bound.
-FIRST_PORT, PORTS_PER_RUN = 12_000, 200
-_ports = itertools.count(FIRST_PORT + os.getpid() % 100 * PORTS_PER_RUN)
+PORTS = itertools.count(12_000 + os.getpid() % 100 * 200)
+# A workspace whose rate, which is also its burst, changes between two values.
+LIMITED, RATES = "samarkand", (40, 4)
+ALMATY = {**CONFIGURATION["tenants"][0], "apiKeys": ["k1", "k2"]}
+# Some timeouts are longer than the grace period. "quotes" and "k2" are removed and added.
+ROUTES = [
+    {**route, "timeoutMs": 4000 if route["host"] == "prices" else 8000}
+    for route in [*CONFIGURATION["routes"], {**CONFIGURATION["routes"][0], "host": "quotes"}]
+]
+FIRST_CONFIG = {
+    **CONFIGURATION,
+    "routes": ROUTES,
+    "tenants": [ALMATY, {"name": LIMITED, "apiKeys": ["k3"], "ratePerS": 40, "burst": 40}],
+}
 
 
 def new_port() -> int:
-    """Return a free port that no outgoing connection is given."""
-    for port in _ports:
+    """Return a free port."""
+    for port in PORTS:
         try:
             with socket.create_server(("127.0.0.1", port)):
                 return port
@@ -45,16 +51,6 @@
     raise AssertionError
 
 
-@dataclass(frozen=True)
-class Profile:
-    """Size of a run."""
-
-    edges: int
-    clients: int
-    seconds: float
-    events: int
-
-
 @dataclass
 class Run:
     """A statement as a database received it."""
@@ -69,97 +65,64 @@
     answer: str = ""
 
 
-@dataclass
-class Stop:
-    """A planned stop of one incarnation of an edge process."""
-
-    edge: str
-    incarnation: int
-    sent_at: float
+class Edge(EdgeProcess):
+    """An edge process with its number of starts; the lock is held by planned work on it."""
 
+    incarnation = 0
 
-@dataclass
-class Edge:
-    """An edge process and its planned stops."""
+    def __init__(self, platform: PlatformStandIn, directory: Path, number: int) -> None:
+        self.name, self.lock = f"edge-{number}", threading.Lock()
+        place = directory / self.name
+        place.mkdir()
+        zone = f"dc-{number % 3}"
+        super().__init__(platform, place, name=self.name, zone=zone, new_port=new_port)
 
-    name: str
-    process: EdgeProcess
-    incarnation: int = 1
-    # Held by the planned work on this process.
-    lock: threading.Lock = field(default_factory=threading.Lock)
+    def start(self) -> None:
+        """Start the process."""
+        self.incarnation += 1
+        super().start()
 
 
 class Fleet:
-    """The processes before a platform, with all that is planned to happen to them.
+    """Processes before a platform whose databases delay statements as a seed selects."""
 
-    Parameters
-    ----------
-    seed : int
-        Selects the delays of statements.
-    profile : Profile
-        Size of the fleet.
-    config : dict
-        The first configuration.
-    directory : Path
-        Holds settings and logs.
-    """
-
-    def __init__(self, seed: int, profile: Profile, config: dict, directory: Path) -> None:
+    def __init__(self, seed: int, size: int, directory: Path) -> None:
         self.seed = seed
         self.runs: list[Run] = []
-        self.stops: list[Stop] = []
-        self.configs: list[tuple[float, dict]] = []
-        self.promoted_at: list[float] = []
-        # What went wrong with processes, as text.
+        self.configs = [(time.monotonic(), FIRST_CONFIG)]
+        # Times of SIGTERM by process and incarnation; what went wrong with processes.
+        self.stops: dict[tuple[str, int], float] = {}
         self.faults: list[str] = []
-        self.starts = self.signal_ends = 0
+        self.promotions = self.signal_ends = 0
         self.slow_until = 0.0
-        self._busy_ids: set[str] = set()
-        self._stack = ExitStack()
-        self.platform = PlatformStandIn(config)
-        self._stack.callback(self.platform.close)
-        self.configs.append((time.monotonic(), config))
+        self.platform = PlatformStandIn(FIRST_CONFIG)
         for server in self.platform.databases:
             server.run = self._recorder(server.database.info.target, server.run)
         self._promote = self.platform.group.promote
         self.platform.group.promote = self._promote_and_announce
         self.edges: list[Edge] = []
-        for number in range(profile.edges):
-            place = directory / f"edge-{number}"
-            place.mkdir(parents=True)
-            process = EdgeProcess(
-                self.platform,
-                place,
-                name=f"edge-{number}",
-                zone=f"dc-{number % 3}",
-                new_port=new_port,
-            )
-            self._stack.callback(_kill, process)
-            self.edges.append(Edge(f"edge-{number}", process))
-            self.starts += 1
-        for edge in self.edges:
-            self.wait_ready(edge)
+        for number in range(size):
+            self.edges.append(Edge(self.platform, directory, number))
+            self._wait_ready(self.edges[-1])
 
     def _recorder(self, database, run):
         def run_and_record(link, line):
             _, request_id, text = line.split(" ", 2)
             if request_id == "-":
                 return run(link, line)
-            plain = text.split(" ", 2)[2] if text.startswith("WAITLSN ") else text
-            state = LETTER_BY_STATE[link.state]
-            record = Run(
-                request_id, database, link.workspace, plain, state == "T", time.monotonic()
+            text = text.split(" ", 2)[2] if text.startswith("WAITLSN ") else text
+            state, now = LETTER_BY_STATE[link.state], time.monotonic()
+            record = Run(request_id, database, link.workspace, text, state == "T", now)
+            rng = random.Random(f"{self.seed}/{request_id}")
+            is_busy = rng.random() < BUSY_PART and all(
+                other.request_id != request_id for other in self.runs[-200:]
             )
             self.runs.append(record)
-            rng = random.Random(f"{self.seed}/{request_id}")
-            if rng.random() < BUSY_PART and request_id not in self._busy_ids:
-                self._busy_ids.add(request_id)
+            if is_busy:
                 record.answer = f"ERR BUSY stand-in\r\nREADY {state} -\r\n"
             else:
-                slow = time.monotonic() < self.slow_until
-                part = DELAYED_PART_WHILE_SLOW if slow else DELAYED_PART
-                if rng.random() < part and plain.startswith(DELAYED_STATEMENTS):
-                    time.sleep(rng.uniform(0, DELAY_MAX_S))
+                part = DELAYED_PART_WHILE_SLOW if now < self.slow_until else DELAYED_PART
+                time.sleep(rng.uniform(0, DELAY_MAX_S) if rng.random() < part else 0)
                 record.answer = run(link, line)
             record.ended_at = time.monotonic()
             return record.answer
@@ -170,122 +133,101 @@
         result = self._promote(group, target, **caller)
         for database in self.platform.group.databases.values():
             database.primary = database.info.target == target
-        self.promoted_at.append(time.monotonic())
-        self.announce()
+        self.promotions += 1
+        self.platform.announce()
         return result
 
-    def announce(self, draining: str = "") -> None:
-        """Write the databases' announcements to the store."""
-        for server in self.platform.databases:
-            database = server.database
-            entry = {
-                "service": "core",
-                "addr": f"127.0.0.1:{server.port}",
-                "zone": database.info.data_centre,
-                "slots": 3,
-                "state": "draining" if database.info.target == draining else "ready",
-                "dbRole": "primary" if database.primary else "replica",
-            }
-            self.platform.put(f"servers/{database.info.target}", entry)
-
     def replace_primary(self) -> None:
         """Let the primary drain until another database is promoted."""
-        primary = next((d for d in self.platform.group.databases.values() if d.primary), None)
-        if primary is None:
-            return
-        promotions = len(self.promoted_at)
-        self.announce(draining=primary.info.target)
+        databases, count = self.platform.group.databases.values(), self.promotions
+        for database in [each for each in databases if each.primary]:
+            self.platform.announce(draining=database.info.target)
         deadline = time.monotonic() + 10
-        while len(self.promoted_at) == promotions and time.monotonic() < deadline:
+        while self.promotions == count and time.monotonic() < deadline:
             time.sleep(0.05)
-        if len(self.promoted_at) == promotions:
+        if self.promotions == count:
             self.faults.append("a draining primary was not replaced in 10 s")
-        time.sleep(0.5)
-        self.announce()
-
-    def store_config(self, config: dict) -> None:
-        """Store a new version of the configuration."""
+            self.platform.announce()
+
+    def reconfigure(self, change: str) -> None:
+        """Store a version of the configuration in which one thing is the other way round."""
+        config = self.configs[-1][1]
+        routes, (almaty, limited) = config["routes"], config["tenants"]
+        match change:
+            case "route":
+                routes = ROUTES[:3] if len(routes) > 3 else ROUTES
+            case "key":
+                almaty = {**almaty, "apiKeys": ["k1"]} if "k2" in almaty["apiKeys"] else ALMATY
+            case "limit":
+                rate = RATES[limited["ratePerS"] == RATES[0]]
+                limited = {**limited, "ratePerS": rate, "burst": rate}
+        version = config["version"] + 1
+        config = {**config, "version": version, "routes": routes, "tenants": [almaty, limited]}
         self.platform.put("op/config", config)
         self.configs.append((time.monotonic(), config))
 
-    def coordinator(self) -> Edge | None:
-        """Return the process that holds the failover coordinator's lease."""
+    def coordinator(self) -> str:
+        """Return the name of the failover coordinator, or an empty string."""
         with self.platform.lock:
             item = self.platform.store.items.get(COORDINATOR_KEY)
-        name = decode_coordinator(item).instance if item is not None else ""
-        return next((edge for edge in self.edges if edge.name == name), None)
+        return decode_coordinator(item).instance if item is not None else ""
 
-    def owner(self, rng: random.Random) -> Edge | None:
-        """Return a process that lent a connection to another one lately."""
-        log = rng.choice(self.edges).process.settings.parent / "log"
-        names = re.findall(rb'"holder": "(edge-\d+)"', log.read_bytes()[-200_000:])
-        name = names[-1].decode() if names else ""
-        return next((edge for edge in self.edges if edge.name == name), None)
+    def owner(self) -> str:
+        """Return the name of a process that lent a connection lately, or an empty string."""
+        texts = (edge.log()[-100_000:] for edge in self.edges)
+        names = [name for text in texts for name in re.findall(r'"holder": "(edge-\d+)"', text)]
+        return names[-1] if names else ""
 
-    def wait_ready(self, edge: Edge) -> None:
+    def _wait_ready(self, edge: Edge) -> None:
         """Wait until a process is ready; one that ends meanwhile is started again."""
-        deadline = time.monotonic() + 2 * START_TIMEOUT_S
-        while time.monotonic() < deadline:
+        for _ in range(3):
             try:
-                return edge.process.wait_ready()
+                return edge.wait_ready()
             except AssertionError:
-                if (code := edge.process.process.poll()) is None:
+                if edge.process.poll() is None:
                     break
-                self.note_end(edge, code, "during its start")
-                self.start(edge)
-        self.faults.append(f"{edge.name} {edge.incarnation}: not ready in {START_TIMEOUT_S} s")
+                self._note_end(edge, "during its start")
+                edge.start()
+        self.faults.append(f"{edge.name} {edge.incarnation}: not ready")
         return None
 
-    def start(self, edge: Edge) -> None:
-        """Start a process again."""
-        edge.process.log_file.close()
-        edge.incarnation += 1
-        self.starts += 1
-        edge.process.start()
-
-    def note_end(self, edge: Edge, code: int, when: str) -> None:
-        """Record the exit status of a process."""
+    def _note_end(self, edge: Edge, when: str) -> None:
+        code = edge.process.returncode
         self.signal_ends += code < 0
         if code != 0:
             self.faults.append(f"{edge.name} {edge.incarnation}: ended with {code} {when}")
 
     def stop(self, edge: Edge) -> None:
         """Send SIGTERM and wait until the process has ended."""
-        child = edge.process.process
-        if (code := child.poll()) is not None:
-            self.note_end(edge, code, "of its own accord")
+        if edge.process.poll() is not None:
+            self._note_end(edge, "of its own accord")
             return
-        stop = Stop(edge.name, edge.incarnation, time.monotonic())
-        self.stops.append(stop)
-        child.send_signal(signal.SIGTERM)
+        self.stops[edge.name, edge.incarnation] = time.monotonic()
+        edge.process.send_signal(signal.SIGTERM)
         try:
-            code = child.wait(GRACE_S + EXIT_TOLERANCE_S)
+            edge.process.wait(EXIT_TIMEOUT_S)
         except subprocess.TimeoutExpired:
             self.faults.append(f"{edge.name} {edge.incarnation}: still there after its grace")
-            child.kill()
-            child.wait()
-            return
-        self.note_end(edge, code, f"{time.monotonic() - stop.sent_at:.2f} s after SIGTERM")
+            edge.process.kill()
+            edge.process.wait()
+        else:
+            self._note_end(edge, "after SIGTERM")
 
-    def restart(self, edge: Edge, down_s: float) -> None:
+    def restart(self, edge: Edge, delay_s: float, down_s: float) -> None:
         """Stop a process and start it again, unless other work on it is under way."""
-        if not edge.lock.acquire(blocking=False):
-            return
-        try:
+        time.sleep(delay_s)
+        if edge.lock.acquire(blocking=False):
             self.stop(edge)
             time.sleep(down_s)
-            self.start(edge)
-            self.wait_ready(edge)
-        finally:
+            edge.start()
+            self._wait_ready(edge)
             edge.lock.release()
 
     def close(self) -> None:
-        """End all processes and the platform."""
-        self._stack.close()
-
-
-def _kill(process: EdgeProcess) -> None:
-    if process.process.poll() is None:
-        process.process.kill()
-        process.process.wait()
-    process.log_file.close()
+        """End all processes, by SIGTERM if possible, and the platform."""
+        threads = [threading.Thread(target=self.stop, args=(edge,)) for edge in self.edges]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.platform.close()
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -215,17 +215,7 @@
             DatabaseServer(database, self.lock, self.may_run)
             for database in self.group.databases.values()
         ]
-        for server in self.databases:
-            info = server.database.info
-            entry = {
-                "service": "core",
-                "addr": f"127.0.0.1:{server.port}",
-                "zone": info.data_centre,
-                "slots": 3,
-                "state": "ready",
-                "dbRole": info.role.value,
-            }
-            self.put(f"servers/{info.target}", entry)
+        self.announce()
         self.put("op/config", config)
         self.http = StoreServer(("127.0.0.1", 0), StoreHandler)
         self.http.lock, self.http.clock = self.lock, clock
@@ -236,6 +226,20 @@
     def address(self):
         return f"127.0.0.1:{self.http.server_address[1]}"
 
+    def announce(self, draining=None):
+        """Write the databases' announcements; one of them may be draining."""
+        for server in self.databases:
+            info = server.database.info
+            entry = {
+                "service": "core",
+                "addr": f"127.0.0.1:{server.port}",
+                "zone": info.data_centre,
+                "slots": 3,
+                "state": "draining" if info.target == draining else "ready",
+                "dbRole": "primary" if server.database.primary else "replica",
+            }
+            self.put(f"servers/{info.target}", entry)
+
     def put(self, key, value):
         with self.lock:
             self.store.put(key, json.dumps(value).encode(), None)
--- a/tests/test_edge_program.py
+++ b/tests/test_edge_program.py
@@ -81,19 +81,19 @@
 
     def start(self):
         """Start the process; its log is appended to that of an earlier one."""
-        self.log_file = (self.settings.parent / "log").open("ab")
-        self.process = subprocess.Popen(
-            DEPLOY["roles"]["edge"]["run"].split(),
-            cwd=ROOT,
-            env={
-                "PATH": os.environ["PATH"],
-                "PYTHONPATH": self.python_path,
-                "QUETZALRUDDER_CONFIG": str(self.settings),
-                "QUETZALRUDDER_METRICS": f"{self.metrics}/metrics",
-            },
-            stdout=self.stdout or self.log_file,
-            stderr=self.log_file,
-        )
+        with (self.settings.parent / "log").open("ab") as log_file:
+            self.process = subprocess.Popen(
+                DEPLOY["roles"]["edge"]["run"].split(),
+                cwd=ROOT,
+                env={
+                    "PATH": os.environ["PATH"],
+                    "PYTHONPATH": self.python_path,
+                    "QUETZALRUDDER_CONFIG": str(self.settings),
+                    "QUETZALRUDDER_METRICS": f"{self.metrics}/metrics",
+                },
+                stdout=self.stdout or log_file,
+                stderr=log_file,
+            )
 
     def wait_ready(self):
         deadline = time.monotonic() + START_TIMEOUT_S
@@ -113,7 +113,6 @@
     def stop(self):
         self.process.send_signal(signal.SIGTERM)
         code = self.process.wait(20)
-        self.log_file.close()
         if self.process.stdout is not None:
             self.process.stdout.close()
         return code
@@ -129,10 +128,10 @@
         self.greeting = self.stream.readline().strip()
         self.number = 0
 
-    def query(self, text):
+    def query(self, text, request_id=None):
         """Run a statement and return the lines of its answer."""
         self.number += 1
-        self.sock.sendall(f"QUERY id{self.number} {text}\r\n".encode())
+        self.sock.sendall(f"QUERY {request_id or f'id{self.number}'} {text}\r\n".encode())
         lines = []
         while not lines or not lines[-1].startswith("READY"):
             line = self.stream.readline()
