--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -73,7 +73,7 @@
                             executor.submit(fleet.restart, edge, number * spacing_s, down_s)
                         )
                 case 4:
-                    edges[0].process.send_signal(signal.SIGHUP)
+                    fleet.hang_up(edges[0])
                 case 5 | 6 | 7:
                     fleet.reconfigure(change)
                 case 8:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,7 +1,5 @@
 """Edge processes before a platform that records what its databases run, and planned work."""
 
-import itertools
-import os
 import random
 import re
 import signal
@@ -9,8 +7,11 @@
 import subprocess
 import threading
 import time
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 from rig.wire import LETTER_BY_STATE
@@ -23,9 +24,10 @@
 
 # ``bounds.graceS`` of the processes, and when one that is still there has missed its end.
 GRACE_S, EXIT_TIMEOUT_S = 3.0, 3.1
+INTERPRETER_START_S = 0.5
 DELAY_MAX_S, DELAYED_PART, DELAYED_PART_WHILE_SLOW, BUSY_PART = 1.5, 0.08, 0.5, 0.02
-# Below the range of ports of outgoing connections, which could take one while it is not bound.
-PORTS = itertools.count(12_000 + os.getpid() % 100 * 200)
+# Ranges of ports below those of outgoing connections, which could take one that is not bound.
+PORT_RANGES = [range(base, base + 100) for base in range(12_000, 32_000, 100)]
 # "quotes", "k2" and the lower of two rates are removed and added. Some timeouts are longer than
 # the grace period.
 ROUTES = [
@@ -39,15 +41,13 @@
 ]
 
 
-def new_port() -> int:
-    """Return a free port."""
-    while True:
-        port = next(PORTS)
-        try:
-            with socket.create_server(("127.0.0.1", port)):
-                return port
-        except OSError:
-            continue
+def reserve_ports(stack: ExitStack) -> Iterator[int]:
+    """Return ports that no other run uses, as the first of their range stays bound."""
+    for ports in PORT_RANGES:
+        with suppress(OSError):
+            stack.enter_context(socket.create_server(("127.0.0.1", ports[0])))
+            return iter(ports[1:])
+    raise AssertionError("no range of ports is free")
 
 
 @dataclass
@@ -69,9 +69,9 @@
 
     incarnation = 0
 
-    def __init__(self, platform: PlatformStandIn, directory: Path, number: int) -> None:
+    def __init__(self, platform, directory: Path, number: int, ports: Iterator[int]) -> None:
         self.name, self.lock = f"edge-{number}", threading.Lock()
-        place, zone = directory / self.name, f"dc-{number % 3}"
+        place, zone, new_port = directory / self.name, f"dc-{number % 3}", partial(next, ports)
         place.mkdir()
         super().__init__(platform, place, name=self.name, zone=zone, new_port=new_port)
 
@@ -79,6 +79,7 @@
         """Start the process."""
         self.incarnation += 1
         super().start()
+        self.started_at = time.monotonic()
 
 
 class Fleet:
@@ -99,8 +100,10 @@
         self._promote = self.platform.group.promote
         self.platform.group.promote = self._promote_and_announce
         self.edges: list[Edge] = []
+        self._stack = ExitStack()
+        ports = reserve_ports(self._stack)
         for number in range(size):
-            self.edges.append(Edge(self.platform, directory, number))
+            self.edges.append(Edge(self.platform, directory, number, ports))
             self._wait_ready(self.edges[-1])
 
     def _recorder(self, database, run):
@@ -218,8 +221,17 @@
             self._wait_ready(edge)
             edge.lock.release()
 
+    def hang_up(self, edge: Edge) -> None:
+        """Send SIGHUP, though not in the first moment of a process.
+
+        Until the interpreter has started, the program cannot ignore the signal.
+        """
+        if time.monotonic() - edge.started_at > INTERPRETER_START_S:
+            edge.process.send_signal(signal.SIGHUP)
+
     def close(self) -> None:
         """Stop all processes and the platform."""
         with ThreadPoolExecutor(len(self.edges)) as executor:
             list(executor.map(self.stop, self.edges))
+        self._stack.close()
         self.platform.close()
