--- a/soak/checker.py
+++ b/soak/checker.py
@@ -89,11 +89,11 @@
             and any(req.key in tenant["apiKeys"] for tenant in config["tenants"])
             for config in configs
         }
-        is_handled = req.code not in ("NODB", "NOAUTH")
+        if allowed == {True} and req.code in ("NODB", "NOAUTH"):
+            self._report("refused as by an older configuration", req)
         # A transaction may go on with the route that it began with.
-        is_continued = req.in_transaction and is_handled
-        if any(req.lines) and is_handled not in allowed and not is_continued:
-            self._report("handled as by an older configuration", req)
+        if allowed == {False} and req.is_answered and not req.code and not req.in_transaction:
+            self._report("accepted as by an older configuration", req)
 
     def _check_limit(self) -> None:
         """Check the rate of the workspace whose limit changes, by its single statements."""
