A session that was prepared for a statement is not closed before it

What callers saw: the connection closed right after the answer to a SET or PREPARE, while the statement that it was for was on its way, so that the operation had to begin again elsewhere. Cause: a session without a transaction was taken for one between operations. Both tests failed before (the connection was closed).

--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -87,6 +87,8 @@
         self._failed = False
         self._lock = threading.Lock()
         self._running: RunningStatement | None = None
+        # Whether the last statement only prepared the session for the next one.
+        self._set_up = False
         # True once the stop of the instance has ended the session.
         self._ended = False
 
@@ -97,6 +99,11 @@
             return SessionState.FAILED_TRANSACTION
         return SessionState.IDLE if self._tx is None else SessionState.IN_TRANSACTION
 
+    @property
+    def is_between_operations(self) -> bool:
+        """True unless a transaction is open or the last statement prepared the next one."""
+        return self.state is SessionState.IDLE and not self._set_up
+
     def check_access(self) -> Result[None, QuetzalrudderError]:
         """Check that the route exists and that the caller's key has access to it."""
         access = self._authorize(self._services.catalogs.current)
@@ -121,6 +128,7 @@
         )
         if not self._begin_statement(running):
             return _given_up_answer(running)
+        self._set_up = isinstance(statement, SetValue | Prepare | Deallocate)
         with processor_time.section("statement"):
             answer, route = self._answer(running, catalog, started)
         if not running.progress.finish():
--- a/tests/test_unanswered_statements.py
+++ b/tests/test_unanswered_statements.py
@@ -15,7 +15,16 @@
 from quetzalrudder.gateway.running_statement import RunningStatement
 from quetzalrudder.gateway.slot_links import SlotLimitedLink
 from quetzalrudder.gateway.slots import SlotLimiter
-from quetzalrudder.gateway.statements import Begin, Commit, Read, SessionState, Write
+from quetzalrudder.gateway.statements import (
+    Begin,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    SessionState,
+    SetValue,
+    Write,
+)
 from quetzalrudder.gateway.wait_queue import Claim, Urgency
 from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet
@@ -364,6 +373,36 @@
     assert last_line_of_log(edge)["sessions_left"] == 0
 
 
+def test_a_session_that_was_prepared_for_a_statement_is_not_ended_before_it(edge, platform):
+    """The statement crosses the close, and its caller has to begin again elsewhere."""
+    offers = Caller(edge.frontend, "offers")
+    assert offers.query_until("PUT a 1", DONE) == DONE
+    edge.process.send_signal(signal.SIGTERM)
+    # Set-up statements beyond the time at which idle sessions are ended.
+    until = time.monotonic() + GRACE_S / 2 + 0.2
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        assert offers.query(f"SET name{number % 50} value") == ["DONE -", "READY I -"]
+        time.sleep(0.05)
+    assert offers.query("PUT a 2") == DONE
+    assert offers.stream.read() == ""
+    assert edge.process.wait(20) == 0
+
+
+def test_an_isolated_instance_does_not_end_a_session_that_was_prepared_for_a_statement(fleet):
+    session = fleet[0].session()
+    assert session.is_between_operations
+    session.execute("r1", SetValue("lang", "kk"))
+    assert not session.is_between_operations
+    session.execute("r2", Prepare("s", True, "q"))
+    assert not session.is_between_operations
+    session.execute("r3", Execute("s", "a 1"))
+    assert session.is_between_operations
+    session.execute("r4", Begin(read_only=False))
+    assert not session.is_between_operations
+
+
 def test_a_connection_without_a_greeting_does_not_hold_a_planned_stop(edge, platform):
     with socket.create_connection(("127.0.0.1", edge.frontend)) as silent:
         time.sleep(0.2)
