--- a/tests/test_rig_decoding.py
+++ b/tests/test_rig_decoding.py
@@ -12,6 +12,7 @@
 
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway import records
+from quetzalrudder.gateway.mirror import describe_failure
 from quetzalrudder.gateway.slot_share import slot_parts
 from quetzalrudder.gateway.statements import Read
 from quetzalrudder.gateway.store import Item
@@ -236,6 +237,13 @@
         decode_catalog(changed(path, value))
 
 
+@pytest.mark.parametrize("keys", ["secret", ["secret\n"], ["secret\ud800"], {"secret": 1}])
+def test_a_configuration_that_is_refused_for_its_keys_is_refused_without_naming_them(keys):
+    with pytest.raises(MalformedMessage) as raised:
+        decode_catalog(changed((*TENANT, "apiKeys"), keys))
+    assert "secret" not in str(describe_failure(raised.value))
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
