--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -43,7 +43,7 @@
 from quetzalrudder.models import RequestId, WorkspaceId
 from quetzalrudder.utils import MS_PER_S
 
-__all__ = ["Answer", "ProxySession"]
+__all__ = ["Answer", "ProxySession", "draining_error"]
 
 log = logging.getLogger(__name__)
 
@@ -376,7 +376,11 @@
         )
 
 
+def draining_error() -> Draining:
+    """Return the error for callers whose instance stops and who have lost nothing."""
+    return Draining("the instance stops", retry_after_ms=DRAINING_RETRY_MS)
+
+
 def _given_up_answer(running: RunningStatement) -> Answer:
-    draining = Draining("the instance stops", retry_after_ms=DRAINING_RETRY_MS)
-    exc = running.interruption_error(draining)
+    exc = running.interruption_error(draining_error())
     return Answer(running.state_after_failure, error=exc, close=True)
