--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -9,22 +9,18 @@
 from quetzalrudder.exceptions import (
     ConnectionLimitReached,
     ConnectionOwnerLost,
-    DeadlineExceeded,
     Draining,
     LinkLost,
     MalformedMessage,
     NoPrimary,
     NoReplica,
-    OutcomeUnknown,
     Overloaded,
     PrimaryChanging,
     QuetzalrudderError,
     QueueTooLong,
     StaleTerm,
-    StatementFailed,
     StatementNotPrepared,
     TargetUnavailable,
-    TransactionAborted,
     TruncatedAnswer,
 )
 from quetzalrudder.gateway.borrowing import FleetConnectionPool
@@ -37,7 +33,6 @@
     TargetEvacuated,
 )
 from quetzalrudder.gateway.freshness import PositionWindow
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.outlook import PrimaryOutlook
 from quetzalrudder.gateway.permission import Permission
 from quetzalrudder.gateway.placement import READ_ATTEMPT_TIMEOUT_S, Placement, ReadNeeds
@@ -51,6 +46,7 @@
     TargetFault,
     TargetReply,
 )
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry
 from quetzalrudder.models import GroupId, RequestId, TargetId, WorkspaceId
@@ -62,11 +58,8 @@
     "Attempt",
     "AttemptPlanner",
     "Request",
-    "fault_error",
-    "lost_answer_error",
     "retry_delay_s",
     "run_offered",
-    "stale_answer_error",
 ]
 
 # Delays between attempts, up to the time that a slow statement uses a slot.
@@ -75,8 +68,6 @@
 # Fraction of a statement's timeout that it may spend waiting for slots, connections and
 # primaries. The caller keeps the rest for a retry at another instance.
 QUEUE_FRACTION = 0.6
-# Retry delay for callers whose primary turned out to be replaced; its successor is recorded soon.
-PRIMARY_RETRY_AFTER_MS = 500
 # The same if the primary's data centre is evacuated: as long as a replacement usually takes.
 EVACUATED_RETRY_S = 1.0
 
@@ -414,44 +405,7 @@
     return result
 
 
-def stale_answer_error(place: str) -> NoPrimary:
-    """Return the error for an answer that came when the primary may have been replaced."""
-    reason = "the primary may have been replaced before it answered"
-    return NoPrimary(reason, place=place, retry_after_ms=PRIMARY_RETRY_AFTER_MS)
-
-
-def lost_answer_error(exc: QuetzalrudderError, *, writes: bool) -> QuetzalrudderError:
-    """Return the error for a request whose connection failed."""
-    if not writes or exc.ending is Ending.NOT_RUN:
-        return exc
-    return OutcomeUnknown(f"the outcome of the write is unknown: {exc}", place=exc.place)
-
-
 def retry_delay_s(req: Request, rng: random.Random) -> float:
     """Return the delay before the next attempt: exponential, with jitter."""
     max_delay_s = min(MAX_RETRY_DELAY_S, FIRST_RETRY_DELAY_S * 2 ** min(req.attempts, 6))
     return max_delay_s * (0.5 + rng.random() / 2)
-
-
-def fault_error(reply: TargetReply, place: str) -> QuetzalrudderError:
-    """Return the error that corresponds to a database's fault."""
-    reason = f"{reply.fault.value}: {reply.detail}" if reply.fault else reply.detail
-    match reply.fault:
-        case TargetFault.BUSY:
-            return Overloaded(reason, place=place, retry_after_ms=20)
-        case TargetFault.NOT_PREPARED:
-            return StatementNotPrepared(reason, place=place)
-        case TargetFault.LAGGING:
-            return NoReplica(reason, place=place, retry_after_ms=20)
-        case TargetFault.READ_ONLY:
-            return NoPrimary(reason, place=place, retry_after_ms=PRIMARY_RETRY_AFTER_MS)
-        case TargetFault.MOVED:
-            return TargetUnavailable(reason, place=place)
-        case TargetFault.CONNECTION_LIMIT:
-            return ConnectionLimitReached(reason, place=place, retry_after_ms=50)
-        case TargetFault.ABORTED:
-            return TransactionAborted(reason, place=place)
-        case TargetFault.TIMED_OUT:
-            return DeadlineExceeded(reason, place=place, ending=Ending.UNKNOWN)
-        case _:
-            return StatementFailed(reason, place=place)
--- a/src/quetzalrudder/gateway/coordinator_lease.py
+++ b/src/quetzalrudder/gateway/coordinator_lease.py
@@ -7,9 +7,9 @@
 
 from result import Err, Ok
 
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.records import COORDINATOR_KEY, CoordinatorRecord, encode_coordinator
 from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.models import InstanceId
 from quetzalrudder.utils import Clock
 
--- a/src/quetzalrudder/gateway/evacuation.py
+++ b/src/quetzalrudder/gateway/evacuation.py
@@ -14,7 +14,6 @@
 from result import Err, Result
 
 from quetzalrudder.exceptions import PrimaryChanging, QuetzalrudderError, TargetUnavailable
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.statements import (
     Statement,
     TargetConnector,
@@ -23,6 +22,7 @@
     TargetReply,
     TargetStatus,
 )
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.targets import LogPosition, Target
 from quetzalrudder.models import DataCentre, RequestId, WorkspaceId
 from quetzalrudder.utils import Clock
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -17,7 +17,6 @@
 )
 from quetzalrudder.gateway.coordinator_lease import CoordinatorLease
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, LeaseSpan
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
 from quetzalrudder.gateway.promotion_rules import is_suspected, may_promote
@@ -32,6 +31,7 @@
 )
 from quetzalrudder.gateway.statements import TargetStatus
 from quetzalrudder.gateway.store import Store, WriteConflict
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry, TargetRole
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import GroupId, InstanceId, TargetId
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -30,13 +30,7 @@
 from quetzalrudder.gateway.members import MemberRecord, MemberTable
 from quetzalrudder.gateway.membership import RETRY_DELAY_S as LEASE_RETRY_DELAY_S
 from quetzalrudder.gateway.membership import MembershipLease
-from quetzalrudder.gateway.mirror import (
-    RETRY_DELAY_S,
-    PrefixHandler,
-    StoreContact,
-    StoreMirror,
-    watch_wait_s,
-)
+from quetzalrudder.gateway.mirror import RETRY_DELAY_S, PrefixHandler, StoreMirror, watch_wait_s
 from quetzalrudder.gateway.peering import LocalInstance, PeerCaller, Peering
 from quetzalrudder.gateway.permission import LeaseSpan, Permission
 from quetzalrudder.gateway.placement import Placement
@@ -69,6 +63,7 @@
 from quetzalrudder.gateway.statements import TargetConnector
 from quetzalrudder.gateway.store import Item, Store
 from quetzalrudder.gateway.store_calls import CountedStore, StoreCall
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.targets import Target, TargetRegistry
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.gateway.warming import WarmingConnector, WarmingTable
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -11,7 +11,6 @@
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import PERMISSION_S, LeaseSpan, Permission
 from quetzalrudder.gateway.primaries import PrimaryTable
 from quetzalrudder.gateway.records import (
@@ -25,6 +24,7 @@
 )
 from quetzalrudder.gateway.retry_delay import RetryDelay
 from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
 from quetzalrudder.utils import Clock
--- a/src/quetzalrudder/gateway/outlook.py
+++ b/src/quetzalrudder/gateway/outlook.py
@@ -11,9 +11,9 @@
 from collections import deque
 from collections.abc import Callable
 
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import Permission
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable, UsablePrimary
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
 from quetzalrudder.models import GroupId
 from quetzalrudder.utils import MS_PER_S, Clock
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -20,7 +20,6 @@
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
 from quetzalrudder.gateway.evacuation import Evacuation, EvacuationTable
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
-from quetzalrudder.gateway.mirror import StoreContact, describe_failure
 from quetzalrudder.gateway.permission import (
     OUTAGE_LIMIT_S,
     PEER_PERMISSION_S,
@@ -35,6 +34,7 @@
 from quetzalrudder.gateway.primaries import PrimaryTable
 from quetzalrudder.gateway.records import PRIMARY_PREFIX, decode_primary, encode_primary
 from quetzalrudder.gateway.store import Item
+from quetzalrudder.gateway.store_contact import StoreContact, describe_failure
 from quetzalrudder.gateway.warming import WarmingTable
 from quetzalrudder.models import DataCentre, InstanceId, TargetId
 from quetzalrudder.schema.gateway import (
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -17,15 +17,13 @@
     QuetzalrudderError,
     StatementNotPrepared,
 )
+from quetzalrudder.gateway.attempt_errors import fault_error, lost_answer_error, stale_answer_error
 from quetzalrudder.gateway.attempts import (
     Attempt,
     AttemptPlanner,
     Request,
-    fault_error,
-    lost_answer_error,
     retry_delay_s,
     run_offered,
-    stale_answer_error,
 )
 from quetzalrudder.gateway.borrowing import BorrowedCheckout
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
--- a/src/quetzalrudder/gateway/transactions.py
+++ b/src/quetzalrudder/gateway/transactions.py
@@ -5,15 +5,8 @@
 from result import Err, Ok, Result
 
 from quetzalrudder.exceptions import OutcomeUnknown, QuetzalrudderError, TransactionAborted
-from quetzalrudder.gateway.attempts import (
-    Attempt,
-    Request,
-    fault_error,
-    lost_answer_error,
-    retry_delay_s,
-    run_offered,
-    stale_answer_error,
-)
+from quetzalrudder.gateway.attempt_errors import fault_error, lost_answer_error, stale_answer_error
+from quetzalrudder.gateway.attempts import Attempt, Request, retry_delay_s, run_offered
 from quetzalrudder.gateway.catalog import Route
 from quetzalrudder.gateway.connections import Checkout
 from quetzalrudder.gateway.running import INTERNAL_REQUEST_ID, StatementRunner
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -7,9 +7,9 @@
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.borrowing import owners_of
 from quetzalrudder.gateway.evacuation import Evacuation, EvacuationTable, PrimaryEvacuated
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.permission import PERMISSION_S
 from quetzalrudder.gateway.statements import Begin, Commit, Read, SessionState, Write
+from quetzalrudder.gateway.store_contact import StoreContact
 from tests.clocks import ManualClock
 from tests.gateway_fakes import FakeLink
 from tests.gateway_fleet import GatewayFleet
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -5,11 +5,12 @@
 from quetzalrudder.gateway.batching import LONG_DELAY_S, SHORT_DELAY_S, batch_delay_s
 from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.membership import MembershipLease
-from quetzalrudder.gateway.mirror import StoreContact, StoreMirror
+from quetzalrudder.gateway.mirror import StoreMirror
 from quetzalrudder.gateway.permission import PERMISSION_S, Permission
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
 from quetzalrudder.gateway.records import MEMBER_PREFIX, decode_member, encode_primary
 from quetzalrudder.gateway.store import Changes, Item
+from quetzalrudder.gateway.store_contact import StoreContact
 from tests.clocks import ManualClock
 from tests.gateway_fakes import MemoryStore
 
--- a/tests/test_gateway_mirror.py
+++ b/tests/test_gateway_mirror.py
@@ -10,8 +10,9 @@
 
 from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway import CurrentCatalog
-from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
+from quetzalrudder.gateway.mirror import PrefixHandler, StoreMirror
 from quetzalrudder.gateway.store import Item
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.targets import TargetRegistry
 from quetzalrudder.schema.gateway import (
     EvacuationState,
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -15,12 +15,13 @@
 from quetzalrudder.gateway.instance import DEFAULT_CONVERGENCE_S
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.membership import COVERED_FRACTION, RENEW_INTERVAL_S, RETRY_DELAY_S
-from quetzalrudder.gateway.mirror import PrefixHandler, StoreContact, StoreMirror
+from quetzalrudder.gateway.mirror import PrefixHandler, StoreMirror
 from quetzalrudder.gateway.peer_calls import NetworkPeerCaller
 from quetzalrudder.gateway.peer_service import serve_peers
 from quetzalrudder.gateway.relays import RelayedWatch, relays_of
 from quetzalrudder.gateway.store import Changes, Item
 from quetzalrudder.gateway.store_calls import StoreCall
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.schema.gateway import ChangesReply, ChangesRequest, RelayState
 from quetzalrudder.utils import parse_address
 from standins.fleet import free_addresses
--- a/tests/test_rig_decoding.py
+++ b/tests/test_rig_decoding.py
@@ -12,10 +12,10 @@
 
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.gateway import records
-from quetzalrudder.gateway.mirror import describe_failure
 from quetzalrudder.gateway.slot_share import slot_parts
 from quetzalrudder.gateway.statements import Read
 from quetzalrudder.gateway.store import Item
+from quetzalrudder.gateway.store_contact import describe_failure
 from quetzalrudder.schema.gateway import PeerReport, RunRequest, Wanted
 from tests.gateway_fleet import GatewayFleet
 from tests.test_gateway_mirror import View, configuration
--- a/tests/test_rig_settings.py
+++ b/tests/test_rig_settings.py
@@ -18,8 +18,8 @@
 from quetzalrudder.exceptions import InvalidSettings, MalformedMessage
 from quetzalrudder.gateway import Consistency, CrossingPrice, CurrentCatalog, TargetRole
 from quetzalrudder.gateway.evacuation import EvacuationTable
-from quetzalrudder.gateway.mirror import StoreContact
 from quetzalrudder.gateway.store import Item
+from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.targets import TargetRegistry
 from quetzalrudder.utils import Address
 from tests.clocks import ManualClock
