--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from harness.database import Service
-from harness.edges import Edge, small_config
+from harness.edges import Edge, Ports, small_config
 from harness.provider import Provider
 from harness.record import Record
 from harness.store import MetadataStore
@@ -54,12 +54,15 @@
             stack.callback(service.close)
         self.provider = Provider(list(self.services.values()), record)
         stack.callback(self.provider.close)
+        ports = Ports()
+        stack.callback(ports.close)
         self.edges: list[Edge] = []
         stack.callback(self._keep_logs)
         for number in range(edges):
             zone = ZONES[number % len(ZONES)]
             name = f"edge-{zone}-{number + 1}"
-            edge = Edge(name, zone, ZONES, self.store.address, self.provider.address, directory)
+            store, provider = self.store.address, self.provider.address
+            edge = Edge(name, zone, ZONES, store, provider, directory, ports)
             self.edges.append(edge)
             stack.callback(edge.end)
         if not all(edge.wait_ready() for edge in self.edges):
--- a/review/harness/edges.py
+++ b/review/harness/edges.py
@@ -1,6 +1,7 @@
 """The system's processes, started with the command of the deploy file."""
 
 import os
+import random
 import socket
 import subprocess
 import time
@@ -9,17 +10,43 @@
 from urllib.error import URLError
 from urllib.request import urlopen
 
-__all__ = ["ROOT", "Edge", "free_port", "small_config"]
+__all__ = ["ROOT", "Edge", "Ports", "small_config"]
 
 ROOT = Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 30.0
 EXIT_TIMEOUT_S = 8.0
 
 
-def free_port() -> int:
-    """Return a port of the loopback address that is free."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+# Ports below those of outgoing connections, which could take one that is not bound yet.
+PORT_RANGES = [range(base, base + 100) for base in range(12_000, 32_000, 100)]
+
+
+class Ports:
+    """Ports that no other case uses, as the first of their range stays bound."""
+
+    def __init__(self) -> None:
+        for ports in random.sample(PORT_RANGES, len(PORT_RANGES)):
+            try:
+                self._reserved = socket.create_server(("127.0.0.1", ports[0]))
+            except OSError:
+                continue
+            self._free = iter(ports[1:])
+            return
+        raise OSError("no range of ports is free")
+
+    def take(self) -> int:
+        """Return a port that nothing listens on."""
+        for port in self._free:
+            try:
+                socket.create_server(("127.0.0.1", port)).close()
+            except OSError:
+                continue
+            return port
+        raise OSError("no port is free")
+
+    def close(self) -> None:
+        """Give the range back."""
+        self._reserved.close()
 
 
 def small_config(services: list[str], *, max_connections: int = 40) -> dict:
@@ -65,6 +92,8 @@
         Addresses of the platform.
     directory : Path
         Folder of the settings file and the log.
+    ports : Ports
+        Ports that it may use.
     """
 
     def __init__(
@@ -75,14 +104,15 @@
         store: str,
         provider: str,
         directory: Path,
+        ports: Ports,
     ) -> None:
         self.name = name
-        self.frontend, self.readiness, peers, admin = (free_port() for _ in range(4))
+        self.frontend, self.readiness, peers, admin = (ports.take() for _ in range(4))
         self._place = directory / name
         self._place.mkdir()
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         self._role = deploy["roles"]["edge"]
-        self._metrics = free_port()
+        self._metrics = ports.take()
         lines = {
             "nodeName": name,
             "role": "edge",
--- a/review/harness/load.py
+++ b/review/harness/load.py
@@ -34,6 +34,7 @@
         key: str,
         work: Callable[[Session], bool],
         pause_s: float,
+        reconnect_s: float = RECONNECT_PAUSE_S,
     ) -> None:
         """Start a client that repeats its work; it reconnects once the work returns False."""
 
@@ -51,8 +52,7 @@
                     is_open = work(session)
                     self._stopping.wait(pause_s)
                 session.close()
-                if not is_open:
-                    self._stopping.wait(RECONNECT_PAUSE_S)
+                self._stopping.wait(reconnect_s)
 
         thread = threading.Thread(target=run, daemon=True)
         self._threads.append(thread)
