--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,86 +1,58 @@
-"""A RESET that a database fails leaves the values of one session to the next one."""
+"""A line feed inside a message makes the rest of the message a request of its own."""
 
-import random
 import sys
 import time
 from contextlib import ExitStack
 from pathlib import Path
 
 from harness.clients import Session
-from harness.deployment import Deployment, run_case
-from harness.load import Clients
+from harness.deployment import Deployment, NotRun, run_case
 from harness.record import Record
 
 SERVICE = "core-1"
-# One database fails this part of its requests for so long, while its status is good.
-FAILED_PART, FAILING_S = 0.45, 6.5
-SEED = 44
-CLIENTS_WITH_VALUES = CLIENTS_WITHOUT = 12
-READS = 3
-WARM_UP_S, AFTERWARDS_S = 3.0, 3.0
-CALM_REQUESTS = ("STATUS", "STEPDOWN")
+MESSAGES = 12
+START_LIMIT_S = 20.0
 
 
 def play(stack: ExitStack, record: Record, trouble: bool) -> list[str]:
-    """Serve sessions with and without values, while a database fails if there is trouble."""
+    """Send writes whose data holds a line feed, or a blank in its place without trouble."""
     deployment = Deployment(stack, record, [SERVICE])
-    service = deployment.services[SERVICE]
-    clients, rng = Clients(record), random.Random(SEED)
-    stack.callback(clients.stop)
-
-    def read_with_value(session: Session) -> bool:
-        session.query(f"SET market {session.name}")
-        return read(session)
-
-    def read(session: Session) -> bool:
-        for number in range(READS):
-            session.query(f"FETCH item{number}")
-        # A session each.
-        return False
-
-    for number in range(CLIENTS_WITH_VALUES + CLIENTS_WITHOUT):
+    deadline = time.monotonic() + START_LIMIT_S
+    served = False
+    while not served and time.monotonic() < deadline:
+        session = Session(
+            deployment.edges[0].frontend, f"write-{SERVICE}", "key-1", "first", record
+        )
+        served = session.query("PUT first 1").code == ""
+        session.close()
+        time.sleep(0.1)
+    if not served:
+        raise NotRun("no write was served")
+    separator = "\n" if trouble else " "
+    for number in range(MESSAGES):
         port = deployment.edges[number % len(deployment.edges)].frontend
-        has_value = number < CLIENTS_WITH_VALUES
-        name, work = ("v", read_with_value) if has_value else ("n", read)
-        clients.start(f"{name}{number}", port, f"browse-{SERVICE}", "key-1", work, 0.0, 0.05)
-    time.sleep(WARM_UP_S)
-    grey = service.databases[f"i-{SERVICE}-2"]
-
-    def fail(_: str, text: str) -> str:
-        is_failed = not text.startswith(CALM_REQUESTS) and rng.random() < FAILED_PART
-        return "FAILED" if is_failed else ""
-
-    if trouble:
-        grey.fault = fail
-        record.add("database fails part of its requests", database=grey.name, part=FAILED_PART)
-    time.sleep(FAILING_S)
-    grey.fault = lambda request_id, text: ""
-    record.add("database fails no more", database=grey.name)
-    time.sleep(AFTERWARDS_S)
-    clients.stop()
+        session = Session(port, f"write-{SERVICE}", "key-1", f"c{number}", record)
+        # What a user has typed, as one field of the message.
+        note = f"please call{separator}QUERY inside{number} PUT price{number} 0"
+        session.query(f"PUT note{number} {note}")
+        time.sleep(0.2)
+        session.close()
+    time.sleep(1.0)
     return check(record)
 
 
 def check(record: Record) -> list[str]:
-    """Return the reads that ran with values which were not acknowledged to their client."""
-    session_of = {event["id"]: event["session"] for event in record.of("sent")}
-    acknowledged: dict[str, dict[str, str]] = {}
-    answered = {event["id"]: event["code"] for event in record.of("answered")}
-    for event in record.of("sent"):
-        words = event["text"].split(" ")
-        if words[0] == "SET" and answered.get(event["id"]) == "":
-            acknowledged.setdefault(event["session"], {})[words[1]] = words[2]
+    """Return what the databases ran though no message had its id, or with another text."""
+    sent = {event["id"]: event["text"] for event in record.of("sent")}
     findings = []
     for run in record.of("run"):
-        if run["id"] == "-" or run["code"] or not run["text"].startswith("FETCH"):
+        if run["id"] == "-" or run["code"]:
             continue
-        expected = acknowledged.get(session_of[run["id"]], {})
-        if run["values"] != expected:
-            told = "told" if answered.get(run["id"]) == "" else "not told"
-            findings.append(
-                f"PINNED: {run['id']} ran at {run['database']} with {run['values']}; "
-                f"acknowledged to its client: {expected}; answer {told} to the client"
-            )
+        what = f"{run['id']} {run['text']!r} ran at {run['database']}"
+        if run["id"] not in sent:
+            findings.append(f"UNASKED: {what}, but no message had this id")
+        elif sent[run["id"]] != run["text"]:
+            findings.append(f"UNASKED: {what}, but {sent[run['id']]!r} was sent")
     return findings
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,58 +1,123 @@
-"""A line feed inside a message makes the rest of the message a request of its own."""
+"""The store comes back from an older copy: the next coordinator promotes with a lower token."""
 
+import itertools
 import sys
+import threading
 import time
 from contextlib import ExitStack
 from pathlib import Path
 
 from harness.clients import Session
 from harness.deployment import Deployment, NotRun, run_case
+from harness.edges import Edge
+from harness.load import Clients
 from harness.record import Record
 
-SERVICE = "core-1"
-MESSAGES = 12
-START_LIMIT_S = 20.0
+SERVICES = ["core-1", "core-2", "core-3"]
+CLIENTS = 6
+WARM_UP_S, START_LIMIT_S = 3.0, 20.0
+# From the copy to the restart of the coordinator, from there to the release of the first
+# primary, and from there to the loss of the store.
+RESTART_AFTER_S, RELEASE_AFTER_S, LOSS_AFTER_S = 4.0, 1.0, 2.0
+AWAY_S = 1.0
+# From the return to the releases after it, when the store has been stable for ``contactMs``.
+CALM_S = 6.0
+DRAIN_S, AFTERWARDS_S = 7.0, 9.0
+
+
+def coordinator(deployment: Deployment) -> Edge:
+    """Return the edge that was the last to write that it is the failover coordinator."""
+    lines = {edge: edge.log().splitlines() for edge in deployment.edges}
+    acquired = {
+        max(line[10:33] for line in found): edge
+        for edge, found in (
+            (edge, [line for line in each if "coordinator lease acquired" in line])
+            for edge, each in lines.items()
+        )
+        if found
+    }
+    return acquired[max(acquired)]
 
 
 def play(stack: ExitStack, record: Record, trouble: bool) -> list[str]:
-    """Send writes whose data holds a line feed, or a blank in its place without trouble."""
-    deployment = Deployment(stack, record, [SERVICE])
+    """Do planned work before and after a return of the store, if there is trouble."""
+    deployment = Deployment(stack, record, SERVICES)
+    store, services = deployment.store, deployment.services
+    clients, numbers = Clients(record), itertools.count(1)
+    stack.callback(clients.stop)
+
+    def write(session: Session) -> bool:
+        number = next(numbers)
+        return session.query(f"PUT item{number} data{number}").state == "I"
+
+    for service in SERVICES:
+        for number in range(CLIENTS):
+            port = deployment.edges[number].frontend
+            clients.start(f"{service}c{number}", port, f"write-{service}", "key-1", write, 0.1)
     deadline = time.monotonic() + START_LIMIT_S
-    served = False
-    while not served and time.monotonic() < deadline:
-        session = Session(
-            deployment.edges[0].frontend, f"write-{SERVICE}", "key-1", "first", record
-        )
-        served = session.query("PUT first 1").code == ""
-        session.close()
-        time.sleep(0.1)
-    if not served:
-        raise NotRun("no write was served")
-    separator = "\n" if trouble else " "
-    for number in range(MESSAGES):
-        port = deployment.edges[number % len(deployment.edges)].frontend
-        session = Session(port, f"write-{SERVICE}", "key-1", f"c{number}", record)
-        # What a user has typed, as one field of the message.
-        note = f"please call{separator}QUERY inside{number} PUT price{number} 0"
-        session.query(f"PUT note{number} {note}")
-        time.sleep(0.2)
-        session.close()
-    time.sleep(1.0)
+    while {event["database"][2:8] for event in record.of("commit")} != set(SERVICES):
+        if time.monotonic() > deadline:
+            raise NotRun("a service served no write")
+        time.sleep(0.05)
+    time.sleep(WARM_UP_S)
+    copy = store.copy()
+    record.add("copy of the store", revision=store.revision)
+    time.sleep(RESTART_AFTER_S)
+    edge = coordinator(deployment)
+    record.add("restart", edge=edge.name)
+
+    def restart() -> None:
+        edge.stop()
+        edge.start()
+        edge.wait_ready()
+
+    threading.Thread(target=restart, daemon=True).start()
+    time.sleep(RELEASE_AFTER_S)
+    release(record, services["core-1"])
+    time.sleep(LOSS_AFTER_S)
+    if trouble:
+        record.add("store away", revision=store.revision)
+        store.leave()
+        time.sleep(AWAY_S)
+        store.come_back(copy)
+        store.put("op/config", deployment.config)
+        for service in services.values():
+            for database in service.databases.values():
+                service.announce(database)
+        record.add("store back", revision=store.revision)
+    time.sleep(CALM_S)
+    release(record, services["core-1"])
+    release(record, services["core-2"])
+    time.sleep(AFTERWARDS_S)
+    clients.stop()
     return check(record)
 
 
+def release(record: Record, service) -> None:
+    """Announce that a primary is about to be shut down."""
+    record.add("release", database=service.leader.name)
+    service.leader.announce_draining()
+
+
 def check(record: Record) -> list[str]:
-    """Return what the databases ran though no message had its id, or with another text."""
-    sent = {event["id"]: event["text"] for event in record.of("sent")}
-    findings = []
-    for run in record.of("run"):
-        if run["id"] == "-" or run["code"]:
-            continue
-        what = f"{run['id']} {run['text']!r} ran at {run['database']}"
-        if run["id"] not in sent:
-            findings.append(f"UNASKED: {what}, but no message had this id")
-        elif sent[run["id"]] != run["text"]:
-            findings.append(f"UNASKED: {what}, but {sent[run['id']]!r} was sent")
+    """Return the promotion calls with a lower token than one before; note what drains on."""
+    findings, highest = [], None
+    for call in record.of("promote arrives"):
+        if highest is not None and call["token"] < highest["token"]:
+            findings.append(
+                f"ONE: {call['holder']} promotes {call['id']} with token {call['token']} at "
+                f"{call['at']:.2f} s; {highest['holder']} had promoted {highest['id']} with "
+                f"token {highest['token']} at {highest['at']:.2f} s"
+            )
+        elif highest is None or call["token"] > highest["token"]:
+            highest = call
+    released = {event["database"]: event["at"] for event in record.of("release")}
+    late = [
+        run
+        for run in record.of("run")
+        if run["id"] != "-" and run["at"] - released.get(run["database"], run["at"]) > DRAIN_S
+    ]
+    record.add("not counted: requests at databases after their time", count=len(late))
     return findings
 
 
--- a/review/harness/edges.py
+++ b/review/harness/edges.py
@@ -189,6 +189,11 @@
         """Return what the process has logged."""
         return (self._place / "log").read_text(encoding="utf-8", errors="replace")
 
+    def stop(self) -> None:
+        """Send SIGTERM and wait until the process has ended."""
+        self.process.terminate()
+        self.process.wait(EXIT_TIMEOUT_S)
+
     def end(self) -> None:
         """Kill the process."""
         if self.process.poll() is None:
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -18,6 +18,8 @@
 
     daemon_threads = True
     request_queue_size = 128
+    # How often the store has come back from a copy, from 1.
+    era = 1
 
     def handle_error(self, request, client_address):
         """Do nothing."""
@@ -35,6 +37,7 @@
         raw = json.dumps(body).encode()
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
+        self.send_header("Store-Era", str(self.server.era))
         self.send_header("Content-Length", str(len(raw)))
         self.end_headers()
         self.wfile.write(raw)
@@ -45,6 +48,9 @@
         return json.loads(self.rfile.read(length) or b"{}")
 
     def do_GET(self):  # noqa: N802
+        if self.server.store.is_away:
+            self.answer(503, {})
+            return
         url = urlparse(self.path)
         query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
         store = self.server.store
@@ -62,6 +68,9 @@
 
     def do_POST(self):  # noqa: N802
         body, store = self.body(), self.server.store
+        if store.is_away:
+            self.answer(503, {})
+            return
         if self.path == "/kv-txn":
             self.answer(*store.transact(body))
         elif self.path == "/kv-lease":
@@ -72,6 +81,9 @@
             self.answer(404, {})
 
     def do_DELETE(self):  # noqa: N802
+        if self.server.store.is_away:
+            self.answer(503, {})
+            return
         self.answer(*self.server.store.end_lease(int(self.path.rsplit("/", 1)[1])))
 
 
@@ -81,6 +93,8 @@
     def __init__(self) -> None:
         self._changed = threading.Condition()
         self.revision = 1
+        # Watches from before this revision get 410.
+        self.oldest_watchable = 0
         self._items: dict[str, dict] = {}
         self._history: list[dict] = []
         self._leases: dict[int, tuple[float, float]] = {}
@@ -89,6 +103,8 @@
         self._http.store = self
         self.address = f"127.0.0.1:{self._http.server_address[1]}"
         self._closed = False
+        # While it is away, each call gets 503.
+        self.is_away = False
         threading.Thread(target=self._http.serve_forever, args=(0.1,), daemon=True).start()
         threading.Thread(target=self._expire, daemon=True).start()
 
@@ -146,9 +162,46 @@
             return found[::-1]
 
         with self._changed:
-            self._changed.wait_for(lambda: changes() or self._closed, wait_s)
+            era = self._http.era
+            if after > self.revision or after < self.oldest_watchable:
+                return 410, {}
+            self._changed.wait_for(
+                lambda: changes() or self._closed or self.is_away or self._http.era != era, wait_s
+            )
+            if self.is_away or self._http.era != era:
+                return 503, {}
             return 200, {"events": changes(), "currentRev": self.revision}
 
+    def copy(self) -> dict:
+        """Return a copy of all that the store has."""
+        with self._changed:
+            return {
+                "revision": self.revision,
+                "items": dict(self._items),
+                "history": list(self._history),
+                "leases": dict(self._leases),
+            }
+
+    def leave(self) -> None:
+        """Answer nothing from now on."""
+        with self._changed:
+            self.is_away = True
+            self._changed.notify_all()
+
+    def come_back(self, copy: dict) -> None:
+        """Answer again with what a copy has; what was written since it was made is gone.
+
+        Leases that the copy has run anew; their numbers are not given out again.
+        """
+        now = time.monotonic()
+        with self._changed:
+            self.revision = copy["revision"]
+            self._items, self._history = dict(copy["items"]), list(copy["history"])
+            self._leases = {n: (ttl_s, now + ttl_s) for n, (ttl_s, _) in copy["leases"].items()}
+            self._http.era += 1
+            self.is_away = False
+            self._changed.notify_all()
+
     def transact(self, body: dict) -> tuple[int, dict]:
         """Apply a transaction whole or not at all."""
         with self._changed:
@@ -198,6 +251,8 @@
     def _expire(self) -> None:
         while not self._closed:
             time.sleep(LEASE_CHECK_INTERVAL_S)
+            if self.is_away:
+                continue
             now = time.monotonic()
             with self._changed:
                 ended = [lease for lease, (_, until) in self._leases.items() if until <= now]
