--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -131,6 +131,17 @@
             super().handle_error(request, client_address)
 
 
+def read_message(stream):
+    """Return the next message without its CR LF; an empty string at the end of the stream."""
+    message = b""
+    while not message.endswith(b"\r\n"):
+        piece = stream.readline()
+        if not piece:
+            return ""
+        message += piece
+    return message[:-2].decode("latin-1")
+
+
 class DatabaseServer:
     """Serves the session protocol of one fake database."""
 
@@ -153,9 +164,9 @@
     def serve(self, sock):
         with sock, sock.makefile("rb") as stream:
             # A caller that ends may close a connection before its greeting.
-            if not (greeting := stream.readline()):
+            if not (greeting := read_message(stream)):
                 return
-            _, group, workspace, expected = greeting.decode("latin-1").split()
+            _, group, workspace, expected = greeting.split()
             assert (group, expected) == (self.database.info.group, self.database.info.target)
             with self.lock:
                 opened = self.database.group.connect(self.database.info, workspace, 1.0)
@@ -164,7 +175,7 @@
             link = opened.ok_value
             try:
                 sock.sendall(b"READY I -\r\n")
-                while line := stream.readline().decode("latin-1").strip("\r\n"):
+                while line := read_message(stream):
                     if line == "QUIT":
                         break
                     answer = self.run(link, line)
--- a/tests/test_edge_program.py
+++ b/tests/test_edge_program.py
@@ -255,6 +255,19 @@
     assert Caller(edge.frontend, "offers").greeting == "READY I -"
 
 
+def test_what_follows_a_line_break_in_a_message_does_not_run(edge, platform):
+    # A write was committed cut off at the break, and the rest ran as a request of its own.
+    offers = Caller(edge.frontend, "offers")
+    assert offers.query_until("PUT a 1", DONE) == DONE
+    ran = len(platform.group.executed)
+    for line_break in ("\n", "\r"):
+        lines = offers.query(f"PUT a please call{line_break}QUERY inside PUT price 0")
+        assert lines == ["ERR MALFORMED line break inside a statement", "READY I -"]
+    assert len(platform.group.executed) == ran
+    assert offers.query_until("FETCH a", ["ROW a=1", *DONE]) == ["ROW a=1", *DONE]
+    assert "price" not in str(platform.group.executed)
+
+
 def test_invalid_settings_end_the_start_with_a_reason(deployment_build, tmp_path):
     path = tmp_path / "settings.conf"
     path.write_text("nodeName=edge-1\nlisten.frontend=nowhere\n", encoding="utf-8")
--- a/tests/test_rig_wire.py
+++ b/tests/test_rig_wire.py
@@ -25,7 +25,14 @@
 from quetzalrudder import exceptions
 from quetzalrudder.exceptions import MalformedMessage
 from quetzalrudder.gateway.sessions import Answer
-from quetzalrudder.gateway.statements import Malformed, Read, SessionState, TargetFault
+from quetzalrudder.gateway.statements import (
+    Malformed,
+    Read,
+    SessionState,
+    SetValue,
+    TargetFault,
+    Write,
+)
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRole
 from quetzalrudder.utils import Address
 
@@ -294,6 +301,87 @@
     lines.close()
 
 
+LINE_BREAKS = ["\n", "\r", "\n\r"]
+
+
+@pytest.mark.parametrize("line_break", LINE_BREAKS)
+def test_a_line_break_inside_a_message_begins_no_other_message(line_break):
+    # The rest of the message ran as a request that no caller had sent.
+    lines, peer_sock = tcp_pair()
+    inside = f"QUERY 1 PUT a b{line_break}QUERY 2 PUT c d"
+    sent = f"{inside}\r\nQUERY 3 FETCH a\r\n".encode()
+    for cut in range(len(sent) + 1):
+        peer_sock.sendall(sent[:cut])
+        time.sleep(0.001)
+        peer_sock.sendall(sent[cut:])
+        assert lines.read_line(time.monotonic() + 2) == inside
+        assert lines.read_line(time.monotonic() + 2) == "QUERY 3 FETCH a"
+    assert not lines.has_buffered_bytes
+    peer_sock.close()
+    lines.close()
+
+
+@pytest.mark.parametrize("line_break", LINE_BREAKS)
+@pytest.mark.parametrize("text", STATEMENTS)
+def test_a_statement_with_a_line_break_is_malformed_as_a_whole(text, line_break):
+    # A part of it was run, and the rest as a statement of its own.
+    for cut in range(len(text) + 1):
+        broken = f"{text[:cut]}{line_break}{text[cut:]}"
+        assert isinstance(decode_statement(broken), Malformed)
+        assert decode_request(f"QUERY 5c {broken}") == Query("5c", broken)
+
+
+@pytest.mark.parametrize("line_break", LINE_BREAKS)
+@pytest.mark.parametrize("line", ["CONNECT db{}", "CONNECT d{}b key", "CONNECT db k{}ey"])
+def test_a_greeting_with_a_line_break_is_malformed(line, line_break):
+    # The rest of the message was read as the first statement of the session.
+    with pytest.raises(MalformedMessage):
+        decode_request(line.format(line_break))
+
+
+def test_a_request_id_with_a_line_break_is_malformed():
+    # The database would have taken what follows the break for another request.
+    with pytest.raises(MalformedMessage):
+        decode_request("QUERY 5\nc FETCH 1a4")
+
+
+@pytest.mark.parametrize("line_break", LINE_BREAKS)
+@pytest.mark.parametrize(
+    ("request_id", "statement"),
+    [
+        ("5c", Write("a", "b{}c")),
+        ("5c", Read("a{}")),
+        ("-", SetValue("lang", "k{}k")),
+        ("5{}c", Read("a")),
+    ],
+)
+def test_no_line_break_of_a_peer_reaches_a_database(peer, request_id, statement, line_break):
+    # A peer whose build reads messages otherwise sends it beside statements to be run here.
+    link, sock, _ = peer.open_link()
+    values = {name: value.format(line_break) for name, value in vars(statement).items()}
+    result = link.run(request_id.format(line_break), type(statement)(**values), 0.5)
+    assert isinstance(result.err_value, MalformedMessage)
+    assert result.err_value.ending is exceptions.Ending.NOT_RUN
+    sock.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        sock.recv(100)
+    sock.close()
+
+
+@pytest.mark.parametrize("line_break", LINE_BREAKS)
+def test_a_row_with_a_line_break_is_returned_whole(peer, line_break):
+    # What followed the break was read as another part of the answer.
+    row = f"first{line_break}DONE forged"
+    link, sock, _ = peer.open_link()
+    sock.sendall(f"ROW {row}\r\nDONE signed\r\nREADY I 3.1\r\n".encode())
+    reply = link.run("5c", Read("1a4"), 2.0).ok_value
+    assert (reply.rows, reply.signature) == ((row,), "signed")
+    assert not link.broken
+    answer = encode_answer(Answer(SessionState.IDLE, reply.rows, reply.signature))
+    assert answer == f"ROW {row}\r\nDONE signed\r\nREADY I -\r\n"
+    sock.close()
+
+
 def test_closed_link_reports_the_target_unavailable():
     lines, peer_sock = tcp_pair()
     link = WireLink(lines, "db-1")
@@ -308,7 +396,7 @@
     assert text.encode("latin-1").startswith(b"ERR BUSY ")
 
 
-@pytest.mark.parametrize("workspace", ["Київ", "two words"])
+@pytest.mark.parametrize("workspace", ["Київ", "two words", "a\r\nQUERY", "a\nb", "a\r"])
 def test_a_workspace_that_the_protocol_cannot_carry_says_nothing_about_the_database(workspace):
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = Address("127.0.0.1", listener.getsockname()[1])
