--- a/src/quetzalrudder/gateway/checkouts.py
+++ b/src/quetzalrudder/gateway/checkouts.py
@@ -19,6 +19,11 @@
     values: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
 
+    def invalidate_values(self) -> None:
+        """Have the connection reset before its next use, as its session values are unknown."""
+        # No session has a value with an empty name, so the next one to use it resets it.
+        self.values[""] = ""
+
 
 class Checkout(Protocol):
     """A connection checked out of a pool; use it as a context manager.
@@ -88,8 +93,7 @@
 
     def invalidate_values(self) -> None:
         """Have the connection reset before its next use, as its session values are unknown."""
-        # No session has a value with an empty name, so the next one to use it resets it.
-        self.pooled.values[""] = ""
+        self.pooled.invalidate_values()
 
     def mark_reusable(self) -> None:
         """Return the connection to the pool on release, as no transaction is open on it."""
--- a/src/quetzalrudder/gateway/lending.py
+++ b/src/quetzalrudder/gateway/lending.py
@@ -17,7 +17,7 @@
 from quetzalrudder.exceptions import QuetzalrudderError, TargetUnavailable, to_failure
 from quetzalrudder.gateway.connections import GatewayPool, PooledCheckout, Urgency
 from quetzalrudder.gateway.lent_messages import decode_position, decode_statement, encode_reply
-from quetzalrudder.gateway.running import set_up_link
+from quetzalrudder.gateway.link_setup import SessionSetupFailed, set_up_link
 from quetzalrudder.gateway.slot_links import MAX_WAIT_FRACTION
 from quetzalrudder.gateway.statements import (
     Commit,
@@ -180,7 +180,6 @@
             prepare = decode_statement(req.prepare) if req.prepare is not None else None
             setup = set_up_link(checkout.pooled, values, prepare)
             if isinstance(setup, Err):
-                setup.err_value.ending = Ending.NOT_RUN
                 return setup
         timeout_s = max(0.01, deadline_at - self._clock.monotonic())
         at_least = decode_position(req.at_least)
@@ -195,8 +194,10 @@
     ) -> RunReply:
         """Encode the answer, and take the connection back unless a transaction is open on it."""
         if isinstance(result, Err):
-            self._take_back(checkout_id, reusable=False)
-            return RunReply(failure=to_failure(result.err_value))
+            exc = result.err_value
+            reusable = isinstance(exc, SessionSetupFailed) and exc.leaves_link_idle
+            self._take_back(checkout_id, reusable=reusable)
+            return RunReply(failure=to_failure(exc))
         reply = result.ok_value
         if reply.fault is TargetFault.NOT_PREPARED:
             lent.checkout.invalidate_prepared()
@@ -208,7 +209,8 @@
         if may_be_undone and lent.checkout.pooled.values != lent.values_before:
             # It is unknown whether the database undid the changes.
             lent.checkout.invalidate_values()
-        self._take_back(checkout_id, reusable=True)
+        failed_rollback = req.statement.kind is StatementKind.ROLLBACK and reply.fault is not None
+        self._take_back(checkout_id, reusable=not failed_rollback)
         return encode_reply(reply)
 
     def _take_back(self, checkout_id: int, *, reusable: bool) -> None:
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -27,7 +27,8 @@
 )
 from quetzalrudder.gateway.borrowing import BorrowedCheckout
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
-from quetzalrudder.gateway.connections import Checkout, PooledLink
+from quetzalrudder.gateway.connections import Checkout
+from quetzalrudder.gateway.link_setup import SessionSetupFailed, set_up_link
 from quetzalrudder.gateway.measurements import Metrics
 from quetzalrudder.gateway.quotas import QuotaCharge
 from quetzalrudder.gateway.rate_tokens import RateLimiter
@@ -35,30 +36,22 @@
     Execute,
     Prepare,
     SessionState,
-    SetValue,
     Statement,
     TargetFault,
     TargetReply,
     Write,
 )
 from quetzalrudder.gateway.targets import LogPosition
-from quetzalrudder.models import RequestId
 from quetzalrudder.schema.common import Ending
 from quetzalrudder.utils import Clock
 
 __all__ = [
-    "INTERNAL_REQUEST_ID",
     "GatewayServices",
     "StatementTrace",
     "StatementRunner",
     "SessionContext",
-    "set_up_link",
 ]
 
-# Request id of statements that the gateway sends on its own.
-INTERNAL_REQUEST_ID = RequestId("-")
-# Timeout of SET and PREPARE: many round trips, as they do not wait for a slot of the database.
-SETUP_TIMEOUT_S = 0.5
 # Limit on the session values of one session, and on its prepared statements.
 MAX_SESSION_ENTRIES = 256
 
@@ -140,7 +133,7 @@
 
     def set_up_connection(
         self, checkout: Checkout, statement: Statement
-    ) -> Result[None, QuetzalrudderError]:
+    ) -> Result[None, SessionSetupFailed]:
         """Apply the session values to a connection and prepare what the statement executes."""
         prepare = None
         if isinstance(statement, Execute):
@@ -153,33 +146,6 @@
                 return set_up_link(checkout.pooled, self._values, prepare)
 
 
-def set_up_link(
-    pooled: PooledLink, values: dict[str, str], prepare: Prepare | None
-) -> Result[None, QuetzalrudderError]:
-    """Apply a session's values to a connection and prepare the statement to execute next.
-
-    A connection with values that the session does not have is reset first.
-    """
-    if any(name not in values for name in pooled.values):
-        result = pooled.link.reset(SETUP_TIMEOUT_S)
-        if isinstance(result, Err):
-            return result
-        pooled.values.clear()
-        pooled.prepared.clear()
-    for name, value in values.items():
-        if pooled.values.get(name) != value:
-            result = _run_setup(pooled, SetValue(name, value))
-            if isinstance(result, Err):
-                return result
-            pooled.values[name] = value
-    if prepare is not None and prepare.name not in pooled.prepared:
-        result = _run_setup(pooled, prepare)
-        if isinstance(result, Err):
-            return result
-        pooled.prepared.add(prepare.name)
-    return Ok(None)
-
-
 def _shared_name(prepared: Prepare) -> Prepare:
     """Return a prepared statement named by its content, so that sessions can share it."""
     content = f"{prepared.writes} {prepared.shape}"
@@ -187,15 +153,6 @@
     return Prepare(f"p{digest}", prepared.writes, prepared.shape)
 
 
-def _run_setup(pooled: PooledLink, statement: Statement) -> Result[None, QuetzalrudderError]:
-    result = pooled.link.run(INTERNAL_REQUEST_ID, statement, SETUP_TIMEOUT_S)
-    if isinstance(result, Err):
-        return result
-    if result.ok_value.fault is not None:
-        return Err(fault_error(result.ok_value, "session setup"))
-    return Ok(None)
-
-
 class StatementRunner:
     """Runs the statements of one session, outside and inside transactions.
 
@@ -287,7 +244,7 @@
         """Run a single statement once on the attempt's connection."""
         setup = self.context.set_up_connection(attempt.checkout, req.statement)
         if isinstance(setup, Err):
-            self.record_fault(attempt, setup.err_value)
+            self.record_failed_setup(req, attempt, setup.err_value)
             return setup
         statement = self.context.with_shared_name(req.statement)
         sent_at = self.services.clock.monotonic()
@@ -338,6 +295,14 @@
         if reply.position is not None:
             self.own_commits = max(self.own_commits or reply.position, reply.position)
 
+    def record_failed_setup(self, req: Request, attempt: Attempt, exc: SessionSetupFailed) -> None:
+        """Record that a connection could not be prepared; keep it if it can be used again."""
+        self.record_fault(attempt, exc, exc.fault)
+        if exc.fault is not None:
+            req.exclude(attempt.checkout.target.target, exc.fault)
+        if exc.leaves_link_idle:
+            attempt.checkout.mark_reusable()
+
     def record_fault(
         self, attempt: Attempt, exc: QuetzalrudderError, fault: TargetFault | None = None
     ) -> None:
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -19,8 +19,8 @@
 )
 from quetzalrudder.gateway.attempts import QUEUE_FRACTION, Request
 from quetzalrudder.gateway.catalog import Catalog, Route
+from quetzalrudder.gateway.link_setup import INTERNAL_REQUEST_ID
 from quetzalrudder.gateway.running import (
-    INTERNAL_REQUEST_ID,
     GatewayServices,
     StatementRunner,
     StatementTrace,
--- a/src/quetzalrudder/gateway/transactions.py
+++ b/src/quetzalrudder/gateway/transactions.py
@@ -9,7 +9,8 @@
 from quetzalrudder.gateway.attempts import Attempt, Request, retry_delay_s, run_offered
 from quetzalrudder.gateway.catalog import Route
 from quetzalrudder.gateway.connections import Checkout
-from quetzalrudder.gateway.running import INTERNAL_REQUEST_ID, StatementRunner
+from quetzalrudder.gateway.link_setup import INTERNAL_REQUEST_ID, SessionSetupFailed
+from quetzalrudder.gateway.running import StatementRunner
 from quetzalrudder.gateway.statements import (
     Begin,
     Commit,
@@ -93,7 +94,7 @@
     def _begin_at(self, req: Request, attempt: Attempt) -> Result[None, QuetzalrudderError]:
         setup = self._runner.context.set_up_connection(attempt.checkout, req.statement)
         if isinstance(setup, Err):
-            self._runner.record_fault(attempt, setup.err_value)
+            self._runner.record_failed_setup(req, attempt, setup.err_value)
             return setup
         sent_at = self._services.clock.monotonic()
         result = attempt.checkout.link.run(
@@ -107,6 +108,10 @@
             if reply.state is SessionState.IDLE:
                 attempt.checkout.mark_reusable()
             return self._runner.handle_refusal(req, attempt, reply)
+        if reply.state is not SessionState.IN_TRANSACTION:
+            exc = SessionSetupFailed("BEGIN opened no transaction", reply=reply)
+            self._runner.record_fault(attempt, exc)
+            return Err(exc)
         if not self._services.planner.accept_reply(attempt, reply, sent_at):
             return Err(stale_answer_error(attempt.checkout.target.target))
         self._services.planner.begin_use(attempt)
@@ -120,7 +125,7 @@
         clock = self._services.clock
         setup = self._runner.context.set_up_connection(attempt.checkout, req.statement)
         if isinstance(setup, Err):
-            self._runner.record_fault(attempt, setup.err_value)
+            self._runner.record_fault(attempt, setup.err_value, setup.err_value.fault)
             return Err(TransactionAborted(str(setup.err_value)))
         statement = self._runner.context.with_shared_name(req.statement)
         while True:
@@ -163,7 +168,10 @@
                 exc = stale_answer_error(self.attempt.checkout.target.target)
                 return Err(OutcomeUnknown(exc.message, place=exc.place))
             self._runner.record_commit(reply)
-        self.end(committed=True)
+        if reply.state is SessionState.IDLE:
+            self.end(committed=True)
+        else:
+            self.discard()
         return result
 
     def _run_commit(self, req: Request) -> Result[TargetReply, QuetzalrudderError]:
@@ -234,4 +242,9 @@
         if checkout.link.broken:
             return False
         result = checkout.link.run(request_id, Rollback(), ROLLBACK_TIMEOUT_S)
-        return isinstance(result, Ok) and result.ok_value.state is SessionState.IDLE
+        # After a fault the database may have kept the transaction, whatever state it tells.
+        return (
+            isinstance(result, Ok)
+            and result.ok_value.fault is None
+            and result.ok_value.state is SessionState.IDLE
+        )
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -27,7 +27,10 @@
 from quetzalrudder.utils import Address
 from standins.gateway_store import MemoryStore, StoreClient
 
-__all__ = ["FakeDatabase", "FakeGroup", "FakeLink", "MemoryStore", "StoreClient"]
+__all__ = ["RESET", "FakeDatabase", "FakeGroup", "FakeLink", "MemoryStore", "StoreClient"]
+
+# Stands for the statement when a script is called for a reset.
+RESET = "reset"
 
 
 @dataclass
@@ -149,8 +152,11 @@
             self.database.open_links -= 1
 
     def reset(self, timeout_s):
-        self.values, self.prepared = {}, {}
-        return self._reply()
+        scripted = self._scripted("-", RESET)
+        if scripted is None:
+            self.values, self.prepared = {}, {}
+            scripted = self._reply()
+        return scripted
 
     def status(self, timeout_s):
         self.database.group.apply_due_promotions()
@@ -179,12 +185,9 @@
         if not database.up or self.broken or self.is_cut():
             self.close()
             return Err(LinkLost("the link to the database was lost", place=database.info.target))
-        if database.script is not None:
-            scripted = database.script(self, request_id, statement)
-            if scripted is not None:
-                if isinstance(scripted, Err):
-                    self.close()
-                return scripted
+        scripted = self._scripted(request_id, statement)
+        if scripted is not None:
+            return scripted
         if at_least is not None and not database.contains(at_least):
             return self._fault(TargetFault.LAGGING)
         if isinstance(statement, Read | Write | Execute | Commit):
@@ -196,6 +199,15 @@
             )
         return self._run(statement)
 
+    def _scripted(self, request_id, statement):
+        """Return what the database's script says of a statement; None to run it."""
+        if self.database.script is None:
+            return None
+        scripted = self.database.script(self, request_id, statement)
+        if isinstance(scripted, Err):
+            self.close()
+        return scripted
+
     def _run(self, statement):
         match statement:
             case SetValue(name, value):
