--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -71,6 +71,11 @@
         self._fleet.announce_store_change()
         return result
 
+    @property
+    def answered_era(self) -> int | None:
+        """Era that the store told in its latest answer; None if it told none."""
+        return self._client.answered_era
+
     def read_prefix(self, prefix: str) -> Result[Changes, QuetzalrudderError]:
         """Return all items whose keys have a prefix."""
         return self._call("read_prefix", prefix)
--- a/src/quetzalrudder/gateway/coordinator_lease.py
+++ b/src/quetzalrudder/gateway/coordinator_lease.py
@@ -10,6 +10,7 @@
 from quetzalrudder.gateway.records import COORDINATOR_KEY, CoordinatorRecord, encode_coordinator
 from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.models import InstanceId
 from quetzalrudder.utils import Clock
 
@@ -44,6 +45,8 @@
         This process.
     contact : StoreContact
         Records failed calls to the store.
+    eras : StoreEras
+        Tells of returns of the store from an older copy, each of which ends the lease.
     candidate_count : Callable
         Returns how many instances may try to acquire the lease.
     fleet_size : Callable
@@ -64,6 +67,7 @@
         instance: InstanceId,
         incarnation: str,
         contact: StoreContact,
+        eras: StoreEras,
         candidate_count: Callable[[], int],
         fleet_size: Callable[[], int],
         may_acquire: Callable[[], bool] = lambda: True,
@@ -74,6 +78,7 @@
         self._instance = instance
         self._incarnation = incarnation
         self._contact = contact
+        self._eras = eras
         self._candidate_count = candidate_count
         self._fleet_size = fleet_size
         self._may_acquire = may_acquire
@@ -81,12 +86,14 @@
         self._clock = clock
         self._observed: CoordinatorRecord | None = None
         self._lease: LeaseId | None = None
+        # The era in which the lease was acquired.
+        self._era = eras.current
         self._valid_until = -1.0
         self._next_renewal = 0.0
         # No attempt is made before the store has been read.
         self._next_attempt = math.inf
         self._resigned = False
-        # Increases with each acquisition of the lease by any instance.
+        # Increases with each acquisition of the lease by any instance, also over eras.
         self.fencing_token = 0
 
     def observe(self, record: CoordinatorRecord | None) -> None:
@@ -112,7 +119,7 @@
     @property
     def held(self) -> bool:
         """True while this instance may replace primaries."""
-        return self._clock.monotonic() < self._valid_until
+        return self._era == self._eras.current and self._clock.monotonic() < self._valid_until
 
     @property
     def observed_coordinator(self) -> InstanceId | None:
@@ -142,6 +149,10 @@
 
     def step(self) -> None:
         """Acquire, renew or release the lease if that is due."""
+        if self._lease is not None and self._era != self._eras.current:
+            log.warning("coordinator lease void", extra={"token": self.fencing_token})
+            self._lease = None
+            self._valid_until = -1.0
         if self._resigned:
             self.release()
         elif self._lease is None:
@@ -166,6 +177,7 @@
         ):
             return
         self._next_attempt = now + COORDINATOR_RENEW_INTERVAL_S
+        era = self._eras.current
         lease = self._store.open_lease(COORDINATOR_LEASE_S)
         if isinstance(lease, Err):
             self._contact.record_failure(lease.err_value)
@@ -178,6 +190,7 @@
             self._store.end_lease(lease.ok_value)
             return
         self._lease = lease.ok_value
+        self._era = era
         self.fencing_token = written.ok_value
         self._valid_until = now + COORDINATOR_LEASE_S - COORDINATOR_LEASE_MARGIN_S
         self._next_renewal = now + COORDINATOR_RENEW_INTERVAL_S
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -17,21 +17,25 @@
 )
 from quetzalrudder.gateway.coordinator_lease import CoordinatorLease
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
-from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S, LeaseSpan
+from quetzalrudder.gateway.permission import (
+    OUTAGE_LIMIT_S,
+    PEER_PERMISSION_S,
+    PERMISSION_S,
+    LeaseSpan,
+)
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
+from quetzalrudder.gateway.primary_writes import write_primary
 from quetzalrudder.gateway.promotion_rules import is_suspected, may_promote
 from quetzalrudder.gateway.records import (
     MEMBER_PREFIX,
-    PRIMARY_PREFIX,
     ROSTER_PREFIX,
     decode_member,
-    decode_primary,
     decode_roster,
-    encode_primary,
 )
 from quetzalrudder.gateway.statements import TargetStatus
-from quetzalrudder.gateway.store import Store, WriteConflict
+from quetzalrudder.gateway.store import Store, WriteConflict, era_of, revision_in
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry, TargetRole
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import GroupId, InstanceId, TargetId
@@ -59,6 +63,10 @@
 # An instance without a member record for this long has no permission left, neither its own
 # nor one granted by peers.
 ROSTER_RETENTION_S = PERMISSION_S + OUTAGE_LIMIT_S + 5.0
+# An instance that the store has lost, as it joined after the copy was made which the store came
+# back from, has joined again after this time or may use no primary: what it obtained by its lease,
+# or from a peer with one, has expired. Longer than a coordinator of the earlier era acts.
+ERA_SETTLING_S = PERMISSION_S + PEER_PERMISSION_S
 # Pause of the removals after one that the store did not confirm.
 REMOVAL_RETRY_DELAY_S = 1.0
 
@@ -91,7 +99,7 @@
         The store, the platform's promotion call, and the queries to databases.
     instance, incarnation
         This process.
-    registry, primaries, members, contact
+    registry, primaries, members, contact, eras
         This instance's view of the databases, of the fleet and of the store.
     watchers : Callable
         Returns the members that monitor the primary of a record.
@@ -119,6 +127,7 @@
         primaries: PrimaryTable,
         members: MemberTable,
         contact: StoreContact,
+        eras: StoreEras,
         watchers: Callable[[PrimaryRecord], list[MemberRecord]],
         lease_span: Callable[[], LeaseSpan | None],
         may_coordinate: Callable[[], bool] = lambda: True,
@@ -134,6 +143,7 @@
         self._primaries = primaries
         self._members = members
         self._contact = contact
+        self._eras = eras
         self._watchers = watchers
         self._lease_span = lease_span
         self._clock = clock
@@ -142,6 +152,7 @@
             instance=instance,
             incarnation=incarnation,
             contact=contact,
+            eras=eras,
             candidate_count=candidate_count,
             fleet_size=members.count,
             may_acquire=may_coordinate,
@@ -219,6 +230,10 @@
         record = self._primaries.record(group)
         if record is None:
             self._record_announced_primary(group)
+        elif self._primaries.is_lost(group):
+            self._write_record(record)
+        elif era_of(record.epoch) < self._eras.current:
+            self._confirm(record)
         elif record.primary is not None:
             self._check_primary(record)
         else:
@@ -233,12 +248,82 @@
         ]
         if len(announced) != 1:
             return
+        if self._eras.current and not self._knows_latest(PrimaryRecord(group, 0, None)):
+            return
         status = self._prober.status(announced[0])
         if isinstance(status, Ok) and status.ok_value.primary:
             self._write_record(
-                PrimaryRecord(group, 1, announced[0].target, term=status.ok_value.term)
+                PrimaryRecord(
+                    group, self._next_epoch(0), announced[0].target, term=status.ok_value.term
+                )
             )
 
+    # After a return of the store from an older copy.
+
+    def _next_epoch(self, epoch: int) -> int:
+        """Return an epoch after the given one, and after those of all earlier eras."""
+        return max(epoch, revision_in(self._eras.current, 0)) + 1
+
+    def _knows_latest(self, record: PrimaryRecord) -> bool:
+        """Return whether no instance that may use a primary knows a later record of the group."""
+        if self._eras.age_s < ERA_SETTLING_S or not self._is_fleet_accounted_for(record.group):
+            return False
+        # The local view may be stale.
+        if not self._read_fleet() or not self._is_fleet_accounted_for(record.group):
+            return False
+        return all(
+            member.acknowledged.get(record.group, 0) <= record.epoch
+            for member in self._members.members()
+        )
+
+    def _is_fleet_accounted_for(self, group: GroupId) -> bool:
+        """Return whether each instance has joined in this era, or can use no primary."""
+        return self._may_promote(group, 0)
+
+    def _confirm(self, record: PrimaryRecord) -> None:
+        """Take a record of an earlier era over into this one, or begin a change of primary.
+
+        Its epoch may have been followed by others that the store has lost. Those that no living
+        instance knows, the databases tell.
+        """
+        if not self._knows_latest(record):
+            return
+        renewed = replace(record, epoch=self._next_epoch(record.epoch), confirms=0)
+        if record.primary is None:
+            # No instance has acknowledged the new epoch; all of them do so again.
+            self._write_record(renewed)
+            return
+        targets = self._registry.targets_in_group(record.group)
+        answers = {target.target: self._prober.status(target) for target in targets}
+        known = {name: each.ok_value for name, each in answers.items() if isinstance(each, Ok)}
+        leaders = {name: status.term for name, status in known.items() if status.primary}
+        leader = max(leaders, key=leaders.get, default=None)
+        log.info(
+            "primary of an earlier era checked",
+            extra={
+                "group": record.group,
+                "epoch": record.epoch,
+                "primary": record.primary,
+                "leads": leader or "",
+                "answered": len(known),
+                "databases": len(targets),
+                "trusted": self._primaries.is_trusted(record.group),
+            },
+        )
+        is_certain = self._primaries.is_trusted(record.group) or len(known) == len(targets)
+        if leader == record.primary and is_certain:
+            term = leaders[leader]
+            self._write_record(replace(renewed, confirms=record.epoch, term=term))
+        elif leader is not None and leader != record.primary and leaders[leader] > record.term:
+            self._begin_change(record, leader, planned=False)
+        elif not is_certain:
+            # The one that leads may be a database that did not answer.
+            successor = self._choose_successor(record.group, record.primary)
+            if successor is not None:
+                self._begin_change(record, successor, planned=False)
+        else:
+            self._check_primary(record)
+
     def _check_primary(self, record: PrimaryRecord) -> None:
         target = self._registry.get(record.primary)
         draining = target is not None and (target.draining or self._must_move(target))
@@ -246,16 +331,20 @@
         if not draining and not suspected:
             return
         successor = self._choose_successor(record.group, record.primary)
-        if successor is None:
-            return
+        if successor is not None:
+            self._begin_change(record, successor, planned=draining and not suspected)
+
+    def _begin_change(self, record: PrimaryRecord, successor: TargetId, *, planned: bool) -> None:
+        """Record that a primary is being replaced."""
         self._write_record(
             replace(
                 record,
-                epoch=record.epoch + 1,
+                epoch=self._next_epoch(record.epoch),
                 primary=None,
                 successor=successor,
                 previous=record.primary,
-                planned=draining and not suspected,
+                planned=planned,
+                confirms=0,
             )
         )
 
@@ -375,13 +464,18 @@
         self._failed_at[record.successor] = self._clock.monotonic()
         successor = self._choose_successor(record.group, None)
         if successor is not None:
-            self._write_record(replace(record, epoch=record.epoch + 1, successor=successor))
+            epoch = self._next_epoch(record.epoch)
+            self._write_record(replace(record, epoch=epoch, successor=successor))
 
     def _is_old_primary_unused(self, record: PrimaryRecord) -> bool:
         """Return whether no instance can use the old primary any more."""
-        if not self._may_promote(record):
+        if not self._may_promote(record.group, record.epoch):
             return False
         # The local view may be stale, so linearizable reads confirm it.
+        return self._read_fleet() and self._may_promote(record.group, record.epoch)
+
+    def _read_fleet(self) -> bool:
+        """Read the members and the roster; return whether all of them could be decoded."""
         members = self._store.read_prefix(MEMBER_PREFIX)
         roster = self._store.read_prefix(ROSTER_PREFIX) if isinstance(members, Ok) else members
         if isinstance(roster, Err):
@@ -396,8 +490,8 @@
             return False
         self._unreadable = ""
         self._members.replace_all(present)
-        self._members.replace_roster(entries)
-        return self._may_promote(record)
+        self._members.replace_roster(entries, era_of(roster.ok_value.revision))
+        return True
 
     def _log_unreadable(self, exc: MalformedMessage) -> None:
         if self._unreadable != exc.place:
@@ -407,10 +501,10 @@
                 extra={"key": exc.place, "reason": str(exc)},
             )
 
-    def _may_promote(self, record: PrimaryRecord) -> bool:
+    def _may_promote(self, group: GroupId, epoch: int) -> bool:
         return may_promote(
-            record.group,
-            record.epoch,
+            group,
+            epoch,
             self._instance,
             self._members.members(),
             self._members.roster(),
@@ -450,17 +544,9 @@
         """Write a record unless it has changed in the store since it was read."""
         if not self.is_coordinator:
             return
-        key = PRIMARY_PREFIX + record.group
-        result = self._store.write(key, encode_primary(record), record.revision)
+        result = write_primary(self._store, self._primaries, record)
         if isinstance(result, Ok):
             self._old_primary_unused_since.pop(record.group, None)
             self._promotion_accepted.pop(record.group, None)
-            self._primaries.observe(replace(record, revision=result.ok_value))
-            return
-        match result.err_value:
-            case WriteConflict(current=current):
-                for item in current:
-                    if item.key == key and item.value is not None:
-                        self._primaries.observe(decode_primary(item))
-            case failure:
-                self._contact.record_failure(failure)
+        elif not isinstance(result.err_value, WriteConflict):
+            self._contact.record_failure(result.err_value)
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -19,12 +19,17 @@
 from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.connections import GatewayPool
 from quetzalrudder.gateway.data_centre_exit import CrossingPrice
+from quetzalrudder.gateway.era_store import EraStore, EraTellingStore
 from quetzalrudder.gateway.evacuation import (
     DEFAULT_EVACUATION_LIMIT_S,
     EvacuationGuard,
     EvacuationTable,
 )
-from quetzalrudder.gateway.failover import FailoverCoordinator, PromotionClient
+from quetzalrudder.gateway.failover import (
+    ROSTER_RETENTION_S,
+    FailoverCoordinator,
+    PromotionClient,
+)
 from quetzalrudder.gateway.lending import ConnectionLender
 from quetzalrudder.gateway.measurements import Metrics
 from quetzalrudder.gateway.members import MemberRecord, MemberTable
@@ -61,9 +66,10 @@
 from quetzalrudder.gateway.slot_share import slot_parts
 from quetzalrudder.gateway.slots import SlotLimiters
 from quetzalrudder.gateway.statements import TargetConnector
-from quetzalrudder.gateway.store import Item, Store
+from quetzalrudder.gateway.store import Item, era_of
 from quetzalrudder.gateway.store_calls import CountedStore, StoreCall
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.gateway.targets import Target, TargetRegistry
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.gateway.warming import WarmingConnector, WarmingTable
@@ -148,7 +154,7 @@
         self,
         *,
         identity: InstanceIdentity,
-        open_store: Callable[[], Store],
+        open_store: Callable[[], EraTellingStore],
         connector: TargetConnector,
         promotion_client: PromotionClient,
         caller: PeerCaller,
@@ -167,6 +173,7 @@
         self.catalogs = CurrentCatalog()
         self.metrics = Metrics()
         self.contact = StoreContact(clock)
+        self.eras = StoreEras(clock)
         self.metrics.watch_view_age(lambda: self.contact.view_age_s)
         self.evacuations = EvacuationTable(
             self.contact,
@@ -187,8 +194,9 @@
             clock,
         )
         self.permission = Permission(clock)
-        self.primaries = PrimaryTable(self.permission, clock, self._primary_changed)
+        self.primaries = PrimaryTable(self.permission, clock, self._primary_changed, self.eras)
         self.members = MemberTable(clock)
+        self.eras.add_listener(self._begin_era)
         self.view = FleetView(self.members)
         refusals = QueueRefusals(self.metrics.count_queue_refusal, clock)
         self.limiters = SlotLimiters(
@@ -269,7 +277,9 @@
         self._caller = caller
         self._rng = rng
         self.change_log = ChangeLog(clock)
-        self._open_store = lambda: CountedStore(open_store(), self._count_store_call)
+        self._open_store = lambda: EraStore(
+            CountedStore(open_store(), self._count_store_call), self.eras
+        )
         self.membership = MembershipLease(
             store=self._open_store(),
             instance=identity.instance,
@@ -282,6 +292,7 @@
             suspects=self._suspects,
             unreached=self.rates.unreached,
             contact=self.contact,
+            eras=self.eras,
             clock=clock,
             retry_delay=RetryDelay(LEASE_RETRY_DELAY_S, lambda: self.view.is_large, rng),
             watches_store=self._watches_store,
@@ -297,6 +308,7 @@
             primaries=self.primaries,
             members=self.members,
             contact=self.contact,
+            eras=self.eras,
             watchers=self._watchers,
             lease_span=self._watched_lease_span,
             may_coordinate=self._watches_store,
@@ -314,6 +326,7 @@
             evacuations=self.evacuations,
             warming=self.warming,
             contact=self.contact,
+            eras=self.eras,
             coordinator=lambda: self.failover.coordinator_lease.observed_coordinator,
             roster_views=self.membership.roster_views,
             decode_catalog=decode_catalog,
@@ -324,6 +337,8 @@
         self._maintenance_wake_up = WakeUp()
         self._health_checks: dict[GroupId, PrimaryHealthCheck] = {}
         self._leaving = False
+        # Revision of the store at the latest full read.
+        self._read_revision = 0
         self._stopping = threading.Event()
         self._tasks: dict[str, Future] = {}
 
@@ -407,6 +422,7 @@
             KEY_PREFIX,
             self._replace_records,
             self._change_record,
+            self._note_read_revision,
             single_keys=(COORDINATOR_KEY,),
         )
         return StoreMirror(
@@ -480,6 +496,7 @@
         while not stopping.is_set():
             self._maintenance_wake_up.wait(MAINTENANCE_INTERVAL_S)
             self.members.log_changes()
+            self.members.forget_earlier_eras(self.eras.current, ROSTER_RETENTION_S)
             self.rates.refresh_ownership(executor)
             self.lender.reclaim_idle()
             self.pool.trim()
@@ -625,10 +642,22 @@
         # A name that the protocol of every database can carry.
         return next((name for name in self.catalogs.current.workspaces if name.isascii()), None)
 
+    def _begin_era(self) -> None:
+        """Wake the tasks whose leases are void, as the store has come back from an older copy."""
+        if self.eras.was_observed:
+            self.metrics.count_store_return()
+        self.members.restart_absences()
+        self.membership.wake_up.set()
+        self.failover.wake_up.set()
+
     # Records under the gateway's own keys.
 
+    def _note_read_revision(self, revision: int) -> None:
+        self._read_revision = revision
+
     def _replace_records(self, items: list[Item]) -> None:
-        members, roster = [], []
+        era = era_of(self._read_revision)
+        members, roster, primaries = [], [], []
         coordinator = None
         for item in items:
             if item.key.startswith(MEMBER_PREFIX):
@@ -637,10 +666,11 @@
                 roster.append(item)
             elif item.key == COORDINATOR_KEY:
                 coordinator = item
-            else:
-                self._change_record(item)
+            elif item.key.startswith(PRIMARY_PREFIX):
+                primaries.append(item)
+        self.primaries.observe_all([decode_primary(item) for item in primaries], era)
         self.members.replace_all([decode_member(item) for item in members])
-        self.members.replace_roster([decode_roster(item) for item in roster])
+        self.members.replace_roster([decode_roster(item) for item in roster], era)
         self._observe_coordinator(
             decode_coordinator(coordinator) if coordinator is not None else None
         )
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -76,6 +76,11 @@
             ["prefix"],
             registry=self.registry,
         )
+        self.store_returns = Counter(
+            "quetzalrudder_store_returns",
+            "Times that the store has come back from an older copy of itself.",
+            registry=self.registry,
+        )
         self.crossings = Counter(
             "quetzalrudder_data_centre_crossings",
             "Attempts of statements at a database of another data centre, by reason.",
@@ -166,6 +171,10 @@
         """Count an item of the store that could not be applied."""
         self._observe(lambda found: found.skipped_items.labels(prefix).inc())
 
+    def count_store_return(self) -> None:
+        """Count a return of the store from an older copy."""
+        self._observe(lambda found: found.store_returns.inc())
+
     def count_crossing(self, reason: str) -> None:
         """Count an attempt of a statement in another data centre."""
         self._observe(lambda found: found.crossings.labels(reason).inc())
--- a/src/quetzalrudder/gateway/members.py
+++ b/src/quetzalrudder/gateway/members.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from quetzalrudder.gateway.store import FIRST_ERA, StoreEra, era_of
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
 from quetzalrudder.utils import Clock
 
@@ -156,16 +157,30 @@
             self.version += 1
             self._absent_since.pop(instance, None)
 
-    def replace_roster(self, records: list[RosterRecord]) -> None:
-        """Replace the roster by a complete list."""
+    def replace_roster(self, records: list[RosterRecord], era: StoreEra = FIRST_ERA) -> None:
+        """Replace the roster by a complete list, read in an era of the store.
+
+        Entries of an earlier era stay: an instance that joined after the copy was made which the
+        store came back from may still use primaries.
+        """
         names = {record.instance for record in records}
         with self._lock:
-            removed = [name for name in self._roster if name not in names]
+            removed = [
+                name
+                for name, known in self._roster.items()
+                if name not in names and era_of(known.revision) >= era
+            ]
         for record in records:
             self.update_roster(record)
         for name in removed:
             self.remove_roster(name)
 
+    def forget_earlier_eras(self, era: StoreEra, absent_s: float) -> None:
+        """Remove the entries of earlier eras whose instances have been absent for some time."""
+        for absence in self.absences():
+            if era_of(absence.record.revision) < era and absence.absent_s > absent_s:
+                self.remove_roster(absence.record.instance)
+
     def names_in(self, data_centre: DataCentre) -> set[InstanceId]:
         """Return the instances of the roster in a data centre."""
         with self._lock:
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -13,6 +13,7 @@
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.permission import PERMISSION_S, LeaseSpan, Permission
 from quetzalrudder.gateway.primaries import PrimaryTable
+from quetzalrudder.gateway.primary_writes import write_primary
 from quetzalrudder.gateway.records import (
     MEMBER_PREFIX,
     PRIMARY_PREFIX,
@@ -23,8 +24,9 @@
     encode_roster,
 )
 from quetzalrudder.gateway.retry_delay import RetryDelay
-from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict
+from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, WriteConflict, era_of
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import DataCentre, GroupId, InstanceId, TargetId
 from quetzalrudder.utils import Clock
@@ -51,6 +53,9 @@
 # Shortest interval at which the member record is compared with the current state: while a
 # change of primary is not acknowledged yet. Otherwise the comparison waits for a change.
 STEP_INTERVAL_S = 0.03
+# Longest random delay before this instance writes primaries that the store has lost. The failover
+# coordinator mostly does so before.
+MAX_RESTORE_DELAY_S = 1.0
 
 
 class MembershipLease:
@@ -74,6 +79,8 @@
         Returns the instances that do not answer this one's calls.
     contact : StoreContact
         Records successful and failed calls to the store.
+    eras : StoreEras
+        Tells of returns of the store from an older copy, after each of which it joins again.
     clock : Clock
         Source of time.
     retry_delay : RetryDelay, optional
@@ -99,6 +106,7 @@
         suspects: Callable[[], dict[GroupId, TargetId]],
         unreached: Callable[[], frozenset[InstanceId]],
         contact: StoreContact,
+        eras: StoreEras,
         clock: Clock,
         retry_delay: RetryDelay | None = None,
         watches_store: Callable[[], bool] = lambda: True,
@@ -130,8 +138,13 @@
         self._suspects = suspects
         self._unreached = unreached
         self._contact = contact
+        self._eras = eras
         self._clock = clock
         self._lease: LeaseId | None = None
+        # The era in which the lease was opened.
+        self._era = eras.current
+        # Time at which primaries that the store has lost are written; None if it has lost none.
+        self._restore_at: float | None = None
         self._revision = 0
         self._written_record: MemberRecord | None = None
         self._record_written_at = -UNREACHED_WRITE_INTERVAL_S
@@ -150,12 +163,18 @@
     def next_step_s(self) -> float:
         """Return the seconds until the next step is due, unless something changes."""
         now = self._clock.monotonic()
-        if self._lease is None or self._primaries.has_unacknowledged():
+        if (
+            self._lease is None
+            or self._era != self._eras.current
+            or self._primaries.has_unacknowledged()
+        ):
             due_at = self._next_attempt
         else:
             due_at = max(self._next_renewal, self._next_attempt)
         if self._roster_entry_due_at is not None:
             due_at = min(due_at, max(self._roster_entry_due_at, self._next_attempt))
+        if self._restore_at is not None:
+            due_at = min(due_at, max(self._restore_at, self._next_attempt))
         return max(STEP_INTERVAL_S, due_at - now)
 
     def leave(self) -> None:
@@ -170,17 +189,28 @@
         if (granted_s := self._primaries.granted_remaining_s) > 0:
             self._clock.sleep(granted_s)
         ended = self._store.end_lease(self._lease)
-        deleted = self._store.delete(self._roster_key, self._roster_revision)
+        deleted = self._delete_roster_entry()
         log.info(
             "left the fleet",
             extra={"lease_ended": isinstance(ended, Ok), "erased": isinstance(deleted, Ok)},
         )
 
+    def _delete_roster_entry(self) -> Result[int, QuetzalrudderError]:
+        result = self._store.delete(self._roster_key, self._roster_revision)
+        if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
+            # The store has come back from an older copy, which has another revision.
+            self._roster_revision = _current_revision(self._roster_key, result.err_value)
+            result = self._store.delete(self._roster_key, self._roster_revision)
+        return result
+
     def step(self) -> None:
         """Join, renew the lease and update the records, as far as each is due."""
         now = self._clock.monotonic()
         if now < self._next_attempt:
             return
+        if self._lease is not None and self._era != self._eras.current:
+            log.warning("lease void", extra={"lease": self._lease, "era": self._era})
+            self._lease = None
         result: Result[None, QuetzalrudderError] = Ok(None)
         if self._lease is None:
             result = self._join()
@@ -218,6 +248,7 @@
         instance that cannot decode one of them does not join.
         """
         sent_at = self._clock.monotonic()
+        era = self._eras.current
         entered = self._write_roster_entry()
         if isinstance(entered, Err):
             return entered
@@ -226,11 +257,8 @@
             return opened
         lease = opened.ok_value
         knows_fleet = self._is_large
-        # No epoch is acknowledged before the primaries have been read.
-        record = MemberRecord(self._instance, self._incarnation, {}, {})
-        written = self._write_member_record(
-            self._current_record() if knows_fleet else record, lease
-        )
+        # The epochs that are known from before: those read below are acknowledged afterwards.
+        written = self._write_member_record(self._current_record(), lease)
         if isinstance(written, Ok):
             written = self._read_primaries()
         if isinstance(written, Ok) and not knows_fleet:
@@ -239,6 +267,7 @@
             return written
         # From here on, renewing the lease also keeps the member record.
         self._lease = lease
+        self._era = era
         # The entry may have been written before the roster was read. An entry that covers few
         # instances delays failovers for as long as those may continue without the store.
         if not self._covers_enough():
@@ -279,16 +308,20 @@
 
     def lease_span(self) -> LeaseSpan | None:
         """Return the period for which the member lease has existed; None without a lease."""
-        return self._lease_span if self._lease is not None else None
+        has_lease = self._lease is not None and self._era == self._eras.current
+        return self._lease_span if has_lease else None
 
     def roster_views(self) -> list[list[RosterRecord]]:
         """Return the instances that this instance's roster entry covers.
 
         Two views are returned while it is unknown which of two writes of the entry the store
-        holds.
+        holds. There is none until an entry of the store's current era has been written: the
+        revisions of an earlier one say nothing of the roster as it has been read since.
         """
         roster = self._members.roster()
         bounds = {self._written_known_up_to, self._attempted_known_up_to}
+        if any(era_of(bound) != self._eras.current for bound in bounds):
+            return []
         return [[record for record in roster if record.created <= bound] for bound in bounds]
 
     def _read_roster(self) -> Result[None, QuetzalrudderError]:
@@ -311,8 +344,10 @@
             records = [decode_primary(item) for item in result.ok_value.items]
         except MalformedMessage as exc:
             return Err(exc)
-        for record in records:
-            self._primaries.observe(record)
+        self._primaries.observe_all(records, era_of(result.ok_value.revision))
+        if self._primaries.lost_records():
+            delay_s = MAX_RESTORE_DELAY_S * self._rng.random()
+            self._restore_at = self._clock.monotonic() + delay_s
         return Ok(None)
 
     def _renew(self) -> Result[None, QuetzalrudderError]:
@@ -331,7 +366,22 @@
         return Ok(None)
 
     def _update_records(self) -> Result[None, QuetzalrudderError]:
-        """Write the roster entry and the member record if their content has changed."""
+        """Write the roster entry and the member record if their content has changed.
+
+        Primaries that the store has lost are written before.
+        """
+        if self._restore_at is not None and self._clock.monotonic() >= self._restore_at:
+            self._restore_at = None
+            for lost in self._primaries.lost_records():
+                restored = write_primary(self._store, self._primaries, lost)
+                log.info(
+                    "lost record of a primary written again",
+                    extra={
+                        "group": lost.group,
+                        "epoch": lost.epoch,
+                        "done": isinstance(restored, Ok),
+                    },
+                )
         if self._is_roster_entry_due():
             entered = self._write_roster_entry()
             if isinstance(entered, Err):
@@ -345,7 +395,7 @@
         """Return whether the store has what others need of a record.
 
         The coordinator needs the acknowledged epochs only of groups whose primary is being
-        replaced.
+        replaced, or is of an earlier era of the store.
         """
         written = self._written_record
         if written is None:
@@ -359,7 +409,7 @@
                 return False
         return all(
             written.acknowledged.get(group, 0) >= record.acknowledged.get(group, 0)
-            for group in self._primaries.groups_without_primary()
+            for group in self._primaries.unsettled_groups()
         )
 
     def _current_record(self) -> MemberRecord:
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -33,8 +33,9 @@
 )
 from quetzalrudder.gateway.primaries import PrimaryTable
 from quetzalrudder.gateway.records import PRIMARY_PREFIX, decode_primary, encode_primary
-from quetzalrudder.gateway.store import Item
+from quetzalrudder.gateway.store import Item, StoreEra
 from quetzalrudder.gateway.store_contact import StoreContact, describe_failure
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.gateway.warming import WarmingTable
 from quetzalrudder.models import DataCentre, InstanceId, TargetId
 from quetzalrudder.schema.gateway import (
@@ -82,7 +83,7 @@
         This process.
     caller : PeerCaller
         Calls other instances.
-    permission, primaries, members, catalogs, evacuations, warming, contact
+    permission, primaries, members, catalogs, evacuations, warming, contact, eras
         The state of this instance and its view of the fleet and of the store.
     coordinator : Callable
         Returns the failover coordinator; None if it is not known.
@@ -108,6 +109,7 @@
         evacuations: EvacuationTable,
         warming: WarmingTable,
         contact: StoreContact,
+        eras: StoreEras,
         coordinator: Callable[[], InstanceId | None],
         roster_views: Callable[[], list[list[RosterRecord]]],
         decode_catalog: Callable[[bytes], Catalog],
@@ -123,6 +125,7 @@
         self._evacuations = evacuations
         self._warming = warming
         self._contact = contact
+        self._eras = eras
         self._coordinator = coordinator
         self._decode_catalog = decode_catalog
         self._clock = clock
@@ -193,10 +196,15 @@
 
     def answer(self, report: PeerReport) -> PeerReply:
         """Handle a peer's report and return the reply."""
+        self._eras.observe(StoreEra(report.store_era))
         peer = RosterRecord(InstanceId(report.instance), report.incarnation, report.address)
         with self._lock:
             self._callers[peer.instance] = peer
-        reply = PeerReply(instance=self._local.instance, incarnation=self._local.incarnation)
+        reply = PeerReply(
+            instance=self._local.instance,
+            incarnation=self._local.incarnation,
+            store_era=self._eras.current,
+        )
         if report.asks_permission:
             if report.wants_confirmations:
                 # Before the records are added, as these must cover all confirmations.
@@ -292,6 +300,7 @@
             catalog_version=self._catalogs.current.version,
             evacuation_revision=self._evacuations.revision,
             wants_confirmations=wants_confirmations,
+            store_era=self._eras.current,
         )
 
     def _check_catalog(self) -> None:
@@ -315,6 +324,8 @@
             True if all records of primaries were applied; a permission that the reply grants
             must not be used without them.
         """
+        # Before the records, which are doubtful if they are of an earlier era.
+        self._eras.observe(StoreEra(reply.store_era))
         for cold in reply.cold_targets:
             self._warming.observe_peer(TargetId(cold.target), cold.cold_left_ms / MS_PER_S)
         self._evacuations.observe_peer(
--- a/src/quetzalrudder/gateway/permission.py
+++ b/src/quetzalrudder/gateway/permission.py
@@ -62,19 +62,25 @@
         self._revoked = False
         # True once primaries may have been used.
         self.was_granted = False
+        # How often it has been granted while it was not valid.
+        self.gaps = 0
 
     def extend_by_lease(self, sent_at: float) -> None:
         """Extend the permission after the store answered a renewal sent at ``sent_at``."""
-        self.was_granted = True
+        self._record_grant()
         self._lease_valid_until = max(
             self._lease_valid_until, sent_at + PERMISSION_S - CLOCK_RATE_MARGIN_S
         )
 
     def extend_by_peers(self, sent_at: float, valid_s: float) -> None:
         """Extend the permission after peers granted it on a request sent at ``sent_at``."""
-        self.was_granted = True
+        self._record_grant()
         self._granted_by_peers_until = max(self._granted_by_peers_until, sent_at + valid_s)
 
+    def _record_grant(self) -> None:
+        self.was_granted = True
+        self.gaps += not self.valid
+
     def revoke(self) -> None:
         """Revoke the permission permanently."""
         self._revoked = True
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -142,6 +142,7 @@
             previous=record.previous or "",
             planned=record.planned,
             term=record.term,
+            confirms=record.confirms,
         )
     )
 
@@ -157,6 +158,7 @@
         previous=TargetId(value.previous) if value.previous else None,
         planned=value.planned,
         term=value.term,
+        confirms=value.confirms,
         revision=item.revision,
     )
 
--- a/src/quetzalrudder/gateway/store.py
+++ b/src/quetzalrudder/gateway/store.py
@@ -7,9 +7,50 @@
 
 from quetzalrudder.exceptions import Conflict, PlatformUnavailable, QuetzalrudderError
 
-__all__ = ["Changes", "HistoryGone", "Item", "LeaseEnded", "LeaseId", "Store", "WriteConflict"]
+__all__ = [
+    "FIRST_ERA",
+    "Changes",
+    "EraPassed",
+    "HistoryGone",
+    "Item",
+    "LeaseEnded",
+    "LeaseId",
+    "Store",
+    "StoreEra",
+    "WriteConflict",
+    "era_of",
+    "revision_in",
+    "revision_within_era",
+]
 
 LeaseId = NewType("LeaseId", int)
+# How often the store has come back from an older copy since the fleet first started.
+StoreEra = NewType("StoreEra", int)
+FIRST_ERA = StoreEra(0)
+# A revision, and an epoch of a primary, has its era above these bits: at 1,000 changes a second
+# the store would take 34 years to use them up.
+REVISION_BITS = 40
+
+
+def revision_in(era: StoreEra, revision: int) -> int:
+    """Return the revision of the store in an era, in the order over all eras.
+
+    Examples
+    --------
+    >>> revision_in(FIRST_ERA, 90) < revision_in(StoreEra(1), 50)
+    True
+    """
+    return era << REVISION_BITS | revision
+
+
+def era_of(revision: int) -> StoreEra:
+    """Return the era of a revision or epoch."""
+    return StoreEra(revision >> REVISION_BITS)
+
+
+def revision_within_era(revision: int) -> int:
+    """Return a revision as the store counts it."""
+    return revision & ((1 << REVISION_BITS) - 1)
 
 
 class LeaseEnded(PlatformUnavailable):
@@ -20,6 +61,10 @@
     """The store no longer has the changes after the requested revision."""
 
 
+class EraPassed(PlatformUnavailable):
+    """The store has come back from an older copy, so that an answer says nothing any more."""
+
+
 class WriteConflict(Conflict):
     """A key does not have the revision that the write expected.
 
--- a/src/quetzalrudder/gateway/store_calls.py
+++ b/src/quetzalrudder/gateway/store_calls.py
@@ -10,13 +10,14 @@
 from result import Err, Result
 
 from quetzalrudder.exceptions import QuetzalrudderError
+from quetzalrudder.gateway.era_store import EraTellingStore
 from quetzalrudder.gateway.records import (
     COORDINATOR_KEY,
     MEMBER_PREFIX,
     PRIMARY_PREFIX,
     ROSTER_PREFIX,
 )
-from quetzalrudder.gateway.store import Changes, LeaseId, Store
+from quetzalrudder.gateway.store import Changes, LeaseId
 
 __all__ = ["CountedStore", "StoreCall"]
 
@@ -57,16 +58,21 @@
 
     Parameters
     ----------
-    store : Store
+    store : EraTellingStore
         Makes the calls.
     count : Callable
         Called once for each call.
     """
 
-    def __init__(self, store: Store, count: Callable[[StoreCall], None]) -> None:
+    def __init__(self, store: EraTellingStore, count: Callable[[StoreCall], None]) -> None:
         self._store = store
         self._count = count
 
+    @property
+    def answered_era(self) -> int | None:
+        """Era that the store told in its latest answer; None if it told none."""
+        return self._store.answered_era
+
     def read_prefix(self, prefix: str) -> Result[Changes, QuetzalrudderError]:
         """Return all items whose keys have a prefix."""
         self._count(StoreCall.RANGE_READ)
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -362,6 +362,11 @@
 
     term: "int" = betterproto2.field(6, betterproto2.TYPE_UINT64)
 
+    confirms: "int" = betterproto2.field(7, betterproto2.TYPE_UINT64)
+    """
+    The epoch whose primary this one continues, after the store came back from an older copy.
+    """
+
 
 default_message_pool.register_message("gateway", "LeaderValue", LeaderValue)
 
@@ -467,6 +472,11 @@
         11, betterproto2.TYPE_MESSAGE, repeated=True
     )
 
+    store_era: "int" = betterproto2.field(12, betterproto2.TYPE_UINT64)
+    """
+    Newest era of the store that the answering instance knows.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReply", PeerReply)
 
@@ -496,6 +506,11 @@
     True if the sender requests the confirmations that the receiver has collected.
     """
 
+    store_era: "int" = betterproto2.field(9, betterproto2.TYPE_UINT64)
+    """
+    Newest era of the store that the sender knows.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReport", PeerReport)
 
--- a/standins/gateway_store.py
+++ b/standins/gateway_store.py
@@ -28,10 +28,47 @@
         self.revision = 1
         self.items = {}
         self.leases = {}
+        # TTL of each lease, in seconds.
+        self.ttls = {}
+        self.next_lease = 1
         self.lease_of_key = {}
         self.history = []
         self.oldest_watchable_revision = 0
         self.written_keys = []
+        # Rises by one each time the store comes back from a copy; None if it tells no era.
+        self.era = None
+
+    def copy(self) -> "MemoryStore":
+        """Return a copy of all that the store has."""
+        copied = MemoryStore(self.clock)
+        copied.revision, copied.items = self.revision, dict(self.items)
+        copied.leases, copied.lease_of_key = dict(self.leases), dict(self.lease_of_key)
+        copied.history = list(self.history)
+        copied.oldest_watchable_revision = self.oldest_watchable_revision
+        return copied
+
+    def come_back(self, copied: "MemoryStore", *, keeps_leases: bool = False) -> None:
+        """Continue with what a copy has; all that was written since it was made is gone.
+
+        The caller writes again what the operator and the databases have written.
+
+        Parameters
+        ----------
+        copied : MemoryStore
+            The copy.
+        keeps_leases : bool, optional
+            Whether the leases of the copy go on, for their whole TTL; else they have ended.
+        """
+        self.revision, self.items = copied.revision, dict(copied.items)
+        self.history = list(copied.history)
+        self.oldest_watchable_revision = copied.oldest_watchable_revision
+        self.lease_of_key = dict(copied.lease_of_key)
+        self.era = (self.era or 0) + 1
+        now = self.clock.monotonic()
+        self.leases = {lease: now + self.ttls.get(lease, 0.0) for lease in copied.leases}
+        if not keeps_leases:
+            for lease in list(self.leases):
+                self.drop_lease(lease)
 
     def client(self) -> "StoreClient":
         """Return a new client."""
@@ -79,11 +116,13 @@
         self.lose_next_answer = False
         self.delayed_writes = []
         self.delay_next_write = False
+        self.answered_era: int | None = None
 
     def _connection_error(self) -> Err[QuetzalrudderError] | None:
         if self.disconnected:
             return Err(PlatformUnavailable("the client is disconnected"))
         self.store.expire()
+        self.answered_era = self.store.era
         return None
 
     def _answer(self, result: Result[T, QuetzalrudderError]) -> Result[T, QuetzalrudderError]:
@@ -110,7 +149,7 @@
         error = self._connection_error()
         if error:
             return error
-        if after < self.store.oldest_watchable_revision:
+        if not self.store.oldest_watchable_revision <= after <= self.store.revision:
             return Err(HistoryGone("the changes after this revision are compacted"))
         items = tuple(item for item in self.store.history if item.revision > after)
         return self._answer(Ok(Changes(items, self.store.revision)))
@@ -154,10 +193,12 @@
         error = self._connection_error()
         if error:
             return error
-        lease = LeaseId(self.store.revision * 1000 + len(self.store.leases) + 1)
+        # Not given out again after a return.
+        lease = LeaseId(self.store.next_lease)
+        self.store.next_lease += 1
         self.store.revision += 1
         self.store.leases[lease] = self.store.clock.monotonic() + ttl_s
-        self.ttl_s = ttl_s
+        self.store.ttls[lease] = ttl_s
         return self._answer(Ok(lease))
 
     def renew_lease(self, lease: LeaseId) -> Result[None, QuetzalrudderError]:
@@ -167,7 +208,7 @@
             return error
         if lease not in self.store.leases:
             return Err(LeaseEnded("the lease does not exist"))
-        self.store.leases[lease] = self.store.clock.monotonic() + self.ttl_s
+        self.store.leases[lease] = self.store.clock.monotonic() + self.store.ttls[lease]
         return self._answer(Ok(None))
 
     def end_lease(self, lease: LeaseId) -> Result[None, QuetzalrudderError]:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -189,9 +189,10 @@
     # Data centres among which rates are divided.
     data_centres = ()
 
-    def __init__(self, names=("edge-1", "edge-2", "edge-3"), seed=1):
+    def __init__(self, names=("edge-1", "edge-2", "edge-3"), seed=1, store_era=None):
         self.clock = ManualClock()
         self.store = MemoryStore(self.clock)
+        self.store.era = store_era
         self.group = FakeGroup(self.clock)
         self.by_name = {}
         self.instances = []
@@ -231,6 +232,15 @@
             self.store.expire()
         return None
 
+    def return_store(self, copied, away_s=1.0, *, keeps_leases=False):
+        """Let the store be away for a time, and come back with what a copy has."""
+        for instance in self.instances:
+            instance.cut_from_store()
+        self.run(away_s)
+        self.store.come_back(copied, keeps_leases=keeps_leases)
+        for instance in self.instances:
+            instance.cut_from_store(False)
+
     def all_know_primary(self):
         return all(
             instance.gateway.primaries.usable_primary("g") is not None
--- a/tests/test_gateway_membership.py
+++ b/tests/test_gateway_membership.py
@@ -11,6 +11,7 @@
 from quetzalrudder.gateway.records import MEMBER_PREFIX, decode_member, encode_primary
 from quetzalrudder.gateway.store import Changes, Item
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from tests.clocks import ManualClock
 from tests.gateway_fakes import MemoryStore
 
@@ -33,6 +34,7 @@
             suspects=dict,
             unreached=frozenset,
             contact=StoreContact(self.clock),
+            eras=StoreEras(self.clock),
             clock=self.clock,
         )
 
--- a/tests/test_gateway_permissions.py
+++ b/tests/test_gateway_permissions.py
@@ -132,9 +132,11 @@
 class FaultSearch:
     """Injects random faults and checks that each acknowledged write ran at the newest primary."""
 
-    def __init__(self, seed, names=("edge-1", "edge-2", "edge-3", "edge-4")):
+    fault_count = 13
+
+    def __init__(self, seed, names=("edge-1", "edge-2", "edge-3", "edge-4"), store_era=None):
         self.rng = random.Random(seed)
-        self.fleet = GatewayFleet(names, seed)
+        self.fleet = GatewayFleet(names, seed, store_era)
         self.fleet.group.promotion_delay_s = self.rng.choice((0.0, 0.3, 1.0))
         self.fleet.run(3.0, self.fleet.all_know_primary)
         self.acknowledged = 0
@@ -158,7 +160,7 @@
     def inject_fault(self):
         fleet, rng = self.fleet, self.rng
         instance = rng.choice(fleet.instances)
-        match rng.randrange(13):
+        match rng.randrange(self.fault_count):
             case 0:
                 instance.cut_from_store(rng.random() < 0.6)
             case 1:
