--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Planning of a statement's attempts: database, connection, conditions and time limit."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -70,6 +71,13 @@
 QUEUE_FRACTION = 0.6
 # The same if the primary's data centre is evacuated: as long as a replacement usually takes.
 EVACUATED_RETRY_S = 1.0
+# Fraction of the time that a draining database takes requests after which none is planned there.
+# The rest is for requests that wait for a connection or a slot, and for the store's watch.
+DRAIN_FRACTION = 0.7
+
+
+class PrimaryDraining(PrimaryChanging):
+    """The primary is about to stop, and no other one is recorded yet."""
 
 
 @dataclass
@@ -151,6 +159,8 @@
         Fetches a recent position of a group's primary from other instances, if possible.
     permission, contact
         This instance's right to use primaries, and its contact with the store.
+    drain_limit_s : float, optional
+        Time after which no request may reach a draining database, in seconds.
     rng : random.Random
         Spreads the delays that callers are told.
     clock : Clock
@@ -168,9 +178,12 @@
         refresh_position: Callable[[GroupId], None],
         permission: Permission,
         contact: StoreContact,
+        drain_limit_s: float = math.inf,
         rng: random.Random,
         clock: Clock,
     ) -> None:
+        self._contact = contact
+        self._drain_limit_s = drain_limit_s
         self._registry = registry
         self._evacuations = evacuations
         self._primaries = primaries
@@ -265,9 +278,23 @@
             retry_after_ms = self.outlook.retry_after_ms(group, EVACUATED_RETRY_S)
             reason = "the primary's data centre is evacuated"
             return Err(PrimaryEvacuated(reason, place=group, retry_after_ms=retry_after_ms))
+        if self._has_drained(target):
+            retry_after_ms = self.outlook.retry_after_ms(group, None)
+            reason = "the primary is about to stop, and none has taken its place yet"
+            return Err(PrimaryDraining(reason, place=group, retry_after_ms=retry_after_ms))
         self._placement.count_statement(target, ExitReason.PRIMARY)
         return self._check_out(req, target, primary, None, req.deadline_at)
 
+    def _has_drained(self, target: Target) -> bool:
+        """Return whether nothing new may be sent to a primary, although none has replaced it.
+
+        Without the store, no change of the primary can be recorded, so that it is used for as
+        long as it serves.
+        """
+        if not self._contact.reached:
+            return False
+        return self._registry.draining_s(target.target) > DRAIN_FRACTION * self._drain_limit_s
+
     def _primary_changing(self, group: GroupId, expected_s: float | None) -> PrimaryChanging:
         when = "an unknown time" if expected_s is None else f"{expected_s:.2f} s"
         reason = f"the group has no usable primary at present; expected after {when}"
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -1,6 +1,7 @@
 """Assembly of the parts of a gateway instance, and its background tasks."""
 
 import logging
+import math
 import random
 import secrets
 import threading
@@ -144,6 +145,9 @@
         Time within which a configuration must be in force, in seconds.
     evacuation_limit_s : float
         Time after which no request may reach an evacuated data centre, in seconds.
+    drain_limit_s : float
+        Time after which no request may reach a database that has announced that it is about to
+        stop, in seconds; infinite: none is refused for that.
     crossing_price : CrossingPrice, optional
         What traffic between data centres is worth to the operator; None: only time counts.
     data_centres : sequence of DataCentre, optional
@@ -164,6 +168,7 @@
         rng: random.Random,
         convergence_s: float = DEFAULT_CONVERGENCE_S,
         evacuation_limit_s: float = DEFAULT_EVACUATION_LIMIT_S,
+        drain_limit_s: float = math.inf,
         crossing_price: CrossingPrice | None = None,
         data_centres: Sequence[DataCentre] = (),
     ) -> None:
@@ -232,6 +237,7 @@
             refresh_position=lambda group: self.positions.refresh(group),
             permission=self.permission,
             contact=self.contact,
+            drain_limit_s=drain_limit_s,
             rng=rng,
             clock=clock,
         )
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -59,6 +59,8 @@
     target: Target
     # Clock reading since which the announcement is missing.
     missing_since: float | None = None
+    # Clock reading at which it was first seen draining.
+    draining_since: float | None = None
 
 
 class TargetRegistry:
@@ -90,7 +92,12 @@
         """Store a new or changed announcement."""
         with self._lock:
             previous = self._entries.get(target.target)
-            self._entries[target.target] = _Entry(target)
+            since = previous.draining_since if previous is not None else None
+            if target.draining and since is None:
+                since = self._clock.monotonic()
+            self._entries[target.target] = _Entry(
+                target, draining_since=since if target.draining else None
+            )
         self._on_announced(target)
         if previous is None or previous.target != target:
             log.info(
@@ -136,6 +143,13 @@
             entry = self._entries.get(target)
             return entry.target if entry is not None else None
 
+    def draining_s(self, target: TargetId) -> float:
+        """Return for how many seconds a database has been draining; 0 if it does not."""
+        entry = self._entries.get(target)
+        if entry is None or entry.draining_since is None:
+            return 0.0
+        return self._clock.monotonic() - entry.draining_since
+
     def targets_in_group(self, group: GroupId) -> list[Target]:
         """Return the databases of a group, including draining ones."""
         with self._lock:
