--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -25,6 +25,7 @@
 )
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
 from quetzalrudder.gateway.primary_writes import write_primary
+from quetzalrudder.gateway.promotion_calls import PromotionCalls, PromotionClient
 from quetzalrudder.gateway.promotion_rules import is_suspected, may_promote
 from quetzalrudder.gateway.records import (
     MEMBER_PREFIX,
@@ -41,7 +42,7 @@
 from quetzalrudder.models import GroupId, InstanceId, TargetId
 from quetzalrudder.utils import Clock
 
-__all__ = ["FailoverCoordinator", "PromotionClient", "Prober"]
+__all__ = ["FailoverCoordinator", "Prober"]
 
 log = logging.getLogger(__name__)
 
@@ -71,15 +72,6 @@
 REMOVAL_RETRY_DELAY_S = 1.0
 
 
-class PromotionClient(Protocol):
-    """Calls the platform to promote a database."""
-
-    def promote(
-        self, group: GroupId, target: TargetId, *, coordinator: InstanceId, fencing_token: int
-    ) -> Result[None, QuetzalrudderError]:
-        """Promote a database; ``TargetUnavailable`` if it is not running."""
-
-
 class Prober(Protocol):
     """Queries the state of databases."""
 
@@ -136,7 +128,6 @@
         clock: Clock,
     ) -> None:
         self._store = store
-        self._promotion_client = promotion_client
         self._prober = prober
         self._instance = instance
         self._registry = registry
@@ -159,6 +150,9 @@
             rng=rng,
             clock=clock,
         )
+        self.promotion_calls = PromotionCalls(
+            promotion_client, instance, lambda: self.is_coordinator
+        )
         self._old_primary_unused_since: dict[GroupId, float] = {}
         # Epochs for which the platform has accepted a promotion.
         self._promotion_accepted: dict[GroupId, int] = {}
@@ -187,7 +181,14 @@
         self.coordinator_lease.step()
         if not self.is_coordinator:
             return
+        began_at = self._clock.monotonic()
         for group in self._groups():
+            # The databases of one group may be slow to answer.
+            self.coordinator_lease.step()
+            if not self.is_coordinator:
+                took_s = round(self._clock.monotonic() - began_at, 3)
+                log.warning("coordinator lease lapsed", extra={"group": group, "took_s": took_s})
+                return
             self._step_group(group)
         self._remove_absent_instance()
 
@@ -400,9 +401,7 @@
             and self._clock.monotonic() - since < CATCH_UP_TIMEOUT_S + SUCCESSOR_TIMEOUT_S
         ):
             self._hand_over_log(record)
-        if self._promotion_accepted.get(record.group) != record.epoch:
-            self._promote(record, since)
-        elif (term := self._new_term(record)) is not None:
+        if (term := self._new_term(record)) is not None:
             log.info(
                 "replica promoted",
                 extra={
@@ -417,42 +416,55 @@
             self._write_record(
                 replace(record, primary=record.successor, successor=None, planned=False, term=term)
             )
+        elif self._promotion_accepted.get(record.group) != record.epoch:
+            self._promote(record, since)
         elif self._clock.monotonic() - since > SUCCESSOR_TIMEOUT_S:
             self._choose_another_successor(record)
 
     def _promote(self, record: PrimaryRecord, since: float) -> None:
-        if not self.is_coordinator:
-            return
-        result = self._promotion_client.promote(
-            record.group,
-            record.successor,
-            coordinator=self._instance,
-            fencing_token=self.coordinator_lease.fencing_token,
-        )
+        """Take the result of the latest promotion call, and make another one if it failed."""
+        calls, group = self.promotion_calls, record.group
+        ended = calls.take_result(group)
+        if ended is None or ended[0] != record.epoch:
+            calls.begin(group, record.epoch, record.successor, self.coordinator_lease.fencing_token)
+            ended = calls.take_result(group)
+            if ended is None:
+                return
+        result = ended[1]
         if isinstance(result, Ok):
-            self._promotion_accepted[record.group] = record.epoch
+            self._promotion_accepted[group] = record.epoch
             return
+        exc = result.err_value
         log.warning(
             "promotion failed",
-            extra={
-                "group": record.group,
-                "target": record.successor,
-                "reason": str(result.err_value),
-            },
+            extra={"group": group, "target": record.successor, "reason": str(exc)},
         )
         timed_out = self._clock.monotonic() - since > SUCCESSOR_TIMEOUT_S
-        if isinstance(result.err_value, TargetUnavailable) or timed_out:
+        if isinstance(exc, TargetUnavailable) or (timed_out and not self._may_lead_later(record)):
             self._choose_another_successor(record)
 
+    def _may_lead_later(self, record: PrimaryRecord) -> bool:
+        """Return whether the successor may still be promoted by a call without an answer.
+
+        If another one was promoted meanwhile, that call would depose it. Another one would not be
+        promoted any sooner: the platform is slow for all.
+        """
+        target = self._registry.get(record.successor)
+        return (
+            self.promotion_calls.may_still_run(record.group, record.epoch)
+            and target is not None
+            and isinstance(self._prober.status(target), Ok)
+        )
+
     def _new_term(self, record: PrimaryRecord) -> int | None:
         """Return the successor's term as primary; None before its promotion takes effect.
 
-        Until then its reads may miss acknowledged commits. A successor that was replaced as
-        primary earlier may still report itself as primary of its old term, so only a term
-        after the recorded one counts.
+        A call without an answer may have promoted it. Until then its reads may miss acknowledged
+        commits. A successor that was replaced as primary earlier may still report itself as primary
+        of its old term, so only a term after the recorded one counts.
         """
         target = self._registry.get(record.successor)
-        if target is None:
+        if target is None or not self.promotion_calls.was_made(record.group, record.epoch):
             return None
         status = self._prober.status(target)
         if isinstance(status, Err):
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -29,7 +29,6 @@
 from quetzalrudder.gateway.failover import (
     ROSTER_RETENTION_S,
     FailoverCoordinator,
-    PromotionClient,
 )
 from quetzalrudder.gateway.lending import ConnectionLender
 from quetzalrudder.gateway.measurements import Metrics
@@ -43,6 +42,7 @@
 from quetzalrudder.gateway.positions import PositionExchange
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
 from quetzalrudder.gateway.probing import PooledProber, PrimaryHealthCheck
+from quetzalrudder.gateway.promotion_calls import PromotionClient
 from quetzalrudder.gateway.queue_refusals import QueueRefusals
 from quetzalrudder.gateway.quotas import QuotaRules
 from quetzalrudder.gateway.rate_parts import RateDivision
@@ -411,6 +411,7 @@
             Stops the tasks when it is closed.
         """
         stack.enter_context(self.pool)
+        self.failover.promotion_calls.executor = executor
         mirror = self.make_mirror(handlers)
         stack.callback(self._stop)
         for name, run in (
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -130,9 +130,13 @@
                 database.primary = True
 
     def newest_primary(self):
-        """Return the primary of the newest term, once the promotions that are due are complete."""
+        """Return the primary of the newest term, once the promotions that are due are complete.
+
+        None if the old one has stepped down, and no other one leads yet.
+        """
         self.apply_due_promotions()
-        return max((d for d in self.databases.values() if d.primary), key=lambda d: d.term)
+        primaries = (d for d in self.databases.values() if d.primary)
+        return max(primaries, key=lambda d: d.term, default=None)
 
     def latest_term(self):
         return max(database.term for database in self.databases.values())
