--- a/src/quetzalrudder/log_reading.py
+++ b/src/quetzalrudder/log_reading.py
@@ -21,6 +21,8 @@
     "permission held by the own lease again": "permission",
     "store reached": "store",
     "store lost": "store",
+    "store came back from an older copy": "era of the store",
+    "era of the store observed": "era of the store",
     "view of the store failed": "view of the store",
     "view of the store restored": "view of the store",
     "store item skipped": "store item",
@@ -29,6 +31,7 @@
     "joined": "membership",
     "joined the fleet": "membership",
     "lease ended": "membership",
+    "lease void": "membership",
     "rates taken over": "rates",
 }
 # The same for messages about one group or target, which the log line names; the newest message
@@ -36,6 +39,7 @@
 TARGET_STATE_MESSAGES = {
     "primary recorded": "primary",
     "successor chosen": "primary",
+    "primary of an earlier era checked": "era of the primary",
     "primary suspected": "suspicion",
     "primary no longer suspected": "suspicion",
     "target announced": "target",
