--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -48,6 +48,7 @@
     TargetReply,
 )
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry
 from quetzalrudder.models import GroupId, RequestId, TargetId, WorkspaceId
@@ -157,8 +158,9 @@
         and connections to them.
     refresh_position : Callable
         Fetches a recent position of a group's primary from other instances, if possible.
-    permission, contact
-        This instance's right to use primaries, and its contact with the store.
+    permission, contact, eras
+        This instance's right to use primaries, its contact with the store, and the store's returns
+        from older copies.
     drain_limit_s : float, optional
         Time after which no request may reach a draining database, in seconds.
     rng : random.Random
@@ -178,6 +180,7 @@
         refresh_position: Callable[[GroupId], None],
         permission: Permission,
         contact: StoreContact,
+        eras: StoreEras,
         drain_limit_s: float = math.inf,
         rng: random.Random,
         clock: Clock,
@@ -197,6 +200,7 @@
             primaries=primaries,
             permission=permission,
             contact=contact,
+            eras=eras,
             monitor=self.primary_monitor,
             rng=rng,
             clock=clock,
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -18,8 +18,8 @@
 from quetzalrudder.gateway.coordinator_lease import CoordinatorLease
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.permission import (
+    ERA_SETTLING_S,
     OUTAGE_LIMIT_S,
-    PEER_PERMISSION_S,
     PERMISSION_S,
     LeaseSpan,
 )
@@ -64,10 +64,6 @@
 # An instance without a member record for this long has no permission left, neither its own
 # nor one granted by peers.
 ROSTER_RETENTION_S = PERMISSION_S + OUTAGE_LIMIT_S + 5.0
-# An instance that the store has lost, as it joined after the copy was made which the store came
-# back from, has joined again after this time or may use no primary: what it obtained by its lease,
-# or from a peer with one, has expired. Longer than a coordinator of the earlier era acts.
-ERA_SETTLING_S = PERMISSION_S + PEER_PERMISSION_S
 # Pause of the removals after one that the store did not confirm.
 REMOVAL_RETRY_DELAY_S = 1.0
 
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -237,6 +237,7 @@
             refresh_position=lambda group: self.positions.refresh(group),
             permission=self.permission,
             contact=self.contact,
+            eras=self.eras,
             drain_limit_s=drain_limit_s,
             rng=rng,
             clock=clock,
--- a/src/quetzalrudder/gateway/outlook.py
+++ b/src/quetzalrudder/gateway/outlook.py
@@ -11,9 +11,10 @@
 from collections import deque
 from collections.abc import Callable
 
-from quetzalrudder.gateway.permission import Permission
+from quetzalrudder.gateway.permission import ERA_SETTLING_S, Permission
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.gateway.suspicion import PrimaryMonitor
 from quetzalrudder.models import GroupId
 from quetzalrudder.utils import MS_PER_S, Clock
@@ -74,8 +75,9 @@
 
     Parameters
     ----------
-    primaries, permission, contact
-        The records, the right to use primaries, and the contact with the store.
+    primaries, permission, contact, eras
+        The records, the right to use primaries, the contact with the store, and its returns from
+        older copies, after which the records have to be confirmed.
     monitor : Callable
         Returns the monitor of a group's primary.
     rng : random.Random
@@ -90,6 +92,7 @@
         primaries: PrimaryTable,
         permission: Permission,
         contact: StoreContact,
+        eras: StoreEras,
         monitor: Callable[[GroupId], PrimaryMonitor],
         rng: random.Random,
         clock: Clock,
@@ -97,6 +100,7 @@
         self._primaries = primaries
         self._permission = permission
         self._contact = contact
+        self._eras = eras
         self._monitor = monitor
         self._rng = rng
         self._clock = clock
@@ -141,6 +145,8 @@
         record = self._primaries.record(group)
         if record is None or not self._permission.valid:
             return None
+        if not self._primaries.is_trusted(group):
+            return _remaining_s(self._eras.age_s, ERA_SETTLING_S)
         if record.primary is None:
             began_at = self._changing_since.get(group, now)
             return _remaining_s(now - began_at, self._change.typical_s)
--- a/src/quetzalrudder/gateway/permission.py
+++ b/src/quetzalrudder/gateway/permission.py
@@ -12,7 +12,14 @@
 
 from quetzalrudder.utils import Clock
 
-__all__ = ["OUTAGE_LIMIT_S", "PEER_PERMISSION_S", "PERMISSION_S", "LeaseSpan", "Permission"]
+__all__ = [
+    "ERA_SETTLING_S",
+    "OUTAGE_LIMIT_S",
+    "PEER_PERMISSION_S",
+    "PERMISSION_S",
+    "LeaseSpan",
+    "Permission",
+]
 
 # TTL of the member lease, and time for which a renewal permits the use of primaries, less
 # CLOCK_RATE_MARGIN_S. An instance that is cut off from the store and its peers delays a
@@ -26,6 +33,11 @@
 # Subtracted from the permission that a lease grants, because clocks may run at different
 # rates; the platform states no bound for the difference.
 CLOCK_RATE_MARGIN_S = 0.2
+# After a return of the store from an older copy: an instance that the store has lost, as it joined
+# after the copy was made, has joined again after this time or may use no primary. What it obtained
+# by its lease, or from a peer with one, has expired. Longer than a coordinator of the earlier era
+# acts.
+ERA_SETTLING_S = PERMISSION_S + PEER_PERMISSION_S
 
 
 @dataclass(frozen=True)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from quetzalrudder.exceptions import PrimaryChanging
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.era_store import BASE_ERA_KEY, EraStore
-from quetzalrudder.gateway.failover import ERA_SETTLING_S
-from quetzalrudder.gateway.permission import OUTAGE_LIMIT_S, PERMISSION_S
+from quetzalrudder.gateway.permission import ERA_SETTLING_S, OUTAGE_LIMIT_S, PERMISSION_S
 from quetzalrudder.gateway.records import (
     MEMBER_PREFIX,
     PRIMARY_PREFIX,
@@ -140,6 +140,12 @@
     assert started.gateway.permission.valid
     assert started.gateway.primaries.record("g").primary == "db-1"
     assert started.gateway.primaries.usable_primary("g") is None
+    # The caller is told at once, and when to return.
+    before = fleet.clock.now
+    error = started.session().execute("w", Write("a", "1")).error
+    assert isinstance(error, PrimaryChanging)
+    assert 0 < error.retry_after_ms / 1000 <= 2 * ERA_SETTLING_S
+    assert fleet.clock.now == before
 
 
 def test_an_instance_whose_permission_has_lapsed_waits_for_a_confirmation(fleet):
