--- a/src/quetzalrudder/gateway/coordinator_lease.py
+++ b/src/quetzalrudder/gateway/coordinator_lease.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from quetzalrudder.gateway.records import COORDINATOR_KEY, CoordinatorRecord, encode_coordinator
-from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store
+from quetzalrudder.gateway.store import LeaseEnded, LeaseId, Store, era_of
 from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.models import InstanceId
@@ -177,7 +177,6 @@
         ):
             return
         self._next_attempt = now + COORDINATOR_RENEW_INTERVAL_S
-        era = self._eras.current
         lease = self._store.open_lease(COORDINATOR_LEASE_S)
         if isinstance(lease, Err):
             self._contact.record_failure(lease.err_value)
@@ -190,7 +189,7 @@
             self._store.end_lease(lease.ok_value)
             return
         self._lease = lease.ok_value
-        self._era = era
+        self._era = era_of(written.ok_value)
         self.fencing_token = written.ok_value
         self._valid_until = now + COORDINATOR_LEASE_S - COORDINATOR_LEASE_MARGIN_S
         self._next_renewal = now + COORDINATOR_RENEW_INTERVAL_S
--- a/src/quetzalrudder/gateway/membership.py
+++ b/src/quetzalrudder/gateway/membership.py
@@ -197,7 +197,8 @@
 
     def _delete_roster_entry(self) -> Result[int, QuetzalrudderError]:
         result = self._store.delete(self._roster_key, self._roster_revision)
-        if isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
+        is_passed = era_of(self._roster_revision) != self._eras.current
+        if is_passed and isinstance(result, Err) and isinstance(result.err_value, WriteConflict):
             # The store has come back from an older copy, which has another revision.
             self._roster_revision = _current_revision(self._roster_key, result.err_value)
             result = self._store.delete(self._roster_key, self._roster_revision)
@@ -248,7 +249,6 @@
         instance that cannot decode one of them does not join.
         """
         sent_at = self._clock.monotonic()
-        era = self._eras.current
         entered = self._write_roster_entry()
         if isinstance(entered, Err):
             return entered
@@ -267,7 +267,7 @@
             return written
         # From here on, renewing the lease also keeps the member record.
         self._lease = lease
-        self._era = era
+        self._era = era_of(self._revision)
         # The entry may have been written before the roster was read. An entry that covers few
         # instances delays failovers for as long as those may continue without the store.
         if not self._covers_enough():
@@ -345,9 +345,6 @@
         except MalformedMessage as exc:
             return Err(exc)
         self._primaries.observe_all(records, era_of(result.ok_value.revision))
-        if self._primaries.lost_records():
-            delay_s = MAX_RESTORE_DELAY_S * self._rng.random()
-            self._restore_at = self._clock.monotonic() + delay_s
         return Ok(None)
 
     def _renew(self) -> Result[None, QuetzalrudderError]:
@@ -370,18 +367,7 @@
 
         Primaries that the store has lost are written before.
         """
-        if self._restore_at is not None and self._clock.monotonic() >= self._restore_at:
-            self._restore_at = None
-            for lost in self._primaries.lost_records():
-                restored = write_primary(self._store, self._primaries, lost)
-                log.info(
-                    "lost record of a primary written again",
-                    extra={
-                        "group": lost.group,
-                        "epoch": lost.epoch,
-                        "done": isinstance(restored, Ok),
-                    },
-                )
+        self._restore_primaries()
         if self._is_roster_entry_due():
             entered = self._write_roster_entry()
             if isinstance(entered, Err):
@@ -391,6 +377,30 @@
             return Ok(None)
         return self._write_member_record(record, self._lease)
 
+    def _restore_primaries(self) -> None:
+        """Write the primaries that the store has lost, some time after that was noticed."""
+        lost = self._primaries.lost_records()
+        if not lost:
+            self._restore_at = None
+            return
+        now = self._clock.monotonic()
+        if self._restore_at is None:
+            self._restore_at = now + MAX_RESTORE_DELAY_S * self._rng.random()
+        if now < self._restore_at:
+            return
+        # Those that cannot be written now follow later.
+        self._restore_at = None
+        for record in lost:
+            written = write_primary(self._store, self._primaries, record)
+            log.info(
+                "lost record of a primary written again",
+                extra={
+                    "group": record.group,
+                    "epoch": record.epoch,
+                    "done": isinstance(written, Ok),
+                },
+            )
+
     def _is_written(self, record: MemberRecord) -> bool:
         """Return whether the store has what others need of a record.
 
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from quetzalrudder.exceptions import PrimaryChanging
+from quetzalrudder.exceptions import PlatformUnavailable, PrimaryChanging
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.era_store import BASE_ERA_KEY, EraStore
 from quetzalrudder.gateway.permission import ERA_SETTLING_S, OUTAGE_LIMIT_S, PERMISSION_S
@@ -329,6 +329,40 @@
         assert era_of(entry.known_up_to) == 1
 
 
+def test_an_instance_that_starts_in_a_later_era_joins_once(fleet, caplog):
+    # It took the lease that it had just opened for one of the era before.
+    fleet.return_store(fleet.store.copy())
+    fleet.run(ERA_SETTLING_S + 3.0)
+    caplog.set_level("INFO")
+    started = fleet.start("edge-7", seed=4)
+    fleet.run(2.0)
+    joined = [r for r in caplog.records if r.message == "joined the fleet"]
+    assert len(joined) == 1
+    assert started.gateway.primaries.usable_primary("g") is not None
+
+
+def test_a_lost_record_that_cannot_be_written_at_first_is_written_later(fleet):
+    # The coordinator would have waited for it without an end.
+    copied = fleet.store.copy()
+    new = replace_primary(fleet)
+    knowing = fleet[0]
+    for name in ("edge-2", "edge-3"):
+        fleet.start(name, seed=30)
+    fleet.return_store(copied, away_s=0.1)
+    failing = [3]
+
+    def write(key, value, expected, lease=None):
+        if key.startswith(PRIMARY_PREFIX) and failing[0]:
+            failing[0] -= 1
+            return Err(PlatformUnavailable("status 503", place=key))
+        return working(key, value, expected, lease)
+
+    for handle in knowing.store_clients:
+        working, handle.write = handle.write, write
+    assert fleet.run(12.0, lambda: primaries(fleet) == {new}) is not None
+    assert failing == [0]
+
+
 def test_an_instance_that_left_before_the_return_is_forgotten(fleet):
     # The copy still has its entry, and every majority would be one of its roster.
     copied = fleet.store.copy()
