--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -335,6 +335,8 @@
     fleet.run(ERA_SETTLING_S + 3.0)
     caplog.set_level("INFO")
     started = fleet.start("edge-7", seed=4)
+    # Its first call to the store tells the era.
+    started.gateway.membership.step()
     fleet.run(2.0)
     joined = [r for r in caplog.records if r.message == "joined the fleet"]
     assert len(joined) == 1
