Log lines that tell an outdated view from lost contact with the store

The record of the incident cannot tell whether a refusal came from an old view: session refused has neither the version in force nor the age of the view, and no line says what the mirror does between the loss of the store and the next read. Now a row of failed calls has a line at its begin and at its end, with the time spent in pauses; the view has one when it may lack a change that must be in force, and when it is current again.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -177,7 +177,7 @@
         self._clock = clock
         self.catalogs = CurrentCatalog()
         self.metrics = Metrics()
-        self.contact = StoreContact(clock)
+        self.contact = StoreContact(clock, convergence_s)
         self.eras = StoreEras(clock)
         self.metrics.watch_view_age(lambda: self.contact.view_age_s)
         self.evacuations = EvacuationTable(
@@ -504,6 +504,7 @@
         while not stopping.is_set():
             self._maintenance_wake_up.wait(MAINTENANCE_INTERVAL_S)
             self.members.log_changes()
+            self.contact.log_view_changes()
             self.members.forget_earlier_eras(self.eras.current, ROSTER_RETENTION_S)
             self.evacuations.end_missing()
             self.rates.refresh_ownership(executor)
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -128,8 +128,10 @@
         # True if a relay has provided changes since the last answer of the store.
         self._relayed = False
         self._starting = True
-        # Whether the latest call to the store failed.
-        self._failed = False
+        # Calls to the store that have failed in a row, since when, and the pauses after them.
+        self._failures = 0
+        self._failing_since = 0.0
+        self._failure_pauses_s = 0.0
         # Whether the next read is one of all prefixes together.
         self._reads_at_once = True
         # None until the store has been read.
@@ -152,7 +154,9 @@
         """Return the seconds to pause after a step."""
         self._paused_s = 0.0
         if not succeeded:
-            return self._retry_delay.after_failure() if self._retry_delay else RETRY_DELAY_S
+            pause_s = self._retry_delay.after_failure() if self._retry_delay else RETRY_DELAY_S
+            self._failure_pauses_s += pause_s
+            return pause_s
         if self._starting and self.revision is not None:
             self._starting = False
             if self._uses_relay():
@@ -168,7 +172,7 @@
         After a failure it is short: a silent store answers nothing until the watch times out, and
         its return would be noticed no earlier.
         """
-        if self._failed:
+        if self._failures:
             return RECONNECT_WAIT_S
         return max(MIN_WATCH_WAIT_S, self.wait_s - self._paused_s)
 
@@ -276,13 +280,30 @@
                 self._skipped.pop(key, None)
 
     def _record_success(self) -> None:
-        self._failed = False
+        if self._failures:
+            log.info(
+                "store provides changes again",
+                extra={
+                    "revision": self.revision,
+                    "failures": self._failures,
+                    "failing_s": round(self._clock.monotonic() - self._failing_since, 2),
+                    "paused_s": round(self._failure_pauses_s, 2),
+                },
+            )
+        self._failures = 0
         self._contact.record_success()
         if self._retry_delay is not None:
             self._retry_delay.reset()
 
     def _record_failure(self, exc: QuetzalrudderError) -> None:
-        self._failed = True
+        if self._failures == 0:
+            self._failing_since = self._clock.monotonic()
+            self._failure_pauses_s = 0.0
+            log.info(
+                "store provides no changes",
+                extra={"revision": self.revision, "reason": str(exc)},
+            )
+        self._failures += 1
         self._contact.record_failure(exc)
         self._change_log.lose_store()
 
--- a/src/quetzalrudder/gateway/store_contact.py
+++ b/src/quetzalrudder/gateway/store_contact.py
@@ -23,14 +23,20 @@
     ----------
     clock : Clock
         Source of time.
+    max_view_age_s : float, optional
+        Time within which changes of the store must be in force here, in seconds. An older view
+        may lack a change that callers already rely on.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, max_view_age_s: float = math.inf) -> None:
         self._clock = clock
+        self._max_view_age_s = max_view_age_s
         self._lock = threading.Lock()
         self._reached_since: float | None = None
         self._view_failed = False
         self._viewed_at: float | None = None
+        # True from the log line on an outdated view to the one on a current view.
+        self._logged_as_outdated = False
 
     def record_success(self) -> None:
         """Record a successful call."""
@@ -61,6 +67,18 @@
                 self._reached_since = now
         log.info("view of the store restored")
 
+    def log_view_changes(self) -> None:
+        """Log whether the view has become outdated or current; called several times a second."""
+        is_outdated = self._viewed_at is not None and not self.is_view_current
+        if is_outdated == self._logged_as_outdated:
+            return
+        self._logged_as_outdated = is_outdated
+        log.log(
+            logging.WARNING if is_outdated else logging.INFO,
+            "view of the store outdated" if is_outdated else "view of the store current again",
+            extra={"view_age_s": round(self.view_age_s, 2), "store_reached": self.reached},
+        )
+
     def record_view_failure(self, exc: Exception) -> None:
         """Record that the view of the store could not be updated."""
         with self._lock:
@@ -90,6 +108,11 @@
         """True while the view of the store cannot be updated, for a reason of this instance."""
         return self._view_failed
 
+    @property
+    def is_view_current(self) -> bool:
+        """True if the view has every change that must be in force here by now."""
+        return self.view_age_s <= self._max_view_age_s
+
     @property
     def view_age_s(self) -> float:
         """Seconds since the view of the store was last known to be current."""
--- /dev/null
+++ b/tests/test_old_view.py
@@ -0,0 +1,103 @@
+"""What callers are told by an instance whose view of the store is not current."""
+
+import json
+import logging
+
+import pytest
+from rig.configuration import catalog_handler, evacuation_handler
+
+from tests.gateway_fleet import GatewayFleet
+
+# The time within which a configuration must be in force, by default.
+CONVERGENCE_S = 3.0
+
+
+def configuration(version, routes=("offers", "prices"), keys=("key-1",)):
+    kinds = {"prices": "bounded"}
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [
+                {
+                    "host": name,
+                    "service": "g",
+                    "kind": kinds.get(name, "primary"),
+                    "maxStalenessMs": 1500,
+                    "timeoutMs": 1000,
+                    "goalMs": 200,
+                    "priority": 1,
+                }
+                for name in routes
+            ],
+            "services": [{"name": "g", "maxConns": 30}],
+            "tenants": [
+                {"name": "almaty", "ratePerS": 100, "burst": 100, "apiKeys": list(keys)},
+            ],
+        }
+    ).encode()
+
+
+class ConfiguredFleet(GatewayFleet):
+    """A fleet that takes its configuration from the store."""
+
+    def handlers(self, gateway):
+        return [catalog_handler(gateway.catalogs), evacuation_handler(gateway.evacuations)]
+
+    def configure(self, version, **parts):
+        self.store.put("op/config", configuration(version, **parts), None)
+
+
+@pytest.fixture
+def fleet():
+    started = ConfiguredFleet()
+    started.configure(2)
+    started.run(5.0, started.all_know_primary)
+    started.run(1.0)
+    return started
+
+
+def cut(edge, disconnected=True):
+    """Cut an instance from the store and from its peers."""
+    edge.cut_from_store(disconnected)
+    edge.cut_from_peers = disconnected
+
+
+def miss_configuration(fleet, **parts):
+    """Let the first instance miss a configuration, and reach the store again without a read."""
+    edge = fleet[0]
+    cut(edge)
+    fleet.run(1.0)
+    fleet.configure(3, **parts)
+    fleet.run(CONVERGENCE_S + 1.0)
+    cut(edge, False)
+    edge.gateway.contact.record_success()
+    return edge
+
+
+def read_again(fleet):
+    """Let an instance reach the store through its cut again, until its view is current."""
+    assert fleet.run(1.0, lambda: fleet[0].gateway.contact.is_view_current) is not None
+
+
+def test_the_log_tells_an_outdated_view_from_lost_contact(fleet, caplog):
+    caplog.set_level(logging.INFO)
+    edge = miss_configuration(fleet, routes=("offers", "added"))
+    edge.gateway.contact.log_view_changes()
+    read_again(fleet)
+    edge.gateway.contact.log_view_changes()
+    edge.gateway.contact.log_view_changes()
+    outdated, current = (
+        record for record in caplog.records if record.message.startswith("view of the store")
+    )
+    assert (outdated.message, current.message) == (
+        "view of the store outdated",
+        "view of the store current again",
+    )
+    assert outdated.store_reached
+    assert outdated.view_age_s > CONVERGENCE_S > current.view_age_s
+    lines = [record for record in caplog.records if record.message.startswith("store provides")]
+    failing, again = lines
+    assert failing.message == "store provides no changes"
+    assert again.message == "store provides changes again"
+    assert again.failures > 1
+    assert again.failing_s > CONVERGENCE_S
