Failing test: a caller of an added route is refused for good before the view is current

An instance that was cut off reaches the store again, a caller of a route or key that was added meanwhile arrives, and the view follows after it. The caller is told that the route or key does not exist.

--- a/tests/test_old_view.py
+++ b/tests/test_old_view.py
@@ -4,8 +4,12 @@
 import logging
 
 import pytest
+from result import Ok
 from rig.configuration import catalog_handler, evacuation_handler
+from rig.wire import encode_greeting_answer
 
+from quetzalrudder.exceptions import RouteNotFound, Unauthenticated
+from quetzalrudder.gateway.statements import Read
 from tests.gateway_fleet import GatewayFleet
 
 # The time within which a configuration must be in force, by default.
@@ -79,6 +83,32 @@
     assert fleet.run(1.0, lambda: fleet[0].gateway.contact.is_view_current) is not None
 
 
+@pytest.mark.parametrize(
+    ("parts", "database", "key"),
+    [
+        ({"routes": ("offers", "added")}, "added", "key-1"),
+        ({"keys": ("key-1", "key-9")}, "offers", "key-9"),
+    ],
+    ids=["route", "key"],
+)
+def test_callers_of_what_was_added_during_a_cut_are_not_refused_for_good_before_the_next_read(
+    fleet, parts, database, key
+):
+    # The store answers again, a caller arrives, and the view follows after it.
+    edge = miss_configuration(fleet, **parts)
+    assert edge.gateway.contact.contact_s >= 0
+    session = edge.session(database, key)
+    for error in (session.check_access().err_value, session.execute("r", Read("a")).error):
+        assert not isinstance(error, RouteNotFound | Unauthenticated)
+        assert error.retry_after_ms > 0
+        assert encode_greeting_answer(error).startswith("ERR BUSY ")
+    assert not session.execute("r", Read("a")).close
+    read_again(fleet)
+    assert session.check_access() == Ok(None)
+    fleet.run(1.0)
+    assert session.execute("r", Read("a")).error is None
+
+
 def test_the_log_tells_an_outdated_view_from_lost_contact(fleet, caplog):
     caplog.set_level(logging.INFO)
     edge = miss_configuration(fleet, routes=("offers", "added"))
