What an outdated view lacks is not refused for good

What callers saw: an instance that had been cut off reached the store again, and told a caller that a route or key did not exist which had been added meanwhile; the view followed a moment later.

Cause: contact with the store is taken from any call that succeeds, and RouteNotFound and Unauthenticated were answered from the view whatever its age.

Why this works: a view that was confirmed less than the convergence time ago has every configuration that must be in force by now, so that only from such a view a refusal can be for good. From an older one the caller gets SettingsTooOld with a time to return; what the configuration has is served as before, as a data centre that is cut off goes on serving what it knows. The age is read before the catalog, as a view that is confirmed in between says nothing of the catalog before it.

An open transaction is now checked against its own route: a key that was withdrawn ends it also if its route was removed with it, which the order of the two checks hid before.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -14,6 +14,7 @@
 from quetzalrudder import processor_time
 from quetzalrudder.gateway.assignments import FleetView
 from quetzalrudder.gateway.attempts import AttemptPlanner
+from quetzalrudder.gateway.authorization import Authorizer
 from quetzalrudder.gateway.batching import batch_delay_s
 from quetzalrudder.gateway.borrowing import FleetConnectionPool, owners_of, watchers_of
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog, Workspace
@@ -273,7 +274,9 @@
             clock=clock,
         )
         self._services = GatewayServices(
-            catalogs=self.catalogs,
+            authorizer=Authorizer(
+                self.catalogs, self.contact, self.metrics.count_unconfirmed_refusal, rng
+            ),
             planner=self.planner,
             rates=self.rates,
             metrics=self.metrics,
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -87,6 +87,12 @@
             ["reason"],
             registry=self.registry,
         )
+        self.unconfirmed_refusals = Counter(
+            "quetzalrudder_unconfirmed_refusals",
+            "Refusals for what an outdated view of the store lacks, by what that is.",
+            ["missing"],
+            registry=self.registry,
+        )
         self.view_age_s = Gauge(
             "quetzalrudder_store_view_age_seconds",
             "Time since this instance's view of the store was last known to be current.",
@@ -179,6 +185,10 @@
         """Count an attempt of a statement in another data centre."""
         self._observe(lambda found: found.crossings.labels(reason).inc())
 
+    def count_unconfirmed_refusal(self, missing: str) -> None:
+        """Count a refusal that is not for good, as this instance's view may lack a change."""
+        self._observe(lambda found: found.unconfirmed_refusals.labels(missing).inc())
+
     def watch_view_age(self, read: Callable[[], float]) -> None:
         """Read the age of the view of the store whenever the metrics are rendered."""
         self._observe(lambda found: found.view_age_s.set_function(read))
--- a/src/quetzalrudder/gateway/running.py
+++ b/src/quetzalrudder/gateway/running.py
@@ -25,8 +25,9 @@
     retry_delay_s,
     run_offered,
 )
+from quetzalrudder.gateway.authorization import Authorizer
 from quetzalrudder.gateway.borrowing import BorrowedCheckout
-from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
+from quetzalrudder.gateway.catalog import Catalog
 from quetzalrudder.gateway.connections import Checkout
 from quetzalrudder.gateway.link_setup import SessionSetupFailed, set_up_link
 from quetzalrudder.gateway.measurements import Metrics
@@ -60,7 +61,7 @@
 class GatewayServices:
     """Objects shared by all sessions of an instance."""
 
-    catalogs: CurrentCatalog
+    authorizer: Authorizer
     planner: AttemptPlanner
     rates: RateLimiter
     metrics: Metrics
--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -18,6 +18,7 @@
     Unauthenticated,
 )
 from quetzalrudder.gateway.attempts import QUEUE_FRACTION, Request
+from quetzalrudder.gateway.authorization import CatalogView
 from quetzalrudder.gateway.catalog import Catalog, Route
 from quetzalrudder.gateway.link_setup import INTERNAL_REQUEST_ID
 from quetzalrudder.gateway.running import (
@@ -106,23 +107,25 @@
 
     def check_access(self) -> Result[None, QuetzalrudderError]:
         """Check that the route exists and that the caller's key has access to it."""
-        access = self._authorize(self._services.catalogs.current)
+        access = self._authorize(self._services.authorizer.take_view())
         return access if isinstance(access, Err) else Ok(None)
 
-    def _authorize(self, catalog: Catalog) -> Result[tuple[Route, WorkspaceId], QuetzalrudderError]:
-        route = catalog.routes.get(self._database)
-        if route is None:
-            return Err(RouteNotFound("no route has this database name", place=self._database))
-        workspace = catalog.resolve_workspace(route, self._key)
-        if workspace is None:
-            return Err(Unauthenticated("the key is unknown", place=self._database))
-        return Ok((route, workspace))
+    def _authorize(
+        self, view: CatalogView
+    ) -> Result[tuple[Route, WorkspaceId], QuetzalrudderError]:
+        """Return the route and the workspace for which the next statement runs."""
+        if self._tx is None:
+            return self._services.authorizer.authorize(view, self._database, self._key)
+        # The route of a transaction stays as it was; a key may go at any time.
+        if view.catalog.resolve_workspace(self._tx.route, self._key) is None:
+            return Err(TransactionAborted("the key was withdrawn"))
+        return Ok((self._tx.route, self._tx.workspace))
 
     def execute(self, request_id: RequestId, statement: Statement) -> Answer | None:
         """Run one statement and return its answer; None if it was given up and answered."""
         started = self._services.clock.monotonic()
         self._runner.trace = StatementTrace()
-        catalog = self._services.catalogs.current
+        view = self._services.authorizer.take_view()
         running = RunningStatement(
             request_id, statement, self._tx is not None, self._is_write(statement)
         )
@@ -130,14 +133,14 @@
             return _given_up_answer(running)
         self._set_up = isinstance(statement, SetValue | Prepare | Deallocate)
         with processor_time.section("statement"):
-            answer, route = self._answer(running, catalog, started)
+            answer, route = self._answer(running, view, started)
         if not running.progress.finish():
             return None
         with self._lock:
             self._running = None
         try:
             with processor_time.section("log and metrics of a statement"):
-                self._record_statement(request_id, statement, route, answer, catalog, started)
+                self._record_statement(request_id, statement, route, answer, view, started)
         except Exception:
             log.exception("statement not recorded", extra={"request_id": request_id})
         return answer
@@ -159,11 +162,11 @@
                 return self._runner.context.is_write(statement)
 
     def _answer(
-        self, running: RunningStatement, catalog: Catalog, started: float
+        self, running: RunningStatement, view: CatalogView, started: float
     ) -> tuple[Answer, Route | None]:
         """Run a statement; a defect is answered like any other failure."""
         try:
-            result, route = self._execute(running, catalog, started)
+            result, route = self._execute(running, view, started)
             return self._to_answer(running.statement, result), route
         except Exception:
             log.exception(
@@ -206,19 +209,12 @@
         return answer
 
     def _execute(
-        self, running: RunningStatement, catalog: Catalog, started: float
+        self, running: RunningStatement, view: CatalogView, started: float
     ) -> tuple[Result[TargetReply | None, QuetzalrudderError], Route | None]:
-        access = self._authorize(catalog)
+        access = self._authorize(view)
         if isinstance(access, Err):
-            if self._tx is None:
-                return access, None
-            if isinstance(access.err_value, Unauthenticated):
-                return Err(TransactionAborted("the key was withdrawn")), self._tx.route
-            route, workspace = self._tx.route, self._tx.workspace
-        else:
-            route, workspace = access.ok_value
-        if self._tx is not None:
-            route, workspace = self._tx.route, self._tx.workspace
+            return access, None if self._tx is None else self._tx.route
+        route, workspace = access.ok_value
         req = Request(
             request_id=running.request_id,
             statement=running.statement,
@@ -230,7 +226,7 @@
             own_commits=self._runner.own_commits,
             progress=running.progress,
         )
-        return self._dispatch(req, catalog), route
+        return self._dispatch(req, view.catalog), route
 
     def _dispatch(
         self, req: Request, catalog: Catalog
@@ -345,7 +341,7 @@
         statement: Statement,
         route: Route | None,
         answer: Answer,
-        catalog: Catalog,
+        view: CatalogView,
         started: float,
     ) -> None:
         took_s = self._services.clock.monotonic() - started
@@ -370,7 +366,8 @@
                 "needed": "" if trace.required_position is None else str(trace.required_position),
                 "attempts": trace.attempts,
                 "faults": trace.faults[-4:],
-                "catalog_version": catalog.version,
+                "catalog_version": view.catalog.version,
+                "view_age_s": round(view.age_s, 1),
                 "took_ms": round(took_s * MS_PER_S, 1),
             },
         )
--- a/tests/gateway_standins.py
+++ b/tests/gateway_standins.py
@@ -48,11 +48,12 @@
         return json.loads(self.rfile.read(int(self.headers.get("Content-Length") or 0)) or b"{}")
 
     def is_away(self):
-        """Answer 503 while the store is away."""
-        if self.server.is_away:
+        """Answer 503 while the store is away, or to reads and watches while it fails those."""
+        is_away = self.server.is_away or (self.server.fails_reads and self.command == "GET")
+        if is_away:
             self.body()
             self.answer(503, {})
-        return self.server.is_away
+        return is_away
 
     def do_GET(self):  # noqa: N802
         if self.is_away():
@@ -142,6 +143,8 @@
     allow_reuse_address = True
     # While it is, each call gets 503.
     is_away = False
+    # While it does, reads and watches get 503; writes and renewals of leases succeed.
+    fails_reads = False
 
     def handle_error(self, request, client_address):
         """Pass over connections that an ending process has reset."""
--- a/tests/test_old_view.py
+++ b/tests/test_old_view.py
@@ -9,7 +9,7 @@
 from rig.wire import encode_greeting_answer
 
 from quetzalrudder.exceptions import RouteNotFound, Unauthenticated
-from quetzalrudder.gateway.statements import Read
+from quetzalrudder.gateway.statements import Begin, Read, SessionState, Write
 from tests.gateway_fleet import GatewayFleet
 
 # The time within which a configuration must be in force, by default.
@@ -109,10 +109,74 @@
     assert session.execute("r", Read("a")).error is None
 
 
-def test_the_log_tells_an_outdated_view_from_lost_contact(fleet, caplog):
+def test_callers_of_what_no_configuration_has_are_refused_for_good_by_a_current_view(fleet):
+    edge = miss_configuration(fleet)
+    read_again(fleet)
+    for _ in range(4):
+        assert isinstance(edge.session("none").check_access().err_value, RouteNotFound)
+        unknown = edge.session("offers", "none").check_access()
+        assert isinstance(unknown.err_value, Unauthenticated)
+        # As long as the view may be old without lacking a change that must be in force.
+        fleet.clock.advance(CONVERGENCE_S / 4)
+    fleet.clock.advance(0.1)
+    assert not isinstance(edge.session("none").check_access().err_value, RouteNotFound)
+
+
+def test_an_instance_that_is_cut_off_serves_the_routes_and_keys_that_it_knows(fleet):
+    edge = fleet[0]
+    cut(edge)
+    fleet.clock.advance(CONVERGENCE_S + 1.0)
+    assert not edge.gateway.contact.is_view_current
+    assert edge.session("prices").check_access() == Ok(None)
+
+
+def test_a_view_that_is_confirmed_while_a_caller_is_checked_does_not_vouch_for_the_catalog_before(
+    fleet,
+):
+    edge = miss_configuration(fleet, routes=("offers", "added"))
+    gateway = edge.gateway
+
+    class Contact:
+        """Becomes current as soon as it has been asked whether it is."""
+
+        view_age_s = 9.0
+
+        @property
+        def is_view_current(self):
+            read_again(fleet)
+            return False
+
+    authorizer = gateway._services.authorizer
+    authorizer._contact = Contact()
+    view = authorizer.take_view()
+    assert not view.is_current
+    assert "added" in view.catalog.routes
+
+
+def test_a_withdrawn_key_ends_an_open_transaction_also_if_its_route_goes_with_it(fleet):
+    session = fleet[0].session("offers", "key-1")
+    assert session.execute("b", Begin(read_only=False)).error is None
+    assert session.execute("w", Write("a", "1")).error is None
+    fleet.configure(3, routes=("prices",), keys=("key-2",))
+    fleet.run(0.2)
+    answer = session.execute("w", Write("a", "2"))
+    assert type(answer.error).__name__ == "TransactionAborted"
+    assert answer.state is SessionState.FAILED_TRANSACTION
+
+
+def test_an_open_transaction_goes_on_while_its_route_is_removed(fleet):
+    session = fleet[0].session("offers", "key-1")
+    assert session.execute("b", Begin(read_only=False)).error is None
+    fleet.configure(3, routes=("prices",))
+    fleet.run(0.2)
+    assert session.execute("w", Write("a", "1")).error is None
+
+
+def test_the_log_and_the_metrics_tell_an_outdated_view_from_lost_contact(fleet, caplog):
     caplog.set_level(logging.INFO)
     edge = miss_configuration(fleet, routes=("offers", "added"))
     edge.gateway.contact.log_view_changes()
+    edge.session("added").check_access()
     read_again(fleet)
     edge.gateway.contact.log_view_changes()
     edge.gateway.contact.log_view_changes()
@@ -131,3 +195,5 @@
     assert again.message == "store provides changes again"
     assert again.failures > 1
     assert again.failing_s > CONVERGENCE_S
+    rendered = edge.gateway.metrics.render().decode()
+    assert 'quetzalrudder_unconfirmed_refusals_total{missing="route"} 1.0' in rendered
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -89,6 +89,33 @@
     assert [line["prefix"] for line in lines] == ["servers/", "qr/"]
 
 
+def test_an_added_route_is_not_refused_for_good_while_the_store_takes_writes_and_fails_reads(
+    edge,  # noqa: F811
+    platform,  # noqa: F811
+):
+    platform.http.fails_reads = True
+    with platform.lock:
+        platform.store.put("op/config", configuration(11, "added"), None)
+    time.sleep(CONVERGENCE_S + 0.5)
+    for _ in range(5):
+        greeting = Caller(edge.frontend, "added").greeting
+        assert greeting.startswith("ERR BUSY "), greeting
+        assert "; retry after " in greeting
+        assert Caller(edge.frontend, "prices").greeting == "READY I -"
+        time.sleep(0.1)
+    platform.http.fails_reads = False
+    assert wait_for_greeting(edge, "added", "READY").startswith("READY")
+    assert Caller(edge.frontend, "none").greeting.startswith("ERR NODB")
+    assert edge.stop() == 0
+    refused = log_lines(edge, "session refused")
+    assert {line["ending"] for line in refused[:5]} == {"SettingsTooOld"}
+    assert all(line["view_age_s"] > CONVERGENCE_S for line in refused[:5])
+    assert (refused[-1]["ending"], refused[-1]["catalog_version"]) == ("RouteNotFound", 11)
+    assert log_lines(edge, "view of the store outdated")
+    (again,) = log_lines(edge, "store provides changes again")
+    assert again["failing_s"] > CONVERGENCE_S
+
+
 def metric(process, name):
     with urlopen(f"http://127.0.0.1:{process.metrics}/metrics", timeout=5) as answer:
         lines = answer.read().decode().splitlines()
