A configuration that cannot be read leaves no refusal for good

The view of the store was current although its newest configuration had been skipped, so that callers were refused for good from the version before it.

test_a_configuration_that_cannot_be_read_leaves_no_refusal_for_good failed before with RouteNotFound.

--- a/src/quetzalrudder/gateway/authorization.py
+++ b/src/quetzalrudder/gateway/authorization.py
@@ -72,7 +72,8 @@
     def take_view(self) -> CatalogView:
         """Return the configuration in force and how old it may be."""
         # The age first: a view that is confirmed in between says nothing of the catalog before it.
-        age_s, is_current = self._contact.view_age_s, self._contact.is_view_current
+        age_s = self._contact.view_age_s
+        is_current = self._contact.is_view_current and not self._catalogs.is_superseded
         return CatalogView(self._catalogs.current, age_s, is_current)
 
     def authorize(
--- a/src/quetzalrudder/gateway/catalog.py
+++ b/src/quetzalrudder/gateway/catalog.py
@@ -98,6 +98,8 @@
         self._changed = threading.Condition()
         self._current = Catalog()
         self._encoded = b""
+        # True while the store holds a configuration that this instance cannot read.
+        self.is_superseded = False
 
     @property
     def encoded(self) -> bytes:
--- a/tests/test_old_view.py
+++ b/tests/test_old_view.py
@@ -4,7 +4,7 @@
 import logging
 
 import pytest
-from result import Ok
+from result import Err, Ok
 from rig.configuration import catalog_handler, evacuation_handler
 from rig.wire import encode_greeting_answer
 
@@ -197,3 +197,16 @@
     assert again.failing_s > CONVERGENCE_S
     rendered = edge.gateway.metrics.render().decode()
     assert 'quetzalrudder_unconfirmed_refusals_total{missing="route"} 1.0' in rendered
+
+
+def test_a_configuration_that_cannot_be_read_leaves_no_refusal_for_good(fleet):
+    edge = fleet[0]
+    fleet.store.put("op/config", b"{", None)
+    fleet.run(0.2)
+    assert edge.gateway.contact.is_view_current
+    refused = edge.session("added").check_access()
+    assert isinstance(refused, Err)
+    assert not isinstance(refused.err_value, RouteNotFound)
+    fleet.configure(4)
+    fleet.run(0.2)
+    assert isinstance(edge.session("added").check_access().err_value, RouteNotFound)
