An answer that arrives late confirms the view of the end of the wait

The answer of a watch counted as current at the moment at which it was processed, also if it had been on its way while the machine slept. The time beyond the wait that was asked for now counts as age, for the store's answers and for those of relays.

test_an_answer_that_arrives_late_confirms_the_view_of_the_end_of_the_wait failed before (age 0).

--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -190,7 +190,8 @@
         return self.relays is not None and self.relays.choose() is not None
 
     def _watch_store(self, after: int) -> bool:
-        result = self._store.watch(after, round(self.next_wait_s * MS_PER_S))
+        sent_at, wait_s = self._clock.monotonic(), self.next_wait_s
+        result = self._store.watch(after, round(wait_s * MS_PER_S))
         if isinstance(result, Err):
             if isinstance(result.err_value, HistoryGone):
                 log.info(
@@ -209,7 +210,8 @@
             self._on_direct()
         self._apply(changes)
         self._change_log.append(changes.items, changes.revision)
-        self._contact.record_view()
+        # An answer that arrives after the wait may have been sent at the end of the wait.
+        self._contact.record_view(max(0.0, self._clock.monotonic() - sent_at - wait_s))
         return True
 
     def _watch_relay(self, relay: RosterRecord, after: int) -> bool:
--- a/src/quetzalrudder/gateway/relays.py
+++ b/src/quetzalrudder/gateway/relays.py
@@ -207,11 +207,14 @@
             left_s = self._confirmed_at + self._max_age_s - self._clock.monotonic()
             wait_s = min(wait_s, max(MIN_RELAY_WAIT_S, left_s))
         req = ChangesRequest(after=after, wait_ms=round(wait_s * MS_PER_S))
+        sent_at = self._clock.monotonic()
         result = self._caller.wait_for_changes(relay.address, req, wait_s + RELAY_ANSWER_MARGIN_S)
         if isinstance(result, Err):
             return self._fail(relay, RelayFault.UNREACHABLE, str(result.err_value))
         reply = result.ok_value
-        age_s = reply.age_ms / MS_PER_S
+        # An answer that arrives after the wait may have been sent at the end of the wait.
+        late_s = max(0.0, self._clock.monotonic() - sent_at - wait_s)
+        age_s = reply.age_ms / MS_PER_S + late_s
         match reply.state:
             case RelayState.HISTORY_GONE:
                 return self._fail(relay, RelayFault.HISTORY_GONE)
--- a/tests/test_old_view.py
+++ b/tests/test_old_view.py
@@ -148,6 +148,23 @@
     assert all(edge.gateway.ready for edge in fleet.instances)
 
 
+def test_an_answer_that_arrives_late_confirms_the_view_of_the_end_of_the_wait(fleet):
+    # An answer that was on its way while the machine slept counted as current.
+    edge = fleet[0]
+    store = edge.mirror._store
+    wait_s = edge.mirror.next_wait_s
+
+    class SleepingStore:
+        def watch(self, after, wait_ms):
+            result = store.watch(after, wait_ms)
+            fleet.clock.advance(wait_s + 5.0)
+            return result
+
+    edge.mirror._store = SleepingStore()
+    edge.mirror.step()
+    assert edge.gateway.contact.view_age_s == pytest.approx(5.0)
+
+
 def test_a_view_that_is_confirmed_while_a_caller_is_checked_does_not_vouch_for_the_catalog_before(
     fleet,
 ):
