A newer configuration comes from one peer, not with every reply

What callers saw: an instance that the store turned away had no permission from its peers although they answered, counted as isolated and closed its sessions, and followed neither the peers' configurations nor, once its path was back, the store.

Cause: each reply to a request for permission carried the whole configuration as long as the asker had an older one. Requests go out every 0.2 s, to all peers every 0.4 s. On a link of 2 Mbit/s the copies fill it, every reply is late and discarded, so the asker stays behind and is sent the next copies: a congestion collapse that only ends when configurations stop changing, and that takes the link from the store's answers too.

Now a reply tells the version, and the configuration is fetched from one peer at a time, with a time that fits a narrow link and growing pauses. Reports ask for no configuration by the greatest version, which peers of earlier builds understand; their replies tell no version, so that they are asked once in a second.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -418,6 +418,7 @@
         """
         stack.enter_context(self.pool)
         self.failover.promotion_calls.executor = executor
+        self.peering.catalog_fetch.executor = executor
         mirror = self.make_mirror(handlers)
         stack.callback(self._stop)
         for name, run in (
--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -14,10 +14,12 @@
 from dataclasses import dataclass
 from functools import partial
 
-from result import Ok
+from result import Err, Ok, Result
 
+from quetzalrudder.exceptions import QuetzalrudderError
 from quetzalrudder.gateway.assignments import LARGE_FLEET
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog
+from quetzalrudder.gateway.catalog_fetch import NO_CATALOG, CatalogFetch
 from quetzalrudder.gateway.evacuation import Evacuation, EvacuationTable
 from quetzalrudder.gateway.members import MemberTable, RosterRecord
 from quetzalrudder.gateway.permission import (
@@ -136,6 +138,7 @@
         self._next_catalog_check = 0.0
         # Values of peers that could not be applied, by key.
         self._skipped: dict[str, bytes] = {}
+        self.catalog_fetch = CatalogFetch(catalogs, self._fetch_catalog, clock)
         self._requests = PermissionRequests(
             instance=local.instance,
             caller=caller,
@@ -204,6 +207,7 @@
             instance=self._local.instance,
             incarnation=self._local.incarnation,
             store_era=self._eras.current,
+            catalog_version=self._catalogs.current.version,
         )
         if report.asks_permission:
             if report.wants_confirmations:
@@ -290,21 +294,42 @@
         return [peer for name, peer in sorted(known.items()) if name != self._local.instance]
 
     def _make_report(
-        self, *, asks_permission: bool, wants_confirmations: bool = False
+        self,
+        *,
+        asks_permission: bool,
+        wants_confirmations: bool = False,
+        wants_catalog: bool = False,
     ) -> PeerReport:
         return PeerReport(
             instance=self._local.instance,
             incarnation=self._local.incarnation,
             address=self._local.address,
             asks_permission=asks_permission,
-            catalog_version=self._catalogs.current.version,
+            catalog_version=self._catalogs.current.version if wants_catalog else NO_CATALOG,
             evacuation_revision=self._evacuations.revision,
             wants_confirmations=wants_confirmations,
             store_era=self._eras.current,
         )
 
+    def _fetch_catalog(
+        self, peer: RosterRecord, timeout_s: float
+    ) -> Result[None, QuetzalrudderError]:
+        """Request the configuration of a peer, and put it in force if it is newer."""
+        report = self._make_report(asks_permission=False, wants_catalog=True)
+        result = self._caller.exchange(peer.address, report, timeout_s)
+        if isinstance(result, Err):
+            return result
+        self._apply_reply(result.ok_value)
+        return Ok(None)
+
+    def _offer_catalog(self, reply: PeerReply) -> None:
+        """Have a newer configuration of a peer fetched."""
+        for peer in self._peers():
+            if peer.instance == reply.instance:
+                self.catalog_fetch.offer(peer, reply.catalog_version)
+
     def _check_catalog(self) -> None:
-        """Take the configuration of the failover coordinator if it is newer."""
+        """Fetch the configuration of the failover coordinator if it is newer."""
         if self._members.count() >= LARGE_FLEET:
             return
         coordinator = self._coordinator()
@@ -339,6 +364,7 @@
         if reply.catalog:
             item = Item(CATALOG_NAME, reply.catalog, 0)
             self._apply_record(reply, item, self._observe_catalog)
+        self._offer_catalog(reply)
         return complete
 
     def _observe_primary(self, item: Item) -> None:
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -477,6 +477,11 @@
     Newest era of the store that the answering instance knows.
     """
 
+    catalog_version: "int" = betterproto2.field(13, betterproto2.TYPE_UINT64)
+    """
+    Version of the configuration that the answering instance has; 0 from earlier builds.
+    """
+
 
 default_message_pool.register_message("gateway", "PeerReply", PeerReply)
 
@@ -495,6 +500,10 @@
     """
 
     catalog_version: "int" = betterproto2.field(5, betterproto2.TYPE_UINT64)
+    """
+    Version of the configuration that the sender has. The reply has a newer one; the greatest
+    signed number asks for none.
+    """
 
     evacuation_revision: "int" = betterproto2.field(7, betterproto2.TYPE_UINT64)
     """
