Readiness does not depend on the view of the store again

A review showed with two tests that it made callers worse off: where the store answers renewals of leases and no watch, each renewal counted as contact, so that 18 of 18 instances of a large fleet were unready at once; and followers whose two relays were lost were unready for up to 1.5 s, as their first own watch waits its full time. What an instance does not know is refused with a time to return since, whatever its readiness.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -390,9 +390,7 @@
     def ready(self) -> bool:
         """True while this instance can serve callers at least as well as other instances."""
         configured = self.catalogs.current.version > 0 and bool(self.registry.all_targets())
-        # Without the store, the others are no better off.
-        follows_store = self.contact.is_view_current or not self.contact.reached
-        return configured and follows_store and not self.isolated
+        return configured and not self.isolated
 
     @property
     def joined(self) -> bool:
--- /dev/null
+++ b/tests/test_old_view_elsewhere.py
@@ -0,0 +1,80 @@
+"""Decisions from a view of the store that is not current, beside what callers are told."""
+
+import pytest
+from result import Err
+
+from quetzalrudder.exceptions import PlatformUnavailable
+from tests.gateway_paced_fleet import PacedFleet
+from tests.test_gateway_relays import relays
+from tests.test_old_view import ConfiguredFleet
+
+# How long a machine sleeps beyond the wait of a watch.
+SLEEP_S = 10.0
+
+
+@pytest.fixture
+def fleet():
+    started = ConfiguredFleet()
+    started.configure(2)
+    started.run(5.0, started.all_know_primary)
+    started.run(1.0)
+    return started
+
+
+@pytest.fixture
+def large_fleet():
+    started = PacedFleet(18)
+    started.run(8.0)
+    return started
+
+
+class SleepingStore:
+    """Answers a watch at once; the answer is processed some time later."""
+
+    def __init__(self, store, clock, sleep_s):
+        self._store = store
+        self._clock = clock
+        self._sleep_s = sleep_s
+
+    def watch(self, after, wait_ms):
+        result = self._store.watch(after, wait_ms)
+        self._clock.advance(self._sleep_s)
+        return result
+
+
+class SilentStore:
+    """Answers no watch and no read, while other calls to the store succeed."""
+
+    def watch(self, after, wait_ms):
+        return Err(PlatformUnavailable("no answer"))
+
+    def read_prefix(self, prefix):
+        return Err(PlatformUnavailable("no answer"))
+
+
+def count_unready(fleet, instances, seconds):
+    """Return the highest number of instances that are not ready at the same time."""
+    counts = []
+    until = fleet.clock.now + seconds
+    while fleet.clock.now < until:
+        fleet.run(0.05)
+        counts.append(sum(not instance.gateway.ready for instance in instances))
+    return max(counts)
+
+
+def test_a_large_fleet_stays_ready_while_the_store_answers_no_watch(large_fleet):
+    for instance in large_fleet.instances:
+        instance.mirror.mirror._store = SilentStore()
+    assert count_unready(large_fleet, large_fleet.instances, 12.0) == 0
+
+
+def test_followers_stay_ready_while_both_of_their_relays_are_lost(large_fleet):
+    lost = relays(large_fleet)
+    followers = [
+        instance
+        for instance in large_fleet.instances
+        if large_fleet.data_centre(instance.name) == "dc-0" and instance not in lost
+    ]
+    for relay in lost:
+        relay.frozen = True
+    assert count_unready(large_fleet, followers, 8.0) == 0
