A database does not go missing while the store cannot tell that it is back

The grace of a missing announcement ran by the clock alone. The grace now ends only once the view is known to be current after it.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -191,7 +191,12 @@
         self.warming = WarmingTable(
             lambda: self.registry.all_targets(), self._cold_rate_per_s, clock
         )
-        self.registry = TargetRegistry(clock, self.evacuations.is_evacuated, self.warming.observe)
+        self.registry = TargetRegistry(
+            clock,
+            self.evacuations.is_evacuated,
+            self.warming.observe,
+            lambda: self.contact.view_age_s,
+        )
         connector = WarmingConnector(
             EvacuationGuard(connector, self.evacuations),
             self.warming,
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -74,6 +74,9 @@
         Returns whether a data centre is to be left.
     on_announced : Callable, optional
         Called with each announcement, also with one that repeats the last.
+    view_age_s : Callable, optional
+        Returns the seconds since the announcements were last known to be current. One that is
+        missing may have come back since.
     """
 
     def __init__(
@@ -81,8 +84,10 @@
         clock: Clock,
         is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False,
         on_announced: Callable[[Target], None] = lambda target: None,
+        view_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._clock = clock
+        self._view_age_s = view_age_s
         self._is_evacuated = is_evacuated
         self._on_announced = on_announced
         self._lock = threading.Lock()
@@ -175,7 +180,7 @@
             return [entry.target for entry in self._entries.values()]
 
     def _drop_expired(self) -> None:
-        oldest = self._clock.monotonic() - MISSING_GRACE_S
+        oldest = self._clock.monotonic() - self._view_age_s() - MISSING_GRACE_S
         expired = [
             target
             for target, entry in self._entries.items()
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -4,9 +4,10 @@
 from result import Err
 
 from quetzalrudder.exceptions import PlatformUnavailable
+from quetzalrudder.gateway.targets import MISSING_GRACE_S
 from tests.gateway_paced_fleet import PacedFleet
 from tests.test_gateway_relays import relays
-from tests.test_old_view import ConfiguredFleet
+from tests.test_old_view import ConfiguredFleet, cut
 
 # How long a machine sleeps beyond the wait of a watch.
 SLEEP_S = 10.0
@@ -78,3 +79,16 @@
     for relay in lost:
         relay.frozen = True
     assert count_unready(large_fleet, followers, 8.0) == 0
+
+
+def test_a_database_does_not_go_missing_while_the_store_cannot_tell_that_it_is_back(fleet):
+    # Announcements lapse with the store, and come back while this instance is cut from it.
+    edge = fleet[0]
+    edge.gateway.registry.remove("db-1")
+    cut(edge)
+    fleet.run(MISSING_GRACE_S + 1.0)
+    assert edge.gateway.registry.get("db-1") is not None
+    assert edge.gateway.ready
+    cut(edge, False)
+    fleet.run(MISSING_GRACE_S + 1.0)
+    assert edge.gateway.registry.get("db-1") is None
