An evacuation does not end while the store cannot tell that it was written again

After a return of the store from an older copy, a request that a read lacked ended 2 s later by the clock, also at an instance that was cut off again meanwhile and could not see that the operator had written it again; statements then went to the evacuated data centre. It ends now only once the view is known to be current after these 2 s. Found by a review; the test failed before.

The set-up of two tests of the table records a view, which now is what ends a request; what they check is the same. The test of missing databases, committed with a wrong set-up (the instance was cut off from its peers too, so that it was not ready), is cut off from the store only.

--- a/src/quetzalrudder/gateway/evacuation.py
+++ b/src/quetzalrudder/gateway/evacuation.py
@@ -179,9 +179,9 @@
 
     def end_missing(self) -> None:
         """End the requests that were not written again; called several times a second."""
-        now = self._clock.monotonic()
+        viewed_at = self._clock.monotonic() - self._contact.view_age_s
         for data_centre, (ends_at, revision) in list(self._missing.items()):
-            if now >= ends_at:
+            if viewed_at >= ends_at:
                 self._apply(Evacuation(data_centre, revision, False), recent=False)
 
     def _apply(self, change: Evacuation, *, recent: bool) -> None:
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -94,6 +94,7 @@
     contact = StoreContact(clock)
     contact.record_success()
     clock.advance(contact_s)
+    contact.record_view()
     return EvacuationTable(contact, clock, LIMIT_S), clock
 
 
@@ -141,6 +142,7 @@
     evacuations.observe_change(Evacuation("dc-1", 90, True))
     evacuations.replace_all({}, revision_in(StoreEra(1), 50))
     clock.advance(REWRITE_TIME_S)
+    evacuations._contact.record_view()
     evacuations.end_missing()
     assert not evacuations.is_evacuated("dc-1")
 
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -85,10 +85,29 @@
     # Announcements lapse with the store, and come back while this instance is cut from it.
     edge = fleet[0]
     edge.gateway.registry.remove("db-1")
-    cut(edge)
+    edge.cut_from_store()
     fleet.run(MISSING_GRACE_S + 1.0)
     assert edge.gateway.registry.get("db-1") is not None
     assert edge.gateway.ready
-    cut(edge, False)
+    edge.cut_from_store(False)
     fleet.run(MISSING_GRACE_S + 1.0)
     assert edge.gateway.registry.get("db-1") is None
+
+
+def test_an_evacuation_does_not_end_while_the_store_cannot_tell_that_it_was_written_again():
+    fleet = ConfiguredFleet(store_era=1)
+    fleet.configure(2)
+    fleet.run(6.0, fleet.all_know_primary)
+    copied = fleet.store.copy()
+    fleet.store.put("op/evacuate/dc-9", b"{}", None)
+    fleet.run(0.5)
+    edge = fleet[0]
+    assert edge.gateway.evacuations.is_evacuated("dc-9")
+    fleet.store.come_back(copied)
+    fleet.run(0.5)
+    cut(edge)
+    fleet.store.put("op/evacuate/dc-9", b"{}", None)
+    fleet.run(3.0)
+    assert edge.gateway.evacuations.is_evacuated("dc-9")
+    edge.gateway.evacuations.end_missing()
+    assert edge.gateway.evacuations.is_evacuated("dc-9")
