A configuration that is deleted after it could not be read is not awaited for good

The instance counted as superseded until the next configuration, and refused unknown routes with a time to return although nothing newer existed.

--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -111,3 +111,21 @@
     assert edge.gateway.evacuations.is_evacuated("dc-9")
     edge.gateway.evacuations.end_missing()
     assert edge.gateway.evacuations.is_evacuated("dc-9")
+
+
+def test_a_configuration_that_was_deleted_after_it_could_not_be_read_is_not_awaited_for_good(fleet):
+    gateway = fleet[0].gateway
+    fleet.store.put("op/config", b"{", None)
+    fleet.run(0.2)
+    assert gateway.catalogs.is_superseded
+    fleet.store.put("op/config", None, None)
+    fleet.run(0.2)
+    assert not gateway.catalogs.is_superseded
+    # The same at a full read.
+    fleet.store.put("op/config", b"{", None)
+    fleet.run(0.2)
+    fleet.store.put("op/config", None, None)
+    fleet.store.compact()
+    fleet[0].mirror.revision = None
+    fleet.run(0.2)
+    assert not gateway.catalogs.is_superseded
