The view of the store follows as soon as the store answers any call of the instance

What callers saw: after a cut an instance's lease was renewed or opened anew while its view stayed as old as the cut for up to a pause longer, and callers of what had been added meanwhile were turned away.

Cause: the lease, the failover coordinator and the mirror each have a client of the store and, the mirror and the lease, growing pauses of their own; the mirror didn't learn that another client had got an answer. An answer that arrived while a call of the mirror hung was of no use either: the pause after that call was kept.

Now a client tells of the first answer after a call that wasn't answered (404, 410 and 412 are answers), and the mirror's pause ends, also the pause after a call that hung meanwhile. A silent or refusing store gives no such answer, so it gets no further calls. At most one pause a second is ended, so that a store that answers some calls only isn't called without pauses.

--- a/src/quetzalrudder/gateway/era_store.py
+++ b/src/quetzalrudder/gateway/era_store.py
@@ -22,6 +22,7 @@
     EraPassed,
     HistoryGone,
     Item,
+    LeaseEnded,
     LeaseId,
     Store,
     StoreEra,
@@ -40,6 +41,8 @@
 
 # Holds the store's own number of the era in which the fleet started for the first time.
 BASE_ERA_KEY = "qr/era"
+# Failures that are answers of a store that works.
+ANSWERS = (HistoryGone, LeaseEnded, WriteConflict)
 
 
 class EraTellingStore(Store, Protocol):
@@ -62,11 +65,20 @@
         Makes the calls, with the store's own revisions.
     eras : StoreEras
         Learns of each era that the store tells.
+    on_return : Callable, optional
+        Called when the store answers a call of this client after one that it did not answer.
     """
 
-    def __init__(self, store: EraTellingStore, eras: StoreEras) -> None:
+    def __init__(
+        self,
+        store: EraTellingStore,
+        eras: StoreEras,
+        on_return: Callable[[], None] = lambda: None,
+    ) -> None:
         self._store = store
         self._eras = eras
+        self._on_return = on_return
+        self._answered = True
 
     def read_prefix(self, prefix: str) -> Result[Changes, QuetzalrudderError]:
         """Return all items whose keys have a prefix."""
@@ -122,6 +134,7 @@
         # A call that began before any era was known is one of the era that its answer tells.
         started_in = eras.current if eras.was_observed else None
         result = call()
+        self._note_result(result)
         told = self._store.answered_era
         if told is None:
             # From a store that tells no era, or none at all.
@@ -136,6 +149,12 @@
             return Err(EraPassed("the store has come back from an older copy meanwhile")), era
         return result, era
 
+    def _note_result(self, result: Result[T, QuetzalrudderError]) -> None:
+        was_answered = self._answered
+        self._answered = isinstance(result, Ok) or isinstance(result.err_value, ANSWERS)
+        if self._answered and not was_answered:
+            self._on_return()
+
     def _record_base(self, told: int) -> Result[None, QuetzalrudderError]:
         """Read the era from which the fleet counts, or record the given one."""
         found = self._store.read_prefix(BASE_ERA_KEY)
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -287,11 +287,12 @@
         self._caller = caller
         self._rng = rng
         self.change_log = ChangeLog(clock)
-        self._open_store = lambda: EraStore(
-            CountedStore(open_store(), self._count_store_call), self.eras
+        self._mirror: StoreMirror | None = None
+        self._open_store = lambda on_return: EraStore(
+            CountedStore(open_store(), self._count_store_call), self.eras, on_return
         )
         self.membership = MembershipLease(
-            store=self._open_store(),
+            store=self._open_store(self._note_return),
             instance=identity.instance,
             incarnation=incarnation,
             address=identity.peer_address,
@@ -309,7 +310,7 @@
             rng=rng,
         )
         self.failover = FailoverCoordinator(
-            store=self._open_store(),
+            store=self._open_store(self._note_return),
             promotion_client=promotion_client,
             prober=self.prober,
             instance=identity.instance,
@@ -438,8 +439,8 @@
             self._note_read_revision,
             single_keys=(COORDINATOR_KEY,),
         )
-        return StoreMirror(
-            self._open_store(),
+        self._mirror = StoreMirror(
+            self._open_store(lambda: None),
             [*handlers, gateway_records],
             self.contact,
             self._clock,
@@ -451,6 +452,7 @@
             on_direct=self.members.restart_absences,
             on_skip=self.metrics.count_skipped_item,
         )
+        return self._mirror
 
     def _make_relayed_watch(self) -> RelayedWatch:
         return RelayedWatch(
@@ -499,6 +501,8 @@
         self._stopping.set()
         self.membership.wake_up.set()
         self.failover.wake_up.set()
+        if self._mirror is not None:
+            self._mirror.wake_up.set()
 
     def _stop(self) -> None:
         self._end_tasks()
@@ -644,6 +648,11 @@
             return self.members.count()
         return max(1, relay_count(self.view))
 
+    def _note_return(self) -> None:
+        """Let the view of the store follow at once, as the store answers again."""
+        if self._mirror is not None:
+            self._mirror.retry_pause.note_answer()
+
     def _count_store_call(self, call: StoreCall) -> None:
         self.metrics.count_store_call(call.value)
         processor_time.count(f"store call: {call.value}")
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -20,9 +20,10 @@
 from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.members import RosterRecord
 from quetzalrudder.gateway.relays import RelayedWatch, RelayUnavailable
-from quetzalrudder.gateway.retry_delay import RetryDelay
+from quetzalrudder.gateway.retry_delay import RetryDelay, RetryPause
 from quetzalrudder.gateway.store import Changes, HistoryGone, Item, Store
 from quetzalrudder.gateway.store_contact import StoreContact, describe_failure
+from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.utils import MS_PER_S, Clock
 
 __all__ = ["PrefixHandler", "StoreMirror", "watch_wait_s"]
@@ -134,6 +135,8 @@
         self._failure_pauses_s = 0.0
         # Whether the next read is one of all prefixes together.
         self._reads_at_once = True
+        self.wake_up = WakeUp()
+        self.retry_pause = RetryPause(clock, self.wake_up)
         # None until the store has been read.
         self.revision: int | None = None
 
@@ -141,14 +144,25 @@
         """Read and watch the store until ``stopping`` is set."""
         while not stopping.is_set():
             try:
-                pause_s = self.pause_s(succeeded=self.step())
+                succeeded = self.step()
+                pause_s = self.pause_s(succeeded=succeeded)
             except Exception as exc:
                 self._contact.record_view_failure(exc)
                 # The instances that wait for changes at this one have to get them elsewhere.
                 self._change_log.lose_store()
                 raise
-            if pause_s > 0:
+            if succeeded and pause_s > 0:
                 stopping.wait(pause_s)
+            elif not succeeded:
+                self._wait_for_retry(pause_s, stopping)
+
+    def _wait_for_retry(self, pause_s: float, stopping: threading.Event) -> None:
+        retry_at = self._clock.monotonic() + pause_s
+        while not stopping.is_set():
+            left_s = retry_at - self._clock.monotonic()
+            if left_s <= 0 or self.retry_pause.end():
+                return
+            self.wake_up.wait(left_s)
 
     def pause_s(self, *, succeeded: bool) -> float:
         """Return the seconds to pause after a step."""
@@ -179,6 +193,7 @@
     def step(self) -> bool:
         """Read or watch the store once; return whether to go on without a pause for a failure."""
         self._changed = []
+        self.retry_pause.begin_call()
         if self.revision is None:
             return self._read_all()
         relay = self.relays.choose() if self.relays is not None else None
--- a/src/quetzalrudder/gateway/retry_delay.py
+++ b/src/quetzalrudder/gateway/retry_delay.py
@@ -1,13 +1,18 @@
 """How long an instance pauses after a failed call to the store.
 
 Serves outages of the store in large fleets, in which all instances repeat their calls at the
-same time. There the pause doubles up to about a second, by chance more or less.
+same time. There the pause doubles up to about a second, by chance more or less. It ends early when
+the store answers another task of the same instance.
 """
 
+import math
 import random
 from collections.abc import Callable
 
-__all__ = ["RetryDelay"]
+from quetzalrudder.gateway.wakeups import WakeUp
+from quetzalrudder.utils import Clock
+
+__all__ = ["RetryDelay", "RetryPause"]
 
 # The store is used again within this time of its return.
 MAX_DELAY_S = 1.0
@@ -53,3 +58,45 @@
         if longest_s == self._first_s:
             return self._first_s
         return min(MAX_DELAY_S, longest_s) * (0.5 + 0.5 * self._rng.random())
+
+
+class RetryPause:
+    """Ends a task's pause after a failed call once the store has answered another task.
+
+    At most once within the longest pause, so that a store that answers some calls and fails
+    others is not called without pauses.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    wake_up : WakeUp
+        Ends the task's wait.
+    """
+
+    def __init__(self, clock: Clock, wake_up: WakeUp) -> None:
+        self._clock = clock
+        self._wake_up = wake_up
+        self._answered = False
+        self._ended_at = -math.inf
+
+    def begin_call(self) -> None:
+        """Forget earlier answers: a call that fails from now on is newer."""
+        self._answered = False
+
+    def note_answer(self) -> None:
+        """Note that the store has answered another task after a failed call; thread-safe."""
+        self._answered = True
+        self._wake_up.set()
+
+    @property
+    def is_over(self) -> bool:
+        """True if the pause ends now: the store has answered since the failed call began."""
+        return self._answered and self._clock.monotonic() - self._ended_at >= MAX_DELAY_S
+
+    def end(self) -> bool:
+        """Return whether the pause is over; the task then makes its call."""
+        if not self.is_over:
+            return False
+        self._ended_at = self._clock.monotonic()
+        return True
--- a/tests/gateway_paced_fleet.py
+++ b/tests/gateway_paced_fleet.py
@@ -24,12 +24,18 @@
         self.mirror = instance.mirror
         self.clock = instance.fleet.clock
         self.paused_until = 0.0
+        # True while the pause is one after a failed call.
+        self.retries = False
         self.asked_at = self.clock.now
 
     def step(self):
+        if self.clock.now < self.paused_until and self.retries and self.mirror.retry_pause.end():
+            self.paused_until = self.asked_at = self.clock.now
         if self.clock.now < self.paused_until or self._is_waiting():
             return
-        pause_s = self.mirror.pause_s(succeeded=self.mirror.step())
+        succeeded = self.mirror.step()
+        pause_s = self.mirror.pause_s(succeeded=succeeded)
+        self.retries = not succeeded
         self.paused_until = self.clock.now + pause_s
         self.asked_at = self.paused_until
 
