A port in digits of another script names no database; odd entries by every way of the view

What callers saw: nothing yet. An announcement with the port 7000 in Arabic digits was taken for a database at port 7000, which another writer's entry must not become.

Cause: str.isdigit() holds for the digits of every script, and int() reads them.

The tests play 83 odd values (nested, out of range, of wrong types, without fields, not UTF-8, 1 MB) at a watch, a full read, the first read of a start, and over the relays of a fleet of 18. After each a later configuration is in force in time, the good databases are known, and the removal leaves no skipped item behind.

--- a/src/quetzalrudder/utils.py
+++ b/src/quetzalrudder/utils.py
@@ -129,7 +129,8 @@
     Address(host='127.0.0.1', port=7000)
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not host or not is_number or not 0 < int(port) <= MAX_PORT:
         raise InvalidSettings(f"not an IP address and port: {text!r}", place=place)
     return Address(host, int(port))
 
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,228 @@
+"""Odd entries among the databases' in the store, which another writer has left there."""
+
+import json
+import logging
+
+import pytest
+from result import Ok
+from rig.configuration import catalog_handler, evacuation_handler, target_handler
+
+from quetzalrudder.gateway.statements import Read, Write
+from tests.gateway_fleet import GatewayFleet
+from tests.gateway_paced_fleet import PacedFleet
+from tests.test_old_view import CONVERGENCE_S, configuration
+
+ENTRY = {
+    "service": "g",
+    "addr": "10.9.9.9:7000",
+    "zone": "dc-0",
+    "version": "1",
+    "slots": 3,
+    "state": "ready",
+    "dbRole": "replica",
+    "born": 1,
+    "coldLeftMs": 0,
+    "sequence": 1,
+}
+KEY = "servers/odd"
+
+
+def entry(**changes):
+    return json.dumps(ENTRY | changes).encode()
+
+
+def entry_with(field, literal):
+    """Return an entry whose field has a value that Python's encoder does not write."""
+    return entry(**{field: "LITERAL"}).replace(b'"LITERAL"', literal)
+
+
+def entry_without(field):
+    return json.dumps({key: value for key, value in ENTRY.items() if key != field}).encode()
+
+
+DIGITS_400 = b"9" * 400
+DIGITS_5000 = b"9" * 5000
+NUMBERS = {
+    "negative": b"-1",
+    "33 bits": b"4294967296",
+    "400 digits": DIGITS_400,
+    "5000 digits": DIGITS_5000,
+    "1e999": b"1e999",
+    "NaN": b"NaN",
+    "fraction": b"1.5",
+    "text": b'"3"',
+    "list": b"[3]",
+    "truth value": b"true",
+}
+TEXTS = {"list": b"[]", "object": b"{}", "null": b"null", "number": b"7", "surrogate": b'"\\ud800"'}
+PORTS = ["99999", "0", "-1", "", "9" * 5000, "\u0667\u0660\u0660\u0660", "\u00b2", "7 0"]
+# Values that name no database.
+ODD_VALUES = {
+    "nested lists": b"[" * 100_000,
+    "closed nested lists": b"[" * 100_000 + b"]" * 100_000,
+    "nested objects": b'{"a":' * 100_000,
+    "closed nested objects": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "nested slots": entry_with("slots", b"[" * 900 + b"]" * 900),
+    "nested zone": entry_with("zone", b'{"a":' * 900 + b"1" + b"}" * 900),
+    "not UTF-8": b"\xff\xfe\x00\x80",
+    "not UTF-8 in a text": entry().replace(b"10.9", b"\xff\xfe"),
+    "empty": b"",
+    "1 MB of text": b"x" * 2**20,
+    "1 MB of state": entry(state="x" * (2**20 - 300)),
+    "1 MB of host": entry(addr="x" * (2**20 - 300) + ":7000"),
+    "number": b"7",
+    "list": b"[]",
+    "null": b"null",
+    "other state": entry(state="gone"),
+    "state in a list": entry(state=["ready"]),
+    "other role": entry(dbRole="leader"),
+    **{f"port {port:.8}": entry(addr=f"10.9.9.9:{port}") for port in PORTS},
+    **{f"slots {name}": entry_with("slots", raw) for name, raw in NUMBERS.items()},
+    **{
+        f"{field} {name}": entry_with(field, raw)
+        for field in ("born", "coldLeftMs")
+        for name, raw in NUMBERS.items()
+        if name not in ("33 bits", "fraction")
+    },
+    **{
+        f"{field} {name}": entry_with(field, raw)
+        for field in ("service", "addr", "zone", "state", "dbRole")
+        for name, raw in TEXTS.items()
+    },
+    **{
+        f"no {field}": entry_without(field)
+        for field in ("service", "addr", "zone", "slots", "state", "dbRole")
+    },
+}
+
+
+class AnnouncedFleet(GatewayFleet):
+    """A fleet that takes its configuration and its databases from the store."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        for target in self.group.infos():
+            self.announce(target)
+        self.configure(2)
+
+    def handlers(self, gateway):
+        return [
+            catalog_handler(gateway.catalogs),
+            evacuation_handler(gateway.evacuations),
+            target_handler(gateway.registry),
+        ]
+
+    def start(self, name, seed=0):
+        started = super().start(name, seed)
+        # What it knows comes from its first read of the store.
+        started.gateway.registry._entries.clear()
+        return started
+
+    def announce(self, target):
+        fields = {
+            "addr": str(target.address),
+            "zone": target.data_centre,
+            "slots": target.slots,
+            "dbRole": target.role.value,
+        }
+        self.store.put(f"servers/{target.target}", entry(**fields), None)
+
+    def configure(self, version, **parts):
+        self.store.put("op/config", configuration(version, **parts), None)
+
+    def is_in_force(self, version):
+        return all(edge.gateway.catalogs.current.version == version for edge in self.instances)
+
+    def knows(self, names):
+        return all(
+            {target.target for target in edge.gateway.registry.all_targets()} == names
+            for edge in self.instances
+        )
+
+
+class LargeFleet(PacedFleet):
+    """A large fleet, in which the announcements and the configuration arrive over relays."""
+
+    handlers = AnnouncedFleet.handlers
+    configure = AnnouncedFleet.configure
+    is_in_force = AnnouncedFleet.is_in_force
+    announce = AnnouncedFleet.announce
+    knows = AnnouncedFleet.knows
+
+    def publish(self, version):
+        for target in self.group.infos():
+            self.announce(target)
+        self.configure(version + 1)
+
+
+GOOD = {"db-1", "db-2", "db-3"}
+
+
+def start_fleet():
+    started = AnnouncedFleet()
+    assert started.run(5.0, started.all_know_primary) is not None
+    started.run(1.0)
+    return started
+
+
+@pytest.fixture
+def fleet():
+    return start_fleet()
+
+
+def check_service(fleet, edge=None):
+    """Check that statements run at the databases that exist."""
+    edge = edge or fleet[0]
+    fleet.group.replicate()
+    assert edge.session("offers").execute("w", Write("a", "1")).error is None
+    assert edge.session("prices").execute("r", Read("a")).error is None
+
+
+def check_later_configuration(fleet, version):
+    fleet.configure(version, routes=("offers", "prices", f"added-{version}"))
+    assert fleet.run(CONVERGENCE_S, lambda: fleet.is_in_force(version)) is not None
+    for edge in fleet.instances:
+        assert edge.session(f"added-{version}").check_access() == Ok(None)
+
+
+def unexpected_errors(caplog):
+    return [record for record in caplog.records if record.exc_info]
+
+
+@pytest.mark.parametrize("way", ["watch", "full read", "start"])
+def test_no_odd_entry_stops_the_view(fleet, caplog, way):
+    caplog.set_level(logging.ERROR)
+    for index, (name, value) in enumerate(ODD_VALUES.items()):
+        fleet.store.put(KEY, value, None)
+        if way != "watch":
+            fleet.store.compact()
+        if way == "start":
+            fleet.start("edge-3", index)
+        check_later_configuration(fleet, 3 + index)
+        assert fleet.knows(GOOD), name
+        fleet.store.put(KEY, None, None)
+        fleet.run(0.1)
+        assert all(not edge.mirror._skipped for edge in fleet.instances), name
+    assert fleet.run(6.0, fleet.all_know_primary) is not None
+    check_service(fleet)
+    assert unexpected_errors(caplog) == []
+
+
+def test_no_odd_entry_stops_the_view_of_a_large_fleet(caplog):
+    caplog.set_level(logging.ERROR)
+    fleet = LargeFleet(18)
+    fleet.run(6.0)
+    fleet.store.put(KEY, entry(), None)
+    assert fleet.run(CONVERGENCE_S, lambda: fleet.knows(GOOD | {"odd"})) is not None
+    fleet.store.put(KEY, None, None)
+    fleet.run(4.0)
+    assert fleet.knows(GOOD)
+    for index, (name, value) in enumerate(ODD_VALUES.items()):
+        fleet.store.put(KEY, value, None)
+        check_later_configuration(fleet, 3 + index)
+        assert fleet.knows(GOOD), name
+        fleet.store.put(KEY, None, None)
+    fleet.run(2.0)
+    for edge in fleet.instances:
+        check_service(fleet, edge)
+    assert unexpected_errors(caplog) == []
