The changes kept for other instances are bounded by their size

Cause: each instance, in a small fleet too, keeps the last 2,000 changes of the store for others, whatever their size. A value may have 1 MiB, so entries of another writer that come and go in series grow the memory by up to 2 GB. From 4 MiB on the reply to an instance that is behind is also longer than a message may be: its receiver closes the connection that carries all calls to that peer.

The log now keeps at most half a message of keys and values and forgets the oldest beyond. An instance that is further behind is told so, as beyond 2,000 changes, and watches the store itself.

--- a/src/quetzalrudder/gateway/change_log.py
+++ b/src/quetzalrudder/gateway/change_log.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
+from quetzalrudder.codec import MAX_MESSAGE_BYTES
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.schema.gateway import ChangesReply, ChangesRequest, RelayState, StoreChange
 from quetzalrudder.utils import MS_PER_S, Clock
@@ -17,6 +18,8 @@
 
 # An instance that starts writes three changes; this many cover two starts of a fleet of 300.
 MAX_CHANGES = 2000
+# Keys and values together: a reply with all of them fits into one message to another instance.
+MAX_CHANGES_BYTES = MAX_MESSAGE_BYTES // 2
 # Requests that wait at the same time; further ones are answered at once.
 MAX_WAITING = 1000
 
@@ -37,6 +40,7 @@
         self._lock = threading.Lock()
         self._state = RelayState.NOT_WATCHING
         self._changes: deque[Item] = deque()
+        self._size_bytes = 0
         # The log has every change after this revision, up to the other one.
         self._complete_after = 0
         self._revision = 0
@@ -59,6 +63,7 @@
         """Begin at a revision, as this instance has read the whole store."""
         with self._lock:
             self._changes.clear()
+            self._size_bytes = 0
             self._complete_after = self._revision = revision
         self._change_state(RelayState.WATCHING)
 
@@ -73,9 +78,12 @@
             for item in items:
                 if item.revision > self._revision:
                     self._changes.append(item)
+                    self._size_bytes += _size_bytes(item)
             self._revision = max(self._revision, revision)
-            while len(self._changes) > MAX_CHANGES:
-                self._complete_after = self._changes.popleft().revision
+            while len(self._changes) > MAX_CHANGES or self._size_bytes > MAX_CHANGES_BYTES:
+                dropped = self._changes.popleft()
+                self._complete_after = dropped.revision
+                self._size_bytes -= _size_bytes(dropped)
 
     def lose_store(self) -> None:
         """State to all that wait that this instance does not reach the store."""
@@ -166,3 +174,7 @@
             revision=self._revision,
             age_ms=min(round(age_s * MS_PER_S), 2**31),
         )
+
+
+def _size_bytes(item: Item) -> int:
+    return len(item.key) + len(item.value or b"")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,7 +7,12 @@
 from result import Ok
 from rig.configuration import catalog_handler, evacuation_handler, target_handler
 
+from quetzalrudder.codec import MAX_MESSAGE_BYTES
+from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.statements import Read, Write
+from quetzalrudder.gateway.store import Item
+from quetzalrudder.schema.gateway import ChangesRequest, RelayState
+from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_paced_fleet import PacedFleet
 from tests.test_old_view import CONVERGENCE_S, configuration
@@ -226,3 +231,24 @@
     for edge in fleet.instances:
         check_service(fleet, edge)
     assert unexpected_errors(caplog) == []
+
+
+def test_large_values_in_series_do_not_fill_the_memory():
+    log = ChangeLog(ManualClock())
+    log.restart(1)
+    for revision in range(2, 100):
+        log.append([Item(KEY, b"x" * 2**20, revision, revision)], revision)
+    assert sum(len(item.value) for item in log._changes) < MAX_MESSAGE_BYTES
+
+
+def test_the_changes_of_a_reply_fit_into_one_message():
+    log = ChangeLog(ManualClock())
+    log.restart(1)
+    replies = []
+    for revision in range(2, 12):
+        log.append([Item(KEY, b"x" * 2**20, revision, revision)], revision)
+    for after in range(1, 12):
+        log.answer(ChangesRequest(after=after, wait_ms=0), replies.append)
+    assert all(len(bytes(reply)) <= MAX_MESSAGE_BYTES for reply in replies)
+    assert replies[0].state is RelayState.HISTORY_GONE
+    assert len(replies[-1].changes) == 1
