An item of the store that cannot be read hides none of the others

Cause: the store client decoded an answer as a whole. One item whose value is not base64, or whose revision is no number, made the whole watch or read a failed call, repeated at the same revision for ever. A revision of 1e999 or a nested answer ended the mirror's task with OverflowError or RecursionError. A value with a letter outside base64 was read as another value, an empty one at worst, which decodes as an empty record.

Each item is decoded by itself now. One that cannot be read keeps its key, with a value that no handler can decode, so that everything behind the client treats it like any other such value: the mirror skips it and keeps what its key stood for, also at a full read and behind a relay; a roster entry still lets nobody join, as its instance is unknown. It is logged once for each key and revision. A key that is not a Unicode text is left out: it could not be sent to followers. An item without a key may be any, so that the call still fails.

--- a/tests/test_rig_store.py
+++ b/tests/test_rig_store.py
@@ -2,15 +2,23 @@
 
 import base64
 import json
+import logging
 import socket
 import threading
 from contextlib import suppress
 
 import pytest
 from result import Err, Ok
+from rig.configuration import decode_catalog, decode_target
 from rig.store_client import StoreClient
 
-from quetzalrudder.exceptions import PlatformUnavailable
+from quetzalrudder.exceptions import MalformedMessage, PlatformUnavailable
+from quetzalrudder.gateway.records import (
+    decode_coordinator,
+    decode_member,
+    decode_primary,
+    decode_roster,
+)
 from quetzalrudder.gateway.store import HistoryGone, Item, LeaseEnded, WriteConflict
 from quetzalrudder.utils import Address
 
@@ -156,3 +164,77 @@
     server.responses = [(200, {}, told)]
     client.renew_lease(7)
     assert client.answered_era is None
+
+
+GOOD_ITEM = {"key": "s/2", "value": b64(b"v"), "rev": 6, "created": 4}
+UNREADABLE_PARTS = {
+    "value not base64": {"value": "!"},
+    "value without padding": {"value": "YQ"},
+    "value in other letters": {"value": "\u0667"},
+    "value in a list": {"value": ["YQ=="]},
+    "number for a value": {"value": 7},
+    "revision in a text": {"rev": "five"},
+    "infinite revision": {"rev": float("inf")},
+    "long revision": {"rev": 10**400},
+    "negative revision": {"rev": -1},
+    "no revision": {"rev": None},
+    "creation in a list": {"created": []},
+}
+
+
+@pytest.mark.parametrize("parts", UNREADABLE_PARTS.values(), ids=UNREADABLE_PARTS)
+@pytest.mark.parametrize("call", ["watch", "read"])
+def test_an_item_that_cannot_be_read_does_not_hide_the_others(server, client, caplog, call, parts):
+    odd = {"key": "s/1", "value": b64(b"v"), "rev": 5, "created": 5, **parts}
+    items = [odd, GOOD_ITEM]
+    server.responses = [(200, {"items": items, "events": items, "currentRev": 6})] * 2
+    for _ in range(2):
+        result = client.watch(3, 10) if call == "watch" else client.read_prefix("s/")
+        unreadable, good = result.ok_value.items
+        assert good == Item("s/2", b"v", 6, 4)
+        assert unreadable.key == "s/1"
+        # No record of any kind comes of it.
+        for decode in (
+            decode_target,
+            decode_member,
+            decode_roster,
+            decode_primary,
+            decode_coordinator,
+            lambda item: decode_catalog(item.value),
+        ):
+            with pytest.raises(MalformedMessage):
+                decode(unreadable)
+    lines = [record for record in caplog.records if record.levelno == logging.ERROR]
+    assert [(line.message, line.key) for line in lines] == [("store item unreadable", "s/1")]
+
+
+def test_a_deletion_whose_revision_cannot_be_read_stays_one(server, client):
+    events = [{"key": "s/1", "rev": "x", "deleted": True}, GOOD_ITEM]
+    server.responses = [(200, {"events": events, "currentRev": 6})]
+    assert client.watch(3, 10).ok_value.items == (Item("s/1", None, 6, 6), Item("s/2", b"v", 6, 4))
+
+
+def test_a_key_that_cannot_be_sent_to_other_instances_is_left_out(server, client):
+    odd = {**GOOD_ITEM, "key": "s/\ud800"}
+    last = {**GOOD_ITEM, "key": "s/\uffff"}
+    server.responses = [
+        (200, {"items": [GOOD_ITEM, odd], "morePages": True, "currentRev": 6}),
+        (200, {"items": [odd, last], "morePages": False, "currentRev": 6}),
+        (200, {"items": [odd], "morePages": True, "currentRev": 6}),
+    ]
+    assert [item.key for item in client.read_prefix("s/").ok_value.items] == ["s/2", "s/\uffff"]
+    assert isinstance(client.read_prefix("s/").err_value, MalformedMessage)
+
+
+@pytest.mark.parametrize("odd", [{"rev": 5}, {"key": 7, "rev": 5}, "s/1", None])
+def test_an_item_without_a_key_may_be_any_so_that_the_call_fails(server, client, odd):
+    body = {"items": [odd, GOOD_ITEM], "events": [odd, GOOD_ITEM], "currentRev": 6}
+    server.responses = [(200, body)] * 2
+    assert isinstance(client.watch(3, 10).err_value, MalformedMessage)
+    assert isinstance(client.read_prefix("s/").err_value, MalformedMessage)
+
+
+@pytest.mark.parametrize("body", [b"[" * 100_000, b'{"currentRev": 1e999, "events": []}'])
+def test_an_answer_that_cannot_be_read_is_a_failed_call(server, client, body):
+    server.responses = [(200, body)]
+    assert isinstance(client.watch(3, 10), Err)
