Announced groups that the configuration does not name get no connections and no tasks

Cause: an announcement with an unknown service made each instance start a health check, a thread that lasts as long as the process, also after the entry is gone: entries that come and go in series with names of their own use up threads and memory. An announced primary of such a group was connected to at each step of the failover coordinator, one after the other with a time-out of 0.3 s each, before the next group's turn.

A group counts once the configuration names it, or once it has had a primary. A database that is announced before its configuration is used from then on, as a third test shows.

--- a/src/quetzalrudder/gateway/catalog.py
+++ b/src/quetzalrudder/gateway/catalog.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from quetzalrudder.models import GroupId, WorkspaceId
 
@@ -76,6 +77,11 @@
     # How long a caller may take to send its greeting.
     greeting_ms: int = 3000
 
+    @cached_property
+    def used_groups(self) -> frozenset[GroupId]:
+        """The groups that the configuration names, as services or in routes."""
+        return frozenset(self.groups) | {route.group for route in self.routes.values()}
+
     def resolve_workspace(self, route: Route, key: str) -> WorkspaceId | None:
         """Return the workspace of a key on a route; None if the key has no access.
 
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -89,6 +89,8 @@
         This process.
     registry, primaries, members, contact, eras
         This instance's view of the databases, of the fleet and of the store.
+    is_used : Callable
+        Returns whether the configuration names a group.
     watchers : Callable
         Returns the members that monitor the primary of a record.
     lease_span : Callable
@@ -116,6 +118,7 @@
         members: MemberTable,
         contact: StoreContact,
         eras: StoreEras,
+        is_used: Callable[[GroupId], bool],
         watchers: Callable[[PrimaryRecord], list[MemberRecord]],
         lease_span: Callable[[], LeaseSpan | None],
         may_coordinate: Callable[[], bool] = lambda: True,
@@ -131,6 +134,7 @@
         self._members = members
         self._contact = contact
         self._eras = eras
+        self._is_used = is_used
         self._watchers = watchers
         self._lease_span = lease_span
         self._clock = clock
@@ -226,7 +230,9 @@
     def _step_group(self, group: GroupId) -> None:
         record = self._primaries.record(group)
         if record is None:
-            self._record_announced_primary(group)
+            # Other programs write announcements too, of groups that do not exist.
+            if self._is_used(group):
+                self._record_announced_primary(group)
         elif self._primaries.is_lost(group):
             self._write_record(record)
         elif era_of(record.epoch) < self._eras.current:
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -319,6 +319,7 @@
             members=self.members,
             contact=self.contact,
             eras=self.eras,
+            is_used=self._is_used,
             watchers=self._watchers,
             lease_span=self._watched_lease_span,
             may_coordinate=self._watches_store,
@@ -516,7 +517,8 @@
             self.lender.reclaim_idle()
             self.pool.trim()
             targets = self.registry.all_targets()
-            for group in {target.group for target in targets} - self._health_checks.keys():
+            groups = {target.group for target in targets if self._is_used(target.group)}
+            for group in groups - self._health_checks.keys():
                 health_check = PrimaryHealthCheck(
                     group=group,
                     primaries=self.primaries,
@@ -604,6 +606,11 @@
         # Instances that are not or no longer owners send their health checks, and what was begun.
         return parts.get(self._identity.instance, 1)
 
+    def _is_used(self, group: GroupId) -> bool:
+        """Return whether the configuration names a group, or it has had a primary."""
+        used = self.catalogs.current.used_groups
+        return group in used or self.primaries.record(group) is not None
+
     def _is_watcher(self, group: GroupId, primary: Target | None) -> bool:
         if not self.view.is_large:
             return True
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,12 +2,16 @@
 
 import json
 import logging
+from concurrent.futures import Executor, Future
+from functools import partial
+from types import SimpleNamespace
 
 import pytest
-from result import Ok
+from result import Err, Ok
 from rig.configuration import catalog_handler, evacuation_handler, target_handler
 
 from quetzalrudder.codec import MAX_MESSAGE_BYTES
+from quetzalrudder.exceptions import TargetUnavailable
 from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.statements import Read, Write
 from quetzalrudder.gateway.store import Item
@@ -101,10 +105,15 @@
 }
 
 
+GOOD = {"db-1", "db-2", "db-3"}
+
+
 class AnnouncedFleet(GatewayFleet):
     """A fleet that takes its configuration and its databases from the store."""
 
     def __init__(self, *args, **options):
+        # Databases that do not exist and to which an instance has tried to connect.
+        self.tried = []
         super().__init__(*args, **options)
         for target in self.group.infos():
             self.announce(target)
@@ -121,8 +130,15 @@
         started = super().start(name, seed)
         # What it knows comes from its first read of the store.
         started.gateway.registry._entries.clear()
+        started.connect = partial(self.connect, started.connect)
         return started
 
+    def connect(self, connect, target, workspace, timeout_s):
+        if target.target in GOOD:
+            return connect(target, workspace, timeout_s)
+        self.tried.append(target.target)
+        return Err(TargetUnavailable("no database has this address", place=target.target))
+
     def announce(self, target):
         fields = {
             "addr": str(target.address),
@@ -160,9 +176,6 @@
         self.configure(version + 1)
 
 
-GOOD = {"db-1", "db-2", "db-3"}
-
-
 def start_fleet():
     started = AnnouncedFleet()
     assert started.run(5.0, started.all_know_primary) is not None
@@ -252,3 +265,63 @@
     assert all(len(bytes(reply)) <= MAX_MESSAGE_BYTES for reply in replies)
     assert replies[0].state is RelayState.HISTORY_GONE
     assert len(replies[-1].changes) == 1
+
+
+def announce_unknown_groups(fleet, count=20):
+    names = [f"rogue-{number}" for number in range(count)]
+    for name in names:
+        value = entry(service=f"group of {name}", dbRole="primary")
+        fleet.store.put(f"servers/{name}", value, None)
+    return names
+
+
+def test_no_primary_is_sought_in_groups_that_the_configuration_does_not_name(fleet):
+    names = announce_unknown_groups(fleet)
+    fleet.run(2.0)
+    assert fleet.knows(GOOD.union(names))
+    assert fleet.tried == []
+
+
+class TaskRecorder(Executor):
+    """Records the tasks that would be started."""
+
+    def __init__(self):
+        self.started = []
+
+    def submit(self, fn, /, *args, **kwargs):
+        self.started.append(args[0])
+        return Future()
+
+
+def maintain_once(gateway, executor):
+    rounds = iter([False, True])
+    gateway._maintenance_wake_up.set()
+    gateway._maintain(executor, SimpleNamespace(is_set=lambda: next(rounds)))
+
+
+def test_announced_groups_that_the_configuration_does_not_name_leave_no_tasks(fleet):
+    names = announce_unknown_groups(fleet)
+    fleet.run(0.2)
+    gateway, executor = fleet[0].gateway, TaskRecorder()
+    maintain_once(gateway, executor)
+    for name in names:
+        fleet.store.put(f"servers/{name}", None, None)
+    fleet.run(4.0)
+    maintain_once(gateway, executor)
+    assert fleet.knows(GOOD)
+    assert executor.started == []
+    assert set(gateway._health_checks) == {"g"}
+
+
+def test_a_group_is_checked_once_a_configuration_names_it(fleet):
+    (name,) = announce_unknown_groups(fleet, 1)
+    group = f"group of {name}"
+    value = json.loads(configuration(3))
+    value["services"].append({"name": group, "maxConns": 30})
+    fleet.store.put("op/config", json.dumps(value).encode(), None)
+    fleet.run(0.2)
+    executor = TaskRecorder()
+    maintain_once(fleet[0].gateway, executor)
+    assert executor.started == [f"health check of {group}"]
+    fleet.run(1.0)
+    assert set(fleet.tried) == {name}
