An announced primary that does not exist does not keep out the one that leads

What callers saw: nothing known. With one entry of another writer that announces a second primary of a service, the fleet never had a primary for it: every write and every primary read was refused.

Cause: before a group's first primary is recorded, two announced ones counted as ambiguous, and no database was asked.

Evidence: a fleet that starts beside such an entry had no primary after 5 s.

Each announced primary is asked now, and the only one that says itself that it leads is recorded. A group without a record has had no change of primary, so that a silent database cannot be a later primary; after a return of the store from an older copy that does not hold, and the old rule stays. Where two say that they lead, none is recorded, as before.

The first test failed before; the other two are guards.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -243,23 +243,29 @@
             self._advance_replacement(record)
 
     def _record_announced_primary(self, group: GroupId) -> None:
-        """Record the announced primary of a group that has no record yet."""
+        """Record the announced primary of a group that has no record yet.
+
+        Of several, the only one that says itself that it leads: an announcement may be another
+        program's, of a database that does not exist.
+        """
         announced = [
             target
             for target in self._registry.targets_in_group(group)
             if target.role is TargetRole.PRIMARY
         ]
-        if len(announced) != 1:
+        unrecorded = PrimaryRecord(group, 0, None)
+        # The store may have lost a change of primary, of which a silent database may know.
+        if self._eras.current and (len(announced) != 1 or not self._knows_latest(unrecorded)):
             return
-        if self._eras.current and not self._knows_latest(PrimaryRecord(group, 0, None)):
-            return
-        status = self._prober.status(announced[0])
-        if isinstance(status, Ok) and status.ok_value.primary:
-            self._write_record(
-                PrimaryRecord(
-                    group, self._next_epoch(0), announced[0].target, term=status.ok_value.term
-                )
-            )
+        answers = [(target.target, self._prober.status(target)) for target in announced]
+        leading = [
+            (name, answer.ok_value.term)
+            for name, answer in answers
+            if isinstance(answer, Ok) and answer.ok_value.primary
+        ]
+        if len(leading) == 1:
+            name, term = leading[0]
+            self._write_record(PrimaryRecord(group, self._next_epoch(0), name, term=term))
 
     # After a return of the store from an older copy.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,6 +3,7 @@
 import json
 import logging
 from concurrent.futures import Executor, Future
+from dataclasses import replace
 from functools import partial
 from types import SimpleNamespace
 
@@ -15,6 +16,7 @@
 from quetzalrudder.gateway.change_log import ChangeLog
 from quetzalrudder.gateway.statements import Read, Write
 from quetzalrudder.gateway.store import Item
+from quetzalrudder.gateway.targets import TargetRole
 from quetzalrudder.schema.gateway import ChangesRequest, RelayState
 from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet
@@ -325,3 +327,35 @@
     assert executor.started == [f"health check of {group}"]
     fleet.run(1.0)
     assert set(fleet.tried) == {name}
+
+
+def start_beside(value, key="servers/aa-rogue"):
+    """Start a fleet whose databases have had no primary yet, beside an odd entry."""
+    fleet = AnnouncedFleet()
+    fleet.store.put(key, value, None)
+    return fleet
+
+
+def test_a_second_announced_primary_that_does_not_exist_does_not_keep_out_the_first():
+    fleet = start_beside(entry(dbRole="primary"))
+    assert fleet.run(5.0, fleet.all_know_primary) is not None
+    fleet.run(1.0)
+    for edge in fleet.instances:
+        assert edge.gateway.primaries.usable_primary("g").target == "db-1"
+        check_service(fleet, edge)
+
+
+def test_a_rogue_primary_alone_is_not_recorded():
+    fleet = start_beside(entry(dbRole="primary"))
+    fleet.store.put("servers/db-1", None, None)
+    fleet.group["db-1"].up = False
+    fleet.run(3.0)
+    assert all(edge.gateway.primaries.record("g") is None for edge in fleet.instances)
+
+
+def test_of_two_databases_that_both_lead_none_is_recorded():
+    fleet = AnnouncedFleet()
+    fleet.group["db-2"].primary = True
+    fleet.announce(replace(fleet.group["db-2"].info, role=TargetRole.PRIMARY))
+    fleet.run(3.0)
+    assert all(edge.gateway.primaries.record("g") is None for edge in fleet.instances)
