Tests: odd entries beside a restart, and announcements of databases that do not exist

On the manual clock: 9 valid announcements of databases that do not exist, each under 3 names, with a loss of the primary beside them: statements, maintenance, failover within 2 s, and nothing is left once the entry is gone. A connection that is refused costs no time there.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,6 +14,7 @@
 from quetzalrudder.codec import MAX_MESSAGE_BYTES
 from quetzalrudder.exceptions import TargetUnavailable
 from quetzalrudder.gateway.change_log import ChangeLog
+from quetzalrudder.gateway.permission import PERMISSION_S
 from quetzalrudder.gateway.statements import Read, Write
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.gateway.targets import TargetRole
@@ -105,8 +106,19 @@
         for field in ("service", "addr", "zone", "slots", "state", "dbRole")
     },
 }
-
-
+# Valid announcements of databases that do not exist.
+ROGUE_ENTRIES = {
+    "second primary": entry(dbRole="primary"),
+    "primary of an unknown group": entry(dbRole="primary", service="unknown"),
+    "unknown group": entry(service="unknown"),
+    "unknown zone": entry(zone="nowhere"),
+    "most slots": entry(slots=2**31 - 1),
+    "no slots": entry(slots=0),
+    "latest start": entry(born=2**63 - 1),
+    "longest cold": entry(coldLeftMs=2**31 - 1),
+    "address in use": entry(addr="10.0.0.1:7000"),
+}
+ODD_KEYS = {"long name": "servers/" + "x" * 192, "no name": "servers/"}
 GOOD = {"db-1", "db-2", "db-3"}
 
 
@@ -359,3 +371,35 @@
     fleet.announce(replace(fleet.group["db-2"].info, role=TargetRole.PRIMARY))
     fleet.run(3.0)
     assert all(edge.gateway.primaries.record("g") is None for edge in fleet.instances)
+
+
+def rogue_fleet(value, key):
+    fleet = start_fleet()
+    fleet.run(PERMISSION_S + 1)
+    fleet.store.put(key, value, None)
+    fleet.run(0.2)
+    return fleet
+
+
+@pytest.mark.parametrize("key", [KEY, *ODD_KEYS.values()], ids=["name", *ODD_KEYS])
+@pytest.mark.parametrize("value", ROGUE_ENTRIES.values(), ids=ROGUE_ENTRIES)
+def test_service_and_failover_go_on_beside_a_database_that_does_not_exist(caplog, key, value):
+    caplog.set_level(logging.ERROR)
+    fleet = rogue_fleet(value, key)
+    for edge in fleet.instances:
+        for _ in range(5):
+            check_service(fleet, edge)
+        maintain_once(edge.gateway, TaskRecorder())
+    fleet.group["db-1"].up = False
+    assert fleet.run(5.0, lambda: bool(fleet.group.promotions)) <= 2.0
+    fleet.store.put("servers/db-1", None, None)
+    assert fleet.run(3.0, fleet.all_know_primary) is not None
+    fleet.run(0.5)
+    assert fleet.group.promotions[-1][0] in GOOD
+    for edge in fleet.instances:
+        check_service(fleet, edge)
+    fleet.store.put(key, None, None)
+    check_later_configuration(fleet, 3)
+    fleet.run(4.0)
+    assert fleet.knows({"db-2", "db-3"})
+    assert unexpected_errors(caplog) == []
--- a/tests/test_store_view.py
+++ b/tests/test_store_view.py
@@ -1,7 +1,9 @@
 """The program beside values in the store that cannot be applied, with stand-ins on loopback."""
 
 import json
+import threading
 import time
+from itertools import count, cycle
 from urllib.request import urlopen
 
 import pytest
@@ -15,6 +17,7 @@
     edge,
     platform,
 )
+from tests.test_odd_entries import ODD_VALUES, ROGUE_ENTRIES
 
 # The shortest time within which the users require a configuration to be in force.
 CONVERGENCE_S = 3.0
@@ -139,3 +142,74 @@
         platform.store.put("op/config", configuration(11, "added"), None)
     assert wait_for_greeting(started, "added", "READY").startswith("READY")
     assert started.stop() == 0
+
+
+def odd_entries():
+    """Return odd entries of each kind, without those that differ only in the field."""
+    names = ("closed nested lists", "closed nested objects", "not UTF-8", "1 MB of text", "empty")
+    more = ("port 99999", "slots 5000 digits", "born 1e999", "zone surrogate", "other state")
+    return [ODD_VALUES[name] for name in (*names, *more)]
+
+
+def rogue_entries():
+    """Return announcements of databases of the service, at an address that refuses."""
+    return [
+        value.replace(b'"g"', b'"core"').replace(b"10.9.9.9:7000", b"127.0.0.1:1")
+        for name, value in ROGUE_ENTRIES.items()
+        if name != "address in use"
+    ]
+
+
+def test_routes_are_served_beside_odd_entries_in_series_a_restart_and_a_full_read(
+    edge,  # noqa: F811
+    platform,  # noqa: F811
+):
+    stopping = threading.Event()
+    ended = []
+    entries = cycle([*odd_entries(), *rogue_entries()])
+
+    def come_and_go():
+        for number in count():
+            if stopping.is_set():
+                return
+            key = f"servers/odd-{number % 7}"
+            with platform.lock:
+                platform.store.put(key, next(entries), None)
+            time.sleep(0.02)
+            if number % 3:
+                with platform.lock:
+                    platform.store.put(key, None, None)
+
+    def add_route(version):
+        time.sleep(0.5)
+        with platform.lock:
+            platform.store.put("op/config", configuration(version, f"added-{version}"), None)
+        greeting = wait_for_greeting(edge, f"added-{version}", "READY")
+        assert greeting.startswith("READY"), (version, greeting)
+        ended.append(edge.process.poll())
+
+    writer = threading.Thread(target=come_and_go)
+    writer.start()
+    try:
+        add_route(11)
+        with platform.lock:
+            platform.store.compact()
+        add_route(12)
+        edge.process.kill()
+        edge.process.wait()
+        edge.start()
+        edge.wait_ready()
+        add_route(13)
+        with platform.lock:
+            platform.store.compact()
+        add_route(14)
+        assert Caller(edge.frontend, "offers").query_until("PUT a 1", DONE) == DONE
+        expected = ["ROW a=1", *DONE]
+        assert Caller(edge.frontend, "prices").query_until("FETCH a", expected) == expected
+    finally:
+        stopping.set()
+        writer.join()
+    assert ended == [None] * 4
+    assert edge.stop() == 0
+    assert log_lines(edge, "background task failed with an unexpected error") == []
+    assert log_lines(edge, "process ended by an unexpected error") == []
