Reads go on beside hundreds of announced replicas that do not exist

What callers saw: nothing known. Found by a test with 300 announcements of replicas at addresses that refuse: 290 of 300 bounded reads a second failed, for as long as the entries stayed.

Cause: a read went from one replica that does not answer to the next until its time was over. Each is held off for 2 s at most, so that some of the 300 are always due.

A read that has been tried at one database goes first to those that have answered and not failed since. After two it goes to the primary if no replica is known to answer.

The test failed before. It shows a small fleet, on the manual clock, where a refused connection costs no time.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -67,6 +67,8 @@
 # Delays between attempts, up to the time that a slow statement uses a slot.
 FIRST_RETRY_DELAY_S = 0.003
 MAX_RETRY_DELAY_S = 0.04
+# Replicas at which a read is tried while none is known to answer.
+MAX_UNKNOWN_REPLICAS = 2
 # Fraction of a statement's timeout that it may spend waiting for slots, connections and
 # primaries. The caller keeps the rest for a retry at another instance.
 QUEUE_FRACTION = 0.6
@@ -250,6 +252,11 @@
         )
         candidates = self._placement.rank(group, req.workspace, req.excluded, needs)
         replicas = [target for target in candidates if target.target != primary]
+        if len(req.excluded) >= MAX_UNKNOWN_REPLICAS and not any(
+            self._placement.answers(replica.target) for replica in replicas
+        ):
+            # The others may not exist; the primary does.
+            replicas = []
         deadline_at = min(req.deadline_at, self._clock.monotonic() + READ_ATTEMPT_TIMEOUT_S)
         for replica in replicas:
             timeout_s = self._placement.begin_read(replica)
--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -152,7 +152,9 @@
     ) -> list[Target]:
         """Return the databases that accept new work, the lowest cost first.
 
-        Those that failed or lagged recently are left out, unless that leaves none.
+        Those that failed or lagged recently are left out, unless that leaves none. A read that
+        has been tried elsewhere goes first to those that answer: many that are announced may not
+        exist.
 
         Parameters
         ----------
@@ -174,7 +176,8 @@
             return sorted(
                 usable or candidates,
                 key=lambda target: (
-                    self._cost(target, workspace, now) + MAX_RANDOM_COST * self._rng.random()
+                    bool(excluded) and not self.answers(target.target),
+                    self._cost(target, workspace, now) + MAX_RANDOM_COST * self._rng.random(),
                 ),
             )
         needs = needs or ReadNeeds()
@@ -183,7 +186,10 @@
             for target in candidates
             if self._is_usable(target.target, needs.required_age_s, now)
         ]
-        return self._rank_by_time(usable or candidates, workspace, now, needs)
+        ranked = self._rank_by_time(usable or candidates, workspace, now, needs)
+        if excluded:
+            ranked.sort(key=lambda target: not self.answers(target.target))
+        return ranked
 
     def _rank_by_time(
         self, candidates: list[Target], workspace: WorkspaceId, now: float, needs: ReadNeeds
@@ -311,6 +317,12 @@
             health = self._health_of(target)
             return health.is_held_off(now) or health.lagging_until > now
 
+    def answers(self, target: TargetId) -> bool:
+        """Return whether a database has answered, and has not failed since."""
+        with self._lock:
+            health = self._health_of(target)
+            return health.answered and not health.is_dead
+
     def _cost(self, target: Target, workspace: WorkspaceId, now: float) -> float:
         cost = self._pool.load(target)
         if not self._pool.has_idle(target, workspace):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -403,3 +403,24 @@
     fleet.run(4.0)
     assert fleet.knows({"db-2", "db-3"})
     assert unexpected_errors(caplog) == []
+
+
+def test_statements_run_beside_hundreds_of_databases_that_do_not_exist(caplog):
+    caplog.set_level(logging.ERROR)
+    fleet = start_fleet()
+    for number in range(300):
+        fleet.store.put(f"servers/rogue-{number}", entry(coldLeftMs=2**31 - 1), None)
+    fleet.run(0.2)
+    for _ in range(50):
+        for edge in fleet.instances:
+            check_service(fleet, edge)
+        fleet.run(0.2)
+    for edge in fleet.instances:
+        maintain_once(edge.gateway, TaskRecorder())
+    check_later_configuration(fleet, 3)
+    for number in range(300):
+        fleet.store.put(f"servers/rogue-{number}", None, None)
+    fleet.run(4.0)
+    assert fleet.knows(GOOD)
+    check_service(fleet)
+    assert unexpected_errors(caplog) == []
