Replicas that do not answer in time do not keep a lost primary from being replaced

What callers saw: nothing known.

Cause: the coordinator asks all replicas one after the other, 0.3 s each, and renews its lease only between groups. Ten time-outs are as long as the lease.

It renews the lease before each question, and gives up if it has lost it. The choice is the same.

The test failed before. What remains: the time grows by 0.3 s with each such replica.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -373,6 +373,10 @@
             failed_at = self._failed_at.get(target.target, -1e9)
             if target.target == excluded or now - failed_at < SUCCESSOR_TIMEOUT_S:
                 continue
+            # Several that do not answer take longer than the lease lasts.
+            self.coordinator_lease.step()
+            if not self.is_coordinator:
+                return None
             status = self._query_candidate(target)
             if isinstance(status, Err):
                 log.info(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -424,3 +424,22 @@
     assert fleet.knows(GOOD)
     check_service(fleet)
     assert unexpected_errors(caplog) == []
+
+
+def test_replicas_that_do_not_answer_in_time_do_not_keep_a_lost_primary_from_being_replaced():
+    fleet = start_fleet()
+    fleet.run(PERMISSION_S + 1)
+    for number in range(10):
+        fleet.store.put(f"servers/rogue-{number}", entry(), None)
+    fleet.run(0.2)
+
+    def connect(connect_before, target, workspace, timeout_s):
+        if target.target not in GOOD:
+            fleet.clock.advance(timeout_s)
+        return connect_before(target, workspace, timeout_s)
+
+    for edge in fleet.instances:
+        edge.connect = partial(connect, edge.connect)
+    fleet.group["db-1"].up = False
+    assert fleet.run(30.0, lambda: bool(fleet.group.promotions)) is not None
+    assert fleet.group.promotions[-1][0] in GOOD
