--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -89,6 +89,8 @@
         This process.
     registry, primaries, members, contact, eras
         This instance's view of the databases, of the fleet and of the store.
+    is_used : Callable
+        Returns whether the configuration names a group.
     watchers : Callable
         Returns the members that monitor the primary of a record.
     lease_span : Callable
@@ -116,6 +118,7 @@
         members: MemberTable,
         contact: StoreContact,
         eras: StoreEras,
+        is_used: Callable[[GroupId], bool],
         watchers: Callable[[PrimaryRecord], list[MemberRecord]],
         lease_span: Callable[[], LeaseSpan | None],
         may_coordinate: Callable[[], bool] = lambda: True,
@@ -131,6 +134,7 @@
         self._members = members
         self._contact = contact
         self._eras = eras
+        self._is_used = is_used
         self._watchers = watchers
         self._lease_span = lease_span
         self._clock = clock
@@ -226,7 +230,9 @@
     def _step_group(self, group: GroupId) -> None:
         record = self._primaries.record(group)
         if record is None:
-            self._record_announced_primary(group)
+            # Other programs write announcements too, of groups that do not exist.
+            if self._is_used(group):
+                self._record_announced_primary(group)
         elif self._primaries.is_lost(group):
             self._write_record(record)
         elif era_of(record.epoch) < self._eras.current:
@@ -237,23 +243,29 @@
             self._advance_replacement(record)
 
     def _record_announced_primary(self, group: GroupId) -> None:
-        """Record the announced primary of a group that has no record yet."""
+        """Record the announced primary of a group that has no record yet.
+
+        Of several, the only one that says itself that it leads: an announcement may be another
+        program's, of a database that does not exist.
+        """
         announced = [
             target
             for target in self._registry.targets_in_group(group)
             if target.role is TargetRole.PRIMARY
         ]
-        if len(announced) != 1:
-            return
-        if self._eras.current and not self._knows_latest(PrimaryRecord(group, 0, None)):
+        unrecorded = PrimaryRecord(group, 0, None)
+        # The store may have lost a change of primary, of which a silent database may know.
+        if self._eras.current and (len(announced) != 1 or not self._knows_latest(unrecorded)):
             return
-        status = self._prober.status(announced[0])
-        if isinstance(status, Ok) and status.ok_value.primary:
-            self._write_record(
-                PrimaryRecord(
-                    group, self._next_epoch(0), announced[0].target, term=status.ok_value.term
-                )
-            )
+        answers = [(target.target, self._prober.status(target)) for target in announced]
+        leading = [
+            (name, answer.ok_value.term)
+            for name, answer in answers
+            if isinstance(answer, Ok) and answer.ok_value.primary
+        ]
+        if len(leading) == 1:
+            name, term = leading[0]
+            self._write_record(PrimaryRecord(group, self._next_epoch(0), name, term=term))
 
     # After a return of the store from an older copy.
 
@@ -361,6 +373,10 @@
             failed_at = self._failed_at.get(target.target, -1e9)
             if target.target == excluded or now - failed_at < SUCCESSOR_TIMEOUT_S:
                 continue
+            # Several that do not answer take longer than the lease lasts.
+            self.coordinator_lease.step()
+            if not self.is_coordinator:
+                return None
             status = self._query_candidate(target)
             if isinstance(status, Err):
                 log.info(
