The soak adds routes and keys while the store fails for some or all processes

The soak knew no fault of the store, so nothing in it showed that a caller is refused for good (ERR NODB, ERR NOAUTH) from an outdated view. Every second process now uses a second server of the store. In the profiles "small", "large" and the new "store", a route and a key are removed, and added again while the store fails reads for all processes, is away for some, or fails reads for some, for 5 to 8 s. Callers with short sessions ask for what is added.

The checker finds "refused from an outdated view": a refusal for good later than the convergence time after the acknowledgement, whether or not the process reaches the store. While the store fails for a process, and for the convergence time after, an older configuration may go on to be served there ("accepted as by an older configuration"), and a lowered limit binds after the fault.

--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Soak of planned stops: real processes before stand-ins on loopback, with events from a seed."""
+"""Soak of planned work and store faults: real processes before stand-ins, events from a seed."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,30 +19,46 @@
 
 CHOICES = [("offers", "k1"), ("prices", "k1"), ("deals", "k1"), ("quotes", "k1"), ("offers", "k2")]
 LIMITED_CHOICES, LIMITED_CLIENTS = [("prices", "k3"), ("offers", "k3")], 3
+# What is added while the store fails for processes, and for how long it does.
+ADDED_CHOICES, ADDED_CLIENTS = [("quotes", "k1"), ("offers", "k2")], 4
+STORE_FAULT_S = (5.0, 8.0)
+# Fault of the stand-in, and whether all processes see it.
+STORE_FAULTS = [("fails_reads", True), ("is_away", False), ("fails_reads", False)]
 
 
 class Profile(NamedTuple):
-    """Size of a run, and the longest time between two events."""
+    """Size of a run, the longest time between two events, and how often the store fails."""
 
     edges: int
     clients: int
     events: int
     gap_s: float
+    store_faults: int
 
 
 # From 16 instances on, connections are lent between them.
 PROFILES = {
-    "short": Profile(3, 8, 10, 2.0),
-    "small": Profile(4, 14, 22, 2.4),
-    "large": Profile(17, 20, 22, 3.0),
+    "short": Profile(3, 8, 10, 2.0, 0),
+    "small": Profile(4, 14, 22, 2.4, 3),
+    "large": Profile(17, 20, 22, 3.0, 3),
+    "store": Profile(3, 4, 4, 2.0, 2),
 }
 
 
+def disrupt_store(fleet: Fleet, profile: Profile) -> None:
+    """Let the store fail for some or all processes, as often as the profile says."""
+    rng = random.Random(f"{fleet.seed}/store")
+    for number in range(profile.store_faults):
+        time.sleep(rng.uniform(0, profile.gap_s))
+        fault, is_for_all = STORE_FAULTS[number % len(STORE_FAULTS)]
+        fleet.disrupt_store(fault, rng.uniform(*STORE_FAULT_S), is_for_all=is_for_all)
+
+
 def play(fleet: Fleet, profile: Profile) -> None:
     """Do the planned work that the seed selects, and return when the last is over."""
     rng = random.Random(f"{fleet.seed}/events")
     with ThreadPoolExecutor(32) as executor:
-        futs = []
+        futs = [executor.submit(disrupt_store, fleet, profile)]
         for _ in range(profile.events):
             time.sleep(rng.uniform(0, profile.gap_s))
             edges = rng.sample(fleet.edges, rng.randint(1, max(1, profile.edges // 3)))
@@ -73,6 +89,11 @@
     fleet = Fleet(seed, profile.edges, directory)
     clients = [Client(fleet, f"c{number}", CHOICES) for number in range(profile.clients)]
     clients += [Client(fleet, f"l{number}", LIMITED_CHOICES) for number in range(LIMITED_CLIENTS)]
+    if profile.store_faults:
+        clients += [
+            Client(fleet, f"a{number}", ADDED_CHOICES, max_requests=3)
+            for number in range(ADDED_CLIENTS)
+        ]
     try:
         play(fleet, profile)
         time.sleep(1.0)
@@ -92,6 +113,8 @@
         stops=len(fleet.stops),
         starts=sum(edge.incarnation for edge in fleet.edges),
         signal_ends=fleet.signal_ends,
+        store_faults=len(fleet.store_faults),
+        not_for_good=sum(any("may have it" in line for line in req.lines) for req in requests),
     )
     counts.update(req.code for req in requests if req.code)
     return checker.findings, counts
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -81,18 +81,38 @@
             cfg for (at, cfg), (next_at, _) in pairwise(stored) if at <= until and next_at > since
         ]
 
-    def _check_config(self, req: Request) -> None:
-        """Check that a version which may be in force allows what happened."""
-        configs = self._configs_in_force(req.sent_at - CONVERGENCE_S, req.ended_at)
-        allowed = {
+    def _known_since(self, since: float, edge: str | None = None) -> float:
+        """Return since when a configuration may be in force, given a time without store faults.
+
+        Without a process, that of the process for which the store failed longest.
+        """
+        for begun_at, ended_at, names in reversed(self._fleet.store_faults):
+            if ended_at >= since and (edge is None or edge in names):
+                since = min(since, begun_at - CONVERGENCE_S)
+        return since
+
+    def _allowed(self, req: Request, since: float) -> set[bool]:
+        return {
             any(req.database == route["host"] for route in config["routes"])
             and any(req.key in tenant["apiKeys"] for tenant in config["tenants"])
-            for config in configs
+            for config in self._configs_in_force(since, req.ended_at)
         }
-        if allowed == {True} and req.code in ("NODB", "NOAUTH"):
-            self._report("refused as by an older configuration", req)
+
+    def _check_config(self, req: Request) -> None:
+        """Check that a version which may be in force allows what happened.
+
+        Where the store fails, an older version may go on to be served, but is no reason to
+        refuse a caller for good.
+        """
+        since = req.sent_at - CONVERGENCE_S
+        known_since = self._known_since(since, req.edge)
+        if req.code in ("NODB", "NOAUTH") and self._allowed(req, since) == {True}:
+            is_outdated = known_since < since
+            reason = "from an outdated view" if is_outdated else "as by an older configuration"
+            self._report(f"refused {reason}", req)
+        is_accepted = req.is_answered and not req.code
         # A transaction may go on with the route that it began with.
-        if allowed == {False} and req.is_answered and not req.code and not req.in_transaction:
+        if is_accepted and not req.in_transaction and self._allowed(req, known_since) == {False}:
             self._report("accepted as by an older configuration", req)
 
     def _check_limit(self) -> None:
@@ -106,7 +126,8 @@
         for since in times:
             until = since + QUOTA_WINDOW_S
             # A lower limit binds one window after it has converged.
-            configs = self._configs_in_force(since - CONVERGENCE_S - QUOTA_WINDOW_S, until)
+            known_since = self._known_since(since - CONVERGENCE_S - QUOTA_WINDOW_S)
+            configs = self._configs_in_force(known_since, until)
             rate = max(config["tenants"][1]["ratePerS"] for config in configs)
             most = rate * (QUOTA_WINDOW_S + 1) * (1 + QUOTA_EXCESS) + QUOTA_MARGIN
             count = sum(since <= at <= until for at in times)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -13,6 +13,7 @@
 
 PAUSE_S, LONG_PAUSE_S, LONG_PAUSE_PART = 0.25, 2.0, 0.04
 TRANSACTION_PART, ROLLBACK_PART = 0.25, 0.1
+SESSION_REQUESTS = 60
 
 
 @dataclass
@@ -46,8 +47,16 @@
 class Client:
     """Sends requests in sessions with the databases and keys given, until it is stopped."""
 
-    def __init__(self, fleet: Fleet, name: str, choices: list[tuple[str, str]]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        choices: list[tuple[str, str]],
+        *,
+        max_requests: int = SESSION_REQUESTS,
+    ) -> None:
         self.requests: list[Request] = []
+        self._max_requests = max_requests
         self._fleet, self._name, self._choices = fleet, name, choices
         self._rng = random.Random(f"{fleet.seed}/{name}")
         self._stopping = threading.Event()
@@ -83,7 +92,7 @@
         if not greeting.is_answered:
             return
         self._query("PREPARE w PUT q2c")
-        for _ in range(self._rng.randint(1, 60)):
+        for _ in range(self._rng.randint(1, self._max_requests)):
             if self._stopping.is_set():
                 return
             self._pause()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,11 +13,12 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from types import SimpleNamespace
 
 from rig.wire import LETTER_BY_STATE
 
 from quetzalrudder.gateway.records import COORDINATOR_KEY, decode_coordinator
-from tests.gateway_standins import PlatformStandIn
+from tests.gateway_standins import PlatformStandIn, StoreHandler, StoreServer
 from tests.test_edge_program import CONFIGURATION, EdgeProcess
 
 __all__ = ["GRACE_S", "LIMITED", "Edge", "Fleet", "Run"]
@@ -25,6 +26,8 @@
 # ``bounds.graceS`` of the processes, and when one that is still there has missed its end.
 GRACE_S, EXIT_TIMEOUT_S = 3.0, 3.1
 INTERPRETER_START_S, REPLACEMENT_TIMEOUT_S = 0.5, 10.0
+# How long processes have to learn of a removal before the store fails for some of them.
+REMOVAL_S = 1.0
 DELAY_MAX_S, DELAYED_PART, DELAYED_PART_WHILE_SLOW, BUSY_PART = 1.5, 0.08, 0.5, 0.02
 # Ranges of ports below those of outgoing connections, which could take one that is not bound.
 PORT_RANGES = [range(base, base + 100) for base in range(12_000, 32_000, 100)]
@@ -97,15 +100,32 @@
         self.platform = PlatformStandIn(self.configs[0][1])
         for server in self.platform.databases:
             server.run = self._recorder(server.database.info.target, server.run)
+        self._unsteady_store = self._open_store()
+        self._unsteady_names: set[str] = set()
+        # Beginning and end of each, and the names of the processes for which the store failed.
+        self.store_faults: list[tuple[float, float, set[str]]] = []
         self._promote = self.platform.group.promote
         self.platform.group.promote = self._promote_and_announce
         self.edges: list[Edge] = []
         self._stack, self._replacing = ExitStack(), threading.Lock()
         ports = reserve_ports(self._stack)
         for number in range(size):
-            self.edges.append(Edge(self.platform, directory, number, ports))
+            port = self._unsteady_store.server_address[1]
+            unsteady = SimpleNamespace(address=f"127.0.0.1:{port}")
+            platform = unsteady if number % 2 else self.platform
+            self.edges.append(Edge(platform, directory, number, ports))
+            if platform is unsteady:
+                self._unsteady_names.add(self.edges[-1].name)
             self._wait_ready(self.edges[-1])
 
+    def _open_store(self) -> StoreServer:
+        """Return another server of the platform's store, with faults of its own."""
+        first, server = self.platform.http, StoreServer(("127.0.0.1", 0), StoreHandler)
+        server.lock, server.clock = first.lock, first.clock
+        server.group, server.client = first.group, first.client
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server
+
     def _recorder(self, database, run):
         def run_and_record(link, line):
             _, request_id, text = line.split(" ", 2)
@@ -151,6 +171,10 @@
 
     def reconfigure(self, change: str) -> None:
         """Store a version of the configuration in which one thing is the other way round."""
+        with self.platform.lock:
+            self._reconfigure(change)
+
+    def _reconfigure(self, change: str) -> None:
         config = self.configs[-1][1]
         routes, (almaty, limited) = config["routes"], config["tenants"]
         match change:
@@ -166,6 +190,38 @@
         self.platform.put("op/config", config)
         self.configs.append((time.monotonic(), config))
 
+    def disrupt_store(self, fault: str, duration_s: float, *, is_for_all: bool) -> None:
+        """Add a route and a key while the store fails for some or all processes.
+
+        Parameters
+        ----------
+        fault : str
+            Attribute of the stand-in that is true meanwhile.
+        duration_s : float
+            Time from the additions to the end of the fault.
+        is_for_all : bool
+            False if some processes have a steady store, and may pass on what it holds.
+        """
+        servers, names = [self._unsteady_store], self._unsteady_names
+        if is_for_all:
+            servers, names = [*servers, self.platform.http], {edge.name for edge in self.edges}
+        config = self.configs[-1][1]
+        if len(config["routes"]) == len(ROUTES):
+            self.reconfigure("route")
+        if config["tenants"][0] is TENANTS[0]:
+            self.reconfigure("key")
+        time.sleep(REMOVAL_S)
+        begun_at = time.monotonic()
+        self.store_faults.append((begun_at, float("inf"), names))
+        for server in servers:
+            setattr(server, fault, True)
+        self.reconfigure("route")
+        self.reconfigure("key")
+        time.sleep(duration_s)
+        for server in servers:
+            setattr(server, fault, False)
+        self.store_faults[-1] = begun_at, time.monotonic(), names
+
     def coordinator(self) -> str:
         """Return the name of the failover coordinator, or an empty string."""
         with self.platform.lock:
@@ -235,4 +291,6 @@
         with ThreadPoolExecutor(len(self.edges)) as executor:
             list(executor.map(self.stop, self.edges))
         self._stack.close()
+        self._unsteady_store.shutdown()
+        self._unsteady_store.server_close()
         self.platform.close()
