The view of a follower whose relays are lost does not become outdated

Its first own watch of the store waited the full time, whatever the age of the view by then: up to 1.5 s beyond the convergence time after both relays were lost, in which unknown routes were refused with a time to return. The wait now ends while the view is young enough, as that of a relay's request does.

The fleet of the tests that keeps the pauses of real calls now also keeps the wait that a call began with, and the shorter one of a relay whose confirmation is old, as the code does. The test failed before the fix with it.

--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -188,6 +188,10 @@
         """
         if self._failures:
             return RECONNECT_WAIT_S
+        if self._relayed:
+            # The last confirmation of a relay that has failed is some time old.
+            left_s = self.wait_s - self._contact.view_age_s
+            return min(self.wait_s, max(RECONNECT_WAIT_S, left_s))
         return max(MIN_WATCH_WAIT_S, self.wait_s - self._paused_s)
 
     def step(self) -> bool:
--- a/src/quetzalrudder/gateway/relays.py
+++ b/src/quetzalrudder/gateway/relays.py
@@ -196,16 +196,22 @@
             self._current = name
         return relay
 
+    @property
+    def next_wait_s(self) -> float:
+        """How long the next request waits for a change.
+
+        The wait ends when the relay has been without a confirmation for too long.
+        """
+        if self._confirmed_at is None:
+            return RELAY_WAIT_S
+        return min(RELAY_WAIT_S, max(MIN_RELAY_WAIT_S, self._max_age_s - self.age_s))
+
     def watch(self, relay: RosterRecord, after: int) -> Result[Changes, QuetzalrudderError]:
         """Return the changes after a revision from a relay, or none after a short wait.
 
         ``RelayUnavailable`` if another source has to be used.
         """
-        wait_s = RELAY_WAIT_S
-        if self._confirmed_at is not None:
-            # The wait ends when the relay has been without a confirmation for too long.
-            left_s = self._confirmed_at + self._max_age_s - self._clock.monotonic()
-            wait_s = min(wait_s, max(MIN_RELAY_WAIT_S, left_s))
+        wait_s = self.next_wait_s
         req = ChangesRequest(after=after, wait_ms=round(wait_s * MS_PER_S))
         sent_at = self._clock.monotonic()
         result = self._caller.wait_for_changes(relay.address, req, wait_s + RELAY_ANSWER_MARGIN_S)
--- a/tests/gateway_paced_fleet.py
+++ b/tests/gateway_paced_fleet.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from quetzalrudder.gateway.mirror import PrefixHandler
-from quetzalrudder.gateway.relays import RELAY_ANSWER_MARGIN_S, RELAY_WAIT_S
+from quetzalrudder.gateway.relays import RELAY_ANSWER_MARGIN_S
 from quetzalrudder.gateway.store_calls import StoreCall
 from tests.gateway_fleet import GatewayFleet, catalog
 
@@ -27,6 +27,7 @@
         # True while the pause is one after a failed call.
         self.retries = False
         self.asked_at = self.clock.now
+        self.own_wait_s = self.relay_wait_s = 0.0
 
     def step(self):
         if self.clock.now < self.paused_until and self.retries and self.mirror.retry_pause.end():
@@ -38,6 +39,9 @@
         self.retries = not succeeded
         self.paused_until = self.clock.now + pause_s
         self.asked_at = self.paused_until
+        # The waits of the next call, as they are when it is made.
+        self.own_wait_s = self.mirror.next_wait_s
+        self.relay_wait_s = self.mirror.relays.next_wait_s
 
     def _is_waiting(self):
         """Return whether the call that is made now has no answer yet."""
@@ -49,13 +53,13 @@
             history = fleet.store.history
             changed = bool(history) and history[-1].revision > mirror.revision
             answered = changed or self.instance.is_cut_from_store
-            return not answered and self.clock.now < self.asked_at + mirror.next_wait_s
+            return not answered and self.clock.now < self.asked_at + self.own_wait_s
         peer = fleet.by_name[relay.address]
         if peer.frozen or peer.cut_from_peers or self.instance.cut_from_peers:
-            return self.clock.now < self.asked_at + RELAY_WAIT_S + RELAY_ANSWER_MARGIN_S
+            return self.clock.now < self.asked_at + self.relay_wait_s + RELAY_ANSWER_MARGIN_S
         change_log = peer.gateway.change_log
         answered = not change_log.is_watching or change_log.revision > mirror.revision
-        return not answered and self.clock.now < self.asked_at + RELAY_WAIT_S
+        return not answered and self.clock.now < self.asked_at + self.relay_wait_s
 
 
 class PacedFleet(GatewayFleet):
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -81,6 +81,22 @@
     assert count_unready(large_fleet, followers, 8.0) == 0
 
 
+def test_the_views_of_followers_stay_current_while_both_of_their_relays_are_lost(large_fleet):
+    # The first watch of the store after a relay waited its full time, whatever the view's age.
+    lost = relays(large_fleet)
+    followers = [
+        instance.gateway.contact
+        for instance in large_fleet.instances
+        if large_fleet.data_centre(instance.name) == "dc-0" and instance not in lost
+    ]
+    for relay in lost:
+        relay.frozen = True
+    until = large_fleet.clock.now + 8.0
+    while large_fleet.clock.now < until:
+        large_fleet.run(0.05)
+        assert all(contact.is_view_current for contact in followers)
+
+
 def test_a_database_does_not_go_missing_while_the_store_cannot_tell_that_it_is_back(fleet):
     # Announcements lapse with the store, and come back while this instance is cut from it.
     edge = fleet[0]
