--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,9 @@
 
 import json
 import logging
+import os
+import subprocess
+import sys
 from concurrent.futures import Executor, Future
 from dataclasses import replace
 from functools import partial
@@ -19,6 +22,7 @@
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.gateway.targets import TargetRole
 from quetzalrudder.schema.gateway import ChangesRequest, RelayState
+from standins.fleet import ROOT
 from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_paced_fleet import PacedFleet
@@ -443,3 +447,45 @@
     fleet.group["db-1"].up = False
     assert fleet.run(30.0, lambda: bool(fleet.group.promotions)) is not None
     assert fleet.group.promotions[-1][0] in GOOD
+
+
+NESTED_DECODING = """
+import threading
+from rig.configuration import decode_catalog, decode_target
+from rig.process import THREAD_STACK_BYTES
+from quetzalrudder.exceptions import MalformedMessage
+from quetzalrudder.gateway.store import Item
+
+refused = []
+
+def decode_all():
+    for depth in (10, 500, 900, 990, 1000, 5000, 100_000):
+        for opening, closing in ((b"[", b"]"), (b'{"a":', b"}")):
+            nested = opening * depth + b"1" + closing * depth
+            entry = b'{"service":"g","addr":"10.0.0.1:7000","zone":' + nested + b"}"
+            catalog = b'{"routes":' + nested + b',"services":' + nested + b',"version":1}'
+            for value in (nested, opening * depth, entry, catalog):
+                for decode in (decode_catalog, lambda raw: decode_target(Item("s", raw, 1, 1))):
+                    try:
+                        decode(value)
+                    except MalformedMessage:
+                        refused.append(depth)
+
+threading.stack_size(THREAD_STACK_BYTES)
+thread = threading.Thread(target=decode_all)
+thread.start()
+thread.join()
+print(len(refused))
+"""
+
+
+def test_no_depth_of_nesting_ends_a_process_whose_threads_have_small_stacks():
+    paths = [str(ROOT / name) for name in ("platform", "src", "")]
+    ran = subprocess.run(
+        [sys.executable, "-c", NESTED_DECODING],
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(paths)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (ran.returncode, ran.stdout.strip()) == (0, str(7 * 2 * 4 * 2)), ran.stderr
