Failing tests of the review: the age that a relay tells, and a returned store

Counting the relay's age leaves a store that answers in 250 ms no slack at a convergence time of 3 s, so that followers would refuse unknown routes with a time to return in calm times.

--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -1,10 +1,11 @@
 """Decisions from a view of the store that is not current, beside what callers are told."""
 
 import pytest
-from result import Err
+from result import Err, Ok
 
-from quetzalrudder.exceptions import PlatformUnavailable
+from quetzalrudder.exceptions import PlatformUnavailable, RouteNotFound
 from quetzalrudder.gateway.targets import MISSING_GRACE_S
+from quetzalrudder.schema.gateway import ChangesRequest
 from tests.gateway_paced_fleet import PacedFleet
 from tests.test_gateway_relays import relays
 from tests.test_old_view import ConfiguredFleet, cut
@@ -43,6 +44,20 @@
         return result
 
 
+class SleepingStore:
+    """Answers a watch at once; the answer is processed some time later."""
+
+    def __init__(self, store, clock, sleep_s):
+        self._store = store
+        self._clock = clock
+        self._sleep_s = sleep_s
+
+    def watch(self, after, wait_ms):
+        result = self._store.watch(after, wait_ms)
+        self._clock.advance(self._sleep_s)
+        return result
+
+
 class SilentStore:
     """Answers no watch and no read, while other calls to the store succeed."""
 
@@ -145,3 +160,57 @@
     fleet[0].mirror.revision = None
     fleet.run(0.2)
     assert not gateway.catalogs.is_superseded
+
+
+def test_a_relay_does_not_confirm_to_others_what_it_learnt_late(large_fleet):
+    relay = relays(large_fleet)[0]
+    mirror = relay.mirror.mirror
+    sleep_s = mirror.next_wait_s + SLEEP_S
+    mirror._store = SleepingStore(mirror._store, large_fleet.clock, sleep_s)
+    mirror.step()
+    own_age_s = relay.gateway.contact.view_age_s
+    assert own_age_s == pytest.approx(SLEEP_S)
+    replies = []
+    req = ChangesRequest(after=mirror.revision, wait_ms=0)
+    relay.gateway.answer_changes(req, replies.append)()
+    assert replies[0].age_ms == pytest.approx(own_age_s * 1000)
+
+
+def test_a_relay_does_not_confirm_to_others_the_end_of_its_full_read(large_fleet):
+    relay = relays(large_fleet)[0]
+    mirror = relay.mirror.mirror
+    store = mirror._store
+
+    class SlowStore:
+        def read_prefix(self, prefix):
+            result = store.read_prefix(prefix)
+            large_fleet.clock.advance(0.7)
+            return result
+
+    mirror._store = SlowStore()
+    mirror.revision = None
+    mirror.step()
+    assert relay.gateway.contact.view_age_s == pytest.approx(0.7)
+    replies = []
+    req = ChangesRequest(after=mirror.revision, wait_ms=0)
+    relay.gateway.answer_changes(req, replies.append)()
+    assert replies[0].age_ms == pytest.approx(700)
+
+
+def test_what_a_store_back_from_an_older_copy_lacks_is_not_refused_for_good():
+    # Another instance has the newer configuration, and goes on serving it.
+    fleet = ConfiguredFleet(store_era=1)
+    fleet.configure(2)
+    fleet.run(6.0, fleet.all_know_primary)
+    copied = fleet.store.copy()
+    edge = fleet[0]
+    cut(edge)
+    fleet.configure(3, routes=("offers", "added"))
+    fleet.run(0.5)
+    fleet.store.come_back(copied)
+    cut(edge, False)
+    edge.step()
+    edge.mirror.step()
+    assert fleet[1].session("added").check_access() == Ok(None)
+    access = edge.session("added").check_access()
+    assert not isinstance(access.err(), RouteNotFound)
