--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -44,20 +44,6 @@
         return result
 
 
-class SleepingStore:
-    """Answers a watch at once; the answer is processed some time later."""
-
-    def __init__(self, store, clock, sleep_s):
-        self._store = store
-        self._clock = clock
-        self._sleep_s = sleep_s
-
-    def watch(self, after, wait_ms):
-        result = self._store.watch(after, wait_ms)
-        self._clock.advance(self._sleep_s)
-        return result
-
-
 class SilentStore:
     """Answers no watch and no read, while other calls to the store succeed."""
 
