--- a/src/quetzalrudder/gateway/sessions.py
+++ b/src/quetzalrudder/gateway/sessions.py
@@ -40,6 +40,7 @@
     Statement,
     TargetReply,
 )
+from quetzalrudder.gateway.store_contact import loggable_age_s
 from quetzalrudder.gateway.transactions import OpenTransaction
 from quetzalrudder.models import RequestId, WorkspaceId
 from quetzalrudder.utils import MS_PER_S
@@ -367,7 +368,7 @@
                 "attempts": trace.attempts,
                 "faults": trace.faults[-4:],
                 "catalog_version": view.catalog.version,
-                "view_age_s": round(view.age_s, 1),
+                "view_age_s": loggable_age_s(view.age_s),
                 "took_ms": round(took_s * MS_PER_S, 1),
             },
         )
--- a/src/quetzalrudder/gateway/store_contact.py
+++ b/src/quetzalrudder/gateway/store_contact.py
@@ -7,7 +7,7 @@
 from quetzalrudder.exceptions import MalformedMessage, QuetzalrudderError
 from quetzalrudder.utils import Clock
 
-__all__ = ["StoreContact", "describe_failure"]
+__all__ = ["StoreContact", "describe_failure", "loggable_age_s"]
 
 log = logging.getLogger(__name__)
 
@@ -76,7 +76,7 @@
         log.log(
             logging.WARNING if is_outdated else logging.INFO,
             "view of the store outdated" if is_outdated else "view of the store current again",
-            extra={"view_age_s": round(self.view_age_s, 2), "store_reached": self.reached},
+            extra={"view_age_s": loggable_age_s(self.view_age_s), "store_reached": self.reached},
         )
 
     def record_view_failure(self, exc: Exception) -> None:
@@ -87,7 +87,7 @@
             self._view_failed = True
         log.error(
             "view of the store failed",
-            extra={"view_age_s": round(self.view_age_s, 1), **describe_failure(exc)},
+            extra={"view_age_s": loggable_age_s(self.view_age_s), **describe_failure(exc)},
         )
 
     @property
@@ -120,6 +120,11 @@
         return math.inf if viewed_at is None else self._clock.monotonic() - viewed_at
 
 
+def loggable_age_s(age_s: float) -> float | None:
+    """Return an age as a log field; None for an infinite one, as JSON has no infinity."""
+    return round(age_s, 2) if math.isfinite(age_s) else None
+
+
 def describe_failure(exc: Exception) -> dict[str, str]:
     """Return the log fields of a failure; ``exception`` is the class that was raised first."""
     first = exc.__cause__ if isinstance(exc, MalformedMessage) and exc.__cause__ else exc
--- a/tests/test_old_view.py
+++ b/tests/test_old_view.py
@@ -10,6 +10,7 @@
 
 from quetzalrudder.exceptions import RouteNotFound, Unauthenticated
 from quetzalrudder.gateway.statements import Begin, Read, SessionState, Write
+from quetzalrudder.gateway.store_contact import loggable_age_s
 from tests.gateway_fleet import GatewayFleet
 
 # The time within which a configuration must be in force, by default.
@@ -224,6 +225,11 @@
     assert 'quetzalrudder_unconfirmed_refusals_total{missing="route"} 1.0' in rendered
 
 
+def test_an_infinite_age_of_the_view_is_left_out_of_log_lines_that_are_json():
+    assert loggable_age_s(float("inf")) is None
+    assert loggable_age_s(1.234) == 1.23
+
+
 def test_a_configuration_that_cannot_be_read_leaves_no_refusal_for_good(fleet):
     edge = fleet[0]
     fleet.store.put("op/config", b"{", None)
