--- a/src/quetzalrudder/codec.py
+++ b/src/quetzalrudder/codec.py
@@ -14,10 +14,10 @@
 from quetzalrudder.schema.caller import AnswerFrame, CallerFrame
 from quetzalrudder.schema.gateway_service import PeerAnswer, PeerCall
 from quetzalrudder.schema.target import TargetAnswer, TargetFrame
+from quetzalrudder.utils import MAX_MESSAGE_BYTES
 
 __all__ = ["MAX_MESSAGE_BYTES", "CheckedCodec", "limit_message_size"]
 
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Message types on the path of every statement; they use the compiled codec, for speed.
 STATEMENT_FRAMES = frozenset(
     {AnswerFrame, CallerFrame, PeerAnswer, PeerCall, TargetAnswer, TargetFrame}
--- a/src/quetzalrudder/gateway/change_log.py
+++ b/src/quetzalrudder/gateway/change_log.py
@@ -9,10 +9,9 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from quetzalrudder.codec import MAX_MESSAGE_BYTES
 from quetzalrudder.gateway.store import Item
 from quetzalrudder.schema.gateway import ChangesReply, ChangesRequest, RelayState, StoreChange
-from quetzalrudder.utils import MS_PER_S, Clock
+from quetzalrudder.utils import MAX_MESSAGE_BYTES, MS_PER_S, Clock
 
 __all__ = ["ChangeLog"]
 
--- a/src/quetzalrudder/gateway/peer_frames.py
+++ b/src/quetzalrudder/gateway/peer_frames.py
@@ -15,11 +15,10 @@
 
 from quetzalrudder import wire
 from quetzalrudder.bridge import Loop
-from quetzalrudder.codec import MAX_MESSAGE_BYTES
 from quetzalrudder.exceptions import LinkLost, MalformedMessage, QuetzalrudderError
 from quetzalrudder.schema.gateway_service import PeerAnswer, PeerCall
 from quetzalrudder.streams import MatchedRequests
-from quetzalrudder.utils import Address
+from quetzalrudder.utils import MAX_MESSAGE_BYTES, Address
 
 __all__ = ["GREETING", "RECEIVE_BYTES", "FrameConnection", "FrameRequests", "set_options"]
 
--- a/src/quetzalrudder/utils.py
+++ b/src/quetzalrudder/utils.py
@@ -27,6 +27,8 @@
 
 MS_PER_S = 1000
 MAX_PORT = 65535
+# Longest message between instances, and from callers, operators and targets of the own protocol.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 SqlValue = int | float | str | bytes | None
 
