--- a/tests/test_catalog_fetch.py
+++ b/tests/test_catalog_fetch.py
@@ -135,3 +135,59 @@
     report = PeerReport(instance="edge-9", asks_permission=True, catalog_version=1)
     reply = fleet[0].gateway.answer_report(report)
     assert int(reply.catalog) == reply.catalog_version == 2
+
+
+def fetch_from_second(fleet, first):
+    """Have two peers answer every 0.2 s for 20 s; only the second can send its configuration.
+
+    Returns the addresses that were asked for it.
+    """
+    edge, asked, started = fleet[0], [], fleet.clock.now
+
+    def exchange(address, report, timeout_s):
+        asked.append(address)
+        if address == first.instance:
+            fleet.clock.advance(timeout_s if first.catalog_version else 0.0)
+            return Err(LinkLost("no answer in time")) if first.catalog_version else Ok(first)
+        return Ok(PeerReply(instance=address, catalog_version=9, catalog=b"9"))
+
+    edge.exchange = exchange
+    while fleet.clock.now - started < 20.0 and edge.gateway.catalogs.current.version < 9:
+        edge.gateway.peering._apply_reply(first)
+        edge.gateway.peering._apply_reply(PeerReply(instance="edge-2", catalog_version=9))
+        fleet.clock.advance(0.2)
+    return asked
+
+
+def test_a_peer_that_cannot_send_its_configuration_does_not_keep_out_that_of_another(fleet):
+    asked = fetch_from_second(fleet, PeerReply(instance="edge-1", catalog_version=9))
+    assert "edge-2" in asked
+    assert fleet[0].gateway.catalogs.current.version == 9
+
+
+def test_a_peer_of_an_earlier_build_does_not_keep_out_a_newer_configuration_of_another(fleet):
+    asked = fetch_from_second(fleet, PeerReply(instance="edge-1"))
+    assert "edge-2" in asked
+    assert fleet[0].gateway.catalogs.current.version == 9
+
+
+def test_a_configuration_that_cannot_be_fetched_for_hours_is_still_asked_for_seldom(fleet):
+    offered = PeerReply(instance="edge-1", catalog_version=9)
+    edge = replying(fleet, lambda report: Ok(offered))
+    for _ in range(1500):
+        edge.gateway.peering._apply_reply(offered)
+        fleet.clock.advance(4.0)
+    assert len(edge.reports) == 1500
+
+
+def test_peers_of_an_earlier_build_do_not_lengthen_the_pause_after_a_failed_fetch(fleet):
+    edge = replying(fleet, lambda report: Ok(PeerReply(instance="edge-1")))
+    for _ in range(60):
+        edge.gateway.peering._apply_reply(PeerReply(instance="edge-1"))
+        fleet.clock.advance(1.0)
+    offered = PeerReply(instance="edge-1", catalog_version=9)
+    edge.gateway.peering._apply_reply(offered)
+    asked = len(edge.reports)
+    fleet.clock.advance(0.6)
+    edge.gateway.peering._apply_reply(offered)
+    assert len(edge.reports) == asked + 1
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from concurrent.futures import Executor, Future
+from contextlib import suppress
 from dataclasses import replace
 from functools import partial
 from types import SimpleNamespace
@@ -15,16 +16,17 @@
 from rig.configuration import catalog_handler, evacuation_handler, target_handler
 
 from quetzalrudder.codec import MAX_MESSAGE_BYTES
-from quetzalrudder.exceptions import TargetUnavailable
+from quetzalrudder.exceptions import MalformedMessage, TargetUnavailable
+from quetzalrudder.gateway.catalog import GroupSettings
 from quetzalrudder.gateway.change_log import ChangeLog
-from quetzalrudder.gateway.permission import PERMISSION_S
+from quetzalrudder.gateway.permission import ERA_SETTLING_S, PERMISSION_S
 from quetzalrudder.gateway.statements import Read, Write
 from quetzalrudder.gateway.store import Item
-from quetzalrudder.gateway.targets import TargetRole
+from quetzalrudder.gateway.targets import TargetRegistry, TargetRole
 from quetzalrudder.schema.gateway import ChangesRequest, RelayState
 from standins.fleet import ROOT
 from tests.clocks import ManualClock
-from tests.gateway_fleet import GatewayFleet
+from tests.gateway_fleet import GatewayFleet, catalog
 from tests.gateway_paced_fleet import PacedFleet
 from tests.test_old_view import CONVERGENCE_S, configuration
 
@@ -489,3 +491,88 @@
         check=False,
     )
     assert (ran.returncode, ran.stdout.strip()) == (0, str(7 * 2 * 4 * 2)), ran.stderr
+
+
+def let_unknown_time_out(fleet):
+    """Let connections to announced databases that do not exist time out."""
+
+    def connect(connect_before, target, workspace, timeout_s):
+        if target.target not in GOOD:
+            fleet.clock.advance(timeout_s)
+        return connect_before(target, workspace, timeout_s)
+
+    for edge in fleet.instances:
+        edge.connect = partial(connect, edge.connect)
+
+
+def test_announced_primaries_that_do_not_answer_do_not_keep_out_the_one_that_leads():
+    fleet = AnnouncedFleet()
+    for number in range(10):
+        fleet.store.put(f"servers/rogue-{number}", entry(dbRole="primary"), None)
+    let_unknown_time_out(fleet)
+    assert fleet.run(60.0, fleet.all_know_primary) is not None
+
+
+def test_announced_primaries_of_a_group_without_a_record_do_not_hold_up_another_groups_failover():
+    fleet = start_fleet()
+    fleet.run(PERMISSION_S + 1)
+    # Groups are checked in the order of their names.
+    settings = {name: GroupSettings(name, 30) for name in ("a", "g")}
+    for edge in fleet.instances:
+        edge.gateway.catalogs.update_if_newer(catalog(50, groups=settings))
+    for number in range(10):
+        fleet.store.put(f"servers/rogue-{number}", entry(dbRole="primary", service="a"), None)
+    fleet.run(0.2)
+    let_unknown_time_out(fleet)
+    fleet.group["db-1"].up = False
+    assert fleet.run(60.0, lambda: bool(fleet.group.promotions)) is not None
+
+
+def test_replicas_that_do_not_answer_in_time_do_not_keep_a_primary_from_being_confirmed():
+    # After the store has come back from an older copy, all databases are asked.
+    fleet = AnnouncedFleet(store_era=1)
+    assert fleet.run(5.0, fleet.all_know_primary) is not None
+    fleet.run(PERMISSION_S + 1)
+    for number in range(10):
+        fleet.store.put(f"servers/rogue-{number}", entry(), None)
+    fleet.run(0.2)
+    let_unknown_time_out(fleet)
+    fleet.return_store(fleet.store.copy())
+    fleet.run(ERA_SETTLING_S + 1)
+    assert fleet.run(60.0, fleet.all_know_primary) is not None
+
+
+def test_an_entry_of_another_writer_does_not_start_the_time_of_a_draining_database_anew():
+    # Its own next announcement follows; it drains since the first one.
+    clock = ManualClock()
+    registry = TargetRegistry(clock)
+    handler = target_handler(registry)
+    handler.apply_change(Item(KEY, entry(state="draining"), 1, 1))
+    clock.advance(5.0)
+    with suppress(MalformedMessage):
+        handler.apply_change(Item(KEY, b"odd", 2, 1))
+    clock.advance(0.5)
+    handler.apply_change(Item(KEY, entry(state="draining"), 3, 1))
+    assert registry.draining_s("odd") == 5.5
+
+
+def test_odd_entries_do_not_prolong_the_use_of_a_draining_primary():
+    fleet = start_fleet()
+    for edge in fleet.instances:
+        edge.gateway.planner._drain_limit_s = 7.0
+    # No replica can take its place.
+    for name in ("db-2", "db-3"):
+        fleet.store.put(f"servers/{name}", None, None)
+        fleet.group[name].up = False
+    fleet.run(4.0)
+    draining = json.dumps(
+        json.loads(fleet.store.items["servers/db-1"].value) | {"state": "draining"}
+    ).encode()
+    fleet.store.put("servers/db-1", draining, None)
+    fleet.run(4.0)
+    fleet.store.put("servers/db-1", b"odd", None)
+    fleet.run(0.1)
+    fleet.store.put("servers/db-1", draining, None)
+    fleet.run(3.0)
+    planner = fleet[0].gateway.planner
+    assert planner._has_drained(fleet[0].gateway.registry.get("db-1"))
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -111,6 +111,18 @@
     assert edge.gateway.registry.get("db-1") is None
 
 
+def test_a_database_that_was_missing_before_a_cut_is_awaited_after_it(fleet):
+    # The platform states that it is back within about two seconds of the store's return.
+    edge = fleet[0]
+    edge.gateway.registry.remove("db-1")
+    edge.cut_from_store()
+    fleet.run(10.0)
+    edge.cut_from_store(False)
+    for _ in range(40):
+        fleet.run(0.05)
+        assert edge.gateway.registry.get("db-1") is not None
+
+
 def test_an_evacuation_does_not_end_while_the_store_cannot_tell_that_it_was_written_again():
     fleet = ConfiguredFleet(store_era=1)
     fleet.configure(2)
