Failover: promote only what is known to have every acknowledged commit

Cause: syncReplicas was read nowhere. The successor was the furthest of those that answered within 0.1 s and accept new work, chosen before the old primary was out of use. A busy, silent or draining database counted as one that has received nothing.

Fix: for a group with syncReplicas the record of a change names no successor. Once the old primary is out of use, all databases are asked, at once, and succession.choose_complete decides from what is known of each: promote, wait for a fact, or nothing left. All roads lead through it. While a promotion waits, the record names the databases, so that callers are refused at once and operators see it at every instance.

On the same road for all groups: a draining database is asked too and leads first if it has more; a planned replacement steps the old primary down only once the successor has its log, as nobody receives anything from a primary that has stepped down (test failed before: the successor lacked a commit).

The tests' links report a refused status as the adapter does (StatusRefusal); the stub of _choose_successor takes any arguments. No assertion changed.

--- a/bench/model/groups.py
+++ b/bench/model/groups.py
@@ -22,6 +22,8 @@
     Rollback,
     SessionState,
     Statement,
+    StatusAnswer,
+    StatusRefusal,
     TargetFault,
     TargetReply,
     TargetStatus,
@@ -281,7 +283,7 @@
         """Clear the session's state."""
         return self._exchange(0.0, timeout_s, self._reply)
 
-    def status(self, timeout_s: float) -> Result[TargetStatus | TargetFault, QuetzalrudderError]:
+    def status(self, timeout_s: float) -> Result[StatusAnswer, QuetzalrudderError]:
         """Return role, term and log position."""
         database = self._database
         slot_result = self._exchange(
@@ -290,7 +292,7 @@
             lambda: Ok(TargetStatus(database.primary, database.term, database.position)),
         )
         if isinstance(slot_result, Ok) and isinstance(slot_result.ok_value, TargetReply):
-            return Ok(TargetFault.BUSY)
+            return Ok(StatusRefusal(TargetFault.BUSY))
         return slot_result
 
     def step_down(self, term: int, timeout_s: float) -> Result[None, QuetzalrudderError]:
--- a/src/quetzalrudder/gateway/catalog.py
+++ b/src/quetzalrudder/gateway/catalog.py
@@ -52,6 +52,8 @@
     max_connections: int
     # Requests a second that a cold database bears from all instances together; 0 without a limit.
     cold_rate_per_s: float = 0.0
+    # Replicas that have received a commit before it is acknowledged.
+    sync_replicas: int = 0
 
 
 @dataclass(frozen=True)
@@ -117,6 +119,16 @@
         """The current catalog."""
         return self._current
 
+    def confirms_commits(self, group: GroupId) -> bool:
+        """Return whether a replica of a group has received each commit that is acknowledged.
+
+        True also before the first catalog has been received, as it may say so.
+        """
+        settings = self._current.groups.get(group)
+        if settings is None:
+            return self._current.version == 0
+        return settings.sync_replicas > 0
+
     def weight_of(self, workspace: WorkspaceId) -> float:
         """Return the weight of a workspace under contention: its rate.
 
--- a/src/quetzalrudder/gateway/evacuation.py
+++ b/src/quetzalrudder/gateway/evacuation.py
@@ -16,11 +16,10 @@
 from quetzalrudder.exceptions import PrimaryChanging, QuetzalrudderError, TargetUnavailable
 from quetzalrudder.gateway.statements import (
     Statement,
+    StatusAnswer,
     TargetConnector,
-    TargetFault,
     TargetLink,
     TargetReply,
-    TargetStatus,
 )
 from quetzalrudder.gateway.store import era_of
 from quetzalrudder.gateway.store_contact import StoreContact
@@ -267,7 +266,7 @@
     def reset(self, timeout_s: float) -> Result[TargetReply, QuetzalrudderError]:
         return _refusal(self._target) if self._is_closed() else self._link.reset(timeout_s)
 
-    def status(self, timeout_s: float) -> Result[TargetStatus | TargetFault, QuetzalrudderError]:
+    def status(self, timeout_s: float) -> Result[StatusAnswer, QuetzalrudderError]:
         return _refusal(self._target) if self._is_closed() else self._link.status(timeout_s)
 
     def step_down(self, term: int, timeout_s: float) -> Result[None, QuetzalrudderError]:
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -5,16 +5,10 @@
 import threading
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Protocol
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from quetzalrudder.exceptions import (
-    MalformedMessage,
-    Overloaded,
-    QuetzalrudderError,
-    TargetUnavailable,
-)
+from quetzalrudder.exceptions import MalformedMessage, TargetUnavailable
 from quetzalrudder.gateway.coordinator_lease import CoordinatorLease
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.permission import (
@@ -37,6 +31,14 @@
 from quetzalrudder.gateway.store import Store, WriteConflict, era_of, revision_in
 from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.store_eras import StoreEras
+from quetzalrudder.gateway.succession import (
+    Decision,
+    Promote,
+    Wait,
+    choose_complete,
+    choose_furthest,
+)
+from quetzalrudder.gateway.successor_survey import Prober, SuccessorSurvey
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry, TargetRole
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import GroupId, InstanceId, TargetId
@@ -54,10 +56,14 @@
 IDLE_INTERVAL_S = 0.5
 # Time for a successor to answer or to be promoted before another one is chosen.
 SUCCESSOR_TIMEOUT_S = 3.0
-# Queries of a replica that answers that it is busy, and the delay between them. Without it, what
-# the replica has received would be lost; each delay also lengthens the replacement.
+# Queries of replicas that are busy, and the delay between them. Without them, what a replica has
+# received would be lost; each delay also lengthens the replacement.
 STATUS_ATTEMPTS = 5
 STATUS_RETRY_DELAY_S = 0.02
+# Pause of the calls for a successor that the platform has just refused.
+PROMOTION_RETRY_DELAY_S = 0.25
+# Time after which callers are told that a promotion waits for a database.
+WAIT_NOTICE_S = 0.3
 # Time for a successor to receive the whole log in a planned replacement. The users'
 # replicas usually lag by 8 ms, and by 1 s on bad days.
 CATCH_UP_TIMEOUT_S = 1.0
@@ -68,16 +74,6 @@
 REMOVAL_RETRY_DELAY_S = 1.0
 
 
-class Prober(Protocol):
-    """Queries the state of databases."""
-
-    def status(self, target: Target) -> Result[TargetStatus, QuetzalrudderError]:
-        """Return the role and the log position of a database."""
-
-    def step_down(self, target: Target, term: int) -> Result[None, QuetzalrudderError]:
-        """Make an old primary a replica."""
-
-
 class FailoverCoordinator:
     """Replaces failed and draining primaries while this instance is the coordinator.
 
@@ -95,6 +91,13 @@
         Returns the members that monitor the primary of a record.
     lease_span : Callable
         Returns the period for which this instance's member lease has existed.
+    confirms_commits : Callable
+        Returns whether a replica of a group has received each commit that is acknowledged.
+    primary_position : Callable
+        Returns the newest position of a group's primary that this instance knows, and when it was
+        asked for; None if there is none.
+    on_wait : Callable, optional
+        Called with the number of databases that promotions wait for, when it changes.
     may_coordinate : Callable, optional
         Returns whether this instance may try to become the coordinator.
     candidate_count : Callable
@@ -121,6 +124,9 @@
         is_used: Callable[[GroupId], bool],
         watchers: Callable[[PrimaryRecord], list[MemberRecord]],
         lease_span: Callable[[], LeaseSpan | None],
+        confirms_commits: Callable[[GroupId], bool],
+        primary_position: Callable[[GroupId], tuple[float, LogPosition] | None],
+        on_wait: Callable[[int], None] = lambda count: None,
         may_coordinate: Callable[[], bool] = lambda: True,
         candidate_count: Callable[[], int],
         rng: random.Random,
@@ -137,7 +143,13 @@
         self._is_used = is_used
         self._watchers = watchers
         self._lease_span = lease_span
+        self._confirms_commits = confirms_commits
+        self._primary_position = primary_position
+        self._on_wait = on_wait
         self._clock = clock
+        self.survey = SuccessorSurvey(prober, registry, primary_position, clock)
+        # Databases that promotions wait for.
+        self._waits: dict[GroupId, tuple[TargetId, ...]] = {}
         self.coordinator_lease = CoordinatorLease(
             store=store,
             instance=instance,
@@ -182,6 +194,7 @@
         """Maintain the coordinator lease and, while it is held, check each group."""
         self.coordinator_lease.step()
         if not self.is_coordinator:
+            self._clear_waits()
             return
         began_at = self._clock.monotonic()
         for group in self._groups():
@@ -231,6 +244,10 @@
 
     def _step_group(self, group: GroupId) -> None:
         record = self._primaries.record(group)
+        if record is None or record.primary is not None:
+            self._end_wait(group)
+            self.survey.forget(group)
+        self._registry.bound_departures(group, lambda: self._primary_position(group))
         if record is None:
             # Other programs write announcements too, of groups that do not exist.
             if self._is_used(group):
@@ -355,18 +372,21 @@
         suspected = is_suspected(record.primary, record.group, self._watchers(record))
         if not draining and not suspected:
             return
-        successor = self._choose_successor(record.group, record.primary)
+        planned = draining and not suspected
+        successor = self._choose_successor(record.group, record.primary, planned=planned)
         if successor is not None:
-            self._begin_change(record, successor, planned=draining and not suspected)
+            self._begin_change(record, successor, planned=planned)
 
     def _begin_change(self, record: PrimaryRecord, successor: TargetId, *, planned: bool) -> None:
         """Record that a primary is being replaced."""
+        # What is acknowledged before the old primary is out of use may be elsewhere.
+        is_final = not self._confirms_commits(record.group)
         self._write_record(
             replace(
                 record,
                 epoch=self._next_epoch(record.epoch),
                 primary=None,
-                successor=successor,
+                successor=successor if is_final else None,
                 previous=record.primary,
                 planned=planned,
                 confirms=0,
@@ -378,57 +398,70 @@
         usable = self._registry.usable_targets_in_group(primary.group)
         return self._registry.is_evacuated(primary) and bool(usable)
 
-    def _choose_successor(self, group: GroupId, excluded: TargetId | None) -> TargetId | None:
-        """Return the replica that has received most of the log; None if there is none.
+    def _renew_lease(self) -> bool:
+        """Renew the coordinator lease if that is due; return whether it is held."""
+        self.coordinator_lease.step()
+        return self.is_coordinator
+
+    def _has_failed(self, target: TargetId) -> bool:
+        """Return whether a database failed recently as a successor."""
+        failed_at = self._failed_at.get(target, -1e9)
+        return self._clock.monotonic() - failed_at < SUCCESSOR_TIMEOUT_S
 
-        Those that accept no new work or failed recently as a successor are left out.
+    def _choose_successor(
+        self, group: GroupId, excluded: TargetId | None, *, planned: bool = False
+    ) -> TargetId | None:
+        """Return the database that has received most of the log; None if none answers.
+
+        Those in evacuated data centres, and those that failed recently as a successor, are left
+        out. One that drains may lead first, unless the old primary can still hand its log over.
         """
-        best: tuple[LogPosition, TargetId] | None = None
-        now = self._clock.monotonic()
-        for target in self._registry.usable_targets_in_group(group):
-            failed_at = self._failed_at.get(target.target, -1e9)
-            if target.target == excluded or now - failed_at < SUCCESSOR_TIMEOUT_S:
-                continue
-            # Several that do not answer take longer than the lease lasts.
-            self.coordinator_lease.step()
-            if not self.is_coordinator:
+        targets = [
+            target
+            for target in self._registry.targets_in_group(group)
+            if target.target != excluded
+            and not self._registry.is_evacuated(target)
+            and not self._has_failed(target.target)
+        ]
+        lasting = [target for target in targets if not target.draining]
+        draining = [target for target in targets if target.draining and not planned]
+        best, is_certain, answers = None, False, {}
+        for attempt in range(STATUS_ATTEMPTS):
+            if attempt:
+                self._clock.sleep(STATUS_RETRY_DELAY_S)
+            if not self._renew_lease():
                 return None
-            status = self._query_candidate(target)
-            if isinstance(status, Err):
+            answers = self.survey.ask(lasting, draining, self._renew_lease)
+            best, is_certain = choose_furthest(
+                self.survey.candidate(target, answers.get(target.target))
+                for target in lasting + draining
+            )
+            if is_certain:
+                break
+        for target, answer in answers.items():
+            if isinstance(answer, Err):
                 log.info(
                     "replica status unknown",
-                    extra={"target": target.target, "reason": str(status.err_value)},
+                    extra={"target": target, "reason": str(answer.err_value)},
                 )
-                continue
-            candidate = (status.ok_value.received, target.target)
-            best = candidate if best is None else max(best, candidate)
         if best is None:
             log.warning("no replica can become primary", extra={"group": group})
             return None
         log.info(
             "successor chosen",
-            extra={"group": group, "target": best[1], "received": str(best[0])},
+            extra={
+                "group": group,
+                "target": best.target,
+                "received": str(best.holds),
+                "certain": is_certain,
+            },
         )
-        return best[1]
-
-    def _query_candidate(self, target: Target) -> Result[TargetStatus, QuetzalrudderError]:
-        """Query a replica; one that is busy for a moment may have received most of the log."""
-        for _ in range(STATUS_ATTEMPTS - 1):
-            status = self._prober.status(target)
-            if isinstance(status, Ok) or not isinstance(status.err_value, Overloaded):
-                return status
-            self._clock.sleep(STATUS_RETRY_DELAY_S)
-        return self._prober.status(target)
+        return best.target
 
     def _advance_replacement(self, record: PrimaryRecord) -> None:
         if not self._is_old_primary_unused(record):
             return
         since = self._old_primary_unused_since.setdefault(record.group, self._clock.monotonic())
-        if (
-            record.planned
-            and self._clock.monotonic() - since < CATCH_UP_TIMEOUT_S + SUCCESSOR_TIMEOUT_S
-        ):
-            self._hand_over_log(record)
         if (term := self._new_term(record)) is not None:
             log.info(
                 "replica promoted",
@@ -442,18 +475,154 @@
                 },
             )
             self._write_record(
-                replace(record, primary=record.successor, successor=None, planned=False, term=term)
+                replace(
+                    record,
+                    primary=record.successor,
+                    successor=None,
+                    planned=False,
+                    term=term,
+                    waits_for=(),
+                )
             )
-        elif self._promotion_accepted.get(record.group) != record.epoch:
+        elif self._promotion_accepted.get(record.group) == record.epoch:
+            if self._clock.monotonic() - since > SUCCESSOR_TIMEOUT_S:
+                self._choose_another_successor(record)
+        else:
             self._promote(record, since)
-        elif self._clock.monotonic() - since > SUCCESSOR_TIMEOUT_S:
-            self._choose_another_successor(record)
+
+    def _settle_successor(self, record: PrimaryRecord, since: float) -> PrimaryRecord | None:
+        """Return the record whose successor may be promoted now; None if there is none yet."""
+        if self._confirms_commits(record.group):
+            return self._settle_complete_successor(record)
+        self._end_wait(record.group)
+        if record.successor is None:
+            # The group's commits were confirmed by a replica when the change began.
+            successor = self._choose_successor(record.group, record.previous)
+            return self._record_successor(record, successor)
+        if (
+            record.planned
+            and self._clock.monotonic() - since < CATCH_UP_TIMEOUT_S + SUCCESSOR_TIMEOUT_S
+        ):
+            self._hand_over_log(record)
+        return record
+
+    # Groups in which a replica has received each commit that was acknowledged.
+
+    def _settle_complete_successor(self, record: PrimaryRecord) -> PrimaryRecord | None:
+        """Return the record whose successor has every acknowledged commit.
+
+        While that is not known of any database, those that can tell are waited for.
+        """
+        decision = self._choose_complete(record)
+        if not self.is_coordinator:
+            return None
+        if not isinstance(decision, Promote):
+            self._wait_for(record, decision.targets if isinstance(decision, Wait) else ())
+            return None
+        self._end_wait(record.group)
+        target = decision.target
+        if target != record.successor:
+            log.info("successor confirmed", extra={"group": record.group, "target": target})
+            record = self._record_successor(record, target)
+        failed_at = self._failed_at.get(target, -1e9)
+        if record is None or self._clock.monotonic() - failed_at < PROMOTION_RETRY_DELAY_S:
+            return None
+        if record.planned:
+            self._step_down(record)
+        return record
+
+    def _record_successor(
+        self, record: PrimaryRecord, successor: TargetId | None
+    ) -> PrimaryRecord | None:
+        """Record a successor, or another one.
+
+        Returns
+        -------
+        PrimaryRecord or None
+            The record, if its change has been acknowledged already. All instances have to
+            acknowledge another successor.
+        """
+        if successor is None:
+            return None
+        is_first = record.successor is None
+        epoch = record.epoch if is_first else self._next_epoch(record.epoch)
+        self._write_record(replace(record, epoch=epoch, successor=successor, waits_for=()))
+        written = self._primaries.record(record.group)
+        is_written = written is not None and written.successor == successor
+        return written if is_first and is_written else None
+
+    def _choose_complete(self, record: PrimaryRecord) -> Decision:
+        may_catch_up = record.planned and self.survey.elapsed_s(record) < CATCH_UP_TIMEOUT_S
+        decision: Decision = Wait(())
+        for attempt in range(STATUS_ATTEMPTS):
+            if attempt:
+                self._clock.sleep(STATUS_RETRY_DELAY_S)
+            if not self._renew_lease():
+                break
+            candidates = [
+                replace(candidate, failed=self._has_failed(candidate.target))
+                for candidate in self.survey.ask_candidates(record, self._renew_lease)
+            ]
+            old = self.survey.remembered_old_primary(record)
+            decision = choose_complete(candidates, old, may_catch_up=may_catch_up)
+            if record.planned or not isinstance(decision, Promote):
+                old = self.survey.ask_old_primary(record)
+                decision = choose_complete(candidates, old, may_catch_up=may_catch_up)
+            if isinstance(decision, Promote) or not any(each.busy for each in candidates):
+                break
+        return decision
+
+    def _wait_for(self, record: PrimaryRecord, targets: tuple[TargetId, ...]) -> None:
+        """Note, and tell callers, that a promotion waits; none of the group is left if empty."""
+        group = record.group
+        targets = tuple(sorted(targets))
+        waited_s = self.survey.elapsed_s(record)
+        if self._waits.get(group) != targets:
+            log.warning(
+                "promotion waits",
+                extra={"group": group, "waits_for": list(targets), "waited_s": round(waited_s, 3)},
+            )
+            self._set_wait(group, targets)
+        if targets and record.waits_for != targets and waited_s >= WAIT_NOTICE_S:
+            epoch = self._next_epoch(record.epoch)
+            self._write_record(replace(record, epoch=epoch, waits_for=targets))
+
+    def _end_wait(self, group: GroupId) -> None:
+        if group in self._waits:
+            log.info("promotion waits no longer", extra={"group": group})
+            self._set_wait(group, None)
+
+    def _set_wait(self, group: GroupId, targets: tuple[TargetId, ...] | None) -> None:
+        if targets is None:
+            del self._waits[group]
+        else:
+            self._waits[group] = targets
+        self._on_wait(sum(len(waited_for) for waited_for in self._waits.values()))
+
+    def _clear_waits(self) -> None:
+        """Forget the waits of changes that another instance goes on with."""
+        if self._waits:
+            self._waits.clear()
+            self._on_wait(0)
+
+    def _step_down(self, record: PrimaryRecord, term: int = 0) -> None:
+        """Make the old primary, which leads the recorded term or a given one, a replica."""
+        old = self._registry.get(record.previous) if record.previous else None
+        if old is None:
+            return
+        stepped_down = self._prober.step_down(old, max(record.term, term) + 1)
+        if isinstance(stepped_down, Err):
+            log.info("old primary did not step down", extra={"reason": str(stepped_down.err_value)})
 
     def _promote(self, record: PrimaryRecord, since: float) -> None:
         """Take the result of the latest promotion call, and make another one if it failed."""
         calls, group = self.promotion_calls, record.group
         ended = calls.take_result(group)
         if ended is None or ended[0] != record.epoch:
+            settled = None if calls.has_call(group) else self._settle_successor(record, since)
+            if settled is None:
+                return
+            record = settled
             calls.begin(group, record.epoch, record.successor, self.coordinator_lease.fencing_token)
             ended = calls.take_result(group)
             if ended is None:
@@ -502,10 +671,12 @@
 
     def _choose_another_successor(self, record: PrimaryRecord) -> None:
         self._failed_at[record.successor] = self._clock.monotonic()
-        successor = self._choose_successor(record.group, None)
-        if successor is not None:
-            epoch = self._next_epoch(record.epoch)
-            self._write_record(replace(record, epoch=epoch, successor=successor))
+        if self._confirms_commits(record.group):
+            # It may be the only one that has the acknowledged commits.
+            self._promotion_accepted.pop(record.group, None)
+            self._old_primary_unused_since.pop(record.group, None)
+            return
+        self._record_successor(record, self._choose_successor(record.group, None))
 
     def _is_old_primary_unused(self, record: PrimaryRecord) -> bool:
         """Return whether no instance can use the old primary any more."""
@@ -553,32 +724,32 @@
         )
 
     def _hand_over_log(self, record: PrimaryRecord) -> None:
-        """Stop writes at the old primary and wait until the successor has its whole log."""
+        """Wait until the successor has the old primary's whole log, and end writes there.
+
+        Nobody receives anything from a primary that has stepped down.
+        """
         old = self._registry.get(record.previous) if record.previous else None
         new = self._registry.get(record.successor)
         if old is None or new is None:
             return
-        old_status = self._prober.status(old)
-        if isinstance(old_status, Err):
-            return
-        stepped_down = self._prober.step_down(old, old_status.ok_value.term + 1)
-        if isinstance(stepped_down, Err):
-            log.info("old primary did not step down", extra={"reason": str(stepped_down.err_value)})
-            return
         final_status = self._prober.status(old)
+        if isinstance(final_status, Err):
+            return
         until = self._clock.monotonic() + CATCH_UP_TIMEOUT_S
-        while isinstance(final_status, Ok) and self._clock.monotonic() < until:
+        while self._clock.monotonic() < until:
             status = self._prober.status(new)
             if (
                 isinstance(status, Ok)
                 and status.ok_value.received >= final_status.ok_value.received
             ):
                 log.info("successor received the whole log", extra={"group": record.group})
-                return
+                break
             self._clock.sleep(STEP_INTERVAL_S / 2)
-        log.warning(
-            "successor did not receive the whole log in time", extra={"group": record.group}
-        )
+        else:
+            log.warning(
+                "successor did not receive the whole log in time", extra={"group": record.group}
+            )
+        self._step_down(record, final_status.ok_value.term)
 
     def _write_record(self, record: PrimaryRecord) -> None:
         """Write a record unless it has changed in the store since it was read."""
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -328,6 +328,9 @@
             is_used=self._is_used,
             watchers=self._watchers,
             lease_span=self._watched_lease_span,
+            confirms_commits=self.catalogs.confirms_commits,
+            primary_position=lambda group: self.planner.position_window(group).newest(),
+            on_wait=self.metrics.set_promotion_waits,
             may_coordinate=self._watches_store,
             candidate_count=self._candidate_count,
             rng=rng,
@@ -423,6 +426,7 @@
         """
         stack.enter_context(self.pool)
         self.failover.promotion_calls.executor = executor
+        self.failover.survey.executor = executor
         self.peering.catalog_fetch.executor = executor
         mirror = self.make_mirror(handlers)
         stack.callback(self._stop)
@@ -527,6 +531,9 @@
             self.pool.trim()
             targets = self.registry.all_targets()
             groups = {target.group for target in targets if self._is_used(target.group)}
+            for group in groups:
+                window = self.planner.position_window(group)
+                self.registry.bound_departures(group, window.newest)
             for group in groups - self._health_checks.keys():
                 health_check = PrimaryHealthCheck(
                     group=group,
--- a/src/quetzalrudder/gateway/measurements.py
+++ b/src/quetzalrudder/gateway/measurements.py
@@ -101,6 +101,11 @@
         self.sessions = Gauge(
             "quetzalrudder_sessions", "Sessions of callers that are open.", registry=self.registry
         )
+        self.promotion_waits = Gauge(
+            "quetzalrudder_promotion_waits",
+            "Databases that this instance waits for before it promotes another one.",
+            registry=self.registry,
+        )
         self.evacuated = Gauge(
             "quetzalrudder_evacuated_data_centres",
             "Data centres that this instance sends nothing to, at an operator's request.",
@@ -197,6 +202,10 @@
         """Record the number of open sessions."""
         self._observe(lambda found: found.sessions.set(count))
 
+    def set_promotion_waits(self, count: int) -> None:
+        """Record the number of databases that promotions wait for."""
+        self._observe(lambda found: found.promotion_waits.set(count))
+
     def set_evacuated(self, count: int) -> None:
         """Record the number of evacuated data centres."""
         self._observe(lambda found: found.evacuated.set(count))
--- a/src/quetzalrudder/gateway/outlook.py
+++ b/src/quetzalrudder/gateway/outlook.py
@@ -147,6 +147,8 @@
             return None
         if not self._primaries.is_trusted(group):
             return _remaining_s(self._eras.age_s, ERA_SETTLING_S)
+        if record.waits_for:
+            return None
         if record.primary is None:
             began_at = self._changing_since.get(group, now)
             return _remaining_s(now - began_at, self._change.typical_s)
--- a/src/quetzalrudder/gateway/primaries.py
+++ b/src/quetzalrudder/gateway/primaries.py
@@ -37,7 +37,7 @@
     epoch: int
     # None while the primary changes.
     primary: TargetId | None
-    # The target that becomes primary, while the primary changes.
+    # The target that becomes primary, while the primary changes; None before it is chosen.
     successor: TargetId | None = None
     previous: TargetId | None = None
     # True if the previous primary is healthy, so that its open operations may end first.
@@ -48,11 +48,17 @@
     revision: int = 0
     # The epoch of the earlier era whose primary this record continues; 0 for all others.
     confirms: int = 0
+    # Databases that have to answer before another one is promoted.
+    waits_for: tuple[TargetId, ...] = ()
 
     @property
-    def rank(self) -> tuple[int, bool]:
-        """Place in the order of a group's records: the primary ends the change of its epoch."""
-        return self.epoch, self.primary is not None
+    def rank(self) -> tuple[int, bool, bool]:
+        """Place in the order of a group's records: the primary ends the change of its epoch.
+
+        Its successor may be chosen once the old primary is out of use.
+        """
+        is_chosen = self.successor is not None
+        return self.epoch, self.primary is not None or is_chosen, self.primary is not None
 
 
 @dataclass(frozen=True)
@@ -171,6 +177,7 @@
                 "epoch": record.epoch,
                 "primary": record.primary or "",
                 "successor": record.successor or "",
+                "waits_for": list(record.waits_for),
                 "revision": record.revision,
             },
         )
--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -18,16 +18,16 @@
 from quetzalrudder.gateway.members import MemberTable
 from quetzalrudder.gateway.primaries import PrimaryTable, UsablePrimary
 from quetzalrudder.gateway.statements import (
+    StatusRefusal,
     TargetConnector,
-    TargetFault,
     TargetLink,
     TargetStatus,
 )
-from quetzalrudder.gateway.targets import Target, TargetRegistry
+from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry
 from quetzalrudder.models import GroupId, TargetId, WorkspaceId
 from quetzalrudder.utils import Clock
 
-__all__ = ["PooledProber", "PrimaryHealthCheck"]
+__all__ = ["PooledProber", "PrimaryHealthCheck", "StatusRefused"]
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +43,22 @@
 CONNECT_TIMEOUT_S = 0.3
 
 
+class StatusRefused(Overloaded):
+    """The database is running, but did not report its status.
+
+    Parameters
+    ----------
+    applied : LogPosition, optional
+        Position of the log that its reads run on; it may have received more.
+    """
+
+    def __init__(
+        self, message: str, *, place: str = "", applied: LogPosition | None = None
+    ) -> None:
+        super().__init__(message, place=place)
+        self.applied = applied
+
+
 class PooledProber:
     """Probes databases on idle connections of the pool, or on new ones.
 
@@ -110,9 +126,11 @@
     result = link.status(PROBE_TIMEOUT_S)
     if isinstance(result, Err):
         return result
-    if isinstance(result.ok_value, TargetFault):
-        return Err(Overloaded(result.ok_value.value, place=target.target))
-    return Ok(result.ok_value)
+    match result.ok_value:
+        case StatusRefusal(fault, applied):
+            return Err(StatusRefused(fault.value, place=target.target, applied=applied))
+        case status:
+            return Ok(status)
 
 
 class PrimaryHealthCheck:
--- a/src/quetzalrudder/gateway/promotion_calls.py
+++ b/src/quetzalrudder/gateway/promotion_calls.py
@@ -68,6 +68,10 @@
         """Return whether a call for an epoch got no answer, so that it may take effect later."""
         return self._unanswered.get(group) == epoch
 
+    def has_call(self, group: GroupId) -> bool:
+        """Return whether a call of a group runs, or its result was not taken yet."""
+        return group in self._calls
+
     def begin(self, group: GroupId, epoch: int, target: TargetId, fencing_token: int) -> None:
         """Make a call for an epoch, unless one of the group still runs."""
         if group in self._calls:
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -143,6 +143,7 @@
             planned=record.planned,
             term=record.term,
             confirms=record.confirms,
+            waits_for=list(record.waits_for),
         )
     )
 
@@ -159,6 +160,7 @@
         planned=value.planned,
         term=value.term,
         confirms=value.confirms,
+        waits_for=tuple(TargetId(name) for name in value.waits_for),
         revision=item.revision,
     )
 
--- a/src/quetzalrudder/gateway/slot_links.py
+++ b/src/quetzalrudder/gateway/slot_links.py
@@ -16,11 +16,11 @@
     Read,
     SessionState,
     Statement,
+    StatusAnswer,
     TargetConnector,
     TargetFault,
     TargetLink,
     TargetReply,
-    TargetStatus,
     Write,
 )
 from quetzalrudder.gateway.targets import LogPosition, Target
@@ -154,7 +154,7 @@
         """Clear the session values and prepared statements of the connection."""
         return self._link.reset(timeout_s)
 
-    def status(self, timeout_s: float) -> Result[TargetStatus | TargetFault, QuetzalrudderError]:
+    def status(self, timeout_s: float) -> Result[StatusAnswer, QuetzalrudderError]:
         """Request the database's role, term and log position."""
         return self._link.status(timeout_s)
 
--- a/src/quetzalrudder/gateway/statements.py
+++ b/src/quetzalrudder/gateway/statements.py
@@ -23,6 +23,8 @@
     "SessionState",
     "SetValue",
     "Statement",
+    "StatusAnswer",
+    "StatusRefusal",
     "TargetFault",
     "TargetLink",
     "TargetReply",
@@ -168,6 +170,18 @@
     received: LogPosition
 
 
+@dataclass(frozen=True)
+class StatusRefusal:
+    """A database answered, but did not report its status."""
+
+    fault: TargetFault
+    # Position of the log that its reads run on; it may have received more. None if unknown.
+    applied: LogPosition | None = None
+
+
+StatusAnswer = TargetStatus | StatusRefusal
+
+
 class TargetLink(Protocol):
     """One connection to a database, which carries one request at a time.
 
@@ -191,7 +205,7 @@
     def reset(self, timeout_s: float) -> Result[TargetReply, QuetzalrudderError]:
         """Clear the session values and prepared statements of the connection."""
 
-    def status(self, timeout_s: float) -> Result[TargetStatus | TargetFault, QuetzalrudderError]:
+    def status(self, timeout_s: float) -> Result[StatusAnswer, QuetzalrudderError]:
         """Request the database's role, term and log position."""
 
     def step_down(self, term: int, timeout_s: float) -> Result[None, QuetzalrudderError]:
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -3,14 +3,14 @@
 import logging
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import NamedTuple
 
 from quetzalrudder.models import DataCentre, GroupId, TargetId
 from quetzalrudder.utils import Address, Clock
 
-__all__ = ["LogPosition", "Target", "TargetRegistry", "TargetRole"]
+__all__ = ["Departure", "LogPosition", "Target", "TargetRegistry", "TargetRole"]
 
 log = logging.getLogger(__name__)
 
@@ -18,6 +18,8 @@
 # lapsed together with the store and come back, for which the platform states "about two
 # seconds".
 MISSING_GRACE_S = 2.5
+# Departures remembered for a group; the oldest whose confirmations are bounded is dropped first.
+MAX_DEPARTURES = 16
 
 
 class LogPosition(NamedTuple):
@@ -53,6 +55,27 @@
     # How much longer the database bears few requests after its start, when it was announced.
     cold_left_s: float = field(default=0.0, compare=False)
 
+    @property
+    def life(self) -> tuple[TargetId, int]:
+        """Its id and its start, which differs after a restart under the same id."""
+        return self.target, self.started_unix_ms
+
+
+@dataclass(frozen=True)
+class Departure:
+    """A database that has left for good, or has begun again without its log."""
+
+    target: Target
+    # Clock reading at which it was noticed.
+    at: float
+    # No commit that it has confirmed lies above; None if that is not known.
+    bound: LogPosition | None = None
+
+    @property
+    def life(self) -> tuple[TargetId, int]:
+        """Its id and its start, which differs after a restart under the same id."""
+        return self.target.life
+
 
 @dataclass
 class _Entry:
@@ -92,6 +115,7 @@
         self._on_announced = on_announced
         self._lock = threading.Lock()
         self._entries: dict[TargetId, _Entry] = {}
+        self._departures: dict[GroupId, list[Departure]] = {}
 
     def update(self, target: Target) -> None:
         """Store a new or changed announcement."""
@@ -103,6 +127,9 @@
             self._entries[target.target] = _Entry(
                 target, draining_since=since if target.draining else None
             )
+            if previous is not None and not _is_same_member(previous.target, target):
+                self._note_departure(previous.target)
+            self._forget_departure(target)
         self._on_announced(target)
         if previous is None or previous.target != target:
             log.info(
@@ -127,6 +154,7 @@
                 return
             if entry.target.draining:
                 del self._entries[target]
+                self._note_departure(entry.target)
             else:
                 entry.missing_since = self._clock.monotonic()
         log.info("target gone", extra={"target": target, "drained": entry.target.draining})
@@ -195,4 +223,55 @@
             if entry.missing_since is not None and entry.missing_since < oldest
         ]
         for target in expired:
-            del self._entries[target]
+            self._note_departure(self._entries.pop(target).target)
+
+    # Databases that can no longer be asked what they have received.
+
+    def departures(self, group: GroupId) -> list[Departure]:
+        """Return the databases of a group that have left, or have begun again without a log."""
+        with self._lock:
+            self._drop_expired()
+            return list(self._departures.get(group, ()))
+
+    def bound_departures(
+        self, group: GroupId, read_position: Callable[[], tuple[float, LogPosition] | None]
+    ) -> None:
+        """Note how far the databases that have left may have confirmed commits.
+
+        Parameters
+        ----------
+        group : GroupId
+            The group.
+        read_position : Callable
+            Returns the newest position of its primary, and when it was asked for.
+        """
+        if all(departure.bound is not None for departure in self._departures.get(group, ())):
+            return
+        known = read_position()
+        if known is None:
+            return
+        asked_at, position = known
+        with self._lock:
+            self._departures[group] = [
+                replace(departure, bound=position)
+                if departure.bound is None and departure.at < asked_at
+                else departure
+                for departure in self._departures[group]
+            ]
+
+    def _note_departure(self, target: Target) -> None:
+        departures = self._departures.setdefault(target.group, [])
+        departures.append(Departure(target, self._clock.monotonic()))
+        if len(departures) > MAX_DEPARTURES:
+            bounded = (each for each in departures if each.bound is not None)
+            departures.remove(next(bounded, departures[0]))
+
+    def _forget_departure(self, target: Target) -> None:
+        """Forget that a database was gone, as it has come back with its log."""
+        departures = self._departures.get(target.group, [])
+        departures[:] = [each for each in departures if each.life != target.life]
+
+
+def _is_same_member(previous: Target, target: Target) -> bool:
+    """Return whether a database still has the log of its previous announcement."""
+    return previous.group == target.group and previous.started_unix_ms == target.started_unix_ms
--- a/src/quetzalrudder/gateway/warming.py
+++ b/src/quetzalrudder/gateway/warming.py
@@ -19,11 +19,12 @@
 from quetzalrudder.gateway.statements import (
     SessionState,
     Statement,
+    StatusAnswer,
+    StatusRefusal,
     TargetConnector,
     TargetFault,
     TargetLink,
     TargetReply,
-    TargetStatus,
 )
 from quetzalrudder.gateway.targets import LogPosition, Target
 from quetzalrudder.models import GroupId, RequestId, TargetId, WorkspaceId
@@ -261,9 +262,9 @@
         taken = self._take()
         return _overloaded() if isinstance(taken, Err) else self._link.reset(timeout_s)
 
-    def status(self, timeout_s: float) -> Result[TargetStatus | TargetFault, QuetzalrudderError]:
+    def status(self, timeout_s: float) -> Result[StatusAnswer, QuetzalrudderError]:
         if isinstance(self._take(), Err):
-            return Ok(TargetFault.BUSY)
+            return Ok(StatusRefusal(TargetFault.BUSY))
         return self._link.status(timeout_s)
 
     def step_down(self, term: int, timeout_s: float) -> Result[None, QuetzalrudderError]:
--- a/src/quetzalrudder/log_reading.py
+++ b/src/quetzalrudder/log_reading.py
@@ -39,6 +39,8 @@
 TARGET_STATE_MESSAGES = {
     "primary recorded": "primary",
     "successor chosen": "primary",
+    "successor confirmed": "primary",
+    "promotion waits": "primary",
     "primary of an earlier era checked": "era of the primary",
     "primary suspected": "suspicion",
     "primary no longer suspected": "suspicion",
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -367,6 +367,11 @@
     The epoch whose primary this one continues, after the store came back from an older copy.
     """
 
+    waits_for: "list[str]" = betterproto2.field(8, betterproto2.TYPE_STRING, repeated=True)
+    """
+    Databases that have to answer before another one is promoted.
+    """
+
 
 default_message_pool.register_message("gateway", "LeaderValue", LeaderValue)
 
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from result import Err, Ok
 
@@ -5,7 +7,7 @@
 from quetzalrudder.gateway.catalog import Workspace
 from quetzalrudder.gateway.failover import ROSTER_RETENTION_S
 from quetzalrudder.gateway.permission import PERMISSION_S
-from quetzalrudder.gateway.statements import Read, SessionState, TargetFault, Write
+from quetzalrudder.gateway.statements import Read, SessionState, StatusRefusal, TargetFault, Write
 from tests.gateway_fakes import FakeLink
 from tests.gateway_fleet import FleetInstance, GatewayFleet, catalog
 
@@ -149,8 +151,6 @@
 
 
 def test_a_draining_primary_is_replaced_without_loss_of_its_log(fleet):
-    from dataclasses import replace
-
     assert fleet[0].session().execute("w1", Write("a", "1")).error is None
     for instance in fleet.instances:
         info = instance.gateway.registry.get("db-1")
@@ -379,10 +379,30 @@
     def status(link, timeout_s):
         if link.database is fleet.group["db-2"] and busy_replies[0]:
             busy_replies[0] -= 1
-            return Ok(TargetFault.BUSY)
+            return Ok(StatusRefusal(TargetFault.BUSY))
         return query_status(link, timeout_s)
 
     monkeypatch.setattr(FakeLink, "status", status)
     fleet.group["db-1"].up = False
     fleet.run(12.0, lambda: fleet.group.promotions)
     assert [target for target, _ in fleet.group.promotions] == ["db-2"]
+
+
+def test_a_planned_successor_goes_on_receiving_until_it_has_the_whole_log(fleet):
+    # The old primary was stepped down first; what a replica still lacked then was lost.
+    assert fleet[0].session().execute("w1", Write("a", "1")).error is None
+    sleep, received_from = fleet.clock.advance, fleet.clock.now + 0.6
+
+    def advance(seconds):
+        sleep(seconds)
+        if fleet.clock.now >= received_from:
+            fleet.group.replicate()
+
+    fleet.clock.advance = advance
+    for instance in fleet.instances:
+        info = instance.gateway.registry.get("db-1")
+        instance.gateway.registry.update(replace(info, draining=True))
+    fleet.run(3.0, lambda: fleet.group.promotions)
+    [(promoted, _)] = fleet.group.promotions
+    assert len(fleet.group[promoted].log) == 1
+    assert not fleet.group["db-1"].primary
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -237,7 +237,7 @@
     running.run(PERMISSION_S + 1)
     for instance in running.instances:
         instance.gateway.planner._drain_limit_s = DRAIN_LIMIT_S
-        instance.gateway.failover._choose_successor = lambda group, excluded: None
+        instance.gateway.failover._choose_successor = lambda *args, **kwargs: None
     drain(running, "db-1")
     return running
 
