Promotion calls: look at the lease again right before the call is sent

Cause: the lease was looked at before connecting. The kernel goes on connecting while the process is frozen, so that it sent its call when it woke, with its old token, 1.5 s after its successor had promoted two databases.

--- a/bench/model/fleet.py
+++ b/bench/model/fleet.py
@@ -210,7 +210,13 @@
         return ModelLink.open(group, target.target, self.name, one_way_s, timeout_s)
 
     def promote(
-        self, group: GroupId, target: TargetId, *, coordinator: InstanceId, fencing_token: int
+        self,
+        group: GroupId,
+        target: TargetId,
+        *,
+        coordinator: InstanceId,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> Result[None, QuetzalrudderError]:
         """Promote a database."""
         self.fleet.clock.sleep(self.fleet.cfg.store_ms / MS_PER_S)
--- a/src/quetzalrudder/gateway/promotion_calls.py
+++ b/src/quetzalrudder/gateway/promotion_calls.py
@@ -28,9 +28,19 @@
     """
 
     def promote(
-        self, group: GroupId, target: TargetId, *, coordinator: InstanceId, fencing_token: int
+        self,
+        group: GroupId,
+        target: TargetId,
+        *,
+        coordinator: InstanceId,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> Result[None, QuetzalrudderError]:
-        """Promote a database; ``TargetUnavailable`` if it is not running."""
+        """Promote a database; ``TargetUnavailable`` if it is not running.
+
+        ``may_send`` is asked right before the call is sent: the process may have stood still since
+        it began to connect.
+        """
 
 
 class PromotionCalls:
@@ -43,7 +53,8 @@
     coordinator : InstanceId
         This instance.
     may_call : Callable
-        Returns whether this instance may promote, checked right before each call.
+        Returns whether this instance may promote, checked before each call and again before it is
+        sent.
     """
 
     def __init__(
@@ -99,7 +110,11 @@
             return epoch, Err(PlatformUnavailable("the coordinator lease has lapsed", place=group))
         try:
             result = self._client.promote(
-                group, target, coordinator=self._coordinator, fencing_token=fencing_token
+                group,
+                target,
+                coordinator=self._coordinator,
+                fencing_token=fencing_token,
+                may_send=self._may_call,
             )
         except Exception as exc:
             log.exception("promotion call failed with an unexpected error")
--- a/tests/gateway_fakes.py
+++ b/tests/gateway_fakes.py
@@ -111,7 +111,7 @@
         self.links_opened += 1
         return Ok(FakeLink(database, workspace))
 
-    def promote(self, group, target, *, coordinator, fencing_token):
+    def promote(self, group, target, *, coordinator, fencing_token, may_send=lambda: True):
         database = self.databases[target]
         self.promotions.append((target, fencing_token))
         if not database.up:
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -135,7 +135,7 @@
         self.may_answer = threading.Event()
         self.calls = []
 
-    def promote(self, group, target, *, coordinator, fencing_token):
+    def promote(self, group, target, *, coordinator, fencing_token, may_send):
         self.calls.append(group)
         if group == self.group:
             assert self.may_answer.wait(WAIT_S)
