Failover: leave no successor that a call without an answer may still promote

Cause: a call without an answer kept the successor only while that answered. On a 409 another database was promoted at once, on silence after 3 s. The successor came back, the platform ran the first call, and the recorded primary was deposed without anybody's knowledge.

Fix: while a call may still run, the successor is left only once its entry has gone for good, as the platform promotes none that does not run. A coordinator that takes over takes it that there was a call. Calls without an answer are kept by database, as the epoch changes when a wait is announced.

The test of a successor that is lost while its call has no answer expected another one after 3 s although the lost one was still registered: that is the fault. It now has the entry go, and keeps its bound.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -166,6 +166,8 @@
             promotion_client, instance, lambda: self.is_coordinator
         )
         self._old_primary_unused_since: dict[GroupId, float] = {}
+        # Successors recorded by this instance, with the fencing token at that time.
+        self._chosen: dict[GroupId, tuple[TargetId, int]] = {}
         # Epochs for which the platform has accepted a promotion.
         self._promotion_accepted: dict[GroupId, int] = {}
         self._failed_at: dict[TargetId, float] = {}
@@ -247,6 +249,7 @@
         if record is None or record.primary is not None:
             self._end_wait(group)
             self.survey.forget(group)
+            self.promotion_calls.forget(group)
         self._registry.bound_departures(group, lambda: self._primary_position(group))
         if record is None:
             # Other programs write announcements too, of groups that do not exist.
@@ -494,8 +497,10 @@
         """Return the record whose successor may be promoted now; None if there is none yet."""
         if self._confirms_commits(record.group):
             return self._settle_complete_successor(record)
-        self._end_wait(record.group)
+        if self._was_just_refused(record.successor):
+            return None
         if record.successor is None:
+            self._end_wait(record.group)
             # The group's commits were confirmed by a replica when the change began.
             successor = self._choose_successor(record.group, record.previous)
             return self._record_successor(record, successor)
@@ -513,24 +518,31 @@
 
         While that is not known of any database, those that can tell are waited for.
         """
+        group = record.group
         decision = self._choose_complete(record)
         if not self.is_coordinator:
             return None
         if not isinstance(decision, Promote):
             self._wait_for(record, decision.targets if isinstance(decision, Wait) else ())
             return None
-        self._end_wait(record.group)
         target = decision.target
         if target != record.successor:
+            if record.successor is not None and self._may_lead_later(record):
+                self._wait_for(record, (record.successor,))
+                return None
             log.info("successor confirmed", extra={"group": record.group, "target": target})
             record = self._record_successor(record, target)
-        failed_at = self._failed_at.get(target, -1e9)
-        if record is None or self._clock.monotonic() - failed_at < PROMOTION_RETRY_DELAY_S:
+        self._end_wait(group)
+        if record is None or self._was_just_refused(target):
             return None
         if record.planned:
             self._step_down(record)
         return record
 
+    def _was_just_refused(self, target: TargetId | None) -> bool:
+        failed_at = self._failed_at.get(target, -1e9)
+        return self._clock.monotonic() - failed_at < PROMOTION_RETRY_DELAY_S
+
     def _record_successor(
         self, record: PrimaryRecord, successor: TargetId | None
     ) -> PrimaryRecord | None:
@@ -637,21 +649,25 @@
             extra={"group": group, "target": record.successor, "reason": str(exc)},
         )
         timed_out = self._clock.monotonic() - since > SUCCESSOR_TIMEOUT_S
-        if isinstance(exc, TargetUnavailable) or (timed_out and not self._may_lead_later(record)):
+        if not isinstance(exc, TargetUnavailable) and not timed_out:
+            return
+        if self._may_lead_later(record):
+            self._failed_at[record.successor] = self._clock.monotonic()
+            self._wait_for(record, (record.successor,))
+        else:
             self._choose_another_successor(record)
 
     def _may_lead_later(self, record: PrimaryRecord) -> bool:
-        """Return whether the successor may still be promoted by a call without an answer.
+        """Return whether a call without an answer may still promote the successor.
 
-        If another one was promoted meanwhile, that call would depose it. Another one would not be
-        promoted any sooner: the platform is slow for all.
+        If another one was promoted meanwhile, that call would depose it. Of the calls of an earlier
+        coordinator nothing is known. The platform promotes none that has left for good.
         """
-        target = self._registry.get(record.successor)
-        return (
-            self.promotion_calls.may_still_run(record.group, record.epoch)
-            and target is not None
-            and isinstance(self._prober.status(target), Ok)
-        )
+        chosen = (record.successor, self.coordinator_lease.fencing_token)
+        may_still_run = self.promotion_calls.may_still_run(record.group, record.successor)
+        is_own = self._chosen.get(record.group) == chosen
+        is_registered = self._registry.get(record.successor) is not None
+        return (may_still_run or not is_own) and is_registered
 
     def _new_term(self, record: PrimaryRecord) -> int | None:
         """Return the successor's term as primary; None before its promotion takes effect.
@@ -757,6 +773,9 @@
             return
         result = write_primary(self._store, self._primaries, record)
         if isinstance(result, Ok):
+            if record.successor is not None:
+                token = self.coordinator_lease.fencing_token
+                self._chosen[record.group] = (record.successor, token)
             self._old_primary_unused_since.pop(record.group, None)
             self._promotion_accepted.pop(record.group, None)
         elif not isinstance(result.err_value, WriteConflict):
--- a/src/quetzalrudder/gateway/promotion_calls.py
+++ b/src/quetzalrudder/gateway/promotion_calls.py
@@ -65,9 +65,9 @@
         self._may_call = may_call
         # The call that runs, or whose result was not taken yet.
         self._calls: dict[GroupId, Future] = {}
-        # The latest epoch for which a call was made, and for which one got no answer.
+        # The latest epoch for which a call was made, and the databases whose calls got no answer.
         self._made: dict[GroupId, int] = {}
-        self._unanswered: dict[GroupId, int] = {}
+        self._unanswered: dict[GroupId, set[TargetId]] = {}
         # Runs the calls; without one, they are run by the caller.
         self.executor: Executor | None = None
 
@@ -75,9 +75,13 @@
         """Return whether a call was made for an epoch, with or without an answer."""
         return self._made.get(group) == epoch
 
-    def may_still_run(self, group: GroupId, epoch: int) -> bool:
-        """Return whether a call for an epoch got no answer, so that it may take effect later."""
-        return self._unanswered.get(group) == epoch
+    def may_still_run(self, group: GroupId, target: TargetId) -> bool:
+        """Return whether a call for a database got no answer, so that it may take effect later."""
+        return target in self._unanswered.get(group, ())
+
+    def forget(self, group: GroupId) -> None:
+        """Forget the calls without an answer, as the group has a primary."""
+        self._unanswered.pop(group, None)
 
     def has_call(self, group: GroupId) -> bool:
         """Return whether a call of a group runs, or its result was not taken yet."""
@@ -121,5 +125,5 @@
             reason = f"promotion call failed: {exc!r}"
             result = Err(PlatformUnavailable(reason, place=group, ending=Ending.UNKNOWN))
         if isinstance(result, Err) and result.err_value.ending is Ending.UNKNOWN:
-            self._unanswered[group] = epoch
+            self._unanswered.setdefault(group, set()).add(target)
         return epoch, result
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -96,17 +96,50 @@
     assert fleet[0].session().execute("w", Write("a", "1")).error is None
 
 
-def test_a_successor_that_is_lost_while_its_call_has_no_answer_is_left(fleet):
+def test_a_successor_that_leaves_for_good_while_its_call_has_no_answer_is_left(fleet):
     # A call for a database that does not run is refused, however late it is run.
     SlowPlatform(fleet, slow_s=60.0, until_s=8.0)
     fleet.group["db-1"].up = False
     fleet.run(3.0)
     record = fleet[0].gateway.primaries.record("g")
     fleet.group[record.successor].up = False
+    for instance in fleet.instances:
+        instance.gateway.registry.remove(record.successor)
     assert fleet.run(SUCCESSOR_TIMEOUT_S + 8.0, fleet.all_know_primary) is not None
     assert fleet.group.newest_primary().info.target not in ("db-1", record.successor)
 
 
+@pytest.mark.parametrize("frozen", [False, True])
+def test_a_successor_that_may_return_while_its_call_has_no_answer_is_not_left(fleet, frozen):
+    # The platform called it not running, and another one was promoted; the first call then ran, as
+    # the successor was back, and writes that the deposed primary acknowledged were rolled back.
+    platform = SlowPlatform(fleet, slow_s=6.0, until_s=1.5)
+    drain(fleet, "db-1")
+    assert fleet.run(3.0, lambda: platform.calls) is not None
+    successor = fleet.group[platform.calls[0]]
+    successor.up = False
+    crashed_at = fleet.clock.now
+    if frozen:
+        coordinator = next(i for i in fleet.instances if i.gateway.failover.is_coordinator)
+        coordinator.frozen = True
+    writing = fleet.instances[:]
+    acknowledged = 0
+    for number in range(300):
+        fleet.run(0.05)
+        if fleet.clock.now > crashed_at + 3.0:
+            successor.up = True
+        platform.run_due()
+        newest = fleet.group.newest_primary()
+        for instance in writing:
+            if instance.frozen:
+                continue
+            if instance.session("quick").execute(f"w{number}", Write("a", "1")).error is None:
+                assert fleet.group.executed[-1][0] == newest.info.target
+                acknowledged += number > 200
+    assert set(platform.calls) == {successor.info.target}
+    assert acknowledged > 100
+
+
 def test_a_successor_that_the_platform_refuses_is_left_at_once(fleet):
     # There is nothing to wait for: the call has been answered.
     run, refused = fleet.group.promote, []
@@ -196,7 +229,7 @@
     epoch, result = calls.take_result("a")
     assert (epoch, client.calls) == (2, [])
     assert isinstance(result, Err)
-    assert not calls.may_still_run("a", 2)
+    assert not calls.may_still_run("a", "db-1")
 
 
 def test_an_unexpected_exception_of_a_call_counts_as_no_answer():
@@ -207,7 +240,7 @@
     calls = PromotionCalls(FailingClient(), "edge-1", lambda: True)
     calls.begin("a", 2, "db-1", 7)
     assert isinstance(calls.take_result("a")[1], Err)
-    assert calls.may_still_run("a", 2)
+    assert calls.may_still_run("a", "db-1")
 
 
 def test_the_lease_is_renewed_between_the_groups_of_a_step(fleet, monkeypatch):
