--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -32,13 +32,14 @@
 from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.gateway.succession import (
+    Candidate,
     Decision,
     Promote,
     Wait,
     choose_complete,
     choose_furthest,
 )
-from quetzalrudder.gateway.successor_survey import Prober, SuccessorSurvey
+from quetzalrudder.gateway.successor_survey import Prober, StatusResult, SuccessorSurvey
 from quetzalrudder.gateway.targets import LogPosition, Target, TargetRegistry, TargetRole
 from quetzalrudder.gateway.wakeups import WakeUp
 from quetzalrudder.models import GroupId, InstanceId, TargetId
@@ -376,6 +377,9 @@
         if not draining and not suspected:
             return
         planned = draining and not suspected
+        if planned and self._confirms_commits(record.group) and not self._has_caught_up(record):
+            # It serves until a replica can follow it.
+            return
         successor = self._choose_successor(record.group, record.primary, planned=planned)
         if successor is not None:
             self._begin_change(record, successor, planned=planned)
@@ -419,6 +423,31 @@
         Those in evacuated data centres, and those that failed recently as a successor, are left
         out. One that drains may lead first, unless the old primary can still hand its log over.
         """
+        best, is_certain, answers = self._find_furthest(group, excluded, planned=planned)
+        for target, answer in answers.items():
+            if isinstance(answer, Err):
+                log.info(
+                    "replica status unknown",
+                    extra={"target": target, "reason": str(answer.err_value)},
+                )
+        if best is None:
+            log.warning("no replica can become primary", extra={"group": group})
+            return None
+        log.info(
+            "successor chosen",
+            extra={
+                "group": group,
+                "target": best.target,
+                "received": str(best.holds),
+                "certain": is_certain,
+            },
+        )
+        return best.target
+
+    def _find_furthest(
+        self, group: GroupId, excluded: TargetId | None, *, planned: bool
+    ) -> tuple[Candidate | None, bool, dict[TargetId, StatusResult]]:
+        """Return the database that has received most, if that is certain, and all answers."""
         targets = [
             target
             for target in self._registry.targets_in_group(group)
@@ -433,7 +462,7 @@
             if attempt:
                 self._clock.sleep(STATUS_RETRY_DELAY_S)
             if not self._renew_lease():
-                return None
+                return None, False, {}
             answers = self.survey.ask(lasting, draining, self._renew_lease)
             best, is_certain = choose_furthest(
                 self.survey.candidate(target, answers.get(target.target))
@@ -441,25 +470,16 @@
             )
             if is_certain:
                 break
-        for target, answer in answers.items():
-            if isinstance(answer, Err):
-                log.info(
-                    "replica status unknown",
-                    extra={"target": target, "reason": str(answer.err_value)},
-                )
-        if best is None:
-            log.warning("no replica can become primary", extra={"group": group})
-            return None
-        log.info(
-            "successor chosen",
-            extra={
-                "group": group,
-                "target": best.target,
-                "received": str(best.holds),
-                "certain": is_certain,
-            },
-        )
-        return best.target
+        return best, is_certain, answers
+
+    def _has_caught_up(self, record: PrimaryRecord) -> bool:
+        """Return whether a replica has what its primary had a moment ago, or that is not known."""
+        primary = self._registry.get(record.primary)
+        status = self._prober.status(primary) if primary is not None else None
+        if not isinstance(status, Ok):
+            return True
+        best, *_ = self._find_furthest(record.group, record.primary, planned=True)
+        return best is None or best.holds >= status.ok_value.received
 
     def _advance_replacement(self, record: PrimaryRecord) -> None:
         if not self._is_old_primary_unused(record):
--- a/src/quetzalrudder/gateway/successor_survey.py
+++ b/src/quetzalrudder/gateway/successor_survey.py
@@ -22,7 +22,7 @@
 from quetzalrudder.models import GroupId, TargetId
 from quetzalrudder.utils import Clock
 
-__all__ = ["Prober", "SuccessorSurvey"]
+__all__ = ["Prober", "StatusResult", "SuccessorSurvey"]
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -268,6 +268,19 @@
     assert promoted(behind) == ["db-2"]
 
 
+def test_a_draining_primary_serves_until_a_replica_has_caught_up(behind):
+    # It was put out of use, while the only replica received nothing.
+    announce(behind, "db-2", draining=True)
+    announce(behind, "db-1", draining=True)
+    for number in range(40):
+        behind.run(0.05)
+        assert behind[0].session().execute(f"w3-{number}", Write("a", "1")).error is None
+    assert behind.group.promotions == []
+    behind.group["db-3"].replication_paused = False
+    behind.group.replicate()
+    assert promoted(behind, 2.0) == ["db-3"]
+
+
 def test_a_primary_of_an_earlier_era_of_the_store_has_a_successor_with_all_commits(behind):
     # After the store's return, the record is followed by a change if databases do not answer.
     copied = behind.store.copy()
