Failover: count the time of an accepted promotion from its acceptance

It renews the lease while it waits, and does not wait for one that does not answer.

A successor counts as this instance's own choice only where its record is the first to name it: the announcement of a wait repeats the choice of another coordinator.

The tests failed before: two databases were called; the lease lapsed; and, with the first change, the successor of a frozen coordinator was left.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from quetzalrudder.exceptions import MalformedMessage, TargetUnavailable
+from quetzalrudder.exceptions import MalformedMessage, Overloaded, TargetUnavailable
 from quetzalrudder.gateway.coordinator_lease import CoordinatorLease
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.permission import (
@@ -169,8 +169,8 @@
         self._old_primary_unused_since: dict[GroupId, float] = {}
         # Successors recorded by this instance, with the fencing token at that time.
         self._chosen: dict[GroupId, tuple[TargetId, int]] = {}
-        # Epochs for which the platform has accepted a promotion.
-        self._promotion_accepted: dict[GroupId, int] = {}
+        # Epochs for which the platform has accepted a promotion, and when.
+        self._promotion_accepted: dict[GroupId, tuple[int, float]] = {}
         self._failed_at: dict[TargetId, float] = {}
         # When several announced primaries of a group without a record may be asked again.
         self._next_query: dict[GroupId, float] = {}
@@ -507,11 +507,12 @@
                     waits_for=(),
                 )
             )
-        elif self._promotion_accepted.get(record.group) == record.epoch:
-            if self._clock.monotonic() - since > SUCCESSOR_TIMEOUT_S:
-                self._choose_another_successor(record)
-        else:
+            return
+        accepted_epoch, accepted_at = self._promotion_accepted.get(record.group, (0, 0.0))
+        if accepted_epoch != record.epoch:
             self._promote(record, since)
+        elif self._clock.monotonic() - accepted_at > SUCCESSOR_TIMEOUT_S:
+            self._choose_another_successor(record)
 
     def _settle_successor(self, record: PrimaryRecord, since: float) -> PrimaryRecord | None:
         """Return the record whose successor may be promoted now; None if there is none yet."""
@@ -661,7 +662,7 @@
                 return
         result = ended[1]
         if isinstance(result, Ok):
-            self._promotion_accepted[group] = record.epoch
+            self._promotion_accepted[group] = (record.epoch, self._clock.monotonic())
             return
         exc = result.err_value
         log.warning(
@@ -773,7 +774,12 @@
             return
         until = self._clock.monotonic() + CATCH_UP_TIMEOUT_S
         while self._clock.monotonic() < until:
+            if not self._renew_lease():
+                return
             status = self._prober.status(new)
+            if isinstance(status, Err) and not isinstance(status.err_value, Overloaded):
+                # It cannot be promoted either.
+                return
             if (
                 isinstance(status, Ok)
                 and status.ok_value.received >= final_status.ok_value.received
@@ -791,9 +797,10 @@
         """Write a record unless it has changed in the store since it was read."""
         if not self.is_coordinator:
             return
+        known = self._primaries.record(record.group)
         result = write_primary(self._store, self._primaries, record)
         if isinstance(result, Ok):
-            if record.successor is not None:
+            if record.successor not in (None, known.successor if known is not None else None):
                 token = self.coordinator_lease.fencing_token
                 self._chosen[record.group] = (record.successor, token)
             self._old_primary_unused_since.pop(record.group, None)
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -109,6 +109,35 @@
     assert fleet.group.newest_primary().info.target not in ("db-1", record.successor)
 
 
+def test_a_promotion_that_was_accepted_late_is_awaited(fleet):
+    # The time for it to take effect began before it was accepted, so another one was promoted.
+    platform = SlowPlatform(fleet, slow_s=60.0, until_s=2 * SUCCESSOR_TIMEOUT_S + 1.0)
+    fleet.group.promotion_delay_s = 0.3
+    drain(fleet, "db-1")
+    assert fleet.run(3.0, lambda: platform.calls) is not None
+    assert fleet.run(12.0, fleet.all_know_primary) is not None
+    assert len(set(platform.calls)) == 1
+
+
+def test_the_coordinator_keeps_its_lease_while_a_successor_lacks_the_log(fleet, monkeypatch):
+    # A step waited for longer than a renewal counts, if a query took its time too.
+    coordinator = next(i for i in fleet.instances if i.gateway.failover.is_coordinator)
+    failover = coordinator.gateway.failover
+    query, held = failover._prober.status, []
+
+    def status(target):
+        fleet.clock.advance(0.2)
+        held.append(failover.is_coordinator)
+        return query(target)
+
+    assert fleet[0].session().execute("w", Write("a", "1")).error is None
+    monkeypatch.setattr(failover._prober, "status", status)
+    drain(fleet, "db-1")
+    fleet.run(5.0, lambda: fleet.group.promotions)
+    assert fleet.group.promotions
+    assert all(held)
+
+
 @pytest.mark.parametrize("frozen", [False, True])
 def test_a_successor_that_may_return_while_its_call_has_no_answer_is_not_left(fleet, frozen):
     # The platform called it not running, and another one was promoted; the first call then ran, as
