Peering: an instance without a configuration asks any peer for one

What callers saw: an instance that started while the store held a configuration that it could not read was never ready.

Cause: it asked the failover coordinator only.

Evidence: the new test, on a clock of its own, fails for the coordinator of a small fleet and for each instance of a large one.

An instance that has one asks as before.

--- a/src/quetzalrudder/gateway/peering.py
+++ b/src/quetzalrudder/gateway/peering.py
@@ -130,6 +130,7 @@
         self._eras = eras
         self._coordinator = coordinator
         self._decode_catalog = decode_catalog
+        self._rng = rng
         self._clock = clock
         self._lock = threading.Lock()
         # Instances that called this one; they may be missing from the known roster.
@@ -329,11 +330,18 @@
                 self.catalog_fetch.offer(peer, reply.catalog_version)
 
     def _check_catalog(self) -> None:
-        """Fetch the configuration of the failover coordinator if it is newer."""
-        if self._members.count() >= LARGE_FLEET:
+        """Fetch the configuration of the failover coordinator if it is newer.
+
+        An instance without a configuration, which may be the coordinator itself, asks any peer.
+        """
+        peers = self._peers()
+        if self._catalogs.current.version == 0:
+            peer = self._rng.choice(peers) if peers else None
+        elif self._members.count() >= LARGE_FLEET:
             return
-        coordinator = self._coordinator()
-        peer = next((peer for peer in self._peers() if peer.instance == coordinator), None)
+        else:
+            coordinator = self._coordinator()
+            peer = next((peer for peer in peers if peer.instance == coordinator), None)
         if peer is not None:
             report = self._make_report(asks_permission=False)
             result = self._caller.exchange(peer.address, report, CALL_TIMEOUT_S)
