Soak: crash primaries in a group whose commits replicas confirm

A profile of its own: one replica receives nothing, the other one may drain, half of the queries of a replica's status find it busy, and the primary crashes and comes back with its log. Restarts and configurations go on beside it.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 bench: install
 	$(PYTHON) -m bench
 
-# Also PROFILE=large, in which connections are lent between instances.
+# Also PROFILE=large, in which connections are lent between instances, and PROFILE=confirmed, in which
+# primaries crash whose commits a replica confirms.
 soak: export PYTHONPATH := $(PYTHONPATH):$(CURDIR)/platform
 soak: install
 	$(PYTHON) -m soak --seeds $(SEEDS) --profile $(PROFILE)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,8 @@
     events: int
     gap_s: float
     store_faults: int
+    # Crashes of the primary, in a group whose commits are confirmed by a replica.
+    crashes: int = 0
 
 
 # From 16 instances on, connections are lent between them.
@@ -42,6 +44,7 @@
     "small": Profile(4, 14, 22, 2.4, 3),
     "large": Profile(17, 20, 22, 3.0, 3),
     "store": Profile(3, 4, 4, 2.0, 2),
+    "confirmed": Profile(3, 8, 4, 3.0, 0, crashes=4),
 }
 
 
@@ -54,11 +57,22 @@
         fleet.disrupt_store(fault, rng.uniform(*STORE_FAULT_S), is_for_all=is_for_all)
 
 
+def crash_primaries(fleet: Fleet, profile: Profile) -> None:
+    """Let the primary crash as often as the profile says."""
+    rng = random.Random(f"{fleet.seed}/crashes")
+    for _ in range(profile.crashes):
+        time.sleep(rng.uniform(0, profile.gap_s))
+        fleet.crash_primary(rng)
+
+
+DISRUPTIONS = (disrupt_store, crash_primaries)
+
+
 def play(fleet: Fleet, profile: Profile) -> None:
     """Do the planned work that the seed selects, and return when the last is over."""
     rng = random.Random(f"{fleet.seed}/events")
     with ThreadPoolExecutor(32) as executor:
-        futs = [executor.submit(disrupt_store, fleet, profile)]
+        futs = [executor.submit(disrupt, fleet, profile) for disrupt in DISRUPTIONS]
         for _ in range(profile.events):
             time.sleep(rng.uniform(0, profile.gap_s))
             edges = rng.sample(fleet.edges, rng.randint(1, max(1, profile.edges // 3)))
@@ -86,7 +100,8 @@
 
 def run_seed(seed: int, profile: Profile, directory: Path) -> tuple[list[str], Counter[str]]:
     """Run all that a seed selects; return what was found, and counts."""
-    fleet = Fleet(seed, profile.edges, directory)
+    confirms_commits = profile.crashes > 0
+    fleet = Fleet(seed, profile.edges, directory, confirms_commits=confirms_commits)
     clients = [Client(fleet, f"c{number}", CHOICES) for number in range(profile.clients)]
     clients += [Client(fleet, f"l{number}", LIMITED_CHOICES) for number in range(LIMITED_CLIENTS)]
     if profile.store_faults:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+from result import Err
 from rig.wire import LETTER_BY_STATE
 
 from quetzalrudder.gateway.records import COORDINATOR_KEY, decode_coordinator
@@ -29,6 +30,10 @@
 # How long processes have to learn of a removal before the store fails for some of them.
 REMOVAL_S = 1.0
 DELAY_MAX_S, DELAYED_PART, DELAYED_PART_WHILE_SLOW, BUSY_PART = 1.5, 0.08, 0.5, 0.02
+# Part of the queries of a status that find a replica busy, where replicas confirm commits.
+BUSY_STATUS_PART = 0.5
+# How long a replica receives nothing before the primary crashes, and until that is back.
+BEHIND_S, DOWN_S, RECOVERY_S = 1.0, 3.0, 1.0
 # Ranges of ports below those of outgoing connections, which could take one that is not bound.
 PORT_RANGES = [range(base, base + 100) for base in range(12_000, 32_000, 100)]
 # "quotes", "k2" and the lower of two rates are removed and added. Some timeouts are longer than
@@ -88,10 +93,17 @@
 class Fleet:
     """Processes before a platform whose databases delay statements as a seed selects."""
 
-    def __init__(self, seed: int, size: int, directory: Path) -> None:
+    def __init__(
+        self, seed: int, size: int, directory: Path, *, confirms_commits: bool = False
+    ) -> None:
         self.seed = seed
+        self._confirms_commits = confirms_commits
         self.runs: list[Run] = []
-        self.configs = [(time.monotonic(), {**CONFIGURATION, "routes": ROUTES, "tenants": TENANTS})]
+        config = {**CONFIGURATION, "routes": ROUTES, "tenants": TENANTS}
+        if confirms_commits:
+            service = {**CONFIGURATION["services"][0], "syncReplicas": 1}
+            config["services"] = [service]
+        self.configs = [(time.monotonic(), config)]
         # Times of SIGTERM by process and incarnation; what went wrong with processes.
         self.stops: dict[tuple[str, int], float] = {}
         self.faults: list[str] = []
@@ -130,6 +142,9 @@
         def run_and_record(link, line):
             _, request_id, text = line.split(" ", 2)
             if request_id == "-":
+                is_replica = self._confirms_commits and not link.database.primary
+                if text == "STATUS" and is_replica and random.random() < BUSY_STATUS_PART:
+                    return "ERR BUSY stand-in\r\nREADY I -\r\n"
                 return run(link, line)
             text = text.split(" ", 2)[2] if text.startswith("WAITLSN ") else text
             state, now = LETTER_BY_STATE[link.state], time.monotonic()
@@ -150,6 +165,8 @@
 
     def _promote_and_announce(self, group, target, **caller):
         result = self._promote(group, target, **caller)
+        if isinstance(result, Err):
+            return result
         for database in self.platform.group.databases.values():
             database.primary = database.info.target == target
         self.promotions += 1
@@ -169,6 +186,28 @@
                 self.faults.append("a draining primary was not replaced")
                 self.platform.announce()
 
+    def crash_primary(self, rng: random.Random) -> None:
+        """Crash the primary while one replica receives nothing, and the other one may drain."""
+        with self._replacing:
+            group = self.platform.group
+            primary = group.newest_primary()
+            behind, other = rng.sample(
+                [each for each in group.databases.values() if each is not primary], 2
+            )
+            behind.replication_paused = True
+            if rng.random() < 0.5:
+                self.platform.announce(draining=other.info.target)
+            time.sleep(BEHIND_S)
+            with self.platform.lock:
+                primary.up = False
+            time.sleep(DOWN_S)
+            with self.platform.lock:
+                primary.up = True
+                behind.replication_paused = False
+                group.replicate()
+            self.platform.announce()
+            time.sleep(RECOVERY_S)
+
     def reconfigure(self, change: str) -> None:
         """Store a version of the configuration in which one thing is the other way round."""
         with self.platform.lock:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,8 @@
 SEED = 8
 # On code that refuses for good from an outdated view, this seed finds it.
 STORE_SEED = 1
+# On code that promotes the furthest of the replicas that answer, this seed finds it.
+CONFIRMED_SEED = 1
 LIMIT = {"name": LIMITED, "apiKeys": ["k3"], "ratePerS": 4, "burst": 4}
 CONFIG = {**CONFIGURATION, "tenants": [*CONFIGURATION["tenants"], LIMIT]}
 SIGTERM_AT = 100.0
@@ -42,6 +44,15 @@
     assert counts["not_for_good"] > 0
 
 
+def test_acknowledged_commits_are_kept_when_primaries_crash_beside_replicas_that_are_behind(
+    deployment_build,  # noqa: F811
+    tmp_path,
+):
+    findings, counts = run_seed(CONFIRMED_SEED, PROFILES["confirmed"], tmp_path)
+    assert findings == []
+    assert counts["promotions"] > 0
+
+
 def request(lines, *, sent_at=SIGTERM_AT + 1.0, took_s=0.2, database="offers", text="PUT i r"):
     data = ("r",) if text.startswith("PUT ") else ()
     place = ("edge-0", 1, database, "k1")
