--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -145,7 +145,6 @@
         self._watchers = watchers
         self._lease_span = lease_span
         self._confirms_commits = confirms_commits
-        self._primary_position = primary_position
         self._on_wait = on_wait
         self._clock = clock
         self.survey = SuccessorSurvey(prober, registry, primary_position, clock)
@@ -251,7 +250,6 @@
             self._end_wait(group)
             self.survey.forget(group)
             self.promotion_calls.forget(group)
-        self._registry.bound_departures(group, lambda: self._primary_position(group))
         if record is None:
             # Other programs write announcements too, of groups that do not exist.
             if self._is_used(group):
@@ -410,10 +408,10 @@
         self.coordinator_lease.step()
         return self.is_coordinator
 
-    def _has_failed(self, target: TargetId) -> bool:
+    def _has_failed(self, target: TargetId | None, within_s: float = SUCCESSOR_TIMEOUT_S) -> bool:
         """Return whether a database failed recently as a successor."""
         failed_at = self._failed_at.get(target, -1e9)
-        return self._clock.monotonic() - failed_at < SUCCESSOR_TIMEOUT_S
+        return self._clock.monotonic() - failed_at < within_s
 
     def _choose_successor(
         self, group: GroupId, excluded: TargetId | None, *, planned: bool = False
@@ -520,7 +518,7 @@
         """Return the record whose successor may be promoted now; None if there is none yet."""
         if self._confirms_commits(record.group):
             return self._settle_complete_successor(record)
-        if self._was_just_refused(record.successor):
+        if self._has_failed(record.successor, PROMOTION_RETRY_DELAY_S):
             return None
         if record.successor is None:
             self._end_wait(record.group)
@@ -556,16 +554,12 @@
             log.info("successor confirmed", extra={"group": record.group, "target": target})
             record = self._record_successor(record, target)
         self._end_wait(group)
-        if record is None or self._was_just_refused(target):
+        if record is None or self._has_failed(target, PROMOTION_RETRY_DELAY_S):
             return None
         if record.planned:
             self._step_down(record)
         return record
 
-    def _was_just_refused(self, target: TargetId | None) -> bool:
-        failed_at = self._failed_at.get(target, -1e9)
-        return self._clock.monotonic() - failed_at < PROMOTION_RETRY_DELAY_S
-
     def _record_successor(
         self, record: PrimaryRecord, successor: TargetId | None
     ) -> PrimaryRecord | None:
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from concurrent.futures import Executor, Future, wait
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -531,9 +531,7 @@
             self.pool.trim()
             targets = self.registry.all_targets()
             groups = {target.group for target in targets if self._is_used(target.group)}
-            for group in groups:
-                window = self.planner.position_window(group)
-                self.registry.bound_departures(group, window.newest)
+            self.bound_departures(groups)
             for group in groups - self._health_checks.keys():
                 health_check = PrimaryHealthCheck(
                     group=group,
@@ -560,6 +558,11 @@
                 if record.primary in broken:
                     self.planner.primary_monitor(record.group).mark_doubtful(record.primary)
 
+    def bound_departures(self, groups: Iterable[GroupId]) -> None:
+        """Note how far the databases that have left may have confirmed commits."""
+        for group in groups:
+            self.registry.bound_departures(group, self.planner.position_window(group).newest)
+
     def _primary_changed(self, record: PrimaryRecord) -> None:
         """Wake the tasks that acknowledge a change of primary and check the new one."""
         self.planner.outlook.observe(record)
--- a/src/quetzalrudder/gateway/succession.py
+++ b/src/quetzalrudder/gateway/succession.py
@@ -163,7 +163,7 @@
         The database, or None; and whether it is certain that none that answers has more.
     """
     found = list(candidates)
-    best = _furthest([each for each in found if not each.failed])
+    best = _furthest(found)
     is_certain = all(each is best or not each.busy or _reaches(best, each) for each in found)
     return best, is_certain
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -177,6 +177,7 @@
         self.gateway.rates.refresh_ownership(DIRECT_EXECUTOR)
         self.gateway.peering.step()
         self.health_check.step()
+        self.gateway.bound_departures(["g"])
         self.gateway.failover.step()
 
     def session(self, database="offers", key="key-1"):
