--- a/review/standins3/databases.py
+++ b/review/standins3/databases.py
@@ -109,6 +109,8 @@
         """Stop at once: connections are reset, and what has not been sent is not sent."""
         with self.service.lock:
             self.is_up = False
+            # Ends the wait for connections, so that the port is free at once.
+            self.listener.shutdown(socket.SHUT_RDWR)
             self.listener.close()
             sessions, self._sessions = self._sessions, set()
             self.service.received.notify_all()
@@ -118,11 +120,16 @@
             session.sock.close()
 
     def recover(self) -> None:
-        """Start again with the log, at the same address."""
+        """Start again with the log, at the same address.
+
+        If another database was promoted meanwhile, it follows that one, and rolls back what that
+        one does not have.
+        """
         with self.service.lock:
             self.listener = socket.create_server((self.host, self.port), backlog=256)
             newest = max(self.service.databases, key=lambda each: each.term)
-            self.is_primary = self.is_primary and newest.term == self.term
+            if newest.term != self.term:
+                self.follow(newest)
             self.is_up = True
         threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
 
@@ -267,6 +274,12 @@
     def _end(self, session: _Session, word: str, rest: str) -> str:
         return f"{word} {rest}\r\nREADY {session.state} {self._place()}\r\n"
 
+    def follow(self, primary: "Database") -> None:
+        """Become a replica of a primary, and take its log over; called with the lock."""
+        self.is_primary, self.term = False, primary.term
+        self.log = list(primary.log)
+        self.shipped.clear()
+
     def receive(self, sender: "Database", length: int) -> None:
         """Take commits over from the primary; called with the lock."""
         if self.is_up and not self.is_primary and not self.is_deaf and sender.term >= self.term:
@@ -367,9 +380,7 @@
             self.promotions.append((time.monotonic(), database, ids))
             for other in self.databases:
                 if other is not database and other.is_up:
-                    # They follow the new primary, and roll back what it does not have.
-                    other.is_primary = False
-                    other.log, other.term = list(database.log), database.term
+                    other.follow(database)
         database.announce(time.monotonic())
 
 
