--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Instances that start while the store is down take databases that are not back in it for gone."""
+"""A recorded successor that no call has promoted is waited for, though another one is chosen."""
 
 import sys
 import threading
@@ -7,50 +7,61 @@
 
 from review.standins3.scene import BROKEN, CANNOT_RUN, HELD, Scene, has_trouble
 
-DEAF_S = 6.5
-STORE_AWAY_S = 4.0
-KILLED_FOR_S = 1.0
-# When the entries are back in the store; the users say: within about two seconds.
-BACK_AFTER_S = (1.8, 1.7, 0.3)
-WATCHED_S = 8.0
+# drainMs, and a little longer.
+DRAINING_FOR_S = 9.0
+PROVIDER_AWAY_S = 5.0
+KILLED_AFTER_S, KILLED_FOR_S = 4.2, 1.1
+# The users' recoveryS, and how long requests are watched after it.
+RECOVERY_S, WATCHED_S = 12.0, 6.0
+SERVED_SHARE = 0.25
 
 
 def main() -> int:
     """Run the case, and return its exit status."""
-    with Scene(Path(__file__).parent, edge_count=4, sync_replicas=1, network=61) as scene:
-        behind = scene.service.databases[2]
-        scene.begin_writes(8)
-        time.sleep(3.0)
+    with Scene(Path(__file__).parent, edge_count=4, sync_replicas=1, network=63) as scene:
+        for database in scene.service.databases:
+            database.lag_s = 0.008
+        scene.begin_writes(4, pause_s=0.4)
+        time.sleep(4.0)
+        before = [attempt.is_done for attempt in scene.record.attempts]
+        primary = scene.service.databases[0]
+        scene.note(f"release: {primary.name}, the primary, reports that it drains")
+        with scene.service.lock:
+            primary.is_draining = True
+            primary.announce(time.monotonic())
+        leaving = threading.Timer(DRAINING_FOR_S, primary.crash)
+        leaving.daemon = True
+        leaving.start()
         if has_trouble():
-            scene.note(f"{behind.name}, a replica, receives nothing for {DEAF_S} s")
-            behind.is_deaf = True
-            threading.Timer(DEAF_S, setattr, (behind, "is_deaf", False)).start()
-            time.sleep(0.2)
-            scene.note("the store is down, leases and entries run out")
-            scene.store.is_away = True
-            time.sleep(0.6)
-            scene.note("all instances are killed")
-            for edge in scene.edges:
-                edge.end()
-            time.sleep(KILLED_FOR_S)
-            for edge in scene.edges:
-                edge.start()
-            scene.note("the instances start again")
-            time.sleep(STORE_AWAY_S - 0.6 - KILLED_FOR_S)
-            now = time.monotonic()
-            for database, after_s in zip(scene.service.databases, BACK_AFTER_S, strict=True):
-                database.next_beat = now + after_s
-            scene.store.is_away = False
-            scene.note("the store is back; all databases run, and have run all the time")
-        time.sleep(WATCHED_S)
-        lost = scene.lost_writes()
-        done = sum(attempt.is_done for attempt in scene.record.attempts)
-        for line in lost:
-            scene.note(f"LOST: acknowledged write {line}")
-        print(f"{done} writes acknowledged, {len(lost)} of them lost by a promotion")
-        if not done:
+            scene.note("promotion calls get 503")
+            scene.store.is_provider_away = True
+            back = threading.Timer(
+                PROVIDER_AWAY_S, setattr, (scene.store, "is_provider_away", False)
+            )
+            back.start()
+        time.sleep(KILLED_AFTER_S)
+        scene.note("final fault: all instances are killed")
+        for edge in scene.edges:
+            edge.end()
+        time.sleep(KILLED_FOR_S)
+        for edge in scene.edges:
+            edge.start()
+        for edge in scene.edges:
+            edge.wait_ready()
+        scene.note("all instances are back; promotion calls are taken")
+        back_at = time.monotonic()
+        time.sleep(RECOVERY_S + WATCHED_S)
+        later = [
+            attempt.is_done
+            for attempt in list(scene.record.attempts)
+            if attempt.sent_at > back_at + RECOVERY_S
+        ]
+        served = f"{sum(later)} of {len(later)} requests served after recoveryS"
+        scene.note(f"{sum(before)} of {len(before)} before, {served}")
+        print(f"{sum(before)} of {len(before)} requests served before the trouble, {served}")
+        if not later or sum(before) < SERVED_SHARE * len(before):
             return CANNOT_RUN
-        return BROKEN if lost else HELD
+        return BROKEN if sum(later) < SERVED_SHARE * len(later) else HELD
 
 
 if __name__ == "__main__":
--- a/review/standins3/scene.py
+++ b/review/standins3/scene.py
@@ -124,10 +124,10 @@
         self.store.close()
         self.record.write(self._folder / "record.txt")
 
-    def begin_writes(self, count: int, route: str = "desk") -> None:
+    def begin_writes(self, count: int, route: str = "desk", pause_s: float = 0.005) -> None:
         """Start writers, each of which writes one item after the other."""
         for number in range(count):
-            writer = Writer(self.edges, route, KEY, self.record, number)
+            writer = Writer(self.edges, route, KEY, self.record, number, pause_s)
             self.writers.append(writer)
             writer.start()
 
--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -37,6 +37,8 @@
         self._lease_ids = itertools.count(100)
         # While it is, every call gets 503; leases run on and end.
         self.is_away = False
+        # While it is, promotion calls get 503.
+        self.is_provider_away = False
         # Called with the time at each sweep.
         self.on_sweep: list[Callable[[float], None]] = []
         self._server = _Server(("127.0.0.1", 0), _Handler)
@@ -190,6 +192,9 @@
         raw = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         body = json.loads(raw) if raw else {}
         url = urlsplit(self.path)
+        if url.path == "/promote" and store.is_provider_away:
+            self._answer(503, {})
+            return
         if url.path == "/promote":
             holder, token = self.headers["Holder"], int(self.headers["Fencing-Token"])
             self._answer(store.promote(body["service"], body["id"], holder, token), {})
