--- a/review/11/case.py
+++ b/review/11/case.py
@@ -25,10 +25,7 @@
         time.sleep(4.0)
         before = [attempt.is_done for attempt in scene.record.attempts]
         primary = scene.service.databases[0]
-        scene.note(f"release: {primary.name}, the primary, reports that it drains")
-        with scene.service.lock:
-            primary.is_draining = True
-            primary.announce(time.monotonic())
+        scene.release(primary)
         leaving = threading.Timer(DRAINING_FOR_S, primary.crash)
         leaving.daemon = True
         leaving.start()
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,7 +10,8 @@
 # The users' bounds: drainMs 7,000, heartbeats of 1,200 ms, entries back within about 2 s.
 DRAINING_FOR_S = 1.0
 STORE_AWAY_S = 4.5
-BACK_AFTER_S = (0.3, 1.8, 0.6)
+BACK_AFTER_S = (0.3, 1.8, 0.6, 0.6)
+NEW_LAG_S = 0.04
 CRASH_AFTER_S = 0.7
 PRIMARY_DOWN_S = 7.0
 
@@ -21,10 +22,7 @@
         primary, leaving, _ = scene.service.databases
         scene.begin_writes(8)
         time.sleep(3.0)
-        scene.note(f"release: {leaving.name} reports that it drains")
-        with scene.service.lock:
-            leaving.is_draining = True
-            leaving.announce(time.monotonic())
+        scene.release(leaving).lag_s = NEW_LAG_S
         time.sleep(DRAINING_FOR_S)
         if has_trouble():
             scene.note("the store is down, leases and entries run out")
--- a/review/standins3/databases.py
+++ b/review/standins3/databases.py
@@ -348,6 +348,17 @@
                 if sender is not None and sender.is_up and sender.is_primary:
                     replica.receive(sender, length)
 
+    def start_new(self, host: str, old: Database) -> Database:
+        """Start the new database of a release, which comes before the old one drains."""
+        with self.lock:
+            leading = (each for each in self.databases if each.is_primary)
+            name = f"i-{len(self.databases)}{self.name[:4]}"
+            new = Database(self, name, host, old.zone)
+            new.follow(max(leading, key=lambda each: each.term))
+            self.databases = [*self.databases, new]
+        new.announce(time.monotonic())
+        return new
+
     def run(self, stopped: threading.Event) -> None:
         """Deliver commits until ``stopped`` is set."""
         while not stopped.wait(0.001):
--- a/review/standins3/scene.py
+++ b/review/standins3/scene.py
@@ -9,7 +9,7 @@
 from types import TracebackType
 
 from review.standins3.clients import Record, Writer
-from review.standins3.databases import Service
+from review.standins3.databases import Database, Service
 from review.standins3.edges import Edge
 from review.standins3.store import Store
 
@@ -17,6 +17,8 @@
 
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 SERVICE, KEY = "ledger", "key-1"
+# A release starts the new database first.
+NEW_FIRST_S = 1.0
 ROUTES = (("desk", "primary", 0), ("view", "bounded", 1500), ("own", "session", 2500))
 
 
@@ -50,6 +52,7 @@
         self.store = Store(self._promote)
         self.service.store = self.store
         self.store.on_sweep.append(self.service.beat)
+        self._network = network
         self._edge_hosts = [f"127.{network}.1.{number}" for number in range(1, edge_count + 1)]
         self.edges: list[Edge] = []
         self.writers: list[Writer] = []
@@ -124,6 +127,18 @@
         self.store.close()
         self.record.write(self._folder / "record.txt")
 
+    def release(self, old: Database) -> Database:
+        """Start a new database; a moment later the old one, which it replaces, drains."""
+        host = f"127.{self._network}.2.{len(self.service.databases) + 1}"
+        new = self.service.start_new(host, old)
+        self.note(f"release: {new.name} starts")
+        time.sleep(NEW_FIRST_S)
+        with self.service.lock:
+            old.is_draining = True
+            old.announce(time.monotonic())
+        self.note(f"release: {old.name} reports that it drains")
+        return new
+
     def begin_writes(self, count: int, route: str = "desk", pause_s: float = 0.005) -> None:
         """Start writers, each of which writes one item after the other."""
         for number in range(count):
