--- a/review/standins3/databases.py
+++ b/review/standins3/databases.py
@@ -261,6 +261,8 @@
         commit = Commit(self.term, self.position[1] + 1, ids, items)
         self.log.append(commit)
         term = self.term
+        if term < self.service.primary().term:
+            self.service.stale_ids.update(ids)
         self.service.ship(self)
         while self.is_up and self.service.holders(commit) <= self.service.sync_replicas:
             self.service.received.wait(1.0)
@@ -318,6 +320,9 @@
         # Each promotion that took effect: its time, its database, and the ids in the log then.
         self.promotions: list[tuple[float, Database, frozenset[str]]] = []
         self.calls: list[tuple[float, str, str, int]] = []
+        # How long an old primary goes on after a promotion; what it commits meanwhile.
+        self.continues_s = 0.0
+        self.stale_ids: set[str] = set()
         self.databases = [
             Database(self, f"i-{index}{name[:4]}", host, f"zone-{index}")
             for index, host in enumerate(hosts)
@@ -326,6 +331,11 @@
             database.lag_s = lag_s
         self.databases[0].is_primary = True
 
+    def primary(self) -> Database:
+        """Return the database that leads the newest term."""
+        leading = [each for each in self.databases if each.is_primary]
+        return max(leading or self.databases, key=lambda each: each.term)
+
     def holders(self, commit: Commit) -> int:
         """Return how many databases that are up have a commit."""
         return sum(each.is_up and commit in each.log[-400:] for each in self.databases)
@@ -351,10 +361,9 @@
     def start_new(self, host: str, old: Database) -> Database:
         """Start the new database of a release, which comes before the old one drains."""
         with self.lock:
-            leading = (each for each in self.databases if each.is_primary)
             name = f"i-{len(self.databases)}{self.name[:4]}"
             new = Database(self, name, host, old.zone)
-            new.follow(max(leading, key=lambda each: each.term))
+            new.follow(self.primary())
             self.databases = [*self.databases, new]
         new.announce(time.monotonic())
         return new
@@ -390,10 +399,18 @@
             ids = frozenset(each for commit in database.log for each in commit.request_ids)
             self.promotions.append((time.monotonic(), database, ids))
             for other in self.databases:
-                if other is not database and other.is_up:
+                if other.is_primary and other is not database and self.continues_s:
+                    threading.Timer(self.continues_s, self._follow, (other,)).start()
+                elif other is not database and other.is_up:
                     other.follow(database)
         database.announce(time.monotonic())
 
+    def _follow(self, old: Database) -> None:
+        with self.lock:
+            newest = self.primary()
+            if old.is_up and old.term < newest.term:
+                old.follow(newest)
+
 
 def _read(stream: object) -> str:
     """Return the next message without its CR LF; an empty text at the end."""
