--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -15,6 +15,7 @@
 
 ANSWER_S = 0.004
 SWEEP_S = 0.02
+SILENT_S = 10.0
 OPERATOR_PREFIXES = ("op/", "servers/")
 
 
@@ -37,8 +38,9 @@
         self._lease_ids = itertools.count(100)
         # While it is, every call gets 503; leases run on and end.
         self.is_away = False
-        # While it is, promotion calls get 503.
-        self.is_provider_away = False
+        # Given the body of a conditional write, how much later it is done, without an answer; None
+        # for one that is done at once and answered.
+        self.lateness_s: Callable[[dict], float | None] = lambda body: None
         # Called with the time at each sweep.
         self.on_sweep: list[Callable[[float], None]] = []
         self._server = _Server(("127.0.0.1", 0), _Handler)
@@ -187,14 +189,18 @@
         with suppress(OSError):
             self.wfile.write(f"{head}Content-Length: {len(raw)}\r\n\r\n".encode() + raw)
 
+    def _stay_silent(self) -> None:
+        """Return nothing more on this connection, which stays open until its caller goes."""
+        self.close_connection = True
+        self.connection.settimeout(SILENT_S)
+        with suppress(OSError):
+            self.rfile.read(1)
+
     def _serve(self) -> None:
         store = self.server.store
         raw = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         body = json.loads(raw) if raw else {}
         url = urlsplit(self.path)
-        if url.path == "/promote" and store.is_provider_away:
-            self._answer(503, {})
-            return
         if url.path == "/promote":
             holder, token = self.headers["Holder"], int(self.headers["Fencing-Token"])
             self._answer(store.promote(body["service"], body["id"], holder, token), {})
@@ -217,7 +223,12 @@
                 found = store.watch(query.get("prefix", ""), int(query["after"]), wait_s)
                 self._answer(*((503, {}) if found is None else (200, found)))
             case "POST", "/kv-txn":
-                self._answer(*store.transact(body))
+                late_s = store.lateness_s(body)
+                if late_s is None:
+                    self._answer(*store.transact(body))
+                else:
+                    threading.Timer(late_s, store.transact, (body,)).start()
+                    self._stay_silent()
             case "POST", "/kv-lease":
                 self._answer(200, store.open_lease(body["ttlMs"]))
             case "POST", path if path.startswith("/kv-keep/"):
