Failover: a database that is not announced counts as gone only once the view has settled

Cause: the time for an announcement to come back was kept in the registry's entry of it, and an instance that has just started has no entries. A recorded primary without one was a failed connection at once, and the survey took it for gone; replicas not announced yet were not thought of.

The view of the store now tells since when it has been current without an outage, and each absence counts from then at the earliest. Databases not announced yet are waited for until the view has settled; those that left unseen are bounded by a position that the primary told after that.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -331,6 +331,9 @@
         """
         if not self._knows_latest(record):
             return
+        if not self._registry.is_settled:
+            # The one that leads may not be announced again yet.
+            return
         renewed = replace(record, epoch=self._next_epoch(record.epoch), confirms=0)
         if record.primary is None:
             # No instance has acknowledged the new epoch; all of them do so again.
@@ -683,8 +686,7 @@
         chosen = (record.successor, self.coordinator_lease.fencing_token)
         may_still_run = self.promotion_calls.may_still_run(record.group, record.successor)
         is_own = self._chosen.get(record.group) == chosen
-        is_registered = self._registry.get(record.successor) is not None
-        return (may_still_run or not is_own) and is_registered
+        return (may_still_run or not is_own) and not self._registry.is_gone(record.successor)
 
     def _new_term(self, record: PrimaryRecord) -> int | None:
         """Return the successor's term as primary; None before its promotion takes effect.
@@ -713,7 +715,8 @@
         """
         accepted_epoch, _ = self._promotion_accepted.get(record.group, (0, 0.0))
         left = [target.target for target in self._registry.targets_in_group(record.group)]
-        return accepted_epoch == record.epoch and left == [record.previous] == [record.successor]
+        is_only_one = self._registry.is_settled and left == [record.previous] == [record.successor]
+        return accepted_epoch == record.epoch and is_only_one
 
     def _choose_another_successor(self, record: PrimaryRecord) -> None:
         self._failed_at[record.successor] = self._clock.monotonic()
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -196,6 +196,7 @@
             self.evacuations.is_evacuated,
             self.warming.observe,
             lambda: self.contact.view_age_s,
+            lambda: self.contact.viewed_since,
         )
         connector = WarmingConnector(
             EvacuationGuard(connector, self.evacuations),
@@ -460,7 +461,6 @@
             retry_delay=RetryDelay(RETRY_DELAY_S, lambda: self.view.is_large, self._rng),
             on_direct=self.members.restart_absences,
             on_skip=self.metrics.count_skipped_item,
-            on_return=self.registry.restart_absences,
         )
         return self._mirror
 
@@ -561,6 +561,10 @@
     def bound_departures(self, groups: Iterable[GroupId]) -> None:
         """Note how far the databases that have left may have confirmed commits."""
         for group in groups:
+            is_needed = self.failover.is_coordinator and self.catalogs.confirms_commits(group)
+            if is_needed and self.registry.has_unbounded_departures(group):
+                # In a large fleet, the coordinator need not watch the primary itself.
+                self.positions.refresh(group)
             self.registry.bound_departures(group, self.planner.position_window(group).newest)
 
     def _primary_changed(self, record: PrimaryRecord) -> None:
@@ -693,6 +697,7 @@
         if self.eras.was_observed:
             self.metrics.count_store_return()
         self.members.restart_absences()
+        self.contact.interrupt_view()
         self.membership.wake_up.set()
         self.failover.wake_up.set()
 
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -92,8 +92,6 @@
         Called when this instance watches the store by itself after it has used a relay.
     on_skip : Callable, optional
         Called with the prefix of each item that is skipped.
-    on_return : Callable, optional
-        Called when the store answers after it has failed, before the answer is applied.
     """
 
     def __init__(
@@ -110,7 +108,6 @@
         retry_delay: RetryDelay | None = None,
         on_direct: Callable[[], None] = lambda: None,
         on_skip: Callable[[str], None] = lambda prefix: None,
-        on_return: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._handlers = handlers
@@ -123,7 +120,6 @@
         self._retry_delay = retry_delay
         self._on_direct = on_direct
         self._on_skip = on_skip
-        self._on_return = on_return
         # Keys that exist, and the revisions of those that were skipped.
         self._keys: set[str] = set()
         self._skipped: dict[str, int] = {}
@@ -230,6 +226,8 @@
         self._changed = [item.key for item in changes.items]
         if self._relayed:
             self._relayed = False
+            # The relays may have missed an outage of the store, or it may have ended them.
+            self._contact.interrupt_view()
             self._on_direct()
         self._apply(changes)
         self._change_log.append(changes.items, changes.revision)
@@ -306,7 +304,6 @@
 
     def _record_success(self) -> None:
         if self._failures:
-            self._on_return()
             log.info(
                 "store provides changes again",
                 extra={
@@ -331,6 +328,7 @@
             )
         self._failures += 1
         self._contact.record_failure(exc)
+        self._contact.interrupt_view()
         self._change_log.lose_store()
 
     def _read_all(self) -> bool:
--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -233,7 +233,9 @@
         monitor = self._planner.primary_monitor(self._group)
         target = self._registry.get(primary.target)
         if target is None:
-            monitor.record_failure(primary.target)
+            # It may run, and its announcement be on its way back; where it listens is not known.
+            if self._registry.is_gone(primary.target):
+                monitor.record_failure(primary.target)
             return
         sent_at = self._clock.monotonic()
         result = self._prober.status(target)
--- a/src/quetzalrudder/gateway/store_contact.py
+++ b/src/quetzalrudder/gateway/store_contact.py
@@ -35,6 +35,9 @@
         self._reached_since: float | None = None
         self._view_failed = False
         self._viewed_at: float | None = None
+        # Clock reading since which no change of the store can have been missed; infinite if some
+        # may be missing now.
+        self._viewed_since = math.inf
         # True from the log line on an outdated view to the one on a current view.
         self._logged_as_outdated = False
 
@@ -55,10 +58,26 @@
             self._reached_since = None
         log.warning("store lost", extra={"reason": str(exc), "reached_for_s": round(since_s, 1)})
 
+    def interrupt_view(self) -> None:
+        """Record that the store was away, or could not be reached, until the next view of it."""
+        with self._lock:
+            self._viewed_since = math.inf
+
+    @property
+    def viewed_since(self) -> float:
+        """Clock reading since which the view has been current all the time; infinite if it is not.
+
+        What the store lacked when the view began may have lapsed while the store was away, and be
+        on its way back. An outage for others and one for this instance alone look alike.
+        """
+        return self._viewed_since
+
     def record_view(self, age_s: float = 0.0) -> None:
         """Record that this instance has applied all changes up to some seconds ago."""
         now = self._clock.monotonic()
         with self._lock:
+            if math.isinf(self._viewed_since) or not self.is_view_current:
+                self._viewed_since = now
             self._viewed_at = max(now - age_s, self._viewed_at or 0.0)
             if not self._view_failed:
                 return
--- a/src/quetzalrudder/gateway/succession.py
+++ b/src/quetzalrudder/gateway/succession.py
@@ -13,6 +13,7 @@
 from quetzalrudder.models import TargetId
 
 __all__ = [
+    "UNANNOUNCED",
     "Candidate",
     "Decision",
     "NothingLeft",
@@ -25,6 +26,11 @@
 ]
 
 
+# Stands for the databases that may run and are not announced: their announcements may have lapsed
+# while the store was away. Parentheses keep it apart from the ids that databases announce.
+UNANNOUNCED = TargetId("(unannounced)")
+
+
 @dataclass(frozen=True)
 class Candidate:
     """What is known of a database that may have confirmed commits of the old primary."""
--- a/src/quetzalrudder/gateway/successor_survey.py
+++ b/src/quetzalrudder/gateway/successor_survey.py
@@ -17,7 +17,12 @@
 from quetzalrudder.gateway.primaries import PrimaryRecord
 from quetzalrudder.gateway.probing import StatusRefused
 from quetzalrudder.gateway.statements import TargetStatus
-from quetzalrudder.gateway.succession import Candidate, OldPrimary, OldPrimaryState
+from quetzalrudder.gateway.succession import (
+    UNANNOUNCED,
+    Candidate,
+    OldPrimary,
+    OldPrimaryState,
+)
 from quetzalrudder.gateway.targets import Departure, LogPosition, Target, TargetRegistry
 from quetzalrudder.models import GroupId, TargetId
 from quetzalrudder.utils import Clock
@@ -164,7 +169,7 @@
                 case _:
                     candidate = replace(candidate, confirmed=change.told.get(target.life))
             candidates.append(candidate)
-        return candidates + self._departed(record, change, targets)
+        return [*candidates, *self._departed(record, change, targets), self._unannounced(record)]
 
     def _has_log(self, group: GroupId, answers: dict[TargetId, StatusResult]) -> bool:
         """Return whether a commit of the group is known."""
@@ -203,12 +208,25 @@
             if departure.target.target != record.previous and not is_followed(departure)
         ]
 
+    def _unannounced(self, record: PrimaryRecord) -> Candidate:
+        """Return what is known of databases whose announcements this instance has never seen.
+
+        Those that run are announced within some time of the store's return, and of this instance's
+        start. Those that have left by then may have confirmed what the primary had acknowledged.
+        """
+        return Candidate(
+            UNANNOUNCED,
+            confirmed=self._registry.unseen_bound(record.group),
+            registered=not self._registry.is_settled,
+            may_stay=False,
+        )
+
     def ask_old_primary(self, record: PrimaryRecord) -> OldPrimary:
         """Ask a primary that is out of use for its position, which bounds what it acknowledged."""
         change = self._change_of(record)
         target = self._registry.get(record.previous) if record.previous else None
         if target is None:
-            return self._told(record, OldPrimaryState.GONE)
+            return self.remembered_old_primary(record)
         status = self.ask([target]).get(target.target)
         if not isinstance(status, Ok):
             return self._told(record, OldPrimaryState.SILENT)
@@ -222,9 +240,8 @@
 
     def remembered_old_primary(self, record: PrimaryRecord) -> OldPrimary:
         """Return what the old primary has told so far, without asking it."""
-        target = self._registry.get(record.previous) if record.previous else None
-        state = OldPrimaryState.GONE if target is None else OldPrimaryState.SILENT
-        return self._told(record, state)
+        is_gone = not record.previous or self._registry.is_gone(record.previous)
+        return self._told(record, OldPrimaryState.GONE if is_gone else OldPrimaryState.SILENT)
 
     def _told(self, record: PrimaryRecord, state: OldPrimaryState) -> OldPrimary:
         return OldPrimary(record.previous or TargetId(""), state, self._change_of(record).final)
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -1,6 +1,17 @@
-"""Registry of the databases that have announced themselves in the store."""
+"""Registry of the databases that have announced themselves in the store.
+
+Serves outages of the store under load, in which announcements lapse while their databases run on,
+and restarts of the whole fleet beside them. An announcement that is missing is no fact about its
+database before the view of the store has been current for some time. So callers say what they ask:
+
+- whether statements may be sent to a database: ``usable_targets_in_group``;
+- whether it may be queried: ``get``, ``targets_in_group``, ``all_targets``;
+- whether it has left for good: ``is_gone``, and ``is_settled`` for those never announced here;
+- how far those that have left may have confirmed commits: ``departures``.
+"""
 
 import logging
+import math
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
@@ -100,6 +111,9 @@
     view_age_s : Callable, optional
         Returns the seconds since the announcements were last known to be current. One that is
         missing may have come back since.
+    viewed_since : Callable, optional
+        Returns the clock reading since which they have been known without an outage of the store;
+        infinite if they are not. One that is missing may have lapsed in the outage.
     """
 
     def __init__(
@@ -108,14 +122,20 @@
         is_evacuated: Callable[[DataCentre], bool] = lambda data_centre: False,
         on_announced: Callable[[Target], None] = lambda target: None,
         view_age_s: Callable[[], float] = lambda: 0.0,
+        viewed_since: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         self._clock = clock
         self._view_age_s = view_age_s
+        self._viewed_since = viewed_since
         self._is_evacuated = is_evacuated
         self._on_announced = on_announced
         self._lock = threading.Lock()
         self._entries: dict[TargetId, _Entry] = {}
         self._departures: dict[GroupId, list[Departure]] = {}
+        # Clock reading of the last full list: what came and went before it was not seen.
+        self._listed_at = math.inf
+        # How far databases that left unseen may have confirmed commits.
+        self._unseen_bounds: dict[GroupId, LogPosition] = {}
 
     def update(self, target: Target) -> None:
         """Store a new or changed announcement."""
@@ -159,18 +179,12 @@
                 entry.missing_since = self._clock.monotonic()
         log.info("target gone", extra={"target": target, "drained": entry.target.draining})
 
-    def restart_absences(self) -> None:
-        """Begin the grace of all missing announcements anew, as the store answers again."""
-        now = self._clock.monotonic()
-        with self._lock:
-            for entry in self._entries.values():
-                if entry.missing_since is not None:
-                    entry.missing_since = now
-
     def replace_all(self, targets: Iterable[Target]) -> None:
         """Replace all announcements with a full list."""
         announced = {target.target: target for target in targets}
         with self._lock:
+            self._listed_at = self._clock.monotonic()
+            self._unseen_bounds.clear()
             removed = [target_id for target_id in self._entries if target_id not in announced]
         for target in announced.values():
             self.update(target)
@@ -184,6 +198,24 @@
             entry = self._entries.get(target)
             return entry.target if entry is not None else None
 
+    @property
+    def is_settled(self) -> bool:
+        """True if each database that runs and reaches the store is announced here by now."""
+        return self._viewed_since() < self._settled_before()
+
+    def is_gone(self, target: TargetId) -> bool:
+        """Return whether a database has left for good, also one that was never announced here."""
+        return self.get(target) is None and (self.is_settled or self._has_departed(target))
+
+    def _settled_before(self) -> float:
+        """Return the clock reading before which an absence must have begun to be final."""
+        return self._clock.monotonic() - self._view_age_s() - MISSING_GRACE_S
+
+    def _has_departed(self, target: TargetId) -> bool:
+        with self._lock:
+            departures = [each for group in self._departures.values() for each in group]
+        return any(each.target.target == target for each in departures)
+
     def draining_s(self, target: TargetId) -> float:
         """Return for how many seconds a database has been draining; 0 if it does not."""
         entry = self._entries.get(target)
@@ -216,11 +248,13 @@
             return [entry.target for entry in self._entries.values()]
 
     def _drop_expired(self) -> None:
-        oldest = self._clock.monotonic() - self._view_age_s() - MISSING_GRACE_S
+        settled_before = self._settled_before()
+        if self._viewed_since() >= settled_before:
+            return
         expired = [
             target
             for target, entry in self._entries.items()
-            if entry.missing_since is not None and entry.missing_since < oldest
+            if entry.missing_since is not None and entry.missing_since < settled_before
         ]
         for target in expired:
             self._note_departure(self._entries.pop(target).target)
@@ -245,20 +279,36 @@
         read_position : Callable
             Returns the newest position of its primary, and when it was asked for.
         """
-        if all(departure.bound is not None for departure in self._departures.get(group, ())):
+        if not self.has_unbounded_departures(group):
             return
         known = read_position()
         if known is None:
             return
         asked_at, position = known
         with self._lock:
+            settled_at = max(self._listed_at, self._viewed_since()) + MISSING_GRACE_S
+            if settled_at < asked_at:
+                self._unseen_bounds.setdefault(group, position)
             self._departures[group] = [
                 replace(departure, bound=position)
                 if departure.bound is None and departure.at < asked_at
                 else departure
-                for departure in self._departures[group]
+                for departure in self._departures.get(group, ())
             ]
 
+    def has_unbounded_departures(self, group: GroupId) -> bool:
+        """Return whether one that has left may have confirmed any commit, as far as is known."""
+        departures = self._departures.get(group, ())
+        return group not in self._unseen_bounds or any(each.bound is None for each in departures)
+
+    def unseen_bound(self, group: GroupId) -> LogPosition | None:
+        """Return how far databases may have confirmed commits that came and left unseen.
+
+        ``None`` if that is not known: this instance has not known for long enough which
+        databases there are.
+        """
+        return self._unseen_bounds.get(group)
+
     def _note_departure(self, target: Target) -> None:
         departures = self._departures.setdefault(target.group, [])
         departures.append(Departure(target, self._clock.monotonic()))
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -77,7 +77,7 @@
         )
         self.mirror = self.gateway.make_mirror(fleet.handlers(self.gateway))
         self.gateway.catalogs.update_if_newer(catalog(), b"1")
-        self.gateway.registry.replace_all(fleet.group.infos())
+        self.gateway.registry.replace_all(fleet.announced())
         self.health_check = PrimaryHealthCheck(
             group="g",
             primaries=self.gateway.primaries,
@@ -195,6 +195,8 @@
         self.store = MemoryStore(self.clock)
         self.store.era = store_era
         self.group = FakeGroup(self.clock)
+        # Databases whose announcements instances do not find when they start.
+        self.unannounced = set()
         self.by_name = {}
         self.instances = []
         for index, name in enumerate(names):
@@ -207,6 +209,10 @@
         """Return the handlers of the store's keys that are not the gateway's own."""
         return [evacuation_handler(gateway.evacuations)]
 
+    def announced(self):
+        """Return the databases that the store names."""
+        return [info for info in self.group.infos() if info.target not in self.unannounced]
+
     def data_centre(self, name):
         return "dc-0"
 
