Failover: a draining replica can be asked, and may confirm commits, until it is gone for good

Cause: the registry dropped a draining database with its announcement, for all questions: who gets statements, who can be asked, who may have confirmed a commit. The bound that it noted holds only for one that has really left.

Such a database now gets no statements, and is asked and waited for until it is gone like any other one. One whose address another database has got has ended, and is gone at once.

test_a_draining_replica_is_not_taken_for_gone_while_it_is_not_back_after_an_outage failed on. Two tests asked that a draining database departs at once, which was the fault: they ask now that it serves no more at once, and departs after the grace of all others.

--- a/src/quetzalrudder/gateway/attempts.py
+++ b/src/quetzalrudder/gateway/attempts.py
@@ -282,7 +282,7 @@
                 primary = self.outlook.wait_for_primary(group, remaining_s)
             if primary is None:
                 return Err(self._primary_changing(group, expected_s))
-        target = self._registry.get(primary.target)
+        target = self._registry.serving(primary.target)
         if target is None:
             return Err(self._primary_changing(group, None))
         if self._evacuations.is_closed(target.data_centre):
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -400,7 +400,7 @@
     @property
     def ready(self) -> bool:
         """True while this instance can serve callers at least as well as other instances."""
-        configured = self.catalogs.current.version > 0 and bool(self.registry.all_targets())
+        configured = self.catalogs.current.version > 0 and bool(self.registry.serving_targets())
         return configured and not self.isolated
 
     @property
@@ -549,7 +549,7 @@
             self.pool.retain_targets(
                 {
                     target.target
-                    for target in targets
+                    for target in self.registry.serving_targets()
                     if not self.evacuations.is_closed(target.data_centre)
                 }
             )
--- a/src/quetzalrudder/gateway/lending.py
+++ b/src/quetzalrudder/gateway/lending.py
@@ -143,7 +143,7 @@
 
     def _lend(self, wanted: Wanted, deadline_at: float) -> "tuple[int, _LentConnection] | RunReply":
         """Check out a connection for a peer; return its id, or the reply of a failure."""
-        target = self._registry.get(TargetId(wanted.target))
+        target = self._registry.serving(TargetId(wanted.target))
         if target is None or self._is_leaving():
             reason = (
                 "the connection owner does not know the database"
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -4,7 +4,8 @@
 and restarts of the whole fleet beside them. An announcement that is missing is no fact about its
 database before the view of the store has been current for some time. So callers say what they ask:
 
-- whether statements may be sent to a database: ``usable_targets_in_group``;
+- whether statements may be sent to a database: ``usable_targets_in_group``, ``serving``,
+  ``serving_targets``;
 - whether it may be queried: ``get``, ``targets_in_group``, ``all_targets``;
 - whether it has left for good: ``is_gone``, and ``is_settled`` for those never announced here;
 - how far those that have left may have confirmed commits: ``departures``.
@@ -96,6 +97,11 @@
     # Clock reading at which it was first seen draining.
     draining_since: float | None = None
 
+    @property
+    def is_serving(self) -> bool:
+        """True unless it drained and its announcement is missing."""
+        return not self.target.draining or self.missing_since is None
+
 
 class TargetRegistry:
     """The databases that have announced themselves.
@@ -150,6 +156,7 @@
             if previous is not None and not _is_same_member(previous.target, target):
                 self._note_departure(previous.target)
             self._forget_departure(target)
+            self._drop_followed(target)
         self._on_announced(target)
         if previous is None or previous.target != target:
             log.info(
@@ -165,18 +172,14 @@
     def remove(self, target: TargetId) -> None:
         """Record that an announcement was removed.
 
-        A draining database is dropped at once. Another one stays registered for
-        ``MISSING_GRACE_S``, as its announcement may come back.
+        The database stays registered for ``MISSING_GRACE_S``, as its announcement may come back.
+        One that drains gets no statements meanwhile, but can be asked how far it has got.
         """
         with self._lock:
             entry = self._entries.get(target)
             if entry is None or entry.missing_since is not None:
                 return
-            if entry.target.draining:
-                del self._entries[target]
-                self._note_departure(entry.target)
-            else:
-                entry.missing_since = self._clock.monotonic()
+            entry.missing_since = self._clock.monotonic()
         log.info("target gone", extra={"target": target, "drained": entry.target.draining})
 
     def replace_all(self, targets: Iterable[Target]) -> None:
@@ -198,6 +201,22 @@
             entry = self._entries.get(target)
             return entry.target if entry is not None else None
 
+    def serving(self, target: TargetId) -> Target | None:
+        """Return a database that statements may be sent to; None if there is none of this id."""
+        with self._lock:
+            self._drop_expired()
+            entry = self._entries.get(target)
+            return entry.target if entry is not None and entry.is_serving else None
+
+    def serving_targets(self) -> list[Target]:
+        """Return all databases that statements may be sent to, those that drain too.
+
+        One that drained has probably left if its announcement is missing.
+        """
+        with self._lock:
+            self._drop_expired()
+            return [entry.target for entry in self._entries.values() if entry.is_serving]
+
     @property
     def is_settled(self) -> bool:
         """True if each database that runs and reaches the store is announced here by now."""
@@ -259,6 +278,16 @@
         for target in expired:
             self._note_departure(self._entries.pop(target).target)
 
+    def _drop_followed(self, target: Target) -> None:
+        """Drop a missing database whose address another one has got: it has ended."""
+        followed = [
+            name
+            for name, entry in self._entries.items()
+            if entry.missing_since is not None and entry.target.address == target.address
+        ]
+        for name in followed:
+            self._note_departure(self._entries.pop(name).target)
+
     # Databases that can no longer be asked what they have received.
 
     def departures(self, group: GroupId) -> list[Departure]:
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -301,6 +301,9 @@
     registry.update(replace(info, started_unix_ms=1, draining=True))
     assert [departure.life for departure in registry.departures("g")] == [("db-2", 0)]
     registry.remove("db-2")
+    clock.advance(MISSING_GRACE_S - 0.1)
+    assert [departure.life for departure in registry.departures("g")] == [("db-2", 0)]
+    clock.advance(0.2)
     lives = [departure.life for departure in registry.departures("g")]
     assert lives == [("db-2", 0), ("db-2", 1)]
     registry.update(replace(info, started_unix_ms=1))
@@ -316,6 +319,10 @@
     registry = TargetRegistry(clock)
     registry.update(replace(GatewayFleet().group["db-2"].info, draining=True))
     registry.remove("db-2")
+    # It may run, and confirm commits, until it is gone for good.
+    registry.bound_departures("g", lambda: (clock.now + 1.0, LogPosition(1, 3)))
+    clock.advance(MISSING_GRACE_S + 0.1)
+    assert [departure.bound for departure in registry.departures("g")] == [None]
     registry.bound_departures("g", lambda: (clock.now - 1.0, LogPosition(1, 4)))
     assert [departure.bound for departure in registry.departures("g")] == [None]
     registry.bound_departures("g", lambda: (clock.now + 1.0, LogPosition(1, 5)))
--- a/tests/test_missing_announcements.py
+++ b/tests/test_missing_announcements.py
@@ -150,6 +150,60 @@
     assert replaced_after(fleet, FAILOVER_S, "db-2") is not None
 
 
+def test_a_draining_replica_is_not_taken_for_gone_while_it_is_not_back_after_an_outage():
+    # It was dropped at once, and a replica that lacked what it alone had confirmed was promoted.
+    fleet = GatewayFleet()
+    configure(fleet, 2, 1)
+    assert fleet.run(3.0, fleet.all_know_primary) is not None
+    fleet.run(PERMISSION_S + 1)
+    write(fleet, "w1")
+    announce(fleet, "db-2", draining=True)
+    fleet.run(1.0)
+    for instance in fleet.instances:
+        instance.cut_from_store()
+    fleet.run(4.5)
+    for instance in fleet.instances:
+        instance.cut_from_store(False)
+    for name in fleet.group.databases:
+        remove(fleet, name)
+    announce(fleet, "db-1")
+    announce(fleet, "db-3")
+    # The primary tells its position meanwhile.
+    fleet.run(1.0)
+    fleet.group["db-3"].replication_paused = True
+    write(fleet, "w2")
+    fleet.group["db-1"].up = False
+    assert replaced_after(fleet, FAILOVER_S, "db-2") is not None
+    assert promoted(fleet) == ["db-2"]
+    assert len(fleet.group["db-2"].log) == 2
+
+
+def test_a_draining_replica_whose_address_another_one_has_got_is_not_waited_for():
+    clock = ManualClock()
+    registry = TargetRegistry(clock)
+    info = replace(GatewayFleet().group["db-2"].info, draining=True)
+    registry.update(info)
+    registry.remove("db-2")
+    registry.update(replace(info, target="db-4", draining=False))
+    assert registry.is_gone("db-2")
+    assert [departure.target.target for departure in registry.departures("g")] == ["db-2"]
+
+
+def test_a_draining_database_that_is_not_announced_gets_no_statements():
+    clock = ManualClock()
+    registry = TargetRegistry(clock)
+    info = replace(GatewayFleet().group["db-2"].info, draining=True)
+    registry.update(info)
+    assert registry.serving("db-2") == info
+    registry.remove("db-2")
+    assert registry.serving("db-2") is None
+    assert registry.serving_targets() == []
+    # It can be asked how far it has got.
+    assert registry.targets_in_group("g") == [info]
+    clock.advance(MISSING_GRACE_S + 0.1)
+    assert registry.is_gone("db-2")
+
+
 class ViewedRegistry:
     """A registry beside the contact that tells how current its view is."""
 
