Failover: a recorded successor is called for, whoever recorded it and however late

Cause: the coordinator kept its choice in memory, noted only if the store answered. Its own late write counted as another's choice, whose call may still run; its next choice was another database, so it waited for the recorded one and never called for it. Refusals of the platform counted as failures of the successor, which changed the choice as well.

The record now tells who chose the successor. Of equally complete databases the recorded one is kept; one that a call may promote is called for; a successor is left for a refusal of it only; a call without an answer is expected for 10 s.

--- a/src/quetzalrudder/gateway/coordinator_lease.py
+++ b/src/quetzalrudder/gateway/coordinator_lease.py
@@ -95,6 +95,7 @@
         self._resigned = False
         # Increases with each acquisition of the lease by any instance, also over eras.
         self.fencing_token = 0
+        self._acquired_at = math.inf
 
     def observe(self, record: CoordinatorRecord | None) -> None:
         """Process the coordinator record read from the store; None if there is none."""
@@ -121,6 +122,11 @@
         """True while this instance may replace primaries."""
         return self._era == self._eras.current and self._clock.monotonic() < self._valid_until
 
+    @property
+    def held_s(self) -> float:
+        """Seconds since this instance acquired the lease; no earlier coordinator acts since."""
+        return self._clock.monotonic() - self._acquired_at
+
     @property
     def observed_coordinator(self) -> InstanceId | None:
         """The failover coordinator that this instance last read from the store."""
@@ -191,6 +197,7 @@
         self._lease = lease.ok_value
         self._era = era_of(written.ok_value)
         self.fencing_token = written.ok_value
+        self._acquired_at = self._clock.monotonic()
         self._valid_until = now + COORDINATOR_LEASE_S - COORDINATOR_LEASE_MARGIN_S
         self._next_renewal = now + COORDINATOR_RENEW_INTERVAL_S
         log.info("coordinator lease acquired", extra={"token": self.fencing_token})
--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -19,7 +19,11 @@
 )
 from quetzalrudder.gateway.primaries import PrimaryRecord, PrimaryTable
 from quetzalrudder.gateway.primary_writes import write_primary
-from quetzalrudder.gateway.promotion_calls import PromotionCalls, PromotionClient
+from quetzalrudder.gateway.promotion_calls import (
+    LATE_CALL_LIMIT_S,
+    PromotionCalls,
+    PromotionClient,
+)
 from quetzalrudder.gateway.promotion_rules import is_suspected, may_promote
 from quetzalrudder.gateway.records import (
     MEMBER_PREFIX,
@@ -163,14 +167,14 @@
             clock=clock,
         )
         self.promotion_calls = PromotionCalls(
-            promotion_client, instance, lambda: self.is_coordinator
+            promotion_client, instance, lambda: self.is_coordinator, clock
         )
         self._old_primary_unused_since: dict[GroupId, float] = {}
-        # Successors recorded by this instance, with the fencing token at that time.
-        self._chosen: dict[GroupId, tuple[TargetId, int]] = {}
         # Epochs for which the platform has accepted a promotion, and when.
         self._promotion_accepted: dict[GroupId, tuple[int, float]] = {}
         self._failed_at: dict[TargetId, float] = {}
+        # When the next promotion call of a group may be made, while the platform accepts none.
+        self._next_call: dict[GroupId, float] = {}
         # When several announced primaries of a group without a record may be asked again.
         self._next_query: dict[GroupId, float] = {}
         # Key of the record that last kept a primary from being replaced.
@@ -249,7 +253,6 @@
         if record is None or record.primary is not None:
             self._end_wait(group)
             self.survey.forget(group)
-            self.promotion_calls.forget(group)
         if record is None:
             # Other programs write announcements too, of groups that do not exist.
             if self._is_used(group):
@@ -395,6 +398,7 @@
                 epoch=self._next_epoch(record.epoch),
                 primary=None,
                 successor=successor if is_final else None,
+                chosen_by=self.coordinator_lease.fencing_token if is_final else 0,
                 previous=record.primary,
                 planned=planned,
                 confirms=0,
@@ -505,6 +509,7 @@
                     record,
                     primary=record.successor,
                     successor=None,
+                    chosen_by=0,
                     planned=False,
                     term=term,
                     waits_for=(),
@@ -521,6 +526,8 @@
         """Return the record whose successor may be promoted now; None if there is none yet."""
         if self._confirms_commits(record.group):
             return self._settle_complete_successor(record)
+        if self._clock.monotonic() < self._next_call.get(record.group, 0.0):
+            return None
         if self._has_failed(record.successor, PROMOTION_RETRY_DELAY_S):
             return None
         if record.successor is None:
@@ -551,13 +558,15 @@
             return None
         target = decision.target
         if target != record.successor:
-            if record.successor is not None and self._may_lead_later(record):
+            if self._may_old_primary_lead_later(record):
                 self._wait_for(record, (record.successor,))
                 return None
             log.info("successor confirmed", extra={"group": record.group, "target": target})
             record = self._record_successor(record, target)
-        self._end_wait(group)
-        if record is None or self._has_failed(target, PROMOTION_RETRY_DELAY_S):
+        if self._waits.get(group) != (target,):
+            self._end_wait(group)
+        is_due = self._clock.monotonic() >= self._next_call.get(group, 0.0)
+        if record is None or not is_due or self._has_failed(target, PROMOTION_RETRY_DELAY_S):
             return None
         if record.planned:
             self._step_down(record)
@@ -578,7 +587,10 @@
             return None
         is_first = record.successor is None
         epoch = record.epoch if is_first else self._next_epoch(record.epoch)
-        self._write_record(replace(record, epoch=epoch, successor=successor, waits_for=()))
+        token = self.coordinator_lease.fencing_token
+        self._write_record(
+            replace(record, epoch=epoch, successor=successor, chosen_by=token, waits_for=())
+        )
         written = self._primaries.record(record.group)
         is_written = written is not None and written.successor == successor
         return written if is_first and is_written else None
@@ -592,9 +604,13 @@
             if not self._renew_lease():
                 break
             candidates = [
-                replace(candidate, failed=self._has_failed(candidate.target))
+                self._with_record(candidate, record)
                 for candidate in self.survey.ask_candidates(record, self._renew_lease)
             ]
+            names = {record.previous, *(candidate.target for candidate in candidates)}
+            if record.successor not in (None, *names) and self._may_lead_later(record):
+                # It is not announced, and may be back.
+                candidates.append(Candidate(record.successor, may_be_called=True))
             old = self.survey.remembered_old_primary(record)
             decision = choose_complete(candidates, old, may_catch_up=may_catch_up)
             if record.planned or not isinstance(decision, Promote):
@@ -604,6 +620,16 @@
                 break
         return decision
 
+    def _with_record(self, candidate: Candidate, record: PrimaryRecord) -> Candidate:
+        """Add what the record of the group says of a database."""
+        is_recorded = candidate.target == record.successor
+        return replace(
+            candidate,
+            failed=self._has_failed(candidate.target),
+            recorded=is_recorded,
+            may_be_called=is_recorded and self._may_lead_later(record),
+        )
+
     def _wait_for(self, record: PrimaryRecord, targets: tuple[TargetId, ...]) -> None:
         """Note, and tell callers, that a promotion waits; none of the group is left if empty."""
         group = record.group
@@ -668,8 +694,12 @@
             "promotion failed",
             extra={"group": group, "target": record.successor, "reason": str(exc)},
         )
-        timed_out = self._clock.monotonic() - since > SUCCESSOR_TIMEOUT_S
-        if not isinstance(exc, TargetUnavailable) and not timed_out:
+        if not isinstance(exc, TargetUnavailable):
+            # That says nothing of the successor, and another one could not be promoted either.
+            now = self._clock.monotonic()
+            if now - since > SUCCESSOR_TIMEOUT_S:
+                self._next_call[group] = now + PROMOTION_RETRY_DELAY_S
+                self._wait_for(record, (record.successor,))
             return
         if self._may_lead_later(record):
             self._failed_at[record.successor] = self._clock.monotonic()
@@ -680,13 +710,21 @@
     def _may_lead_later(self, record: PrimaryRecord) -> bool:
         """Return whether a call without an answer may still promote the successor.
 
-        If another one was promoted meanwhile, that call would depose it. Of the calls of an earlier
-        coordinator nothing is known. The platform promotes none that has left for good.
+        If another one was promoted meanwhile, that call would depose it. The record tells whether
+        this coordinator has chosen the successor, also if the store wrote it late: then it knows of
+        all calls. An earlier coordinator may have made one until this one acquired the lease. The
+        platform promotes none that has left for good.
         """
-        chosen = (record.successor, self.coordinator_lease.fencing_token)
+        lease = self.coordinator_lease
+        is_own = record.chosen_by == lease.fencing_token
+        may_be_unknown = not is_own and lease.held_s < LATE_CALL_LIMIT_S
         may_still_run = self.promotion_calls.may_still_run(record.group, record.successor)
-        is_own = self._chosen.get(record.group) == chosen
-        return (may_still_run or not is_own) and not self._registry.is_gone(record.successor)
+        return (may_still_run or may_be_unknown) and not self._registry.is_gone(record.successor)
+
+    def _may_old_primary_lead_later(self, record: PrimaryRecord) -> bool:
+        """Return whether a call may still make the old primary its own successor."""
+        is_old = record.successor is not None and record.successor == record.previous
+        return is_old and self._may_lead_later(record)
 
     def _new_term(self, record: PrimaryRecord) -> int | None:
         """Return the successor's term as primary; None before its promotion takes effect.
@@ -812,12 +850,8 @@
         """Write a record unless it has changed in the store since it was read."""
         if not self.is_coordinator:
             return
-        known = self._primaries.record(record.group)
         result = write_primary(self._store, self._primaries, record)
         if isinstance(result, Ok):
-            if record.successor not in (None, known.successor if known is not None else None):
-                token = self.coordinator_lease.fencing_token
-                self._chosen[record.group] = (record.successor, token)
             self._old_primary_unused_since.pop(record.group, None)
             self._promotion_accepted.pop(record.group, None)
         elif not isinstance(result.err_value, WriteConflict):
--- a/src/quetzalrudder/gateway/primaries.py
+++ b/src/quetzalrudder/gateway/primaries.py
@@ -50,6 +50,8 @@
     confirms: int = 0
     # Databases that have to answer before another one is promoted.
     waits_for: tuple[TargetId, ...] = ()
+    # Fencing token of the coordinator that chose the successor; 0 if that is not known.
+    chosen_by: int = 0
 
     @property
     def rank(self) -> tuple[int, bool, bool]:
--- a/src/quetzalrudder/gateway/promotion_calls.py
+++ b/src/quetzalrudder/gateway/promotion_calls.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
 from functools import partial
@@ -15,11 +16,17 @@
 from quetzalrudder.exceptions import PlatformUnavailable, QuetzalrudderError
 from quetzalrudder.models import GroupId, InstanceId, TargetId
 from quetzalrudder.schema.common import Ending
+from quetzalrudder.utils import Clock
 
-__all__ = ["PromotionCalls", "PromotionClient"]
+__all__ = ["LATE_CALL_LIMIT_S", "PromotionCalls", "PromotionClient"]
 
 log = logging.getLogger(__name__)
 
+# A call without an answer is not expected to take effect after this time. The platform states no
+# limit; waiting without one would keep a group without a primary although a database has all
+# acknowledged commits.
+LATE_CALL_LIMIT_S = 10.0
+
 
 class PromotionClient(Protocol):
     """Calls the platform to promote a database.
@@ -55,19 +62,27 @@
     may_call : Callable
         Returns whether this instance may promote, checked before each call and again before it is
         sent.
+    clock : Clock
+        Source of time; it must count suspensions.
     """
 
     def __init__(
-        self, client: PromotionClient, coordinator: InstanceId, may_call: Callable[[], bool]
+        self,
+        client: PromotionClient,
+        coordinator: InstanceId,
+        may_call: Callable[[], bool],
+        clock: Clock,
     ) -> None:
         self._client = client
         self._coordinator = coordinator
         self._may_call = may_call
+        self._clock = clock
         # The call that runs, or whose result was not taken yet.
         self._calls: dict[GroupId, Future] = {}
-        # The latest epoch for which a call was made, and the databases whose calls got no answer.
+        # The latest epoch for which a call was made.
         self._made: dict[GroupId, int] = {}
-        self._unanswered: dict[GroupId, set[TargetId]] = {}
+        # When a call for a database ended without an answer, for the last time.
+        self._unanswered: dict[tuple[GroupId, TargetId], float] = {}
         # Runs the calls; without one, they are run by the caller.
         self.executor: Executor | None = None
 
@@ -76,12 +91,12 @@
         return self._made.get(group) == epoch
 
     def may_still_run(self, group: GroupId, target: TargetId) -> bool:
-        """Return whether a call for a database got no answer, so that it may take effect later."""
-        return target in self._unanswered.get(group, ())
+        """Return whether a call for a database got no answer, so that it may take effect later.
 
-    def forget(self, group: GroupId) -> None:
-        """Forget the calls without an answer, as the group has a primary."""
-        self._unanswered.pop(group, None)
+        This does not end when the group has a primary: the call may depose the one after that.
+        """
+        ended_at = self._unanswered.get((group, target), -math.inf)
+        return self._clock.monotonic() - ended_at < LATE_CALL_LIMIT_S
 
     def has_call(self, group: GroupId) -> bool:
         """Return whether a call of a group runs, or its result was not taken yet."""
@@ -125,5 +140,14 @@
             reason = f"promotion call failed: {exc!r}"
             result = Err(PlatformUnavailable(reason, place=group, ending=Ending.UNKNOWN))
         if isinstance(result, Err) and result.err_value.ending is Ending.UNKNOWN:
-            self._unanswered.setdefault(group, set()).add(target)
+            self._note_unanswered(group, target)
         return epoch, result
+
+    def _note_unanswered(self, group: GroupId, target: TargetId) -> None:
+        now = self._clock.monotonic()
+        recent = {
+            call: ended_at
+            for call, ended_at in list(self._unanswered.items())
+            if now - ended_at < LATE_CALL_LIMIT_S
+        }
+        self._unanswered = {**recent, (group, target): now}
--- a/src/quetzalrudder/gateway/records.py
+++ b/src/quetzalrudder/gateway/records.py
@@ -144,6 +144,7 @@
             term=record.term,
             confirms=record.confirms,
             waits_for=list(record.waits_for),
+            chosen_by=record.chosen_by,
         )
     )
 
@@ -161,6 +162,7 @@
         term=value.term,
         confirms=value.confirms,
         waits_for=tuple(TargetId(name) for name in value.waits_for),
+        chosen_by=value.chosen_by,
         revision=item.revision,
     )
 
--- a/src/quetzalrudder/gateway/succession.py
+++ b/src/quetzalrudder/gateway/succession.py
@@ -48,6 +48,10 @@
     may_stay: bool = True
     # True if its promotion failed a moment ago.
     failed: bool = False
+    # True if the record of the group names it as the successor.
+    recorded: bool = False
+    # True if a call for it without a known answer may still promote it.
+    may_be_called: bool = False
     # Term in which it leads already, if later than that of the old primary; 0 otherwise.
     leads_term: int = 0
 
@@ -136,6 +140,9 @@
         behind = tuple(each.target for each in found if each.registered and each.may_stay)
         if behind:
             return Wait(behind)
+    called = next((each for each in found if each.may_be_called and each.registered), None)
+    if called is not None and called not in complete and not _has_told(called):
+        return Wait((called.target,))
     if complete:
         return Promote(max(complete, key=_preference).target)
     return _choose_incomplete(found, old)
@@ -182,6 +189,15 @@
     return all(each is candidate or _reaches(candidate, each) for each in found)
 
 
+def _has_told(candidate: Candidate) -> bool:
+    """Return whether a database has just answered how far it has got.
+
+    One that answers and lacks commits is not waited for, though a late call may promote it: another
+    one that leads before that gives it the log, and waiting does not.
+    """
+    return candidate.holds is not None and candidate.confirmed is not None
+
+
 def _reaches(candidate: Candidate | None, other: Candidate) -> bool:
     """Return whether a database has all that another one may have confirmed."""
     if candidate is None or candidate.holds is None or other.confirmed is None:
@@ -194,5 +210,18 @@
     return max(answering, key=lambda each: (each.holds, *_preference(each)), default=None)
 
 
-def _preference(candidate: Candidate) -> tuple[bool, bool, LogPosition, TargetId]:
-    return candidate.may_stay, not candidate.failed, candidate.holds, candidate.target
+def _preference(candidate: Candidate) -> tuple[bool, bool, bool, bool, LogPosition, TargetId]:
+    """Return the order of databases that are equally complete.
+
+    One for which a call may have been made goes before all others, which that call would depose. Of
+    equals, the one that the record names is kept, whoever chose it: the record may have been
+    written late, without an answer.
+    """
+    return (
+        candidate.may_be_called,
+        candidate.may_stay,
+        not candidate.failed,
+        candidate.recorded,
+        candidate.holds,
+        candidate.target,
+    )
--- a/src/quetzalrudder/schema/gateway/__init__.py
+++ b/src/quetzalrudder/schema/gateway/__init__.py
@@ -372,6 +372,11 @@
     Databases that have to answer before another one is promoted.
     """
 
+    chosen_by: "int" = betterproto2.field(9, betterproto2.TYPE_UINT64)
+    """
+    Fencing token of the coordinator that chose the successor; 0 if that is not known.
+    """
+
 
 default_message_pool.register_message("gateway", "LeaderValue", LeaderValue)
 
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -13,9 +13,10 @@
 from quetzalrudder.gateway.coordinator_lease import COORDINATOR_LEASE_S
 from quetzalrudder.gateway.failover import SUCCESSOR_TIMEOUT_S
 from quetzalrudder.gateway.permission import PERMISSION_S
-from quetzalrudder.gateway.promotion_calls import PromotionCalls
+from quetzalrudder.gateway.promotion_calls import LATE_CALL_LIMIT_S, PromotionCalls
 from quetzalrudder.gateway.statements import Begin, Commit, Read, Write
 from quetzalrudder.schema.common import Ending
+from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet, catalog
 
 CALL_TIMEOUT_S = 0.8
@@ -274,7 +275,7 @@
 def test_a_call_that_hangs_holds_up_no_other_group(executor):
     # The primaries of the groups that came later in a step were not replaced at all.
     client = HangingClient("a")
-    calls = PromotionCalls(client, "edge-1", lambda: True)
+    calls = PromotionCalls(client, "edge-1", lambda: True, ManualClock())
     calls.executor = executor
     calls.begin("a", 2, "db-1", 7)
     calls.begin("b", 5, "db-2", 7)
@@ -305,7 +306,7 @@
 def test_no_call_is_made_after_the_lease_has_lapsed():
     # The executor may run it later than it was begun.
     client = HangingClient("other")
-    calls = PromotionCalls(client, "edge-1", lambda: False)
+    calls = PromotionCalls(client, "edge-1", lambda: False, ManualClock())
     calls.begin("a", 2, "db-1", 7)
     epoch, result = calls.take_result("a")
     assert (epoch, client.calls) == (2, [])
@@ -313,12 +314,29 @@
     assert not calls.may_still_run("a", "db-1")
 
 
+def test_a_call_without_an_answer_is_expected_to_run_for_a_limited_time():
+    class SilentClient:
+        def promote(self, group, target, **caller):
+            return Err(PlatformUnavailable("no answer", place=target, ending=Ending.UNKNOWN))
+
+    clock = ManualClock()
+    calls = PromotionCalls(SilentClient(), "edge-1", lambda: True, clock)
+    calls.begin("a", 2, "db-1", 7)
+    calls.take_result("a")
+    clock.advance(LATE_CALL_LIMIT_S - 0.1)
+    assert calls.may_still_run("a", "db-1")
+    assert not calls.may_still_run("a", "db-2")
+    assert not calls.may_still_run("b", "db-1")
+    clock.advance(0.2)
+    assert not calls.may_still_run("a", "db-1")
+
+
 def test_an_unexpected_exception_of_a_call_counts_as_no_answer():
     class FailingClient:
         def promote(self, *args, **kwargs):
             raise RuntimeError("defect")
 
-    calls = PromotionCalls(FailingClient(), "edge-1", lambda: True)
+    calls = PromotionCalls(FailingClient(), "edge-1", lambda: True, ManualClock())
     calls.begin("a", 2, "db-1", 7)
     assert isinstance(calls.take_result("a")[1], Err)
     assert calls.may_still_run("a", "db-1")
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -5,11 +5,15 @@
 import pytest
 from result import Err, Ok
 
-from quetzalrudder.exceptions import PrimaryChanging, TargetUnavailable
+from quetzalrudder.exceptions import PlatformUnavailable, PrimaryChanging, TargetUnavailable
 from quetzalrudder.gateway.catalog import GroupSettings
 from quetzalrudder.gateway.permission import PERMISSION_S
+from quetzalrudder.gateway.records import PRIMARY_PREFIX
 from quetzalrudder.gateway.statements import StatusRefusal, TargetFault, Write
 from quetzalrudder.gateway.targets import MISSING_GRACE_S, LogPosition, TargetRegistry
+from quetzalrudder.schema.common import Ending
+from quetzalrudder.utils import Address
+from standins.gateway_store import StoreClient
 from tests.clocks import ManualClock
 from tests.gateway_fakes import FakeLink
 from tests.gateway_fleet import GatewayFleet, catalog
@@ -263,6 +267,34 @@
     assert promoted(behind) == ["db-2"]
 
 
+def test_a_successor_whose_record_the_store_wrote_late_is_promoted(fleet, monkeypatch):
+    # It was taken for the choice of another coordinator, whose call may still run: it was waited
+    # for and never called for, as a further database had become the better choice.
+    write(fleet, "w1")
+    put, late = StoreClient.write, []
+
+    def write_late(client, key, value, expected, lease=None):
+        names_successor = key.startswith(PRIMARY_PREFIX) and b"db-3" in value
+        if not names_successor or late:
+            return put(client, key, value, expected, lease)
+        late.append((fleet.clock.now + 1.2, client, key, value, expected))
+        started = replace(fleet.group["db-3"].info, target="db-4")
+        fleet.group.databases["db-4"] = replace(fleet.group["db-3"], info=started)
+        for instance in fleet.instances:
+            instance.gateway.registry.update(replace(started, address=Address("10.0.0.1", 7003)))
+        return Err(PlatformUnavailable("no answer", ending=Ending.UNKNOWN))
+
+    monkeypatch.setattr(StoreClient, "write", write_late)
+    fleet.group["db-1"].up = False
+    assert fleet.run(3.0, lambda: late) is not None
+    due_at, *call = late[0]
+    # The next write that names a successor finds that the late one was done before it.
+    fleet.clock.advance(due_at - fleet.clock.now)
+    assert isinstance(put(*call), Ok)
+    assert fleet.run(4.0, fleet.all_know_primary) is not None
+    assert fleet[0].session().execute("w2", Write("a", "1")).error is None
+
+
 def test_a_planned_replacement_promotes_one_that_has_the_whole_log(behind):
     announce(behind, "db-1", draining=True)
     assert promoted(behind) == ["db-2"]
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,8 +1,11 @@
 """The choice of a successor from what is known of each database, without time or network."""
 
+from dataclasses import replace
+
 import pytest
 
 from quetzalrudder.gateway.succession import (
+    UNANNOUNCED,
     Candidate,
     NothingLeft,
     OldPrimary,
@@ -153,6 +156,56 @@
         SILENT,
         Promote("db-2"),
     ),
+    "one that is not announced yet may have confirmed more": (
+        [answered("db-2", 7), Candidate(UNANNOUNCED, may_stay=False)],
+        GONE,
+        Wait((UNANNOUNCED,)),
+    ),
+    "none is missing, but one may have left unseen": (
+        [answered("db-2", 7), gone(UNANNOUNCED)],
+        SILENT,
+        Wait(("db-1",)),
+    ),
+    "one that the record names, of two that have the same": (
+        [answered("db-2", 9, recorded=True), answered("db-3", 9)],
+        SILENT,
+        Promote("db-2"),
+    ),
+    "one that the record names, of two that have all that was acknowledged": (
+        [answered("db-2", 9, recorded=True), answered("db-3", 10)],
+        answers(9),
+        Promote("db-2"),
+    ),
+    "another one than the record names, whose promotion failed": (
+        [answered("db-2", 9, recorded=True, failed=True), answered("db-3", 9)],
+        SILENT,
+        Promote("db-3"),
+    ),
+    "one whose promotion failed, if a call for it may still run": (
+        [answered("db-2", 9, failed=True, may_be_called=True), answered("db-3", 9)],
+        SILENT,
+        Promote("db-2"),
+    ),
+    "a silent one that a call may still promote": (
+        [Candidate("db-2", at(9), may_be_called=True), answered("db-3", 9)],
+        SILENT,
+        Wait(("db-2",)),
+    ),
+    "a busy one that a call may still promote": (
+        [busy("db-2", at(7), may_be_called=True), answered("db-3", 9)],
+        answers(9),
+        Wait(("db-2",)),
+    ),
+    "one that a call may still promote, and that lacks commits, gets them from another one": (
+        [answered("db-2", 7, may_be_called=True), answered("db-3", 9)],
+        SILENT,
+        Promote("db-3"),
+    ),
+    "one that a call may still promote is gone": (
+        [replace(gone("db-2", at(7)), may_be_called=True), answered("db-3", 9)],
+        SILENT,
+        Promote("db-3"),
+    ),
     "a position of a later term is further": (
         [Candidate("db-2", at(5, term=2), at(5, term=2)), answered("db-3", 9)],
         SILENT,
