--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -388,7 +388,7 @@
         if (leader := self.newer_leaders.find(record)) is not None:
             self._begin_change(record, leader, planned=False)
             return
-        target = self._registry.get(record.primary)
+        target = self._registry.queryable(record.primary)
         draining = target is not None and (target.draining or self._must_move(target))
         suspected = is_suspected(record.primary, record.group, self._watchers(record))
         if not draining and not suspected:
@@ -504,7 +504,7 @@
 
     def _has_caught_up(self, record: PrimaryRecord) -> bool:
         """Return whether a replica has what its primary had a moment ago, or that is not known."""
-        primary = self._registry.get(record.primary)
+        primary = self._registry.queryable(record.primary)
         if primary is None:
             return True
         status = self._prober.status(primary)
@@ -690,7 +690,7 @@
 
     def _step_down(self, record: PrimaryRecord, term: int = 0) -> None:
         """Make the old primary, which leads the recorded term or a given one, a replica."""
-        old = self._registry.get(record.previous) if record.previous else None
+        old = self._registry.queryable(record.previous) if record.previous else None
         if old is None:
             return
         stepped_down = self._prober.step_down(old, max(record.term, term) + 1)
@@ -758,7 +758,7 @@
         commits. A successor that was replaced as primary earlier may still report itself as primary
         of its old term, so only a term after the recorded one counts.
         """
-        target = self._registry.get(record.successor)
+        target = self._registry.queryable(record.successor)
         if target is None or not self.promotion_calls.was_made(record.group, record.epoch):
             return None
         status = self._prober.status(target)
@@ -788,7 +788,7 @@
             self._promotion_accepted.pop(record.group, None)
             self._old_primary_unused_since.pop(record.group, None)
             return
-        previous = self._registry.get(record.previous) if record.previous else None
+        previous = self._registry.queryable(record.previous) if record.previous else None
         excluded = record.previous if previous is not None and previous.draining else None
         successor = self._choose_successor(record.group, excluded, planned=record.planned)
         self._record_successor(record, successor)
@@ -843,8 +843,8 @@
 
         Nobody receives anything from a primary that has stepped down.
         """
-        old = self._registry.get(record.previous) if record.previous else None
-        new = self._registry.get(record.successor)
+        old = self._registry.queryable(record.previous) if record.previous else None
+        new = self._registry.queryable(record.successor)
         if old is None or new is None:
             return
         final_status = self._prober.status(old)
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -644,7 +644,7 @@
     def _watchers(self, record: PrimaryRecord) -> list[MemberRecord]:
         if not self.view.is_large:
             return self.members.members()
-        primary = self.registry.get(record.primary)
+        primary = self.registry.queryable(record.primary)
         return self.members.members_named(watchers_of(self.view, record.group, primary))
 
     def _must_watch_store(self) -> bool:
@@ -658,7 +658,9 @@
             return True
         suspected = {group for member in self.members.members() for group in member.suspects}
         return any(
-            self._is_watcher(record.group, self.registry.get(record.primary or record.previous))
+            self._is_watcher(
+                record.group, self.registry.queryable(record.primary or record.previous)
+            )
             for record in self.primaries.records()
             if record.primary is None or record.group in suspected
         )
--- a/src/quetzalrudder/gateway/placement.py
+++ b/src/quetzalrudder/gateway/placement.py
@@ -274,7 +274,7 @@
             self._count_crossing(reason.value)
 
     def _record_crossing(self, target_id: TargetId, *, failed: bool) -> None:
-        target = self._registry.get(target_id) if self._exit is not None else None
+        target = self._registry.queryable(target_id) if self._exit is not None else None
         if target is None or target.data_centre == self._data_centre:
             return
         if failed:
--- a/src/quetzalrudder/gateway/positions.py
+++ b/src/quetzalrudder/gateway/positions.py
@@ -95,7 +95,7 @@
         if not self._view.is_large:
             return
         record = self._primaries.record(group)
-        target = self._registry.get(record.primary) if record and record.primary else None
+        target = self._registry.queryable(record.primary) if record and record.primary else None
         if target is None:
             return
         for owner in owners_of(self._view, target):
--- a/src/quetzalrudder/gateway/probing.py
+++ b/src/quetzalrudder/gateway/probing.py
@@ -187,7 +187,7 @@
         primary = self._primaries.usable_primary(self._group)
         if primary is None:
             return NO_PRIMARY_INTERVAL_S
-        if not self._is_watcher(self._registry.get(primary.target)):
+        if not self._is_watcher(self._registry.queryable(primary.target)):
             return IDLE_INTERVAL_S
         monitor = self._planner.primary_monitor(self._group)
         if self._suspected is not None:
@@ -199,7 +199,7 @@
         primary = self._primaries.usable_primary(self._group)
         if primary is None:
             return
-        target = self._registry.get(primary.target)
+        target = self._registry.queryable(primary.target)
         if not self._is_watcher(target) or (target and self._registry.is_evacuated(target)):
             return
         monitor = self._planner.primary_monitor(self._group)
@@ -231,7 +231,7 @@
 
     def _probe(self, primary: UsablePrimary) -> None:
         monitor = self._planner.primary_monitor(self._group)
-        target = self._registry.get(primary.target)
+        target = self._registry.queryable(primary.target)
         if target is None:
             # It may run, and its announcement be on its way back; where it listens is not known.
             if self._registry.is_gone(primary.target):
@@ -261,7 +261,7 @@
         record = self._primaries.record(self._group)
         if record is None or record.primary is None:
             return None
-        target = self._registry.get(record.primary)
+        target = self._registry.queryable(record.primary)
         if not self._is_watcher(target) or (target and self._registry.is_evacuated(target)):
             return None
         monitor = self._planner.primary_monitor(self._group)
--- a/src/quetzalrudder/gateway/successor_survey.py
+++ b/src/quetzalrudder/gateway/successor_survey.py
@@ -224,7 +224,7 @@
     def ask_old_primary(self, record: PrimaryRecord) -> OldPrimary:
         """Ask a primary that is out of use for its position, which bounds what it acknowledged."""
         change = self._change_of(record)
-        target = self._registry.get(record.previous) if record.previous else None
+        target = self._registry.queryable(record.previous) if record.previous else None
         if target is None:
             return self.remembered_old_primary(record)
         status = self.ask([target]).get(target.target)
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -6,7 +6,7 @@
 
 - whether statements may be sent to a database: ``usable_targets_in_group``, ``serving``,
   ``serving_targets``;
-- whether it may be queried: ``get``, ``targets_in_group``, ``all_targets``;
+- whether it may be queried: ``queryable``, ``targets_in_group``, ``all_targets``;
 - whether it has left for good: ``is_gone``, and ``is_settled`` for those never announced here;
 - how far those that have left may have confirmed commits: ``departures``.
 """
@@ -194,8 +194,8 @@
         for target_id in removed:
             self.remove(target_id)
 
-    def get(self, target: TargetId) -> Target | None:
-        """Return a database by its id; None if it is not registered."""
+    def queryable(self, target: TargetId) -> Target | None:
+        """Return a database that can be asked for its state; None if there is none of this id."""
         with self._lock:
             self._drop_expired()
             entry = self._entries.get(target)
@@ -224,7 +224,7 @@
 
     def is_gone(self, target: TargetId) -> bool:
         """Return whether a database has left for good, also one that was never announced here."""
-        return self.get(target) is None and (self.is_settled or self._has_departed(target))
+        return self.queryable(target) is None and (self.is_settled or self._has_departed(target))
 
     def _settled_before(self) -> float:
         """Return the clock reading before which an absence must have begun to be final."""
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -284,7 +284,7 @@
 
 def test_connections_are_closed_by_degrees(fleet):
     gateway = fleet[0].gateway
-    target = gateway.registry.get("db-2")
+    target = gateway.registry.queryable("db-2")
     limits = [gateway._connection_limit(target)]
     request(fleet, "dc-1")
     for _ in range(4):
@@ -292,7 +292,7 @@
         limits.append(gateway._connection_limit(target))
     assert limits == sorted(limits, reverse=True) and len(set(limits)) >= 4
     assert isinstance(gateway.prober.status(target), Err)
-    assert isinstance(gateway.prober.status(gateway.registry.get("db-1")), Ok)
+    assert isinstance(gateway.prober.status(gateway.registry.queryable("db-1")), Ok)
 
 
 def test_a_refusal_is_not_taken_for_the_loss_of_the_primary(fleet):
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -153,7 +153,7 @@
 def test_a_draining_primary_is_replaced_without_loss_of_its_log(fleet):
     assert fleet[0].session().execute("w1", Write("a", "1")).error is None
     for instance in fleet.instances:
-        info = instance.gateway.registry.get("db-1")
+        info = instance.gateway.registry.queryable("db-1")
         instance.gateway.registry.update(replace(info, draining=True))
     fleet.group.replicate()
     assert fleet.run(3.0, uses_primary(fleet, "db-2")) or uses_primary(fleet, "db-3")()
@@ -400,7 +400,7 @@
 
     fleet.clock.advance = advance
     for instance in fleet.instances:
-        info = instance.gateway.registry.get("db-1")
+        info = instance.gateway.registry.queryable("db-1")
         instance.gateway.registry.update(replace(info, draining=True))
     fleet.run(3.0, lambda: fleet.group.promotions)
     [(promoted, _)] = fleet.group.promotions
--- a/tests/test_gateway_lending.py
+++ b/tests/test_gateway_lending.py
@@ -73,7 +73,7 @@
 
 
 def primary(fleet):
-    return fleet[0].gateway.registry.get("db-1")
+    return fleet[0].gateway.registry.queryable("db-1")
 
 
 def owner_names(fleet):
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -59,7 +59,7 @@
 
 def drain(fleet, name):
     for instance in fleet.instances:
-        info = instance.gateway.registry.get(name)
+        info = instance.gateway.registry.queryable(name)
         instance.gateway.registry.update(replace(info, draining=True))
 
 
@@ -100,7 +100,7 @@
             if database.info.role is not role:
                 database.info = replace(database.info, role=role)
                 for instance in fleet.instances:
-                    known = instance.gateway.registry.get(database.info.target)
+                    known = instance.gateway.registry.queryable(database.info.target)
                     instance.gateway.registry.update(replace(known, role=role))
         for session in sessions:
             if session.execute(f"w{number}", Write("a", "1")).error is None:
--- a/tests/test_gateway_sessions.py
+++ b/tests/test_gateway_sessions.py
@@ -361,7 +361,7 @@
     from dataclasses import replace
 
     registry = fleet[0].gateway.registry
-    registry.update(replace(registry.get("db-2"), draining=True))
+    registry.update(replace(registry.queryable("db-2"), draining=True))
     session = fleet[0].session("prices")
     for _ in range(10):
         session.execute("r", Read("a"))
--- a/tests/test_gateway_succession.py
+++ b/tests/test_gateway_succession.py
@@ -51,7 +51,7 @@
 
 def announce(fleet, name, **changes):
     for instance in fleet.instances:
-        info = instance.gateway.registry.get(name) or fleet.group[name].info
+        info = instance.gateway.registry.queryable(name) or fleet.group[name].info
         instance.gateway.registry.update(replace(info, **changes))
 
 
--- a/tests/test_gateway_warming.py
+++ b/tests/test_gateway_warming.py
@@ -91,7 +91,7 @@
 
     def send(self, instance, request_id):
         """Send one read to the cold database, without a retry elsewhere."""
-        target = instance.gateway.registry.get(COLD)
+        target = instance.gateway.registry.queryable(COLD)
         pool, now = instance.gateway.planner._pool, self.fleet.clock.now
         # Requests of a workspace all go through the same owner of the database's connections.
         workspace = f"branch-{self.fleet.rng.randrange(8)}"
--- a/tests/test_missing_announcements.py
+++ b/tests/test_missing_announcements.py
@@ -248,7 +248,7 @@
     viewed.registry.remove("db-2")
     viewed.clock.advance(CONVERGENCE_S + 1.0)
     viewed.view(MISSING_GRACE_S - 0.1)
-    assert viewed.registry.get("db-2") is not None
+    assert viewed.registry.queryable("db-2") is not None
     viewed.view(0.5)
     assert viewed.registry.is_gone("db-2")
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -575,4 +575,4 @@
     fleet.store.put("servers/db-1", draining, None)
     fleet.run(3.0)
     planner = fleet[0].gateway.planner
-    assert planner._has_drained(fleet[0].gateway.registry.get("db-1"))
+    assert planner._has_drained(fleet[0].gateway.registry.queryable("db-1"))
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -104,11 +104,11 @@
     edge.gateway.registry.remove("db-1")
     edge.cut_from_store()
     fleet.run(MISSING_GRACE_S + 1.0)
-    assert edge.gateway.registry.get("db-1") is not None
+    assert edge.gateway.registry.queryable("db-1") is not None
     assert edge.gateway.ready
     edge.cut_from_store(False)
     fleet.run(MISSING_GRACE_S + 1.0)
-    assert edge.gateway.registry.get("db-1") is None
+    assert edge.gateway.registry.queryable("db-1") is None
 
 
 def test_a_database_that_was_missing_before_a_cut_is_awaited_after_it(fleet):
@@ -121,7 +121,7 @@
     until = fleet.clock.now + 2.0
     while fleet.clock.now < until:
         fleet.run(0.05)
-        assert edge.gateway.registry.get("db-1") is not None
+        assert edge.gateway.registry.queryable("db-1") is not None
 
 
 def test_an_evacuation_does_not_end_while_the_store_cannot_tell_that_it_was_written_again():
