--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -394,7 +394,7 @@
         if not draining and not suspected:
             return
         planned = draining and not suspected
-        if planned and self._may_be_promoted_again(record):
+        if planned and self._may_be_promoted_again(target):
             return
         if planned and self._confirms_commits(record.group) and not self._has_caught_up(record):
             # It serves until a replica can follow it.
@@ -403,15 +403,16 @@
         if successor is not None:
             self._begin_change(record, successor, planned=planned)
 
-    def _may_be_promoted_again(self, record: PrimaryRecord) -> bool:
+    def _may_be_promoted_again(self, primary: Target) -> bool:
         """Return whether to leave a draining primary in use, as a call may still promote it.
 
         While it leads, that call changes nothing; later, it deposes the primary of that time. It
-        is left while there is time to replace it before it gets no statements any more.
+        is left while there is time to replace it before it gets no statements any more. One in an
+        evacuated data centre has no such time.
         """
         may_wait_s = LATE_CALL_DRAIN_FRACTION * self._drain_limit_s
-        is_in_time = self._registry.draining_s(record.primary) < may_wait_s
-        return is_in_time and self.promotion_calls.may_still_run(record.group, record.primary)
+        is_in_time = primary.draining and self._registry.draining_s(primary.target) < may_wait_s
+        return is_in_time and self.promotion_calls.may_still_run(primary.group, primary.target)
 
     def _begin_change(self, record: PrimaryRecord, successor: TargetId, *, planned: bool) -> None:
         """Record that a primary is being replaced."""
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -148,6 +148,21 @@
     assert fleet.run(DRAIN_FRACTION * DRAIN_LIMIT_S, is_replaced) is not None
 
 
+def test_a_primary_to_be_evacuated_is_replaced_though_a_call_may_still_promote_it(
+    fleet, monkeypatch
+):
+    limit_drains(fleet)
+    platform = SlowPlatform(fleet, slow_s=60.0, until_s=0.5)
+    drain(fleet, "db-1")
+    write_until(fleet, platform, 20)
+    first = platform.calls[0]
+    assert fleet.group.newest_primary().info.target == first
+    for instance in fleet.instances:
+        failover = instance.gateway.failover
+        monkeypatch.setattr(failover, "_must_move", lambda primary: primary.target == first)
+    assert fleet.run(2.0, lambda: fleet.group.newest_primary().info.target != first) is not None
+
+
 def test_a_database_that_a_late_call_has_promoted_is_noticed_by_its_role(fleet):
     # Nobody noticed before the old primary did, a second later.
     platform = SlowPlatform(fleet, slow_s=1e9, until_s=0.0)
