--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -239,7 +239,8 @@
         self._change_log.stop()
         result = self.relays.watch(relay, after)
         if isinstance(result, Err):
-            # Another relay is asked at once, or the store.
+            # The store may be away for the relay; another one is asked at once, or the store.
+            self._contact.interrupt_view()
             return isinstance(result.err_value, RelayUnavailable)
         self._relayed = True
         changes = result.ok_value
--- a/tests/test_missing_announcements.py
+++ b/tests/test_missing_announcements.py
@@ -3,12 +3,16 @@
 from dataclasses import replace
 
 import pytest
+from result import Err
 
 from quetzalrudder.gateway.catalog import GroupSettings
+from quetzalrudder.gateway.mirror import PrefixHandler, StoreMirror
 from quetzalrudder.gateway.permission import PERMISSION_S
+from quetzalrudder.gateway.relays import RelayUnavailable
 from quetzalrudder.gateway.statements import Write
 from quetzalrudder.gateway.store_contact import StoreContact
 from quetzalrudder.gateway.targets import MISSING_GRACE_S, LogPosition, TargetRegistry
+from standins.gateway_store import MemoryStore
 from tests.clocks import ManualClock
 from tests.gateway_fleet import GatewayFleet, catalog
 
@@ -264,6 +268,33 @@
     assert not viewed.registry.is_gone("db-9")
 
 
+def test_the_view_of_an_instance_whose_relay_loses_the_store_settles_anew(viewed):
+    # It follows the store through others, and does not notice the outage itself.
+    class Relays:
+        def __init__(self):
+            self.results = []
+
+        def choose(self):
+            return "relay" if self.results else None
+
+        def watch(self, relay, after):
+            return self.results.pop(0)
+
+    relays = Relays()
+    store = MemoryStore(viewed.clock)
+    handlers = [PrefixHandler("servers/", list, list)]
+    mirror = StoreMirror(
+        store.client(), handlers, viewed.contact, viewed.clock, CONVERGENCE_S, relays=relays
+    )
+    assert mirror.step()
+    began_at = viewed.contact.viewed_since
+    viewed.clock.advance(1.0)
+    relays.results = [Err(RelayUnavailable("the relay has lost the store"))]
+    mirror.step()
+    assert mirror.step()
+    assert viewed.contact.viewed_since == began_at + 1.0
+
+
 def test_databases_that_left_unseen_are_bounded_by_what_was_asked_after_the_view_had_settled(
     viewed,
 ):
