Promotion calls: calls of several groups that end at once without an answer are all remembered

Found by reading the change: they end on threads of their own, and one could overwrite what the other had noted, so that a call that may depose a primary was not expected. Noted under a lock. The fault is read, not shown: the new test passed in three runs without the lock too, as the race is narrow.

--- a/src/quetzalrudder/gateway/promotion_calls.py
+++ b/src/quetzalrudder/gateway/promotion_calls.py
@@ -6,6 +6,7 @@
 
 import logging
 import math
+import threading
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
 from functools import partial
@@ -81,6 +82,7 @@
         self._calls: dict[GroupId, Future] = {}
         # The latest epoch for which a call was made.
         self._made: dict[GroupId, int] = {}
+        self._lock = threading.Lock()
         # When a call for a database ended without an answer, for the last time.
         self._unanswered: dict[tuple[GroupId, TargetId], float] = {}
         # Runs the calls; without one, they are run by the caller.
@@ -144,10 +146,10 @@
         return epoch, result
 
     def _note_unanswered(self, group: GroupId, target: TargetId) -> None:
-        now = self._clock.monotonic()
-        recent = {
-            call: ended_at
-            for call, ended_at in list(self._unanswered.items())
-            if now - ended_at < LATE_CALL_LIMIT_S
-        }
-        self._unanswered = {**recent, (group, target): now}
+        # Calls of several groups end on threads of their own.
+        with self._lock:
+            now = self._clock.monotonic()
+            for call, ended_at in list(self._unanswered.items()):
+                if now - ended_at >= LATE_CALL_LIMIT_S:
+                    del self._unanswered[call]
+            self._unanswered[group, target] = now
--- a/tests/test_gateway_promotions.py
+++ b/tests/test_gateway_promotions.py
@@ -424,6 +424,29 @@
     assert not calls.may_still_run("a", "db-1")
 
 
+def test_calls_without_an_answer_of_several_groups_at_once_are_all_remembered(executor):
+    # One that is forgotten may depose a primary.
+    groups = [f"group-{number}" for number in range(4)]
+    together = threading.Barrier(len(groups))
+
+    class SilentClient:
+        def promote(self, group, target, **caller):
+            together.wait(WAIT_S)
+            return Err(PlatformUnavailable("no answer", place=target, ending=Ending.UNKNOWN))
+
+    calls = PromotionCalls(SilentClient(), "edge-1", lambda: True, ManualClock())
+    calls.executor = executor
+    for epoch in range(50):
+        for group in groups:
+            calls.begin(group, epoch, f"db-{epoch}", 7)
+        for group in groups:
+            wait_for_result(calls, group)
+    remembered = [
+        calls.may_still_run(group, f"db-{epoch}") for group in groups for epoch in range(50)
+    ]
+    assert all(remembered)
+
+
 def test_an_unexpected_exception_of_a_call_counts_as_no_answer():
     class FailingClient:
         def promote(self, *args, **kwargs):
