Instance: a stop while health checks start names the error that caused it

Test failed before: tests/test_instance_stop.py, RuntimeError instead of the error of the start. Cause: _stop waits for the tasks one by one while the maintenance may still add health checks. Why it works: the maintenance, the only task that starts others, has ended before the others are waited for.

--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -99,6 +99,7 @@
 
 # Interval of the checks for idle connections that were closed and for new groups.
 MAINTENANCE_INTERVAL_S = 0.25
+MAINTENANCE_TASK = "maintenance"
 # Connection limit of a group that configures none.
 DEFAULT_CONNECTION_LIMIT = 8
 # Time within which a configuration must be in force: the shortest that the users require.
@@ -438,7 +439,7 @@
             ("membership", self.membership.run),
             ("failover", self.failover.run),
             ("peering", self.peering.run),
-            ("maintenance", lambda stopping: self._maintain(executor, stopping)),
+            (MAINTENANCE_TASK, lambda stopping: self._maintain(executor, stopping)),
         ):
             self._start_task(executor, name, run)
 
@@ -518,6 +519,9 @@
 
     def _stop(self) -> None:
         self._end_tasks()
+        if (maintenance := self._tasks.get(MAINTENANCE_TASK)) is not None:
+            # It starts health checks until it ends.
+            maintenance.result()
         for task in self._tasks.values():
             task.result()
 
