Tests of the edge program: ports that no outgoing connection can take

Test failed before: test_no_connection_can_take_a_port_before_the_process_binds_it. Cause: ports were chosen by binding port 0, from the range of outgoing connections, one of which took the port before the process bound it. Why it works: free_addresses chooses below that range, as the other tests and the soak do.

--- a/tests/test_edge_program.py
+++ b/tests/test_edge_program.py
@@ -8,11 +8,13 @@
 import time
 import tomllib
 from contextlib import suppress
+from pathlib import Path
 from urllib.request import urlopen
 
 import pytest
 
-from standins.fleet import ROOT
+from quetzalrudder.utils import parse_address
+from standins.fleet import ROOT, free_addresses
 from tests.gateway_standins import PlatformStandIn
 
 DEPLOY = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
@@ -42,8 +44,15 @@
 
 
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
+    (address,) = free_addresses(1)
+    return parse_address(address).port
+
+
+def test_no_connection_can_take_a_port_before_the_process_binds_it():
+    # A process found the port of its peers in use, which had been one for outgoing connections.
+    text = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
+    first = int(text.split()[0])
+    assert max(free_port() for _ in range(100)) < first
 
 
 class EdgeProcess:
