Relays: tell the age of their own view, and count a view's age in the wait of the watch

Seen: in tests only. After a sleep of a relay, or a slow full read, its followers refused added routes for good. Cause: ChangeLog noted when it was given an answer, not when the store had given it. Evidence: the tests; with the age passed on alone, a store that takes 0.5 s beyond the wait gives an age of 2.5 s, at which followers leave a relay (limit 2.0 s). Why it works: one age, computed by the mirror, goes to both; the wait is shorter by what the view has aged, so the highest age told stays what it was.

--- a/src/quetzalrudder/gateway/change_log.py
+++ b/src/quetzalrudder/gateway/change_log.py
@@ -5,6 +5,7 @@
 A waiting request holds no thread: the change itself, or the end of the wait, answers it.
 """
 
+import math
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -43,7 +44,8 @@
         # The log has every change after this revision, up to the other one.
         self._complete_after = 0
         self._revision = 0
-        self._confirmed_at = 0.0
+        # When the store last confirmed that the log has every change.
+        self._confirmed_at = -math.inf
         # Requests that wait, by a number of their own, with the function for the reply.
         self._waiting: dict[int, tuple[int, Deliver]] = {}
         self._request_count = 0
@@ -58,18 +60,21 @@
         """True while this instance watches the store by itself and reaches it."""
         return self._state is RelayState.WATCHING
 
-    def restart(self, revision: int) -> None:
-        """Begin at a revision, as this instance has read the whole store."""
+    def restart(self, revision: int, age_s: float = 0.0) -> None:
+        """Begin at the revision that the store had some seconds ago, at the latest full read."""
         with self._lock:
             self._changes.clear()
             self._size_bytes = 0
             self._complete_after = self._revision = revision
-        self._change_state(RelayState.WATCHING)
+        self._confirm(age_s)
+
+    def append(self, items: Iterable[Item], revision: int, age_s: float = 0.0) -> None:
+        """Add the answer that the store gave to a watch some seconds ago.
 
-    def append(self, items: Iterable[Item], revision: int) -> None:
-        """Add the answer of a watch; an empty one confirms that nothing has changed."""
+        An empty one confirms that nothing had changed by then.
+        """
         self.append_relayed(items, revision)
-        self._change_state(RelayState.WATCHING)
+        self._confirm(age_s)
 
     def append_relayed(self, items: Iterable[Item], revision: int) -> None:
         """Add changes from a relay, for the time when this instance watches the store itself."""
@@ -84,6 +89,10 @@
                 self._complete_after = dropped.revision
                 self._size_bytes -= _size_bytes(dropped)
 
+    def _confirm(self, age_s: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, self._clock.monotonic() - age_s)
+        self._change_state(RelayState.WATCHING)
+
     def lose_store(self) -> None:
         """State to all that wait that this instance does not reach the store."""
         self._change_state(RelayState.STORE_LOST)
@@ -96,7 +105,6 @@
         with self._lock:
             self._state = state
             if state is RelayState.WATCHING:
-                self._confirmed_at = self._clock.monotonic()
                 ready = [n for n, (after, _) in self._waiting.items() if self._has_reply(after)]
             else:
                 ready = list(self._waiting)
--- a/src/quetzalrudder/gateway/mirror.py
+++ b/src/quetzalrudder/gateway/mirror.py
@@ -123,9 +123,8 @@
         # Keys that exist, and the revisions of those that were skipped.
         self._keys: set[str] = set()
         self._skipped: dict[str, int] = {}
-        # Keys that the last watch of the store returned, and the pause that they caused.
+        # Keys that the last watch of the store returned.
         self._changed: list[str] = []
-        self._paused_s = 0.0
         # True if a relay has provided changes since the last answer of the store.
         self._relayed = False
         self._starting = True
@@ -166,7 +165,6 @@
 
     def pause_s(self, *, succeeded: bool) -> float:
         """Return the seconds to pause after a step."""
-        self._paused_s = 0.0
         if not succeeded:
             pause_s = self._retry_delay.after_failure() if self._retry_delay else RETRY_DELAY_S
             self._failure_pauses_s += pause_s
@@ -175,24 +173,21 @@
             self._starting = False
             if self._uses_relay():
                 return FIRST_REQUEST_DELAY_S
-        if self._changed:
-            self._paused_s = self._batch_delay_s(self._changed)
-        return self._paused_s
+        return self._batch_delay_s(self._changed) if self._changed else 0.0
 
     @property
     def next_wait_s(self) -> float:
-        """How long the next watch of the store waits; a pause before it counts as a part.
+        """How long the next watch of the store waits; the age of the view counts as a part.
 
-        After a failure it is short: a silent store answers nothing until the watch times out, and
-        its return would be noticed no earlier.
+        The view is some time old after a pause, a slow answer, and a relay that has failed.
+
+        After a failure the wait is short: a silent store answers nothing until the watch times out,
+        and its return would be noticed no earlier.
         """
-        if self._failures:
+        if self._failures or not self._contact.is_view_current:
             return RECONNECT_WAIT_S
-        if self._relayed:
-            # The last confirmation of a relay that has failed is some time old.
-            left_s = self.wait_s - self._contact.view_age_s
-            return min(self.wait_s, max(RECONNECT_WAIT_S, left_s))
-        return max(MIN_WATCH_WAIT_S, self.wait_s - self._paused_s)
+        shortest_s = RECONNECT_WAIT_S if self._relayed else MIN_WATCH_WAIT_S
+        return max(shortest_s, self.wait_s - self._contact.view_age_s)
 
     def step(self) -> bool:
         """Read or watch the store once; return whether to go on without a pause for a failure."""
@@ -230,9 +225,10 @@
             self._contact.interrupt_view()
             self._on_direct()
         self._apply(changes)
-        self._change_log.append(changes.items, changes.revision)
         # An answer that arrives after the wait may have been sent at the end of the wait.
-        self._contact.record_view(max(0.0, self._clock.monotonic() - sent_at - wait_s))
+        age_s = max(0.0, self._clock.monotonic() - sent_at - wait_s)
+        self._change_log.append(changes.items, changes.revision, age_s)
+        self._contact.record_view(age_s)
         return True
 
     def _watch_relay(self, relay: RosterRecord, after: int) -> bool:
@@ -345,11 +341,12 @@
         revision = answers.ok_value[0].revision if answers.ok_value else None
         self._record_success()
         self.revision = revision
-        self._change_log.restart(revision or 0)
+        took_s = self._clock.monotonic() - started
+        self._change_log.restart(revision or 0, took_s)
         if self._uses_relay():
             self._change_log.stop()
-        self._contact.record_view(self._clock.monotonic() - started)
-        took_ms = round((self._clock.monotonic() - started) * MS_PER_S)
+        self._contact.record_view(took_s)
+        took_ms = round(took_s * MS_PER_S)
         extra = {"revision": revision, "took_ms": took_ms, "at_once": self._reads_at_once}
         log.info("store read", extra=extra)
         return True
--- a/tests/gateway_paced_fleet.py
+++ b/tests/gateway_paced_fleet.py
@@ -27,7 +27,8 @@
         # True while the pause is one after a failed call.
         self.retries = False
         self.asked_at = self.clock.now
-        self.own_wait_s = self.relay_wait_s = 0.0
+        # The waits of the pending call, as they were when it was made.
+        self.own_wait_s = self.relay_wait_s = None
 
     def step(self):
         if self.clock.now < self.paused_until and self.retries and self.mirror.retry_pause.end():
@@ -39,13 +40,14 @@
         self.retries = not succeeded
         self.paused_until = self.clock.now + pause_s
         self.asked_at = self.paused_until
-        # The waits of the next call, as they are when it is made.
-        self.own_wait_s = self.mirror.next_wait_s
-        self.relay_wait_s = self.mirror.relays.next_wait_s
+        self.own_wait_s = self.relay_wait_s = None
 
     def _is_waiting(self):
         """Return whether the call that is made now has no answer yet."""
         fleet, mirror = self.instance.fleet, self.mirror
+        if self.own_wait_s is None:
+            self.own_wait_s = mirror.next_wait_s
+            self.relay_wait_s = mirror.relays.next_wait_s
         if mirror.revision is None:
             return False
         relay = mirror.relays.choose()
--- a/tests/test_gateway_mirror.py
+++ b/tests/test_gateway_mirror.py
@@ -251,7 +251,7 @@
     def __getattr__(self, name):
         return getattr(self.log, name)
 
-    def append(self, items, revision):
+    def append(self, items, revision, age_s):
         raise RuntimeError("fault")
 
 
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -4,6 +4,8 @@
 from result import Err, Ok
 
 from quetzalrudder.exceptions import PlatformUnavailable, RouteNotFound
+from quetzalrudder.gateway.mirror import RECONNECT_WAIT_S
+from quetzalrudder.gateway.relays import RELAY_AGE_MARGIN_S
 from quetzalrudder.gateway.targets import MISSING_GRACE_S
 from quetzalrudder.schema.gateway import ChangesRequest
 from tests.gateway_paced_fleet import PacedFleet
@@ -196,6 +198,41 @@
     assert replies[0].age_ms == pytest.approx(700)
 
 
+@pytest.mark.parametrize("late_s", [0.0, 0.25, RELAY_AGE_MARGIN_S])
+def test_followers_do_not_leave_a_relay_whose_store_answers_slowly(large_fleet, late_s):
+    # The time that each answer takes counts twice: for the one before and for the next.
+    relay = relays(large_fleet)[0]
+    mirror = relay.mirror.mirror
+    max_relay_age_s = mirror.wait_s + RELAY_AGE_MARGIN_S
+    store, clock = mirror._store, large_fleet.clock
+    ages = []
+
+    class SlowStore:
+        def watch(self, after, wait_ms):
+            clock.advance(wait_ms / 1000 + late_s)
+            req = ChangesRequest(after=mirror.revision, wait_ms=0)
+            relay.gateway.answer_changes(req, lambda reply: ages.append(reply.age_ms / 1000))()
+            return store.watch(after, wait_ms)
+
+    mirror._store = SlowStore()
+    for _ in range(5):
+        mirror.step()
+    oldest_s = max(ages[1:])
+    assert oldest_s <= max_relay_age_s + 0.001
+    assert oldest_s >= mirror.wait_s
+
+
+def test_the_watch_after_a_sleep_is_short():
+    # Callers of names that the view lacks wait for its end.
+    fleet = ConfiguredFleet()
+    fleet.configure(2)
+    fleet.run(5.0, fleet.all_know_primary)
+    mirror = fleet[0].mirror
+    mirror._store = SleepingStore(mirror._store, fleet.clock, mirror.next_wait_s + SLEEP_S)
+    mirror.step()
+    assert mirror.next_wait_s == RECONNECT_WAIT_S
+
+
 def test_what_a_store_back_from_an_older_copy_lacks_is_not_refused_for_good():
     # Another instance has the newer configuration, and goes on serving it.
     fleet = ConfiguredFleet(store_era=1)
