Store's return: what the older copy lacks is not refused for good while it is written again

Seen: in a test. An instance that had missed a configuration read the store after its return and refused an added route for good, while other instances served it. Cause: any answer of the store made the view current, also of a store that had lost what others wrote. Evidence: the tests. Why it works: for the convergence time after a return such refusals tell a time to come back; meanwhile peers tell a newer configuration.

--- a/src/quetzalrudder/gateway/authorization.py
+++ b/src/quetzalrudder/gateway/authorization.py
@@ -1,9 +1,9 @@
 """Which workspace a caller acts for, and what a caller without access is told.
 
-Serves the time in which this instance cannot follow the store, and the moments after it: callers
-of routes and keys that were added meanwhile arrive here before the configuration does. What the
-configuration lacks is refused for good only if no newer one can be in force; callers of what it has
-are served from it.
+Serves the time in which this instance cannot follow the store, and the moments after it, as well as
+a store that has come back from an older copy: callers of routes and keys that were added meanwhile
+arrive here before the configuration does. What the configuration lacks is refused for good only if
+no newer one can be in force; callers of what it has are served from it.
 """
 
 import random
@@ -20,6 +20,7 @@
 )
 from quetzalrudder.gateway.catalog import Catalog, CurrentCatalog, Route
 from quetzalrudder.gateway.store_contact import StoreContact
+from quetzalrudder.gateway.store_eras import StoreEras
 from quetzalrudder.models import WorkspaceId
 from quetzalrudder.utils import MS_PER_S
 
@@ -51,6 +52,8 @@
         The configuration.
     contact : StoreContact
         Tells how old this instance's view of the store is.
+    eras : StoreEras
+        Tells whether the store lacks configurations, as it came back from an older copy.
     count_unconfirmed : Callable
         Called with ``"route"`` or ``"key"`` for each refusal that is not for good.
     rng : random.Random
@@ -61,11 +64,13 @@
         self,
         catalogs: CurrentCatalog,
         contact: StoreContact,
+        eras: StoreEras,
         count_unconfirmed: Callable[[str], None],
         rng: random.Random,
     ) -> None:
         self._catalogs = catalogs
         self._contact = contact
+        self._eras = eras
         self._count_unconfirmed = count_unconfirmed
         self._rng = rng
 
@@ -73,7 +78,11 @@
         """Return the configuration in force and how old it may be."""
         # The age first: a view that is confirmed in between says nothing of the catalog before it.
         age_s = self._contact.view_age_s
-        is_current = self._contact.is_view_current and not self._catalogs.is_superseded
+        is_current = (
+            self._contact.is_view_current
+            and not self._catalogs.is_superseded
+            and not self._eras.may_lack_writes
+        )
         return CatalogView(self._catalogs.current, age_s, is_current)
 
     def authorize(
--- a/src/quetzalrudder/gateway/instance.py
+++ b/src/quetzalrudder/gateway/instance.py
@@ -180,7 +180,7 @@
         self.catalogs = CurrentCatalog()
         self.metrics = Metrics()
         self.contact = StoreContact(clock, convergence_s)
-        self.eras = StoreEras(clock)
+        self.eras = StoreEras(clock, rewrite_s=convergence_s)
         self.metrics.watch_view_age(lambda: self.contact.view_age_s)
         self.evacuations = EvacuationTable(
             self.contact,
@@ -282,7 +282,11 @@
         )
         self._services = GatewayServices(
             authorizer=Authorizer(
-                self.catalogs, self.contact, self.metrics.count_unconfirmed_refusal, rng
+                self.catalogs,
+                self.contact,
+                self.eras,
+                self.metrics.count_unconfirmed_refusal,
+                rng,
             ),
             planner=self.planner,
             rates=self.rates,
--- a/src/quetzalrudder/gateway/store_eras.py
+++ b/src/quetzalrudder/gateway/store_eras.py
@@ -27,10 +27,13 @@
     ----------
     clock : Clock
         Source of time.
+    rewrite_s : float
+        Time within which others write again what the store has lost, in seconds.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, rewrite_s: float = 0.0) -> None:
         self._clock = clock
+        self._rewrite_s = rewrite_s
         # Held while the listeners run, so that no call of the new era is used before that.
         self._lock = threading.RLock()
         self._listeners: list[EraListener] = []
@@ -53,6 +56,15 @@
         """Seconds since this instance learned of the current era; infinite in the first one."""
         return self._clock.monotonic() - self._since
 
+    @property
+    def may_lack_writes(self) -> bool:
+        """True while the store may lack what others wrote before it came back, as a configuration.
+
+        The platform states no time for this; a configuration has to be in force within
+        ``rewrite_s`` of being written, and the store's return counts as the write.
+        """
+        return self.age_s < self._rewrite_s
+
     def add_listener(self, listener: EraListener) -> None:
         """Have a function called at each return, while :attr:`current` is the earlier era."""
         self._listeners.append(listener)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -69,7 +69,7 @@
             connector=self,
             promotion_client=fleet.group,
             caller=self,
-            decode_catalog=lambda raw: catalog(int(raw)),
+            decode_catalog=fleet.decode_catalog,
             quota_rules=ColdRules(cold_excess=1.5, cold_margin=5.0),
             clock=fleet.clock,
             rng=random.Random(seed),
@@ -209,6 +209,9 @@
         """Return the handlers of the store's keys that are not the gateway's own."""
         return [evacuation_handler(gateway.evacuations)]
 
+    def decode_catalog(self, encoded):
+        return catalog(int(encoded))
+
     def announced(self):
         """Return the databases that the store names."""
         return [info for info in self.group.infos() if info.target not in self.unannounced]
--- a/tests/test_old_view.py
+++ b/tests/test_old_view.py
@@ -5,7 +5,7 @@
 
 import pytest
 from result import Err, Ok
-from rig.configuration import catalog_handler, evacuation_handler
+from rig.configuration import catalog_handler, decode_catalog, evacuation_handler
 from rig.wire import encode_greeting_answer
 
 from quetzalrudder.exceptions import RouteNotFound, Unauthenticated
@@ -48,6 +48,9 @@
     def handlers(self, gateway):
         return [catalog_handler(gateway.catalogs), evacuation_handler(gateway.evacuations)]
 
+    def decode_catalog(self, encoded):
+        return decode_catalog(encoded)
+
     def configure(self, version, **parts):
         self.store.put("op/config", configuration(version, **parts), None)
 
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -3,14 +3,14 @@
 import pytest
 from result import Err, Ok
 
-from quetzalrudder.exceptions import PlatformUnavailable, RouteNotFound
+from quetzalrudder.exceptions import PlatformUnavailable, RouteNotFound, SettingsTooOld
 from quetzalrudder.gateway.mirror import RECONNECT_WAIT_S
 from quetzalrudder.gateway.relays import RELAY_AGE_MARGIN_S
 from quetzalrudder.gateway.targets import MISSING_GRACE_S
 from quetzalrudder.schema.gateway import ChangesRequest
 from tests.gateway_paced_fleet import PacedFleet
 from tests.test_gateway_relays import relays
-from tests.test_old_view import ConfiguredFleet, cut
+from tests.test_old_view import CONVERGENCE_S, ConfiguredFleet, cut
 
 # How long a machine sleeps beyond the wait of a watch.
 SLEEP_S = 10.0
@@ -250,3 +250,35 @@
     assert fleet[1].session("added").check_access() == Ok(None)
     access = edge.session("added").check_access()
     assert not isinstance(access.err(), RouteNotFound)
+
+
+def test_an_unknown_route_is_refused_for_good_again_some_time_after_a_return_of_the_store():
+    fleet = ConfiguredFleet(store_era=1)
+    fleet.configure(2)
+    fleet.run(6.0, fleet.all_know_primary)
+    assert isinstance(fleet[0].session("none").check_access().err(), RouteNotFound)
+    fleet.return_store(fleet.store.copy())
+    fleet.run(0.5)
+    assert isinstance(fleet[0].session("none").check_access().err(), SettingsTooOld)
+    assert fleet[0].session("offers").check_access() == Ok(None)
+    fleet.run(CONVERGENCE_S)
+    assert isinstance(fleet[0].session("none").check_access().err(), RouteNotFound)
+
+
+def test_what_a_store_back_from_an_older_copy_lacks_is_got_from_a_peer_before_it_is_refused():
+    fleet = ConfiguredFleet(store_era=1)
+    fleet.configure(2)
+    fleet.run(6.0, fleet.all_know_primary)
+    copied = fleet.store.copy()
+    edge = fleet[0]
+    cut(edge)
+    fleet.configure(3, routes=("offers", "added"))
+    fleet.run(0.5)
+    fleet.store.come_back(copied)
+    cut(edge, False)
+    until = fleet.clock.now + 2 * CONVERGENCE_S
+    while fleet.clock.now < until:
+        fleet.run(0.05)
+        access = edge.session("added").check_access()
+        assert not isinstance(access.err(), RouteNotFound)
+    assert access == Ok(None)
