Change log: a relay that has just started answers requests of followers again

Test failed before: test_a_log_that_the_store_has_not_confirmed_yet_tells_so, OverflowError. Cause: an age of infinity was rounded before it was bounded. Why it works: the bound comes first.

--- a/src/quetzalrudder/gateway/change_log.py
+++ b/src/quetzalrudder/gateway/change_log.py
@@ -14,7 +14,7 @@
 from quetzalrudder.schema.gateway import ChangesReply, ChangesRequest, RelayState, StoreChange
 from quetzalrudder.utils import MAX_MESSAGE_BYTES, MS_PER_S, Clock
 
-__all__ = ["ChangeLog"]
+__all__ = ["MAX_AGE_MS", "ChangeLog"]
 
 # An instance that starts writes three changes; this many cover two starts of a fleet of 300.
 MAX_CHANGES = 2000
@@ -22,6 +22,8 @@
 MAX_CHANGES_BYTES = MAX_MESSAGE_BYTES // 2
 # Requests that wait at the same time; further ones are answered at once.
 MAX_WAITING = 1000
+# The highest age that a reply tells; also that of a log that the store has not confirmed yet.
+MAX_AGE_MS = 2**31
 
 Deliver = Callable[[ChangesReply], None]
 
@@ -179,7 +181,7 @@
             state=state,
             changes=changes,
             revision=self._revision,
-            age_ms=min(round(age_s * MS_PER_S), 2**31),
+            age_ms=round(min(age_s * MS_PER_S, MAX_AGE_MS)),
         )
 
 
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -11,7 +11,7 @@
 from quetzalrudder.bridge import Loop
 from quetzalrudder.exceptions import PlatformUnavailable
 from quetzalrudder.gateway.assignments import FleetView
-from quetzalrudder.gateway.change_log import ChangeLog
+from quetzalrudder.gateway.change_log import MAX_AGE_MS, ChangeLog
 from quetzalrudder.gateway.instance import DEFAULT_CONVERGENCE_S
 from quetzalrudder.gateway.members import MemberRecord, MemberTable, RosterRecord
 from quetzalrudder.gateway.membership import COVERED_FRACTION, RENEW_INTERVAL_S, RETRY_DELAY_S
@@ -213,6 +213,13 @@
         return self.change_log.answer(req, deliver)
 
 
+def test_a_log_that_the_store_has_not_confirmed_yet_tells_so():
+    # A relay that had just started failed to reply, as an infinite age has no number.
+    (reply,), _ = ask(ChangeLog(ManualClock()), 0)
+    assert reply.state is RelayState.NOT_WATCHING
+    assert ChangesReply.parse(bytes(reply)).age_ms == MAX_AGE_MS
+
+
 def test_waiting_calls_hold_no_thread_of_the_relay():
     relay = Relay()
     with ExitStack() as stack:
