--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -222,11 +222,8 @@
     assert oldest_s >= mirror.wait_s
 
 
-def test_the_watch_after_a_sleep_is_short():
+def test_the_watch_after_a_sleep_is_short(fleet):
     # Callers of names that the view lacks wait for its end.
-    fleet = ConfiguredFleet()
-    fleet.configure(2)
-    fleet.run(5.0, fleet.all_know_primary)
     mirror = fleet[0].mirror
     mirror._store = SleepingStore(mirror._store, fleet.clock, mirror.next_wait_s + SLEEP_S)
     mirror.step()
