Failover, registry: one condition for a promotion call, one look-up of a database

_may_call replaces two copies of the same condition (when the platform accepts no call, and after one that failed); queryable and serving share _find; two tests of a store's return share their set-up. Behaviour is unchanged, and so are the tests' assertions.

--- a/src/quetzalrudder/gateway/failover.py
+++ b/src/quetzalrudder/gateway/failover.py
@@ -552,9 +552,7 @@
         """Return the record whose successor may be promoted now; None if there is none yet."""
         if self._confirms_commits(record.group):
             return self._settle_complete_successor(record)
-        if self._clock.monotonic() < self._next_call.get(record.group, 0.0):
-            return None
-        if self._has_failed(record.successor, PROMOTION_RETRY_DELAY_S):
+        if not self._may_call(record.group, record.successor):
             return None
         if record.successor is None:
             self._end_wait(record.group)
@@ -568,6 +566,11 @@
             self._hand_over_log(record)
         return record
 
+    def _may_call(self, group: GroupId, successor: TargetId | None) -> bool:
+        """Return whether it is time for a promotion call, after one that failed."""
+        is_due = self._clock.monotonic() >= self._next_call.get(group, 0.0)
+        return is_due and not self._has_failed(successor, PROMOTION_RETRY_DELAY_S)
+
     # Groups in which a replica has received each commit that was acknowledged.
 
     def _settle_complete_successor(self, record: PrimaryRecord) -> PrimaryRecord | None:
@@ -591,8 +594,7 @@
             record = self._record_successor(record, target)
         if self._waits.get(group) != (target,):
             self._end_wait(group)
-        is_due = self._clock.monotonic() >= self._next_call.get(group, 0.0)
-        if record is None or not is_due or self._has_failed(target, PROMOTION_RETRY_DELAY_S):
+        if record is None or not self._may_call(group, target):
             return None
         if record.planned:
             self._step_down(record)
--- a/src/quetzalrudder/gateway/targets.py
+++ b/src/quetzalrudder/gateway/targets.py
@@ -196,17 +196,18 @@
 
     def queryable(self, target: TargetId) -> Target | None:
         """Return a database that can be asked for its state; None if there is none of this id."""
-        with self._lock:
-            self._drop_expired()
-            entry = self._entries.get(target)
-            return entry.target if entry is not None else None
+        entry = self._find(target)
+        return entry.target if entry is not None else None
 
     def serving(self, target: TargetId) -> Target | None:
         """Return a database that statements may be sent to; None if there is none of this id."""
+        entry = self._find(target)
+        return entry.target if entry is not None and entry.is_serving else None
+
+    def _find(self, target: TargetId) -> _Entry | None:
         with self._lock:
             self._drop_expired()
-            entry = self._entries.get(target)
-            return entry.target if entry is not None and entry.is_serving else None
+            return self._entries.get(target)
 
     def serving_targets(self) -> list[Target]:
         """Return all databases that statements may be sent to, those that drain too.
--- a/tests/test_old_view_elsewhere.py
+++ b/tests/test_old_view_elsewhere.py
@@ -230,18 +230,24 @@
     assert mirror.next_wait_s == RECONNECT_WAIT_S
 
 
-def test_what_a_store_back_from_an_older_copy_lacks_is_not_refused_for_good():
-    # Another instance has the newer configuration, and goes on serving it.
+def return_without_newest_configuration():
+    """Let the store lose a configuration that all instances but the first have."""
     fleet = ConfiguredFleet(store_era=1)
     fleet.configure(2)
     fleet.run(6.0, fleet.all_know_primary)
     copied = fleet.store.copy()
-    edge = fleet[0]
-    cut(edge)
+    cut(fleet[0])
     fleet.configure(3, routes=("offers", "added"))
     fleet.run(0.5)
     fleet.store.come_back(copied)
-    cut(edge, False)
+    cut(fleet[0], False)
+    return fleet
+
+
+def test_what_a_store_back_from_an_older_copy_lacks_is_not_refused_for_good():
+    # Another instance has the newer configuration, and goes on serving it.
+    fleet = return_without_newest_configuration()
+    edge = fleet[0]
     edge.step()
     edge.mirror.step()
     assert fleet[1].session("added").check_access() == Ok(None)
@@ -263,16 +269,8 @@
 
 
 def test_what_a_store_back_from_an_older_copy_lacks_is_got_from_a_peer_before_it_is_refused():
-    fleet = ConfiguredFleet(store_era=1)
-    fleet.configure(2)
-    fleet.run(6.0, fleet.all_know_primary)
-    copied = fleet.store.copy()
+    fleet = return_without_newest_configuration()
     edge = fleet[0]
-    cut(edge)
-    fleet.configure(3, routes=("offers", "added"))
-    fleet.run(0.5)
-    fleet.store.come_back(copied)
-    cut(edge, False)
     until = fleet.clock.now + 2 * CONVERGENCE_S
     while fleet.clock.now < until:
         fleet.run(0.05)
